--- /dev/null
+++ b/internal/entry/router/router.go
@@ -0,0 +1,26 @@
+// Package router chooses targets for one entry. It owns the in-flight counts, the
+// retry budgets and the suspects, and applies the rollouts' traffic split.
+package router
+
+import (
+	"context"
+
+	"bramleygap/internal/core/placement"
+)
+
+// Assignment is a target reserved for one attempt. Done must be called exactly once.
+type Assignment struct {
+	placement.Decision
+	Done func(placement.Outcome)
+}
+
+// Router reserves targets.
+type Router interface {
+	// Place waits for a target until ctx ends. Errors are *result.Error values.
+	Place(ctx context.Context, request placement.Request) (*Assignment, error)
+	// ReportDeath attributes a target's crash to the requests that ran on it.
+	// A death id is counted once.
+	ReportDeath(deathID string, fingerprints []uint64, version string)
+	// ReportProgress tells that a request has run on its target without a crash.
+	ReportProgress(fingerprint uint64, completed bool)
+}
