Add the model engine stand-in, its client and the token log

The agent and every end-to-end test need an engine with known output: tokens are a function of the request, so a test can state the exact text. The token log is pure so that retention, epochs and eviction can be tested without timers.

--- /dev/null
+++ b/internal/core/tokenlog/store.go
@@ -0,0 +1,232 @@
+package tokenlog
+
+import "time"
+
+// Limits bound a store.
+type Limits struct {
+	// Bytes bounds the estimated memory of all logs and copies.
+	Bytes int
+	// Retention is how long a log is kept after its end, and a copy after its last record.
+	Retention time.Duration
+}
+
+// DefaultLimits keep an agent under the 64 MB that a node may use for control.
+var DefaultLimits = Limits{Bytes: 32 << 20, Retention: 120 * time.Second}
+
+// Store holds the logs of one agent. It is not safe for concurrent use.
+type Store[S any] struct {
+	limits Limits
+	own    map[string]*Log[S]
+	copies map[string]*Log[S]
+	bytes  int
+}
+
+// NewStore returns an empty store.
+func NewStore[S any](limits Limits) *Store[S] {
+	return &Store[S]{limits: limits, own: make(map[string]*Log[S]), copies: make(map[string]*Log[S])}
+}
+
+// Bytes returns the estimated memory in use.
+func (s *Store[S]) Bytes() int { return s.bytes }
+
+// Own returns the agent's own log of a generation, or nil.
+func (s *Store[S]) Own(generation string) *Log[S] { return s.own[generation] }
+
+// Copy returns the second copy of another agent's log, or nil.
+func (s *Store[S]) Copy(generation string) *Log[S] { return s.copies[generation] }
+
+// Logs returns the agent's own logs in no particular order.
+func (s *Store[S]) Logs() []*Log[S] {
+	logs := make([]*Log[S], 0, len(s.own))
+	for _, log := range s.own {
+		logs = append(logs, log)
+	}
+	return logs
+}
+
+// Start begins the log of an attempt with the tokens already delivered. It replaces
+// the ended log of an earlier attempt. An epoch of 0 or equal to the last one gets
+// the next epoch; a lower one belongs to a follower that was superseded.
+func (s *Store[S]) Start(now time.Time, generation string, attempt uint32, epoch uint64, spec S, prefix []Token) (*Log[S], error) {
+	previous := s.own[generation]
+	if previous != nil {
+		if attempt <= previous.Attempt || (epoch != 0 && epoch < previous.epoch) {
+			return nil, ErrSuperseded
+		}
+		if previous.end == nil {
+			return nil, ErrRunning
+		}
+		if epoch <= previous.epoch {
+			epoch = previous.epoch + 1
+		}
+	}
+	log := newLog(now, generation, attempt, max(epoch, 1), spec)
+	for index, token := range prefix {
+		_ = log.append(now, uint64(index), token)
+	}
+	s.drop(s.own, generation)
+	if !s.makeRoom(log.size) {
+		return nil, ErrFull
+	}
+	s.own[generation] = log
+	s.bytes += log.size
+	return log, nil
+}
+
+func newLog[S any](now time.Time, generation string, attempt uint32, epoch uint64, spec S) *Log[S] {
+	return &Log[S]{
+		Generation: generation, Attempt: attempt, Spec: spec, Started: now,
+		epoch: epoch, size: logOverheadBytes, touched: now,
+	}
+}
+
+// Append adds a token to a running attempt.
+func (s *Store[S]) Append(now time.Time, log *Log[S], index uint64, token Token) error {
+	before := log.size
+	if err := log.append(now, index, token); err != nil {
+		return err
+	}
+	s.grow(log, log.size-before)
+	return nil
+}
+
+// grow counts added bytes, unless the log is no longer in the store.
+func (s *Store[S]) grow(log *Log[S], added int) {
+	if s.own[log.Generation] != log && s.copies[log.Generation] != log {
+		return
+	}
+	s.bytes += added
+	s.makeRoom(0)
+}
+
+// Finish ends an attempt; the first end stands.
+func (s *Store[S]) Finish(now time.Time, log *Log[S], end End) error {
+	if log.end != nil {
+		return ErrEnded
+	}
+	log.end = &end
+	log.touched = now
+	return nil
+}
+
+// Attach assigns the next attach epoch of a generation's log. Indexes above the end of
+// the log belong to another log and are refused.
+func (s *Store[S]) Attach(generation string, from uint64) (*Log[S], uint64, error) {
+	log := s.own[generation]
+	if log == nil {
+		return nil, 0, ErrUnknown
+	}
+	if from > log.Next() {
+		return nil, 0, ErrGap
+	}
+	log.epoch++
+	return log, log.epoch, nil
+}
+
+// Record is one message of the replication of a log.
+type Record[S any] struct {
+	Generation string
+	Attempt    uint32
+	Epoch      uint64
+	// Spec is set on records that start at index 0.
+	Spec   *S
+	First  uint64
+	Tokens []Token
+	// End is set on the last record of an attempt that finished.
+	End *End
+}
+
+// Replicate takes in a record and returns the next index wanted of this attempt; a
+// sender rewinds when it is lower than what it sent. Records of earlier attempts are
+// refused, so that a copy never mixes two attempts.
+func (s *Store[S]) Replicate(now time.Time, record Record[S]) (uint64, error) {
+	log := s.copies[record.Generation]
+	if log != nil && record.Attempt < log.Attempt {
+		return 0, ErrSuperseded
+	}
+	if log == nil || record.Attempt > log.Attempt {
+		if record.Spec == nil || record.First != 0 {
+			return 0, nil
+		}
+		s.drop(s.copies, record.Generation)
+		log = newLog(now, record.Generation, record.Attempt, record.Epoch, *record.Spec)
+		if !s.makeRoom(log.size) {
+			return 0, ErrFull
+		}
+		s.copies[record.Generation] = log
+		s.bytes += log.size
+	}
+	log.epoch = max(log.epoch, record.Epoch)
+	for offset, token := range record.Tokens {
+		index := record.First + uint64(offset)
+		if index != log.Next() {
+			continue
+		}
+		if err := s.Append(now, log, index, token); err != nil {
+			return log.Next(), err
+		}
+	}
+	if record.End != nil && record.End.Tokens == log.Next() && log.end == nil {
+		_ = s.Finish(now, log, *record.End)
+	}
+	return log.Next(), nil
+}
+
+// Expire drops logs and copies whose retention has passed and returns how many.
+func (s *Store[S]) Expire(now time.Time) int {
+	dropped := 0
+	for generation, log := range s.own {
+		if log.end != nil && now.Sub(log.touched) >= s.limits.Retention {
+			s.drop(s.own, generation)
+			dropped++
+		}
+	}
+	for generation, log := range s.copies {
+		if now.Sub(log.touched) >= s.limits.Retention {
+			s.drop(s.copies, generation)
+			dropped++
+		}
+	}
+	return dropped
+}
+
+// makeRoom evicts until wanted more bytes fit: ended logs and copies, oldest first,
+// then copies that still grow. Running logs of its own are never evicted.
+func (s *Store[S]) makeRoom(wanted int) bool {
+	for s.bytes+wanted > s.limits.Bytes {
+		from, victim := s.oldest(func(log *Log[S]) bool { return log.end != nil })
+		if victim == nil {
+			from, victim = s.copies, s.oldestIn(s.copies, func(*Log[S]) bool { return true })
+		}
+		if victim == nil {
+			return false
+		}
+		s.drop(from, victim.Generation)
+	}
+	return true
+}
+
+func (s *Store[S]) oldest(eligible func(*Log[S]) bool) (map[string]*Log[S], *Log[S]) {
+	own, held := s.oldestIn(s.own, eligible), s.oldestIn(s.copies, eligible)
+	if own == nil || (held != nil && held.touched.Before(own.touched)) {
+		return s.copies, held
+	}
+	return s.own, own
+}
+
+func (s *Store[S]) oldestIn(logs map[string]*Log[S], eligible func(*Log[S]) bool) *Log[S] {
+	var oldest *Log[S]
+	for _, log := range logs {
+		if eligible(log) && (oldest == nil || log.touched.Before(oldest.touched)) {
+			oldest = log
+		}
+	}
+	return oldest
+}
+
+func (s *Store[S]) drop(from map[string]*Log[S], generation string) {
+	if log := from[generation]; log != nil {
+		s.bytes -= log.size
+		delete(from, generation)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,37 @@
+package engine
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleygap/internal/engineapi"
+)
+
+func (e *Engine) handleCacheEvents(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		http.Error(w, "since is not a number", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, e.publishedSince(since, time.Now()))
+}
+
+func (e *Engine) publishedSince(since uint64, now time.Time) engineapi.CacheEvents {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	answer := engineapi.CacheEvents{Events: []engineapi.CacheEvent{}}
+	for _, record := range e.events {
+		if record.publishAt.After(now) {
+			break
+		}
+		if answer.OldestSeq == 0 {
+			answer.OldestSeq = record.event.Seq
+		}
+		answer.NewestSeq = record.event.Seq
+		if record.event.Seq > since {
+			answer.Events = append(answer.Events, record.event)
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/standin/engine/generate.go
@@ -0,0 +1,268 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleygap/internal/engineapi"
+)
+
+func (e *Engine) handleGenerate(w http.ResponseWriter, r *http.Request) {
+	var request engineapi.GenerateRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if request.Model != e.options.Model || !e.hasVersion(request.Version) {
+		http.Error(w, "model or version is not loaded", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	e.setActive(request.RequestID, cancel)
+	defer e.setActive(request.RequestID, nil)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	if e.acquire(ctx, request.Priority) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.release()
+	if e.produce(ctx, w, request) != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) setActive(id string, cancel context.CancelFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cancel == nil {
+		delete(e.active, id)
+		return
+	}
+	e.active[id] = cancel
+}
+
+// acquire waits for a slot; the highest priority goes first, then the earliest arrival.
+func (e *Engine) acquire(ctx context.Context, priority int32) error {
+	e.mu.Lock()
+	if e.running < e.options.Slots && len(e.waiters) == 0 {
+		e.running++
+		e.mu.Unlock()
+		return nil
+	}
+	e.arrivals++
+	own := &waiter{priority: priority, order: e.arrivals, granted: make(chan struct{})}
+	e.waiters = append(e.waiters, own)
+	slices.SortFunc(e.waiters, func(a, b *waiter) int {
+		if a.priority != b.priority {
+			return int(b.priority) - int(a.priority)
+		}
+		return int(a.order) - int(b.order)
+	})
+	e.mu.Unlock()
+	select {
+	case <-own.granted:
+		return nil
+	case <-e.crashed:
+		return ErrCrashed
+	case <-ctx.Done():
+		return e.abandon(ctx, own)
+	}
+}
+
+func (e *Engine) abandon(ctx context.Context, own *waiter) error {
+	e.mu.Lock()
+	at := slices.Index(e.waiters, own)
+	if at >= 0 {
+		e.waiters = slices.Delete(e.waiters, at, at+1)
+	}
+	e.mu.Unlock()
+	if at < 0 {
+		// The slot was granted at the same moment.
+		e.release()
+	}
+	return ctx.Err()
+}
+
+func (e *Engine) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.waiters) == 0 {
+		e.running--
+		return
+	}
+	next := e.waiters[0]
+	e.waiters = e.waiters[1:]
+	close(next.granted)
+}
+
+func (e *Engine) produce(ctx context.Context, w io.Writer, request engineapi.GenerateRequest) error {
+	if err := e.pause(ctx, e.prefillTime(request)); err != nil {
+		return err
+	}
+	key := sequenceKey(request.Model, request.Version, request.Adapter, request.Prompt, request.Seed)
+	var text strings.Builder
+	for index := range request.PrefixTokenIDs {
+		text.Write(TokenBytes(request.PrefixTokenIDs[index]))
+	}
+	first := uint64(len(request.PrefixTokenIDs))
+	reason := engineapi.FinishLength
+	index := first
+	for ; index < uint64(maxTokens(request)); index++ {
+		if containsStop(text.String(), request.Stop) {
+			reason = engineapi.FinishStop
+			break
+		}
+		if err := e.injected(request, int(index-first)); err != nil {
+			return err
+		}
+		if err := e.pause(ctx, e.interval(request.Version)); err != nil {
+			return err
+		}
+		token := tokenAt(key, index)
+		text.Write(token.Bytes)
+		event := tokenEvent{Index: index, ID: token.ID, Bytes: token.Bytes}
+		if err := writeEvent(w, event); err != nil {
+			return err
+		}
+	}
+	if containsStop(text.String(), request.Stop) {
+		reason = engineapi.FinishStop
+	}
+	return writeEvent(w, endEvent{FinishReason: reason, Tokens: index})
+}
+
+type tokenEvent struct {
+	Index uint64 `json:"index"`
+	ID    uint32 `json:"id"`
+	Bytes []byte `json:"bytes"`
+}
+
+type endEvent struct {
+	FinishReason string `json:"finish_reason"`
+	Tokens       uint64 `json:"tokens"`
+}
+
+func writeEvent(w io.Writer, event any) error {
+	data, err := json.Marshal(event)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(append(append([]byte("data: "), data...), '\n', '\n')); err != nil {
+		return err
+	}
+	if writer, ok := w.(http.ResponseWriter); ok {
+		return http.NewResponseController(writer).Flush()
+	}
+	return nil
+}
+
+// injected applies the faults that are due before the request's n-th own token.
+func (e *Engine) injected(request engineapi.GenerateRequest, n int) error {
+	e.mu.Lock()
+	faults := e.faults
+	e.mu.Unlock()
+	if n >= faults.CrashToken && hasMarker(request.Prompt, faults.CrashMarker) {
+		e.crash()
+		return ErrCrashed
+	}
+	if faults.CutAfter > 0 && n >= faults.CutAfter {
+		return io.ErrClosedPipe
+	}
+	if n >= 1 && e.drawsFailure(request.RequestID, faults.FailRate[request.Version]) {
+		return io.ErrClosedPipe
+	}
+	return nil
+}
+
+func (e *Engine) drawsFailure(requestID string, rate float64) bool {
+	digest := xxhash.NewWithSeed(e.options.Seed)
+	_, _ = digest.WriteString(requestID)
+	// 53 bits fill the mantissa of a float64.
+	return float64(digest.Sum64()>>11)/(1<<53) < rate
+}
+
+// pause waits, and goes on waiting while the engine is frozen.
+func (e *Engine) pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return e.hold(ctx)
+	case <-e.crashed:
+		return ErrCrashed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (e *Engine) interval(version string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	interval := float64(e.options.TokenInterval) * (1 + e.options.BatchSlowdown*float64(e.running-1))
+	slow := e.faults.SlowFactor[version]
+	if slow > 0 && float64(e.running) >= e.faults.SlowLoad*float64(e.options.Slots) {
+		interval *= slow
+	}
+	return time.Duration(interval)
+}
+
+// prefillTime charges the part of prompt and prefix that is not cached and stores the
+// prompt's blocks in the cache.
+func (e *Engine) prefillTime(request engineapi.GenerateRequest) time.Duration {
+	blocks := engineapi.PromptBlocks(request.Model, request.Version, request.Adapter, request.Prompt)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cached := 0
+	for cached < len(blocks) && e.cache[blocks[cached]] != 0 {
+		cached++
+	}
+	for _, block := range blocks {
+		e.storeBlock(block)
+	}
+	tokens := engineapi.PromptTokens(request.Prompt, request.PromptTokenIDs)
+	if len(blocks) > 0 {
+		tokens -= tokens * cached / len(blocks)
+	}
+	return time.Duration(tokens+len(request.PrefixTokenIDs)) * e.options.PrefillPerToken
+}
+
+// storeBlock requires e.mu. It evicts the least recently used block of a full cache.
+func (e *Engine) storeBlock(block uint64) {
+	e.cacheTick++
+	if e.cache[block] == 0 {
+		e.publish(engineapi.CacheStored, block)
+	}
+	e.cache[block] = e.cacheTick
+	if len(e.cache) <= e.options.CacheBlocks {
+		return
+	}
+	oldest, oldestTick := uint64(0), uint64(0)
+	for candidate, tick := range e.cache {
+		if oldestTick == 0 || tick < oldestTick {
+			oldest, oldestTick = candidate, tick
+		}
+	}
+	delete(e.cache, oldest)
+	e.publish(engineapi.CacheEvicted, oldest)
+}
+
+// publish requires e.mu. A dropped event still takes a sequence number, so that readers see a gap.
+func (e *Engine) publish(kind string, block uint64) {
+	e.eventSeq++
+	if e.options.CacheGapEvery > 0 && e.eventSeq%uint64(e.options.CacheGapEvery) == 0 {
+		return
+	}
+	event := engineapi.CacheEvent{Seq: e.eventSeq, Kind: kind, BlockHash: block}
+	e.events = append(e.events, cacheRecord{event: event, publishAt: time.Now().Add(e.options.CacheEventDelay)})
+	if len(e.events) > maxKeptCacheEvents {
+		e.events = slices.Clone(e.events[len(e.events)-maxKeptCacheEvents:])
+	}
+}
