Add the agent process and the share scheduler

The agent runs attempts independently of the caller's stream, so that another entry can attach after an entry is lost, and it alone can tell an engine's death from one broken stream. EntryState gains highest_fence: a restarted agent must learn the highest fencing number before it obeys an order.

--- /dev/null
+++ b/internal/agent/order.go
@@ -0,0 +1,84 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bramleygap/internal/engineapi"
+	"bramleygap/internal/result"
+	"bramleygap/internal/wire"
+)
+
+// orderTimeout bounds one order; engines accept it and load in the background.
+const orderTimeout = 10 * time.Second
+
+var orderKinds = map[wire.OrderKind]string{
+	wire.OrderKind_ORDER_KIND_LOAD:   engineapi.OrderLoad,
+	wire.OrderKind_ORDER_KIND_UNLOAD: engineapi.OrderUnload,
+	wire.OrderKind_ORDER_KIND_ROLE:   engineapi.OrderRole,
+}
+
+// Order implements wire.AgentServer. Orders run one at a time, and the fencing number is
+// recorded before the order is sent, so that an older order can never follow a newer one.
+func (a *Agent) Order(ctx context.Context, request *wire.OrderRequest) (*wire.OrderResponse, error) {
+	a.orders.Lock()
+	defer a.orders.Unlock()
+	refusal := a.admitOrder(request)
+	if refusal == nil {
+		refusal = a.sendOrder(ctx, request)
+	}
+	a.mu.Lock()
+	response := &wire.OrderResponse{HighestFence: a.fence}
+	a.mu.Unlock()
+	if refusal != nil {
+		response.Code, response.Message = uint32(refusal.Code), refusal.Message
+	}
+	a.metrics.orders.WithLabelValues(result.Code(response.Code).String()).Inc()
+	a.logger.Info().Uint64("fence", request.GetFence()).Str("owner", request.GetOwner()).Stringer("kind", request.GetKind()).
+		Str("version", request.GetVersion()).Uint32("code", response.GetCode()).Msg("order")
+	return response, nil
+}
+
+func (a *Agent) admitOrder(request *wire.OrderRequest) *result.Error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case orderKinds[request.GetKind()] == "" || request.GetFence() == 0:
+		return result.New(result.MalformedRequest, "kind and fencing number are required")
+	case a.options.Settings.TargetKind != kindModel:
+		return result.New(result.UnknownService, "the target takes no orders")
+	case !a.fenceKnown:
+		return result.New(result.NotReady, "the highest fencing number is unknown since the start")
+	case request.GetFence() < a.fence:
+		return result.New(result.FenceTooOld, "fencing number %d is lower than %d", request.GetFence(), a.fence)
+	}
+	if request.GetFence() > a.fence {
+		a.fence = request.GetFence()
+		a.notify()
+	}
+	return nil
+}
+
+func (a *Agent) sendOrder(ctx context.Context, request *wire.OrderRequest) *result.Error {
+	// A caller that gives up must not leave the order half sent.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+	defer cancel()
+	err := a.engine.Order(ctx, engineapi.Order{
+		Fence: request.GetFence(), Sender: request.GetOwner(), Kind: orderKinds[request.GetKind()],
+		Model: request.GetModel(), Version: request.GetVersion(), Role: request.GetRole(),
+	})
+	var status *engineapi.StatusError
+	switch {
+	case err == nil:
+		a.probeHealth(ctx)
+		return nil
+	case errors.As(err, &status) && status.Status == 409:
+		return result.New(result.FenceTooOld, "%v", err)
+	case errors.As(err, &status):
+		return result.New(result.TargetRefusedOrder, "%v", err)
+	case engineapi.IsNotSent(err):
+		return result.New(result.TargetUnreachable, "%v", err)
+	}
+	return result.New(result.OutcomeUnknown, "%v", err)
+}
--- /dev/null
+++ b/internal/agent/replicate.go
@@ -0,0 +1,330 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"bramleygap/internal/core/rendezvous"
+	"bramleygap/internal/core/tokenlog"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// replicaTimeout bounds one batch with its acknowledgements.
+	replicaTimeout = time.Second
+	// replicaBackoff is the pause after a failed batch.
+	replicaBackoff = 500 * time.Millisecond
+	flushTimeout   = 3 * time.Second
+)
+
+// replicaLink is the stream of log records to one other agent. Agent.mu guards it,
+// except stream, which belongs to the batch that set busy.
+type replicaLink struct {
+	address  string
+	busy     bool
+	notUntil time.Time
+	stream   grpc.BidiStreamingClient[wire.LogRecord, wire.LogAck]
+	cancel   context.CancelFunc
+}
+
+// pendingRecord is one record of a batch with the attempt that it belongs to.
+type pendingRecord struct {
+	attempt *attempt
+	record  *wire.LogRecord
+}
+
+// replicateLogs sends the growth of logs to second agents.
+func (a *Agent) replicateLogs(ctx context.Context) {
+	defer a.closeLinks()
+	every(ctx, a.timing.ReplicateInterval, func(now time.Time) {
+		for link, batch := range a.dueBatches(now, a.timing.ReplicateAfter) {
+			go a.sendBatch(link, batch)
+		}
+	})
+}
+
+func (a *Agent) closeLinks() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, link := range a.links {
+		if link.cancel != nil {
+			link.cancel()
+		}
+	}
+}
+
+// dueBatches collects the records due for each replica and marks their links busy.
+func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	candidates := a.replicaCandidates()
+	batches := make(map[*replicaLink][]pendingRecord)
+	for generation, t := range a.attempts {
+		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
+			continue
+		}
+		replica, found := rendezvous.Choose(generation, candidates, a.options.Settings.Zone)
+		if !found {
+			continue
+		}
+		if replica.Address != t.replica {
+			t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
+		}
+		link := a.link(replica.Address)
+		if link.busy || now.Before(link.notUntil) {
+			continue
+		}
+		if record := replicaRecord(t); record != nil {
+			batches[link] = append(batches[link], pendingRecord{attempt: t, record: record})
+		}
+	}
+	for link := range batches {
+		link.busy = true
+	}
+	return batches
+}
+
+// generationStart returns when the generation began, on any agent; a resumed one is
+// replicated at once.
+func generationStart(t *attempt) time.Time {
+	if ms := t.log.Spec.GetStartedUnixMs(); ms > 0 {
+		return time.UnixMilli(ms)
+	}
+	return t.log.Started
+}
+
+// replicaCandidates requires a.mu.
+func (a *Agent) replicaCandidates() []rendezvous.Candidate {
+	candidates := make([]rendezvous.Candidate, 0, len(a.agents))
+	for _, agent := range a.agents {
+		if agent.GetAddress() != a.address {
+			candidates = append(candidates, rendezvous.Candidate{Address: agent.GetAddress(), Zone: agent.GetZone()})
+		}
+	}
+	return candidates
+}
+
+// link requires a.mu.
+func (a *Agent) link(address string) *replicaLink {
+	link := a.links[address]
+	if link == nil {
+		link = &replicaLink{address: address}
+		a.links[address] = link
+	}
+	return link
+}
+
+// replicaRecord requires a.mu. It returns nil if the replica has everything.
+func replicaRecord(t *attempt) *wire.LogRecord {
+	tokens := t.log.Read(t.replicated)
+	end := t.log.End()
+	finished := end != nil && end.Code == 0 && !t.endReplicated
+	if len(tokens) == 0 && !finished {
+		return nil
+	}
+	record := &wire.LogRecord{Generation: t.log.Generation, Attempt: t.log.Attempt, AttachEpoch: t.log.Epoch()}
+	if t.replicated == 0 {
+		record.Spec = t.log.Spec
+	}
+	if len(tokens) > maxTokensPerEvent {
+		tokens, finished = tokens[:maxTokensPerEvent], false
+	}
+	record.Tokens = tokensMessage(t.replicated, tokens)
+	if finished {
+		record.Finished = finishedMessage(*end)
+	}
+	return record
+}
+
+// sendBatch sends the records and waits for their acknowledgements.
+func (a *Agent) sendBatch(link *replicaLink, batch []pendingRecord) {
+	acks, err := a.exchangeBatch(link, batch)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	link.busy = false
+	for i, ack := range acks {
+		acknowledge(link.address, batch[i], ack)
+	}
+	a.metrics.replicated.Add(float64(len(acks)))
+	if err == nil {
+		return
+	}
+	a.metrics.replicaFailures.Inc()
+	link.cancel()
+	link.stream, link.cancel = nil, nil
+	link.notUntil = time.Now().Add(replicaBackoff)
+	a.logger.Debug().Err(err).Str("replica", link.address).Msg("replication failed")
+}
+
+func acknowledge(address string, sent pendingRecord, ack *wire.LogAck) {
+	t := sent.attempt
+	if t.replica != address {
+		return
+	}
+	t.replicated = ack.GetNextIndex()
+	full := sent.record.GetTokens().GetFirstIndex() + uint64(len(sent.record.GetTokens().GetIds()))
+	t.endReplicated = sent.record.GetFinished() != nil && ack.GetNextIndex() >= full
+}
+
+func (a *Agent) exchangeBatch(link *replicaLink, batch []pendingRecord) ([]*wire.LogAck, error) {
+	if link.stream == nil {
+		if err := a.openLink(link); err != nil {
+			return nil, err
+		}
+	}
+	cancel := link.cancel
+	timeout := time.AfterFunc(replicaTimeout, cancel)
+	defer timeout.Stop()
+	for _, pending := range batch {
+		if err := link.stream.Send(pending.record); err != nil {
+			return nil, err
+		}
+	}
+	var acks []*wire.LogAck
+	for range batch {
+		ack, err := link.stream.Recv()
+		if err != nil {
+			return acks, err
+		}
+		acks = append(acks, ack)
+	}
+	return acks, nil
+}
+
+func (a *Agent) openLink(link *replicaLink) error {
+	ctx, cancel := context.WithCancel(a.life)
+	a.mu.Lock()
+	link.cancel = cancel
+	a.mu.Unlock()
+	conn, err := a.pool.Conn(link.address)
+	if err != nil {
+		return err
+	}
+	// The stream's context also bounds the connection attempt.
+	timeout := time.AfterFunc(replicaTimeout, cancel)
+	defer timeout.Stop()
+	link.stream, err = wire.NewAgentClient(conn).Replicate(ctx)
+	return err
+}
+
+// flushReplicas replicates all finished logs before the agent exits, so that callers
+// that lost their connection can still read the end.
+func (a *Agent) flushReplicas() {
+	deadline := time.Now().Add(flushTimeout)
+	for time.Now().Before(deadline) {
+		batches := a.dueBatches(time.Now(), 0)
+		if len(batches) == 0 && !a.linksBusy() {
+			return
+		}
+		for link, batch := range batches {
+			a.sendBatch(link, batch)
+		}
+		time.Sleep(a.timing.ReplicateInterval)
+	}
+}
+
+func (a *Agent) linksBusy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, link := range a.links {
+		if link.busy {
+			return true
+		}
+	}
+	return false
+}
+
+// Replicate implements wire.AgentServer. It ends when the sender ends it or the agent has left.
+func (a *Agent) Replicate(stream grpc.BidiStreamingServer[wire.LogRecord, wire.LogAck]) error {
+	received := make(chan error, 1)
+	go func() { received <- a.takeRecords(stream) }()
+	select {
+	case err := <-received:
+		return err
+	case <-a.watchEnd:
+		return status.Error(codes.Unavailable, "the agent has left")
+	}
+}
+
+func (a *Agent) takeRecords(stream grpc.BidiStreamingServer[wire.LogRecord, wire.LogAck]) error {
+	for {
+		record, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		next, err := a.takeRecord(record)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&wire.LogAck{Generation: record.GetGeneration(), NextIndex: next}); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *Agent) takeRecord(message *wire.LogRecord) (uint64, error) {
+	tokens := message.GetTokens()
+	if len(tokens.GetIds()) != len(tokens.GetBytes()) {
+		return 0, status.Error(codes.InvalidArgument, "ids and bytes differ in number")
+	}
+	record := tokenlog.Record[spec]{
+		Generation: message.GetGeneration(), Attempt: message.GetAttempt(), Epoch: message.GetAttachEpoch(),
+		First: tokens.GetFirstIndex(), Tokens: tokensOf(tokens.GetIds(), tokens.GetBytes()),
+	}
+	if message.GetSpec() != nil {
+		record.Spec, record.SpecBytes = &message.Spec, proto.Size(message.GetSpec())
+	}
+	if end := message.GetFinished(); end != nil {
+		record.End = &tokenlog.End{Reason: end.GetReason(), Tokens: end.GetTokens(), Checksum: end.GetChecksum()}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	next, err := a.store.Replicate(time.Now(), record)
+	switch {
+	case errors.Is(err, tokenlog.ErrSuperseded), errors.Is(err, tokenlog.ErrEnded):
+		// Nothing of this attempt is wanted any more.
+		return record.First + uint64(len(record.Tokens)), nil
+	case err != nil:
+		return 0, status.Error(codes.ResourceExhausted, err.Error())
+	}
+	return next, nil
+}
+
+// FetchLog implements wire.AgentServer. Of an own log and a copy, the one of the later
+// attempt counts, then the longer one.
+func (a *Agent) FetchLog(_ context.Context, request *wire.FetchLogRequest) (*wire.FetchLogResponse, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	log, second := a.store.Own(request.GetGeneration()), a.store.Copy(request.GetGeneration())
+	if log == nil || (second != nil && newer(second, log)) {
+		log = second
+	}
+	if log == nil {
+		return &wire.FetchLogResponse{}, nil
+	}
+	ids, texts := split(log.Read(0))
+	response := &wire.FetchLogResponse{
+		Found: true, Spec: log.Spec, Attempt: log.Attempt, Ids: ids, Bytes: texts, AttachEpoch: log.Epoch(),
+	}
+	if end := log.End(); end != nil && end.Code == 0 {
+		response.Finished = finishedMessage(*end)
+	}
+	return response, nil
+}
+
+func newer(a, b *tokenlog.Log[spec]) bool {
+	if a.Attempt != b.Attempt {
+		return a.Attempt > b.Attempt
+	}
+	return a.Next() > b.Next()
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"bramleygap/internal/core/tokenlog"
+	"bramleygap/internal/result"
+	"bramleygap/internal/wire"
+)
+
+// maxTokensPerEvent bounds one Tokens message, so that attaching to a long log does not
+// exceed the message limit.
+const maxTokensPerEvent = 1024
+
+type eventStream = grpc.ServerStreamingServer[wire.GenerateEvent]
+
+// Generate implements wire.AgentServer. Refusals are Failed events, since a gRPC status
+// carries no result code.
+func (a *Agent) Generate(request *wire.GenerateRequest, stream eventStream) error {
+	t, refusal := a.startAttempt(request)
+	if refusal != nil {
+		a.metrics.refused.WithLabelValues(refusal.Code.String()).Inc()
+		return stream.Send(failedEvent(failedEnd(refusal)))
+	}
+	// An Attach may have raised the log's epoch since the start.
+	epoch := t.startEpoch
+	accepted := &wire.Accepted{Attempt: t.log.Attempt, AttachEpoch: epoch, Incarnation: a.incarnation}
+	return a.follow(stream, t, epoch, uint64(len(request.GetPrefixTokenIds())), accepted)
+}
+
+// Attach implements wire.AgentServer.
+func (a *Agent) Attach(request *wire.AttachRequest, stream eventStream) error {
+	t, accepted, refusal := a.attach(request)
+	if refusal != nil {
+		a.metrics.refused.WithLabelValues(refusal.Code.String()).Inc()
+		return stream.Send(failedEvent(failedEnd(refusal)))
+	}
+	a.logger.Info().Str("generation", request.GetGeneration()).Str("entry", request.GetEntry()).
+		Uint64("epoch", accepted.GetAttachEpoch()).Uint64("from", request.GetFromIndex()).Msg("attached")
+	return a.follow(stream, t, accepted.GetAttachEpoch(), request.GetFromIndex(), accepted)
+}
+
+func (a *Agent) attach(request *wire.AttachRequest) (*attempt, *wire.Accepted, *result.Error) {
+	if request.GetIncarnation() != 0 && request.GetIncarnation() != a.incarnation {
+		return nil, nil, result.New(result.ResumeLost, "the agent restarted since")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	log, epoch, err := a.store.Attach(request.GetGeneration(), request.GetFromIndex())
+	t := a.attempts[request.GetGeneration()]
+	if err != nil || t == nil || t.log != log {
+		return nil, nil, result.New(result.ResumeLost, "no log that reaches index %d", request.GetFromIndex())
+	}
+	t.followers++
+	a.count(0, 1)
+	t.wake()
+	ids, texts := split(log.Read(0)[:request.GetFromIndex()])
+	return t, &wire.Accepted{
+		Attempt: log.Attempt, AttachEpoch: epoch, Incarnation: a.incarnation,
+		Spec: log.Spec, PrefixTokenIds: ids, PrefixBytes: texts,
+	}, nil
+}
+
+// follow sends the log from an index on until its end, the end of the stream, or a
+// follower with a higher epoch.
+func (a *Agent) follow(stream eventStream, t *attempt, epoch, next uint64, accepted *wire.Accepted) error {
+	defer a.detach(t)
+	if err := stream.Send(&wire.GenerateEvent{Event: &wire.GenerateEvent_Accepted{Accepted: accepted}}); err != nil {
+		return err
+	}
+	silence := time.NewTimer(a.timing.Progress)
+	defer silence.Stop()
+	for {
+		event, last, changed := a.nextEvent(t, epoch, next)
+		if event != nil {
+			if err := stream.Send(event); err != nil || last {
+				return err
+			}
+			next += uint64(len(event.GetTokens().GetIds()))
+			silence.Reset(a.timing.Progress)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		case <-silence.C:
+			if err := a.sendProgress(stream, t, next); err != nil {
+				return err
+			}
+			silence.Reset(a.timing.Progress)
+		}
+	}
+}
+
+// nextEvent returns the event due to a follower, or a channel that is closed when there
+// may be one.
+func (a *Agent) nextEvent(t *attempt, epoch, next uint64) (event *wire.GenerateEvent, last bool, changed <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.log.Epoch() != epoch {
+		return failedEvent(failedEnd(result.New(result.Superseded, "another entry attached"))), true, nil
+	}
+	tokens := t.log.Read(next)
+	if len(tokens) > maxTokensPerEvent {
+		tokens = tokens[:maxTokensPerEvent]
+	}
+	if len(tokens) > 0 {
+		return tokensEvent(next, tokens), false, nil
+	}
+	if end := t.log.End(); end != nil {
+		return endEvent(*end), true, nil
+	}
+	return nil, false, t.changed
+}
+
+// sendProgress tells a follower that agent and engine are alive. It stays silent while
+// the engine does not answer, so that the entry's inactivity timeout runs.
+func (a *Agent) sendProgress(stream eventStream, t *attempt, next uint64) error {
+	a.mu.Lock()
+	queued := t.queued
+	alive := a.target.answers(time.Now(), a.timing.FrozenAfter)
+	a.mu.Unlock()
+	if !alive {
+		return nil
+	}
+	return stream.Send(&wire.GenerateEvent{Event: &wire.GenerateEvent_Progress{
+		Progress: &wire.Progress{NextIndex: next, Queued: queued},
+	}})
+}
+
+// detach ends a follower. An attempt left without one is cancelled after the grace period.
+func (a *Agent) detach(t *attempt) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.followers--
+	a.count(0, -1)
+	t.detaches++
+	if t.followers > 0 || t.log.End() != nil {
+		return
+	}
+	detaches := t.detaches
+	time.AfterFunc(a.timing.OrphanGrace, func() { a.cancelOrphan(t, detaches) })
+}
+
+func (a *Agent) cancelOrphan(t *attempt, detaches uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t.followers > 0 || t.detaches != detaches || t.log.End() != nil {
+		return
+	}
+	a.metrics.orphans.Inc()
+	a.endLocked(time.Now(), t, failedEnd(result.New(result.Cancelled, "no entry followed the attempt")))
+}
+
+// Cancel implements wire.AgentServer.
+func (a *Agent) Cancel(_ context.Context, request *wire.CancelRequest) (*wire.CancelResponse, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.attempts[request.GetGeneration()]
+	if t == nil || t.log.End() != nil || t.log.Attempt != request.GetAttempt() || request.GetAttachEpoch() < t.log.Epoch() {
+		return &wire.CancelResponse{}, nil
+	}
+	a.endLocked(time.Now(), t, failedEnd(result.New(result.Cancelled, "an entry cancelled the attempt")))
+	return &wire.CancelResponse{Cancelled: true}, nil
+}
+
+func split(tokens []tokenlog.Token) (ids []uint32, texts [][]byte) {
+	ids = make([]uint32, len(tokens))
+	texts = make([][]byte, len(tokens))
+	for i, token := range tokens {
+		ids[i], texts[i] = token.ID, token.Bytes
+	}
+	return ids, texts
+}
+
+func tokensMessage(first uint64, tokens []tokenlog.Token) *wire.Tokens {
+	ids, texts := split(tokens)
+	return &wire.Tokens{FirstIndex: first, Ids: ids, Bytes: texts}
+}
+
+func tokensEvent(first uint64, tokens []tokenlog.Token) *wire.GenerateEvent {
+	return &wire.GenerateEvent{Event: &wire.GenerateEvent_Tokens{Tokens: tokensMessage(first, tokens)}}
+}
+
+func endEvent(end tokenlog.End) *wire.GenerateEvent {
+	if end.Code != 0 {
+		return failedEvent(end)
+	}
+	return &wire.GenerateEvent{Event: &wire.GenerateEvent_Finished{Finished: finishedMessage(end)}}
+}
+
+func finishedMessage(end tokenlog.End) *wire.Finished {
+	return &wire.Finished{Reason: end.Reason, Tokens: end.Tokens, Checksum: end.Checksum}
+}
+
+func failedEvent(end tokenlog.End) *wire.GenerateEvent {
+	return &wire.GenerateEvent{Event: &wire.GenerateEvent_Failed{Failed: &wire.Failed{
+		Code: end.Code, Message: end.Message, TargetDied: end.TargetDied,
+		RunningFingerprints: end.Fingerprints, DeathId: end.DeathID,
+	}}}
+}
+
+func noCallHandler() *wire.CallResponse {
+	return &wire.CallResponse{Code: uint32(result.UnknownService), Message: "this agent runs no calls"}
+}
--- /dev/null
+++ b/internal/agent/watch.go
@@ -0,0 +1,206 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/opconfig"
+	"bramleygap/internal/wire"
+)
+
+// Watch implements wire.AgentServer. It ends when the entry ends it or the agent has left.
+func (a *Agent) Watch(stream grpc.BidiStreamingServer[wire.EntryState, wire.AgentState]) error {
+	received := make(chan error, 1)
+	watcher := &watcher{agent: a}
+	defer watcher.close()
+	go func() { received <- watcher.receive(stream) }()
+	heartbeat := time.NewTicker(a.timing.Heartbeat)
+	defer heartbeat.Stop()
+	for {
+		state, changed := a.nextState()
+		if err := stream.Send(state); err != nil {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-heartbeat.C:
+		case err := <-received:
+			return err
+		case <-a.watchEnd:
+			return nil
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+// watcher is the receiving side of one Watch stream.
+type watcher struct {
+	agent *Agent
+	// entry is the name in the first message; agent.mu guards it.
+	entry  string
+	closed bool
+}
+
+func (w *watcher) receive(stream grpc.BidiStreamingServer[wire.EntryState, wire.AgentState]) error {
+	for {
+		state, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		w.register(state.GetEntry())
+		w.agent.learn(time.Now(), state)
+	}
+}
+
+func (w *watcher) register(entry string) {
+	w.agent.mu.Lock()
+	defer w.agent.mu.Unlock()
+	if w.entry != "" || w.closed || entry == "" {
+		return
+	}
+	w.entry = entry
+	w.agent.entries[entry]++
+}
+
+func (w *watcher) close() {
+	w.agent.mu.Lock()
+	defer w.agent.mu.Unlock()
+	w.closed = true
+	if w.entry == "" {
+		return
+	}
+	w.agent.entries[w.entry]--
+	if w.agent.entries[w.entry] <= 0 {
+		delete(w.agent.entries, w.entry)
+	}
+}
+
+// learn takes in what an entry knows.
+func (a *Agent) learn(now time.Time, state *wire.EntryState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state.GetHighestFence() > a.fence {
+		a.fence = state.GetHighestFence()
+	}
+	a.fenceKnown = true
+	a.mergeWithdrawn(state.GetWithdrawn())
+	if len(state.GetAgents()) > 0 {
+		a.agents = state.GetAgents()
+	}
+	if state.GetUseElsewhere() != nil {
+		elsewhere := make(map[string]float64)
+		for _, use := range state.GetUseElsewhere() {
+			elsewhere[use.GetMember()] = use.GetTokensPerSecond()
+		}
+		a.shares.SetElsewhere(now, elsewhere)
+	}
+	if state.GetConfigRevision() <= a.adopted.Revision {
+		return
+	}
+	if state.GetConfigText() == "" {
+		// Tells the entry at once that this agent is behind, so that it sends the text.
+		a.notify()
+		return
+	}
+	a.adopt(now, state.GetConfigRevision(), state.GetConfigText())
+}
+
+// mergeWithdrawn requires a.mu. The set only grows.
+func (a *Agent) mergeWithdrawn(versions []*wire.WithdrawnVersion) {
+	for _, version := range versions {
+		key := versionKey{version.GetService(), version.GetVersion()}
+		if a.withdrawn[key] == nil {
+			a.withdrawn[key] = version
+			a.logger.Warn().Str("version", key.version).Str("reason", version.GetReason()).Msg("version withdrawn")
+		}
+	}
+}
+
+// adopt requires a.mu and a revision above the adopted one.
+func (a *Agent) adopt(now time.Time, revision uint64, text string) {
+	var config opconfig.Config
+	if _, err := toml.Decode(text, &config); err != nil {
+		a.metrics.badConfigs.Inc()
+		a.logger.Error().Err(err).Uint64("revision", revision).Msg("operator configuration cannot be parsed")
+		return
+	}
+	a.adopted = adoption.Adopted{Revision: revision, Text: text, Config: &config}
+	weights := make(map[string]float64, len(config.Members))
+	for _, member := range config.Members {
+		weights[member.Name] = member.Share
+	}
+	a.shares.SetWeights(weights)
+	a.logger.Info().Uint64("revision", revision).Msg("operator configuration adopted")
+	a.notify()
+}
+
+// nextState returns the state to send and a channel that is closed at the next change.
+func (a *Agent) nextState() (*wire.AgentState, <-chan struct{}) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	state := &wire.AgentState{
+		Target:         a.options.Settings.Name,
+		Vm:             a.options.Settings.VM,
+		Zone:           a.options.Settings.Zone,
+		Address:        a.address,
+		Incarnation:    a.incarnation,
+		Sequence:       a.sequence,
+		Kind:           wire.TargetKind_TARGET_KIND_APPLICATION,
+		Service:        a.options.Settings.Service,
+		Ready:          a.target.ready() && !a.leaving,
+		Leaving:        a.leaving,
+		ConfigRevision: a.adopted.Revision,
+		HighestFence:   a.fence,
+		Entries:        slices.Sorted(maps.Keys(a.entries)),
+	}
+	if a.options.Settings.TargetKind == kindModel {
+		a.addModelState(now, state)
+	}
+	return state, a.changed
+}
+
+// addModelState requires a.mu.
+func (a *Agent) addModelState(now time.Time, state *wire.AgentState) {
+	state.Kind = wire.TargetKind_TARGET_KIND_MODEL
+	state.Versions = a.target.versions
+	state.Running = a.target.load.Running
+	state.Waiting = a.target.load.Waiting + uint32(a.shares.Waiting())
+	state.Slots = a.target.load.Slots
+	if a.target.load.MeasuredUnixMS > 0 {
+		state.LoadAgeMs = uint32(max(0, now.UnixMilli()-a.target.load.MeasuredUnixMS))
+	}
+	use := a.shares.Use(now)
+	for _, member := range slices.Sorted(maps.Keys(use)) {
+		state.UseHere = append(state.UseHere, &wire.MemberUse{Member: member, TokensPerSecond: use[member]})
+	}
+	state.CachedBlocks = a.cache.sample()
+	for _, death := range a.target.deaths {
+		state.Deaths = append(state.Deaths, proto.CloneOf(death))
+	}
+}
+
+const shareTick = 50 * time.Millisecond
+
+// scheduleShares lets the scheduler preempt after a member waited long enough.
+func (a *Agent) scheduleShares(ctx context.Context) {
+	every(ctx, shareTick, func(now time.Time) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.apply(a.shares.Tick(now))
+	})
+}
--- a/internal/core/tokenlog/store.go
+++ b/internal/core/tokenlog/store.go
@@ -44,12 +44,26 @@
 	return logs
 }
 
-// Start begins the log of an attempt with the tokens already delivered. It replaces
-// the ended log of an earlier attempt. An epoch of 0 or equal to the last one gets
-// the next epoch; a lower one belongs to a follower that was superseded.
-func (s *Store[S]) Start(now time.Time, generation string, attempt uint32, epoch uint64, spec S, prefix []Token) (*Log[S], error) {
-	previous := s.own[generation]
+// Begin describes a new attempt.
+type Begin[S any] struct {
+	Generation string
+	Attempt    uint32
+	// Epoch is the attach epoch that the entry holds; 0 for a new generation.
+	Epoch uint64
+	Spec  S
+	// SpecBytes is the size of Spec in memory, mostly that of the prompt.
+	SpecBytes int
+	// Prefix are the tokens already delivered.
+	Prefix []Token
+}
+
+// Start begins the log of an attempt. It replaces the ended log of an earlier attempt.
+// An epoch of 0 or equal to the last one gets the next epoch; a lower one belongs to a
+// follower that was superseded.
+func (s *Store[S]) Start(now time.Time, begin Begin[S]) (*Log[S], error) {
+	previous, epoch := s.own[begin.Generation], begin.Epoch
 	if previous != nil {
+		attempt := begin.Attempt
 		if attempt <= previous.Attempt || (epoch != 0 && epoch < previous.epoch) {
 			return nil, ErrSuperseded
 		}
@@ -60,23 +74,24 @@
 			epoch = previous.epoch + 1
 		}
 	}
-	log := newLog(now, generation, attempt, max(epoch, 1), spec)
-	for index, token := range prefix {
+	begin.Epoch = max(epoch, 1)
+	log := newLog(now, begin)
+	for index, token := range begin.Prefix {
 		_ = log.append(now, uint64(index), token)
 	}
-	s.drop(s.own, generation)
 	if !s.makeRoom(log.size) {
 		return nil, ErrFull
 	}
-	s.own[generation] = log
+	s.drop(s.own, begin.Generation)
+	s.own[begin.Generation] = log
 	s.bytes += log.size
 	return log, nil
 }
 
-func newLog[S any](now time.Time, generation string, attempt uint32, epoch uint64, spec S) *Log[S] {
+func newLog[S any](now time.Time, begin Begin[S]) *Log[S] {
 	return &Log[S]{
-		Generation: generation, Attempt: attempt, Spec: spec, Started: now,
-		epoch: epoch, size: logOverheadBytes, touched: now,
+		Generation: begin.Generation, Attempt: begin.Attempt, Spec: begin.Spec, Started: now,
+		epoch: begin.Epoch, size: logOverheadBytes + begin.SpecBytes, touched: now,
 	}
 }
 
@@ -129,9 +144,11 @@
 	Attempt    uint32
 	Epoch      uint64
 	// Spec is set on records that start at index 0.
-	Spec   *S
-	First  uint64
-	Tokens []Token
+	Spec *S
+	// SpecBytes is the size of Spec in memory.
+	SpecBytes int
+	First     uint64
+	Tokens    []Token
 	// End is set on the last record of an attempt that finished.
 	End *End
 }
@@ -149,7 +166,10 @@
 			return 0, nil
 		}
 		s.drop(s.copies, record.Generation)
-		log = newLog(now, record.Generation, record.Attempt, record.Epoch, *record.Spec)
+		log = newLog(now, Begin[S]{
+			Generation: record.Generation, Attempt: record.Attempt, Epoch: record.Epoch,
+			Spec: *record.Spec, SpecBytes: record.SpecBytes,
+		})
 		if !s.makeRoom(log.size) {
 			return 0, ErrFull
 		}
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -164,3 +164,10 @@
 	var operation *net.OpError
 	return errors.As(err, &operation) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
+
+// IsNotSent reports whether err shows that no connection was made, so that the request
+// cannot have reached the engine.
+func IsNotSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
