--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -66,10 +66,12 @@
 
 // pollLoad reads the engine's load and cache events.
 func (a *Agent) pollLoad(ctx context.Context) {
-	every(ctx, a.timing.LoadInterval, func(time.Time) {
+	poll := func(time.Time) {
 		a.readLoad(ctx)
 		a.readCache(ctx)
-	})
+	}
+	poll(time.Now())
+	every(ctx, a.timing.LoadInterval, poll)
 }
 
 func (a *Agent) readLoad(ctx context.Context) {
@@ -81,6 +83,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if load.Slots != a.target.load.Slots {
+		a.notify()
+	}
 	a.target.load = load
 	if load.Slots > 0 {
 		a.apply(a.shares.SetSlots(time.Now(), int(load.Slots)))
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -88,8 +88,10 @@
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		case <-silence.C:
-			if err := a.sendProgress(stream, t, next); err != nil {
-				return err
+			if progress := a.progressEvent(time.Now(), t, next); progress != nil {
+				if err := stream.Send(progress); err != nil {
+					return err
+				}
 			}
 			silence.Reset(a.timing.Progress)
 		}
@@ -117,19 +119,17 @@
 	return nil, false, t.changed
 }
 
-// sendProgress tells a follower that agent and engine are alive. It stays silent while
-// the engine does not answer, so that the entry's inactivity timeout runs.
-func (a *Agent) sendProgress(stream eventStream, t *attempt, next uint64) error {
+// progressEvent tells a follower that agent and engine are alive. It is nil while the
+// engine does not answer, so that the entry's inactivity timeout runs.
+func (a *Agent) progressEvent(now time.Time, t *attempt, next uint64) *wire.GenerateEvent {
 	a.mu.Lock()
-	queued := t.queued
-	alive := a.target.answers(time.Now(), a.timing.FrozenAfter)
-	a.mu.Unlock()
-	if !alive {
+	defer a.mu.Unlock()
+	if !a.target.answers(now, a.timing.FrozenAfter) {
 		return nil
 	}
-	return stream.Send(&wire.GenerateEvent{Event: &wire.GenerateEvent_Progress{
-		Progress: &wire.Progress{NextIndex: next, Queued: queued},
-	}})
+	return &wire.GenerateEvent{Event: &wire.GenerateEvent_Progress{
+		Progress: &wire.Progress{NextIndex: next, Queued: t.queued},
+	}}
 }
 
 // detach ends a follower. An attempt left without one is cancelled after the grace period.
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -79,6 +79,8 @@
 	admitted   time.Time
 	running    bool
 	preempting bool
+	// beneficiary is the member that the job is preempted for.
+	beneficiary *member
 	// advance is the part of the work charged at admission that is not yet used.
 	advance float64
 	// weight is the member's weight when the advance was charged.
@@ -90,7 +92,10 @@
 	virtual float64 // charged work divided by weight
 	waiting []*job  // best first
 	running int
-	use     window
+	// owed counts the slots freed for the member by preemption that it has not taken.
+	// Without it the fair queueing may return such a slot to the member that lost it.
+	owed int
+	use  window
 }
 
 func (m *member) competes() bool { return m.running > 0 || len(m.waiting) > 0 }
@@ -103,8 +108,11 @@
 	waiting int
 	order   uint64
 	// clock is the virtual time: the charged work for its weight at which the last job was admitted.
-	clock       float64
-	weights     map[string]float64
+	clock   float64
+	weights map[string]float64
+	// charging holds the corrected weights of the last tick; computing them for each
+	// token would cost more than the rest of its handling.
+	charging    map[string]float64
 	members     map[string]*member
 	jobs        map[string]*job
 	elsewhere   map[string]float64
@@ -229,6 +237,9 @@
 		m.running--
 		s.running--
 		m.virtual -= j.advance / j.weight
+		if j.beneficiary != nil {
+			j.beneficiary.owed++
+		}
 		return
 	}
 	m.waiting = slices.DeleteFunc(m.waiting, func(other *job) bool { return other == j })
@@ -245,11 +256,16 @@
 	m.use.add(now, s.params.Window, work)
 	paid := min(j.advance, work)
 	j.advance -= paid
-	m.virtual += (work - paid) / s.corrected(now)[m.name]
+	weight := s.charging[m.name]
+	if weight == 0 {
+		weight = s.weight(m.name)
+	}
+	m.virtual += (work - paid) / weight
 }
 
 // Tick admits, and preempts for members that waited below their share.
 func (s *Scheduler) Tick(now time.Time) Effects {
+	s.charging = s.corrected(now)
 	effects := s.admit(now)
 	effects.Preempt = s.preempt(now)
 	s.forget(now)
@@ -266,6 +282,7 @@
 	weights := s.corrected(now)
 	for s.running < s.slots && s.waiting > 0 {
 		m := s.nextMember(weights)
+		m.owed = max(0, m.owed-1)
 		j := m.waiting[0]
 		m.waiting = m.waiting[1:]
 		s.waiting--
@@ -284,8 +301,12 @@
 	var best *member
 	for _, m := range s.sorted() {
 		if len(m.waiting) == 0 {
+			m.owed = 0
 			continue
 		}
+		if m.owed > 0 {
+			return m
+		}
 		if best == nil || m.virtual < best.virtual ||
 			(m.virtual == best.virtual && float64(m.running)*weights[best.name] < float64(best.running)*weights[m.name]) {
 			best = m
@@ -298,25 +319,23 @@
 // that waits below its share.
 func (s *Scheduler) preempt(now time.Time) []string {
 	shares := s.standing(now)
-	wanted := 0
+	var victims []string
 	for _, m := range s.sorted() {
-		if shares[m.name].below() {
-			wanted += s.longWaits(now, m, shares[m.name])
+		if !shares[m.name].below() {
+			continue
 		}
-	}
-	wanted -= s.preempting()
-	var victims []string
-	for ; wanted > 0; wanted-- {
-		victim := s.victim(now, shares)
-		if victim == nil {
-			break
+		for range s.longWaits(now, m, shares[m.name]) - s.preemptingFor(m) {
+			victim := s.victim(now, shares)
+			if victim == nil {
+				return victims
+			}
+			victim.preempting, victim.beneficiary = true, m
+			s.preempted[victim.Generation] = now
+			standing := shares[victim.Member]
+			standing.slots -= 1 / float64(max(s.slots, 1))
+			shares[victim.Member] = standing
+			victims = append(victims, victim.ID)
 		}
-		victim.preempting = true
-		s.preempted[victim.Generation] = now
-		standing := shares[victim.Member]
-		standing.slots -= 1 / float64(max(s.slots, 1))
-		shares[victim.Member] = standing
-		victims = append(victims, victim.ID)
 	}
 	return victims
 }
@@ -337,10 +356,20 @@
 	return min(waits, due)
 }
 
-func (s *Scheduler) preempting() int {
+func (s *Scheduler) preemptingFor(m *member) int {
+	count := 0
+	for _, j := range s.jobs {
+		if j.beneficiary == m {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *Scheduler) preemptingOf(m *member) int {
 	count := 0
 	for _, j := range s.jobs {
-		if j.preempting {
+		if j.preempting && j.Member == m.name {
 			count++
 		}
 	}
@@ -415,7 +444,8 @@
 		if !m.competes() {
 			continue
 		}
-		current := standing{share: weights[name] / totalWeight, slots: float64(m.running) / float64(max(s.slots, 1)), work: -1}
+		held := m.running - s.preemptingOf(m)
+		current := standing{share: weights[name] / totalWeight, slots: float64(held) / float64(max(s.slots, 1)), work: -1}
 		if totalWork > 0 {
 			current.work = m.use.rate(now, s.params.Window) / totalWork
 		}
