--- /dev/null
+++ b/internal/standin/app/app.go
@@ -0,0 +1,261 @@
+// Package app is a stand-in for an application engine: it runs orders and answers
+// status queries over HTTP, counts each run, and fails on request.
+package app
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+const (
+	// CallIDHeader names the call in requests; runs are counted by it.
+	CallIDHeader = "Bramleygap-Call-Id"
+
+	maxRequestBytes = 16 << 20
+)
+
+// Options configure an App.
+type Options struct {
+	// Name is returned in responses.
+	Name string
+}
+
+// Control switches faults; absent fields leave the current value. The counts
+// apply to the next N orders or, for Redirect, to the next N requests of any kind.
+type Control struct {
+	DelayMS *int `json:"delay_ms,omitempty"`
+	// HangAfterRun never answers after the order was run.
+	HangAfterRun *int `json:"hang_after_run,omitempty"`
+	// CloseAfterRun closes the connection after the order was run.
+	CloseAfterRun *int `json:"close_after_run,omitempty"`
+	// CloseBeforeRun closes the connection before the order is run.
+	CloseBeforeRun *int `json:"close_before_run,omitempty"`
+	// Redirect runs the order and answers 307 with a Location on the same server.
+	Redirect *int `json:"redirect,omitempty"`
+	// Freeze holds every request, before it is run, until it is switched off.
+	Freeze *bool `json:"freeze,omitempty"`
+	// ResponseBytes pads the response to an order to this size.
+	ResponseBytes *int `json:"response_bytes,omitempty"`
+}
+
+// Runs is the content of GET /runs.
+type Runs struct {
+	Total int `json:"total"`
+	// ByCall counts runs by the value of the call id header.
+	ByCall map[string]int `json:"by_call"`
+	// ByBody counts runs by the hexadecimal SHA-256 of the request body.
+	ByBody map[string]int `json:"by_body"`
+	// ByKey counts runs by the Idempotency-Key header.
+	ByKey   map[string]int `json:"by_key"`
+	Queries int            `json:"queries"`
+}
+
+// App is one application engine; it is safe for concurrent use.
+type App struct {
+	name string
+
+	mu      sync.Mutex
+	control faults
+	runs    Runs
+	thawed  chan struct{}
+}
+
+type faults struct {
+	delay                                                  time.Duration
+	hangAfterRun, closeAfterRun, closeBeforeRun, redirects int
+	responseBytes                                          int
+}
+
+// New returns an application engine without faults.
+func New(options Options) *App {
+	thawed := make(chan struct{})
+	close(thawed)
+	return &App{
+		name:   options.Name,
+		runs:   Runs{ByCall: map[string]int{}, ByBody: map[string]int{}, ByKey: map[string]int{}},
+		thawed: thawed,
+	}
+}
+
+// Handler serves POST /permits, POST /orders and their sub-paths (counted runs),
+// GET /status and its sub-paths, GET /runs, GET /health and POST /control.
+func (a *App) Handler() http.Handler {
+	router := chi.NewRouter()
+	for _, path := range []string{"/permits", "/permits/*", "/orders", "/orders/*"} {
+		router.Post(path, a.serveOrder)
+	}
+	router.Get("/status", a.serveStatus)
+	router.Get("/status/*", a.serveStatus)
+	router.Get("/runs", func(w http.ResponseWriter, _ *http.Request) { sendJSON(w, a.Runs()) })
+	router.Get("/health", func(w http.ResponseWriter, r *http.Request) {
+		if a.wait(r) {
+			_, _ = io.WriteString(w, "ok\n")
+		}
+	})
+	router.Post("/control", a.serveControl)
+	return router
+}
+
+// Runs returns a copy of the counters.
+func (a *App) Runs() Runs {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	runs := a.runs
+	runs.ByCall = maps.Clone(a.runs.ByCall)
+	runs.ByBody = maps.Clone(a.runs.ByBody)
+	runs.ByKey = maps.Clone(a.runs.ByKey)
+	return runs
+}
+
+// Control applies a change of the faults.
+func (a *App) Control(control Control) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if control.DelayMS != nil {
+		a.control.delay = time.Duration(*control.DelayMS) * time.Millisecond
+	}
+	set(&a.control.hangAfterRun, control.HangAfterRun)
+	set(&a.control.closeAfterRun, control.CloseAfterRun)
+	set(&a.control.closeBeforeRun, control.CloseBeforeRun)
+	set(&a.control.redirects, control.Redirect)
+	set(&a.control.responseBytes, control.ResponseBytes)
+	if control.Freeze != nil {
+		a.freeze(*control.Freeze)
+	}
+}
+
+func set(field, value *int) {
+	if value != nil {
+		*field = *value
+	}
+}
+
+func (a *App) freeze(on bool) {
+	frozen := true
+	select {
+	case <-a.thawed:
+		frozen = false
+	default:
+	}
+	switch {
+	case on && !frozen:
+		a.thawed = make(chan struct{})
+	case !on && frozen:
+		close(a.thawed)
+	}
+}
+
+// wait holds the request while the engine is frozen or slow; it returns false if the caller left.
+func (a *App) wait(r *http.Request) bool {
+	a.mu.Lock()
+	thawed, delay := a.thawed, a.control.delay
+	a.mu.Unlock()
+	select {
+	case <-thawed:
+	case <-r.Context().Done():
+		return false
+	}
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-time.After(delay):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// take consumes one use of a fault counter.
+func (a *App) take(counter *int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if *counter == 0 {
+		return false
+	}
+	*counter--
+	return true
+}
+
+func (a *App) serveOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil || !a.wait(r) {
+		return
+	}
+	if a.take(&a.control.closeBeforeRun) {
+		panic(http.ErrAbortHandler)
+	}
+	number := a.run(r, body)
+	switch {
+	case a.take(&a.control.closeAfterRun):
+		panic(http.ErrAbortHandler)
+	case a.take(&a.control.hangAfterRun):
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case a.take(&a.control.redirects):
+		w.Header().Set("Location", r.URL.Path)
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	default:
+		a.answerOrder(w, number)
+	}
+}
+
+// run counts one run and returns its number.
+func (a *App) run(r *http.Request, body []byte) int {
+	sum := sha256.Sum256(body)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs.Total++
+	a.runs.ByCall[r.Header.Get(CallIDHeader)]++
+	a.runs.ByBody[hex.EncodeToString(sum[:])]++
+	a.runs.ByKey[r.Header.Get("Idempotency-Key")]++
+	return a.runs.Total
+}
+
+func (a *App) answerOrder(w http.ResponseWriter, number int) {
+	a.mu.Lock()
+	padding := a.control.responseBytes
+	a.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Location", "/status/"+strconv.Itoa(number))
+	w.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(w).Encode(map[string]any{"engine": a.name, "number": number, "padding": make([]byte, padding*3/4)})
+}
+
+func (a *App) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if !a.wait(r) {
+		return
+	}
+	if a.take(&a.control.redirects) {
+		http.Redirect(w, r, "/status", http.StatusTemporaryRedirect)
+		return
+	}
+	a.mu.Lock()
+	a.runs.Queries++
+	a.mu.Unlock()
+	sendJSON(w, map[string]any{"engine": a.name, "path": r.URL.Path})
+}
+
+func (a *App) serveControl(w http.ResponseWriter, r *http.Request) {
+	var control Control
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes)).Decode(&control); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.Control(control)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func sendJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
