--- a/internal/core/adoption/adoption.go
+++ b/internal/core/adoption/adoption.go
@@ -2,7 +2,11 @@
 // force and tracks which nodes acknowledged it.
 package adoption
 
-import "bramleygap/internal/opconfig"
+import (
+	"slices"
+
+	"bramleygap/internal/opconfig"
+)
 
 // Adopted is one revision of the operator configuration in force on a node.
 type Adopted struct {
@@ -10,4 +14,93 @@
 	Revision uint64
 	Text     string
 	Config   *opconfig.Config
+	// Operator and ChangeID name the change that wrote the revision.
+	Operator string
+	ChangeID string
+}
+
+// Candidate is a revision offered by the table or by another node.
+type Candidate struct {
+	Revision uint64
+	Text     string
+	Operator string
+	ChangeID string
+}
+
+// Decide returns the configuration that a node has in force after it was offered
+// the candidate: the candidate if its revision is higher and its text valid, else
+// current, which may be nil. The error tells why a higher revision was not adopted.
+func Decide(current *Adopted, candidate Candidate) (*Adopted, error) {
+	if candidate.Revision <= RevisionOf(current) {
+		return current, nil
+	}
+	config, err := opconfig.Parse(candidate.Text)
+	if err != nil {
+		return current, err
+	}
+	return &Adopted{
+		Revision: candidate.Revision,
+		Text:     candidate.Text,
+		Config:   config,
+		Operator: candidate.Operator,
+		ChangeID: candidate.ChangeID,
+	}, nil
+}
+
+// RevisionOf returns the revision of a, or 0 for nil.
+func RevisionOf(a *Adopted) uint64 {
+	if a == nil {
+		return 0
+	}
+	return a.Revision
+}
+
+// Ack states that a node has a revision in force.
+type Ack struct {
+	Node        string
+	Incarnation uint64
+	Revision    uint64
+}
+
+// Acks holds the newest acknowledgement of each node.
+type Acks struct{ nodes map[string]Ack }
+
+// NewAcks returns an empty Acks.
+func NewAcks() *Acks { return &Acks{nodes: make(map[string]Ack)} }
+
+// Observe records an acknowledgement and reports whether it is news. A restarted node
+// starts without a configuration, so a higher incarnation replaces the old
+// acknowledgement even with a lower revision; late messages of an old incarnation
+// and lower revisions of the same one are ignored.
+func (a *Acks) Observe(ack Ack) bool {
+	old, ok := a.nodes[ack.Node]
+	if ok && ack.Incarnation < old.Incarnation {
+		return false
+	}
+	if ok && ack.Incarnation == old.Incarnation && ack.Revision <= old.Revision {
+		return false
+	}
+	a.nodes[ack.Node] = ack
+	return true
+}
+
+// Get returns the newest acknowledgement of a node.
+func (a *Acks) Get(node string) (Ack, bool) {
+	ack, ok := a.nodes[node]
+	return ack, ok
+}
+
+// Forget removes a node that left the installation.
+func (a *Acks) Forget(node string) { delete(a.nodes, node) }
+
+// Missing returns, sorted, the live nodes that have not acknowledged the revision or a higher one.
+func (a *Acks) Missing(revision uint64, live []string) []string {
+	var missing []string
+	for _, node := range live {
+		if ack, ok := a.nodes[node]; !ok || ack.Revision < revision {
+			missing = append(missing, node)
+		}
+	}
+	slices.Sort(missing)
+	return slices.Compact(missing)
 }
--- /dev/null
+++ b/internal/core/membership/view.go
@@ -0,0 +1,225 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"bramleygap/internal/wire"
+)
+
+const (
+	// SuspectAfter is the silence after which a target gets no new work. Agents send
+	// a heartbeat each second, so that two lost ones are tolerated.
+	SuspectAfter = 2500 * time.Millisecond
+	// RemoveAfter is the silence after which a target is forgotten.
+	RemoveAfter = 30 * time.Second
+	// LateTick is the gap between two ticks above which this process was paused and
+	// the silence it sees may be its own.
+	LateTick = time.Second
+	// tombstoneAge is how long the incarnation of a removed target is remembered, so
+	// that delayed messages of an older one are still recognised.
+	tombstoneAge = 10 * time.Minute
+)
+
+// VM is one line of the platform's VM list.
+type VM struct {
+	ID      string
+	Leaving bool
+}
+
+// Report is an agent's state as received over one stream.
+type Report struct {
+	// Stream numbers the connections to the agent; a later connection has a higher
+	// number, and sequence numbers are compared only within one connection.
+	Stream uint64
+	State  *wire.AgentState
+}
+
+type member struct {
+	report Report
+	heard  time.Time
+	loadAt time.Time
+	// listed is set once the VM list has contained the VM.
+	listed bool
+}
+
+type tombstone struct {
+	incarnation uint64
+	at          time.Time
+}
+
+// View joins heartbeats, the VM list and the operators' requests to retire VMs.
+// It is not safe for concurrent use.
+type View struct {
+	members    map[string]*member
+	tombstones map[string]tombstone
+	vms        map[string]VM
+	haveVMs    bool
+	retired    map[string]bool
+	drained    map[string]bool
+	lastTick   time.Time
+}
+
+// New returns an empty View at the time now.
+func New(now time.Time) *View {
+	return &View{
+		members:    make(map[string]*member),
+		tombstones: make(map[string]tombstone),
+		vms:        make(map[string]VM),
+		lastTick:   now,
+	}
+}
+
+// Heartbeat takes in an agent's report and returns whether it was newer than the
+// reports before it. Messages of an older incarnation or connection are ignored.
+func (v *View) Heartbeat(now time.Time, report Report) bool {
+	name := report.State.GetTarget()
+	if name == "" || report.State.GetIncarnation() < v.tombstones[name].incarnation {
+		return false
+	}
+	old := v.members[name]
+	if old != nil && !newer(report, old.report) {
+		return false
+	}
+	m := &member{report: report, heard: now}
+	m.loadAt = now.Add(-time.Duration(report.State.GetLoadAgeMs()) * time.Millisecond)
+	_, m.listed = v.vms[report.State.GetVm()]
+	if old != nil && old.report.State.GetVm() == report.State.GetVm() {
+		m.listed = m.listed || old.listed
+	}
+	v.members[name] = m
+	return true
+}
+
+func newer(a, b Report) bool {
+	if a.State.GetIncarnation() != b.State.GetIncarnation() {
+		return a.State.GetIncarnation() > b.State.GetIncarnation()
+	}
+	if a.Stream != b.Stream {
+		return a.Stream > b.Stream
+	}
+	return a.State.GetSequence() > b.State.GetSequence()
+}
+
+// SetVMs replaces the VM list.
+func (v *View) SetVMs(vms []VM) {
+	v.haveVMs = true
+	v.vms = make(map[string]VM, len(vms))
+	for _, vm := range vms {
+		v.vms[vm.ID] = vm
+	}
+	for _, m := range v.members {
+		if _, ok := v.vms[m.report.State.GetVm()]; ok {
+			m.listed = true
+		}
+	}
+}
+
+// SetRetired replaces the VMs that the operator configuration retires.
+func (v *View) SetRetired(vms []string) { v.retired = toSet(vms) }
+
+// SetDrained replaces the VMs that operators drain.
+func (v *View) SetDrained(vms []string) { v.drained = toSet(vms) }
+
+func toSet(ids []string) map[string]bool {
+	set := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
+
+// Tick removes targets that have been silent for too long. After a late tick the
+// silence may be this process's own, so all targets get a new period of grace.
+// It returns the names of the removed targets, sorted, and whether the tick was late.
+func (v *View) Tick(now time.Time) (removed []string, late bool) {
+	late = now.Sub(v.lastTick) > LateTick
+	v.lastTick = now
+	for name, m := range v.members {
+		if late {
+			m.heard = now
+		}
+		if v.gone(m, now.Sub(m.heard)) {
+			removed = append(removed, name)
+			v.tombstones[name] = tombstone{incarnation: m.report.State.GetIncarnation(), at: now}
+			delete(v.members, name)
+		}
+	}
+	for name, stone := range v.tombstones {
+		if now.Sub(stone.at) > tombstoneAge {
+			delete(v.tombstones, name)
+		}
+	}
+	sort.Strings(removed)
+	return removed, late
+}
+
+func (v *View) gone(m *member, silence time.Duration) bool {
+	if silence >= RemoveAfter {
+		return true
+	}
+	_, present := v.vms[m.report.State.GetVm()]
+	dropped := v.haveVMs && m.listed && !present
+	return dropped && silence >= SuspectAfter
+}
+
+// States returns the newest report of each target, sorted by name.
+func (v *View) States() []*wire.AgentState {
+	states := make([]*wire.AgentState, 0, len(v.members))
+	for _, m := range v.members {
+		states = append(states, m.report.State)
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].GetTarget() < states[j].GetTarget() })
+	return states
+}
+
+// Snapshot returns the view at the time now, sorted by target name. Between a pause
+// of this process and the next Tick no further target becomes suspected.
+func (v *View) Snapshot(now time.Time) *Snapshot {
+	reference := now
+	if now.Sub(v.lastTick) > LateTick {
+		reference = v.lastTick
+	}
+	s := &Snapshot{At: now, Targets: make([]Target, 0, len(v.members))}
+	for _, m := range v.members {
+		target := targetOf(m)
+		target.Suspected = reference.Sub(m.heard) >= SuspectAfter
+		target.Leaving = target.Leaving || v.leaving(target.VM)
+		s.Targets = append(s.Targets, target)
+	}
+	sort.Slice(s.Targets, func(i, j int) bool { return s.Targets[i].Name < s.Targets[j].Name })
+	return s
+}
+
+func (v *View) leaving(vm string) bool {
+	return v.vms[vm].Leaving || v.retired[vm] || v.drained[vm]
+}
+
+func targetOf(m *member) Target {
+	state := m.report.State
+	kind := KindModel
+	if state.GetKind() == wire.TargetKind_TARGET_KIND_APPLICATION {
+		kind = KindApplication
+	}
+	blocks := make(map[uint64]struct{}, len(state.GetCachedBlocks()))
+	for _, block := range state.GetCachedBlocks() {
+		blocks[block] = struct{}{}
+	}
+	return Target{
+		Name:         state.GetTarget(),
+		VM:           state.GetVm(),
+		Zone:         state.GetZone(),
+		Address:      state.GetAddress(),
+		Incarnation:  state.GetIncarnation(),
+		Kind:         kind,
+		Service:      state.GetService(),
+		Versions:     state.GetVersions(),
+		Ready:        state.GetReady(),
+		Leaving:      state.GetLeaving(),
+		Running:      int(state.GetRunning()),
+		Waiting:      int(state.GetWaiting()),
+		Slots:        int(state.GetSlots()),
+		LoadAt:       m.loadAt,
+		CachedBlocks: blocks,
+	}
+}
