Add the entry's cluster tasks

An entry needs a current view of agents, peers and configuration that survives store outages; withdrawals must reach all nodes without the store.

--- /dev/null
+++ b/internal/entry/cluster/manager.go
@@ -0,0 +1,270 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/obs"
+	"bramleygap/internal/platform"
+	"bramleygap/internal/rpc"
+	"bramleygap/internal/settings"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// viewInterval is the time between two evaluations of the membership view; it
+	// bounds how late a silent target is noticed.
+	viewInterval = 250 * time.Millisecond
+	vmInterval   = time.Second
+	// platformTimeout bounds one request to the platform, so that an outage that
+	// swallows requests is noticed.
+	platformTimeout = 2 * time.Second
+	// jitterFraction spreads the polls of entries that started together.
+	jitterFraction = 0.2
+)
+
+var errStopped = errors.New("cluster manager stopped")
+
+// VersionReporter reports the rollouts for Status; the rollout logic implements it.
+type VersionReporter interface {
+	VersionStatus() []*wire.VersionStatus
+}
+
+// Options configures a Manager. Table, VMs, Versions, Registerer and Readiness may be nil.
+type Options struct {
+	Settings settings.Entry
+	// Incarnation is higher at each start of the process.
+	Incarnation    uint64
+	Table          platform.Table
+	VMs            platform.VMList
+	Parts          []Part
+	AgentObservers []AgentObserver
+	Versions       VersionReporter
+	Logger         zerolog.Logger
+	Registerer     prometheus.Registerer
+	Readiness      *obs.Readiness
+}
+
+// Manager runs the cluster tasks of one entry. All accessors are safe for
+// concurrent use and do not block; parts and observers may call them.
+type Manager struct {
+	options   Options
+	pool      *rpc.Pool
+	metrics   *metrics
+	withdrawn *withdrawnSet
+
+	adopted  atomic.Pointer[adoption.Adopted]
+	snapshot atomic.Pointer[membership.Snapshot]
+	nodes    atomic.Pointer[[]Node]
+	leaving  atomic.Bool
+	// readinessMu orders SetLeaving and the first adoption.
+	readinessMu    sync.Mutex
+	storeReachable atomic.Bool
+	sequence       atomic.Uint64
+	streams        atomic.Uint64
+	// partsMu serialises the calls to the parts.
+	partsMu sync.Mutex
+
+	requests  chan func(*state)
+	pushAll   chan struct{}
+	pushSome  chan struct{}
+	writeRows chan struct{}
+	stopped   chan struct{}
+	tasks     sync.WaitGroup
+}
+
+// New returns a Manager; Run starts its tasks.
+func New(options Options) *Manager {
+	if options.Readiness == nil {
+		options.Readiness = obs.NewReadiness("")
+	}
+	m := &Manager{
+		options:   options,
+		pool:      rpc.NewPool(),
+		metrics:   newMetrics(options.Registerer),
+		withdrawn: newWithdrawnSet(),
+		requests:  make(chan func(*state)),
+		pushAll:   make(chan struct{}, 1),
+		pushSome:  make(chan struct{}, 1),
+		writeRows: make(chan struct{}, 1),
+		stopped:   make(chan struct{}),
+	}
+	m.snapshot.Store(&membership.Snapshot{})
+	m.nodes.Store(&[]Node{})
+	options.Readiness.SetNotReady("no operator configuration adopted; neither the table service nor a peer has provided one")
+	return m
+}
+
+// Run runs the tasks until ctx ends and returns its error. It must be called once.
+func (m *Manager) Run(ctx context.Context) error {
+	s := newState(m, ctx, time.Now())
+	s.reconcile()
+	m.tasks.Go(func() { m.pollVMs(ctx) })
+	m.tasks.Go(func() { m.pollTable(ctx) })
+	m.tasks.Go(func() { m.writeWithdrawnRows(ctx) })
+	m.tasks.Go(func() { m.exchangeLoop(ctx) })
+	m.own(ctx, s)
+	close(m.stopped)
+	m.tasks.Wait()
+	m.pool.Close()
+	return ctx.Err()
+}
+
+// own is the task that owns the state; other tasks send it functions to run.
+func (m *Manager) own(ctx context.Context, s *state) {
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case request := <-m.requests:
+			request(s)
+		case <-ticker.C:
+			s.tick(time.Now())
+		}
+	}
+}
+
+// do runs f in the task that owns the state and waits for it. It must not be called
+// from that task.
+func (m *Manager) do(ctx context.Context, f func(*state)) error {
+	done := make(chan struct{})
+	request := func(s *state) {
+		defer close(done)
+		f(s)
+	}
+	select {
+	case m.requests <- request:
+		<-done
+		return nil
+	case <-m.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Config returns the operator configuration in force, nil until one is adopted.
+func (m *Manager) Config() *adoption.Adopted { return m.adopted.Load() }
+
+// Snapshot returns the newest view of the targets; it is never nil.
+func (m *Manager) Snapshot() *membership.Snapshot { return m.snapshot.Load() }
+
+// Nodes returns the live entries and agents known to this entry, sorted by name.
+func (m *Manager) Nodes() []Node { return *m.nodes.Load() }
+
+// Conn returns the shared connection to an agent or entry at host:port.
+func (m *Manager) Conn(address string) (*grpc.ClientConn, error) { return m.pool.Conn(address) }
+
+// RegisterServers registers the Peer and Operator services.
+func (m *Manager) RegisterServers(server *grpc.Server) {
+	wire.RegisterPeerServer(server, &peerServer{manager: m})
+	wire.RegisterOperatorServer(server, &operatorServer{manager: m})
+}
+
+// SetLeaving fails readiness and tells the other entries that this one is shutting down.
+func (m *Manager) SetLeaving() {
+	m.readinessMu.Lock()
+	m.leaving.Store(true)
+	m.options.Readiness.SetNotReady("leaving")
+	m.readinessMu.Unlock()
+	signal(m.pushSome)
+}
+
+func (m *Manager) setReadyUnlessLeaving() {
+	m.readinessMu.Lock()
+	defer m.readinessMu.Unlock()
+	if !m.leaving.Load() {
+		m.options.Readiness.SetReady()
+	}
+}
+
+// Withdraw marks a version as withdrawn for good and tells all peers and agents at
+// once. It needs no store; the table row is written when the store is reachable.
+func (m *Manager) Withdraw(service, version, reason string) {
+	mark := &wire.WithdrawnVersion{Service: service, Version: version, Reason: reason, UnixMs: time.Now().UnixMilli()}
+	if m.withdrawn.merge([]*wire.WithdrawnVersion{mark}) == 0 {
+		return
+	}
+	m.options.Logger.Warn().Str("service", service).Str("version", version).Str("reason", reason).Msg("version withdrawn")
+	m.metrics.withdrawn.Set(float64(m.withdrawn.size()))
+	signal(m.pushAll)
+	signal(m.writeRows)
+	m.notifyAgents()
+}
+
+// Withdrawn reports whether a version is withdrawn.
+func (m *Manager) Withdrawn(service, version string) bool {
+	return m.withdrawn.contains(service, version)
+}
+
+// mergeWithdrawn takes in marks learned from another node or the table.
+func (m *Manager) mergeWithdrawn(marks []*wire.WithdrawnVersion) {
+	if m.withdrawn.merge(marks) == 0 {
+		return
+	}
+	m.metrics.withdrawn.Set(float64(m.withdrawn.size()))
+	signal(m.pushSome)
+	signal(m.writeRows)
+	m.notifyAgents()
+}
+
+// notifyAgents makes the watch tasks send their state at once. It does not wait for
+// the owner task, so that parts may call Withdraw.
+func (m *Manager) notifyAgents() {
+	go func() { _ = m.do(context.Background(), func(s *state) { s.notifyWatchers() }) }()
+}
+
+// signal wakes the reader of a channel with capacity 1; pending signals coalesce.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// jittered returns d plus or minus jitterFraction.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitterFraction*(2*rand.Float64()-1)))
+}
+
+// sleep waits for d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (m *Manager) pollVMs(ctx context.Context) {
+	if m.options.VMs == nil {
+		return
+	}
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, platformTimeout)
+		vms, err := m.options.VMs.VMs(callCtx)
+		cancel()
+		m.metrics.countStore("vms", err)
+		if err == nil {
+			_ = m.do(ctx, func(s *state) { s.setVMs(vms) })
+		}
+		if !sleep(ctx, jittered(vmInterval)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/cluster/peers.go
@@ -0,0 +1,216 @@
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/wire"
+)
+
+const (
+	exchangeInterval = 500 * time.Millisecond
+	exchangePeers    = 2
+	exchangeTimeout  = time.Second
+	// exchangeParallel bounds the exchanges that run at once when a withdrawal is
+	// pushed to all peers.
+	exchangeParallel = 16
+)
+
+// exchangeLoop exchanges state with two random peers at a time, and with all peers
+// after a withdrawal by this entry.
+func (m *Manager) exchangeLoop(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	slots := make(chan struct{}, exchangeParallel)
+	for {
+		limit := exchangePeers
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-m.pushSome:
+		case <-m.pushAll:
+			limit = 0
+		}
+		m.exchangeWith(ctx, limit, slots)
+	}
+}
+
+// exchangeWith starts exchanges with up to limit random peers; 0 means all.
+func (m *Manager) exchangeWith(ctx context.Context, limit int, slots chan struct{}) {
+	var peers []string
+	_ = m.do(ctx, func(s *state) {
+		for address := range s.peers {
+			peers = append(peers, address)
+		}
+	})
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if limit > 0 && len(peers) > limit {
+		peers = peers[:limit]
+	}
+	for _, address := range peers {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		m.tasks.Go(func() {
+			defer func() { <-slots }()
+			err := m.exchange(ctx, address)
+			m.metrics.exchanges.WithLabelValues(outcome(err)).Inc()
+		})
+	}
+}
+
+// exchange swaps state with one peer. The configuration text travels only to a
+// peer that is behind, in a second call.
+func (m *Manager) exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, err := m.pool.Conn(address)
+	if err != nil {
+		return err
+	}
+	client := wire.NewPeerClient(conn)
+	request, err := m.peerState(ctx, nil)
+	if err != nil {
+		return err
+	}
+	response, err := client.Exchange(ctx, request)
+	if err != nil {
+		return err
+	}
+	if err := m.mergePeer(ctx, response); err != nil {
+		return err
+	}
+	if response.GetConfigRevision() >= adoption.RevisionOf(m.Config()) {
+		return nil
+	}
+	if request, err = m.peerState(ctx, response); err != nil {
+		return err
+	}
+	_, err = client.Exchange(ctx, request)
+	return err
+}
+
+// peerState builds this entry's state for a peer; from is the peer's last message, or nil.
+func (m *Manager) peerState(ctx context.Context, from *wire.PeerState) (*wire.PeerState, error) {
+	var message *wire.PeerState
+	if err := m.do(ctx, func(s *state) { message = s.peerState() }); err != nil {
+		return nil, err
+	}
+	config := m.Config()
+	if config != nil {
+		message.ConfigRevision = config.Revision
+		message.ConfigOperator = config.Operator
+		message.ConfigChangeId = config.ChangeID
+		if from != nil && from.GetConfigRevision() < config.Revision {
+			message.ConfigText = config.Text
+		}
+	}
+	m.partsMu.Lock()
+	defer m.partsMu.Unlock()
+	for _, part := range m.options.Parts {
+		part.Contribute(message)
+	}
+	return message, nil
+}
+
+func (s *state) peerState() *wire.PeerState {
+	self := s.self()
+	now := time.Now().UnixMilli()
+	message := &wire.PeerState{
+		Entry:       s.manager.options.Settings.Name,
+		Incarnation: self.Incarnation,
+		Sequence:    s.manager.sequence.Add(1),
+		Address:     self.Address,
+		Zone:        self.Zone,
+		Withdrawn:   s.manager.withdrawn.list(),
+		Leaving:     self.Leaving,
+		LeavingVms:  s.drained,
+		Acks:        []*wire.NodeAck{ackOf(self, now)},
+	}
+	for _, entry := range s.entries {
+		message.Acks = append(message.Acks, ackOf(entry.node, entry.clock))
+	}
+	return message
+}
+
+func ackOf(node Node, clock int64) *wire.NodeAck {
+	return &wire.NodeAck{
+		Node:           node.Name,
+		Incarnation:    node.Incarnation,
+		ConfigRevision: node.Revision,
+		SeenUnixMs:     clock,
+		Address:        node.Address,
+	}
+}
+
+// mergePeer takes in the state of another entry.
+func (m *Manager) mergePeer(ctx context.Context, message *wire.PeerState) error {
+	m.mergeWithdrawn(message.GetWithdrawn())
+	err := m.do(ctx, func(s *state) { s.mergePeer(message) })
+	m.partsMu.Lock()
+	defer m.partsMu.Unlock()
+	for _, part := range m.options.Parts {
+		part.Merge(message)
+	}
+	return err
+}
+
+func (s *state) mergePeer(message *wire.PeerState) {
+	sender := roleEntry + "/" + message.GetEntry()
+	for _, ack := range message.GetAcks() {
+		node := Node{
+			Name:        ack.GetNode(),
+			Address:     ack.GetAddress(),
+			Role:        roleEntry,
+			Incarnation: ack.GetIncarnation(),
+			Revision:    ack.GetConfigRevision(),
+		}
+		direct := node.Name == sender
+		if direct {
+			node.Zone, node.Leaving = message.GetZone(), message.GetLeaving()
+		}
+		s.observeEntry(node, ack.GetSeenUnixMs(), direct)
+	}
+	if message.GetConfigText() != "" {
+		s.adopt(adoption.Candidate{
+			Revision: message.GetConfigRevision(),
+			Text:     message.GetConfigText(),
+			Operator: message.GetConfigOperator(),
+			ChangeID: message.GetConfigChangeId(),
+		})
+	}
+	if !s.drainedKnown {
+		s.setDrained(union(s.drained, message.GetLeavingVms()))
+	}
+}
+
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// peerServer answers the exchanges that other entries start.
+type peerServer struct {
+	wire.UnimplementedPeerServer
+	manager *Manager
+	// mu bounds the work for peers to one merge at a time.
+	mu sync.Mutex
+}
+
+// Exchange implements wire.PeerServer.
+func (p *peerServer) Exchange(ctx context.Context, request *wire.PeerState) (*wire.PeerState, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.manager.mergePeer(ctx, request); err != nil {
+		return nil, err
+	}
+	return p.manager.peerState(ctx, request)
+}
--- /dev/null
+++ b/internal/entry/cluster/state.go
@@ -0,0 +1,402 @@
+package cluster
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/platform"
+	"bramleygap/internal/wire"
+)
+
+const (
+	roleEntry = "entry"
+	roleAgent = "agent"
+	// entryRemoveAfter is the silence after which an entry no longer counts as live.
+	entryRemoveAfter = 30 * time.Second
+	// leavingEntryRemoveAfter applies to entries that are leaving or that the VM list
+	// dropped. It is longer than several rounds of exchange.
+	leavingEntryRemoveAfter = 5 * time.Second
+)
+
+// Node is one live process of the installation other than the stand-ins.
+type Node struct {
+	// Name is "entry/NAME" or "agent/TARGET".
+	Name        string
+	Address     string // host:port of its gRPC server
+	Zone        string
+	Role        string // "entry" or "agent"
+	Incarnation uint64
+	Leaving     bool
+	// Revision is the highest configuration revision that the node acknowledged.
+	Revision uint64
+}
+
+// entryInfo is what is known of another entry.
+type entryInfo struct {
+	node  Node
+	heard time.Time
+	// clock is the entry's own clock in its newest message; growth is a sign of life.
+	clock int64
+}
+
+// state belongs to the owner task of a Manager.
+type state struct {
+	manager *Manager
+	// ctx ends with the Manager's Run; watch tasks derive from it.
+	ctx      context.Context
+	view     *membership.View
+	acks     *adoption.Acks
+	vms      []platform.VM
+	heardVMs map[string]bool
+	entries  map[string]*entryInfo
+	peers    map[string]bool // addresses of other entries
+	watchers map[string]*watcher
+	drained  []string
+	// drainedKnown is set once the drain rows were read from the table.
+	drainedKnown bool
+	// drainChanges counts local changes of drained, so that a list that was read
+	// before a change does not undo it.
+	drainChanges uint64
+	lastTick     time.Time
+	// rejectedRevision is the last revision whose rejection was logged.
+	rejectedRevision uint64
+}
+
+func newState(m *Manager, ctx context.Context, now time.Time) *state {
+	return &state{
+		manager:  m,
+		ctx:      ctx,
+		view:     membership.New(now),
+		acks:     adoption.NewAcks(),
+		heardVMs: make(map[string]bool),
+		entries:  make(map[string]*entryInfo),
+		peers:    make(map[string]bool),
+		watchers: make(map[string]*watcher),
+		lastTick: now,
+	}
+}
+
+func (s *state) self() Node {
+	settings := s.manager.options.Settings
+	return Node{
+		Name:        roleEntry + "/" + settings.Name,
+		Address:     settings.PeerListen,
+		Zone:        settings.Zone,
+		Role:        roleEntry,
+		Incarnation: s.manager.options.Incarnation,
+		Leaving:     s.manager.leaving.Load(),
+		Revision:    adoption.RevisionOf(s.manager.Config()),
+	}
+}
+
+func (s *state) tick(now time.Time) {
+	removed, late := s.view.Tick(now)
+	if late {
+		s.manager.metrics.lateTicks.Inc()
+		for _, entry := range s.entries {
+			entry.heard = now
+		}
+	}
+	for _, name := range removed {
+		s.acks.Forget(roleAgent + "/" + name)
+		s.manager.options.Logger.Warn().Str("target", name).Msg("target removed after silence")
+	}
+	s.removeSilentEntries(now)
+	s.reconcile()
+	s.publish(now)
+}
+
+func (s *state) removeSilentEntries(now time.Time) {
+	for name, entry := range s.entries {
+		limit := entryRemoveAfter
+		if entry.node.Leaving || !s.listed(entry.node.Address) {
+			limit = leavingEntryRemoveAfter
+		}
+		if now.Sub(entry.heard) >= limit {
+			delete(s.entries, name)
+			s.acks.Forget(name)
+		}
+	}
+}
+
+// listed reports whether the VM list or the seeds contain the address.
+func (s *state) listed(address string) bool {
+	for _, vm := range s.vms {
+		if vm.Address == address {
+			return true
+		}
+	}
+	for _, seed := range s.manager.options.Settings.Seeds {
+		if seed.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *state) setVMs(vms []platform.VM) {
+	s.vms = vms
+	list := make([]membership.VM, 0, len(vms))
+	for _, vm := range vms {
+		list = append(list, membership.VM{ID: vm.ID, Leaving: vm.State == platform.VMLeaving})
+	}
+	s.view.SetVMs(list)
+	maps.DeleteFunc(s.heardVMs, func(id string, _ bool) bool {
+		return !slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+	})
+	s.reconcile()
+	s.publish(time.Now())
+}
+
+// observeAgent takes in a heartbeat and reports whether it was news.
+func (s *state) observeAgent(report membership.Report) bool {
+	if !s.view.Heartbeat(time.Now(), report) {
+		s.manager.metrics.heartbeats.WithLabelValues("stale").Inc()
+		return false
+	}
+	s.manager.metrics.heartbeats.WithLabelValues("ok").Inc()
+	s.heardVMs[report.State.GetVm()] = true
+	s.acks.Observe(adoption.Ack{
+		Node:        roleAgent + "/" + report.State.GetTarget(),
+		Incarnation: report.State.GetIncarnation(),
+		Revision:    report.State.GetConfigRevision(),
+	})
+	for _, observer := range s.manager.options.AgentObservers {
+		observer.ObserveAgent(report.State)
+	}
+	s.publish(time.Now())
+	return true
+}
+
+// observeEntry takes in a sign of life of another entry, first-hand or relayed.
+func (s *state) observeEntry(node Node, clock int64, direct bool) {
+	if node.Name == s.self().Name || node.Name == "" {
+		return
+	}
+	old := s.entries[node.Name]
+	if old != nil && node.Incarnation < old.node.Incarnation {
+		return
+	}
+	if old != nil && node.Incarnation == old.node.Incarnation && clock <= old.clock {
+		return
+	}
+	if !direct && old != nil {
+		// Relayed acknowledgements carry neither zone nor leaving flag.
+		node.Zone, node.Leaving = old.node.Zone, old.node.Leaving && node.Incarnation == old.node.Incarnation
+	}
+	s.entries[node.Name] = &entryInfo{node: node, heard: time.Now(), clock: clock}
+	s.acks.Observe(adoption.Ack{Node: node.Name, Incarnation: node.Incarnation, Revision: node.Revision})
+}
+
+// adopt offers a revision and reports whether it is now in force and was not before.
+func (s *state) adopt(candidate adoption.Candidate) bool {
+	m := s.manager
+	current := m.Config()
+	next, err := adoption.Decide(current, candidate)
+	if err != nil && candidate.Revision != s.rejectedRevision {
+		s.rejectedRevision = candidate.Revision
+		m.metrics.rejected.Inc()
+		m.options.Logger.Error().Err(err).Uint64("revision", candidate.Revision).Msg("operator configuration rejected, the previous one stays in force")
+	}
+	if next == current {
+		return false
+	}
+	m.adopted.Store(next)
+	m.metrics.revision.Set(float64(next.Revision))
+	m.options.Logger.Info().Uint64("revision", next.Revision).Str("operator", next.Operator).Msg("operator configuration adopted")
+	s.view.SetRetired(next.Config.RetireVMs)
+	m.setReadyUnlessLeaving()
+	s.publish(time.Now())
+	s.notifyWatchers()
+	signal(m.pushSome)
+	return true
+}
+
+func (s *state) setDrained(vms []string) {
+	if slices.Equal(s.drained, vms) {
+		return
+	}
+	s.drained = vms
+	s.view.SetDrained(vms)
+	s.publish(time.Now())
+	s.notifyWatchers()
+}
+
+// reconcile adjusts the watch tasks and peers to the addresses known now.
+func (s *state) reconcile() {
+	agents, peers := s.addresses()
+	for address := range agents {
+		if s.watchers[address] == nil {
+			s.watchers[address] = s.manager.startWatcher(s.ctx, address)
+		}
+	}
+	for address, w := range s.watchers {
+		if !agents[address] {
+			w.stop()
+			delete(s.watchers, address)
+		}
+	}
+	for address := range s.peers {
+		if !peers[address] && !agents[address] {
+			s.manager.pool.Forget(address)
+		}
+	}
+	s.peers = peers
+}
+
+// addresses joins the VM list, the seeds, live targets and the entries that agents
+// and peers report.
+func (s *state) addresses() (agents, peers map[string]bool) {
+	agents, peers = make(map[string]bool), make(map[string]bool)
+	add := func(role, address string) {
+		switch {
+		case address == "" || address == s.manager.options.Settings.PeerListen:
+		case role == roleAgent:
+			agents[address] = true
+		case role == roleEntry:
+			peers[address] = true
+		}
+	}
+	for _, vm := range s.vms {
+		add(vm.Role, vm.Address)
+	}
+	for _, seed := range s.manager.options.Settings.Seeds {
+		add(seed.Role, seed.Address)
+	}
+	for _, state := range s.view.States() {
+		add(roleAgent, state.GetAddress())
+		for _, address := range state.GetEntries() {
+			add(roleEntry, address)
+		}
+	}
+	for _, entry := range s.entries {
+		add(roleEntry, entry.node.Address)
+	}
+	return agents, peers
+}
+
+func (s *state) notifyWatchers() {
+	for _, w := range s.watchers {
+		signal(w.wake)
+	}
+}
+
+// publish stores the snapshot and the node list for readers.
+func (s *state) publish(now time.Time) {
+	snapshot := s.view.Snapshot(now)
+	s.manager.snapshot.Store(snapshot)
+	s.publishNodes(snapshot)
+	counts := map[string]int{"usable": 0, "leaving": 0, "suspected": 0, "not_ready": 0}
+	for i := range snapshot.Targets {
+		counts[targetState(&snapshot.Targets[i])]++
+	}
+	for name, count := range counts {
+		s.manager.metrics.targets.WithLabelValues(name).Set(float64(count))
+	}
+}
+
+func targetState(t *membership.Target) string {
+	switch {
+	case t.Leaving:
+		return "leaving"
+	case t.Suspected:
+		return "suspected"
+	case !t.Ready:
+		return "not_ready"
+	}
+	return "usable"
+}
+
+func (s *state) publishNodes(snapshot *membership.Snapshot) {
+	nodes := []Node{s.self()}
+	for _, entry := range s.entries {
+		nodes = append(nodes, entry.node)
+	}
+	for _, t := range snapshot.Targets {
+		nodes = append(nodes, Node{
+			Name:        roleAgent + "/" + t.Name,
+			Address:     t.Address,
+			Zone:        t.Zone,
+			Role:        roleAgent,
+			Incarnation: t.Incarnation,
+			Leaving:     t.Leaving,
+		})
+	}
+	for i := range nodes {
+		if ack, ok := s.acks.Get(nodes[i].Name); ok {
+			nodes[i].Revision = ack.Revision
+		}
+	}
+	slices.SortFunc(nodes, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	s.manager.nodes.Store(&nodes)
+}
+
+// missing returns the live nodes that have not acknowledged the revision. VMs of the
+// list that this entry has never heard from are named "vm/ID".
+func (s *state) missing(revision uint64) []string {
+	s.publish(time.Now())
+	var missing []string
+	addresses := make(map[string]bool)
+	for _, node := range s.manager.Nodes() {
+		addresses[node.Address] = true
+		if node.Revision < revision {
+			missing = append(missing, node.Name)
+		}
+	}
+	for _, vm := range s.vms {
+		if vm.State == platform.VMLive && !addresses[vm.Address] && !s.heardVMs[vm.ID] {
+			missing = append(missing, "vm/"+vm.ID)
+		}
+	}
+	slices.Sort(missing)
+	return missing
+}
+
+// useByMember adds up the work that the live targets reported, in token units per second.
+func (s *state) useByMember() map[string]float64 {
+	total := make(map[string]float64)
+	for _, agent := range s.view.States() {
+		for _, use := range agent.GetUseHere() {
+			total[use.GetMember()] += use.GetTokensPerSecond()
+		}
+	}
+	return total
+}
+
+// entryState builds the message for the agent at the address, which last reported
+// the given revision; known is false before its first report.
+func (s *state) entryState(address string, revision uint64, known bool) *wire.EntryState {
+	m := s.manager
+	message := &wire.EntryState{
+		Entry:       m.options.Settings.PeerListen,
+		Incarnation: m.options.Incarnation,
+		Sequence:    m.sequence.Add(1),
+		Withdrawn:   m.withdrawn.list(),
+		LeavingVms:  s.drained,
+	}
+	if config := m.Config(); config != nil {
+		message.ConfigRevision = config.Revision
+		if known && revision < config.Revision {
+			message.ConfigText = config.Text
+		}
+	}
+	elsewhere := s.useByMember()
+	for _, agent := range s.view.States() {
+		message.Agents = append(message.Agents, &wire.AgentAddress{Address: agent.GetAddress(), Zone: agent.GetZone(), Service: agent.GetService()})
+		if agent.GetAddress() != address {
+			continue
+		}
+		for _, use := range agent.GetUseHere() {
+			elsewhere[use.GetMember()] -= use.GetTokensPerSecond()
+		}
+	}
+	for _, member := range slices.Sorted(maps.Keys(elsewhere)) {
+		message.UseElsewhere = append(message.UseElsewhere, &wire.MemberUse{Member: member, TokensPerSecond: max(0, elsewhere[member])})
+	}
+	return message
+}
