Add target selection, retry budget, suspects and the router task

Entries need a target for each attempt before streams and calls can be written on top of it. One task owns in-flight counts, queue and budgets; requests reach it by messages.

--- /dev/null
+++ b/internal/entry/router/state.go
@@ -0,0 +1,571 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/retry"
+	"bramleygap/internal/core/suspect"
+	"bramleygap/internal/opconfig"
+	"bramleygap/internal/result"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// maxWaiting bounds the queue; beyond it in-share work is refused too.
+	maxWaiting = 10000
+	// overShareWait is how long over-share work may wait for a free slot.
+	overShareWait = 2 * time.Second
+	// entryMaxAge is how long an entry counts as watching the targets after an agent named it.
+	entryMaxAge = 10 * time.Second
+	// deathWindow is the time within which failures on one target are one crash.
+	deathWindow = 2 * time.Second
+	// maxMisses ends a pass over the queue after that many attempts that found no target,
+	// so that a full pool costs a bounded amount of work each tick.
+	maxMisses = 64
+)
+
+type pending struct {
+	id      uint64
+	request placement.Request
+	class   placement.Class
+	since   time.Time
+	answer  chan reply
+	verdict placement.Verdict
+}
+
+type running struct {
+	fingerprint uint64
+	since       time.Time
+	target      string
+}
+
+type service struct {
+	budget     *retry.Budget
+	firstToken retry.Estimate
+	inflight   int
+}
+
+// state is owned by the task of Run.
+type state struct {
+	manager    *Manager
+	options    *Options
+	rng        *rand.Rand
+	pool       *placement.Pool
+	queue      *placement.Queue
+	pending    map[uint64]*pending
+	usage      *placement.Usage
+	tracker    *suspect.Tracker
+	services   map[string]*service
+	running    map[uint64]running // by attempt id
+	byPrint    map[uint64][]uint64
+	lastSeen   map[string]time.Time // entries, by name
+	lastDeath  map[string]time.Time // targets, by name
+	snapshot   *membership.Snapshot
+	snapshotAt time.Time
+	exported   uint64
+}
+
+func newState(m *Manager, rng *rand.Rand) *state {
+	return &state{
+		manager:   m,
+		options:   &m.options,
+		rng:       rng,
+		pool:      placement.NewPool(m.options.EntryName, m.options.Zone),
+		queue:     placement.NewQueue(),
+		pending:   map[uint64]*pending{},
+		usage:     placement.NewUsage(),
+		tracker:   suspect.NewTracker(),
+		services:  map[string]*service{},
+		running:   map[uint64]running{},
+		byPrint:   map[uint64][]uint64{},
+		lastSeen:  map[string]time.Time{},
+		lastDeath: map[string]time.Time{},
+	}
+}
+
+func (s *state) service(name string, now time.Time) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{budget: retry.NewBudget(now)}
+		s.services[name] = v
+	}
+	v.budget.Refill(now, v.inflight)
+	return v
+}
+
+func (s *state) config() *opconfig.Config {
+	if a := s.options.Config(); a != nil {
+		return a.Config
+	}
+	return nil
+}
+
+// place checks the limits of a new attempt, then places or queues it.
+func (s *state) place(now time.Time, id uint64, request placement.Request, answer chan reply) {
+	p := &pending{id: id, request: request, since: now, answer: answer}
+	config := s.config()
+	if config == nil {
+		s.refuse(p, result.New(result.NotReady, "no operator configuration yet"))
+		return
+	}
+	if config.Service(request.Service) == nil {
+		s.refuse(p, result.New(result.UnknownService, "service %q is not configured", request.Service))
+		return
+	}
+	// Requests without a fingerprint, such as calls to applications, are never suspects.
+	if err := s.admit(now, p); err != nil {
+		s.refuse(p, err)
+		return
+	}
+	p.class = s.class(config, &request)
+	s.refreshSnapshot(now, false)
+	delay := time.Duration(0)
+	if request.Retry && !request.Resume {
+		delay = retry.Backoff(max(1, len(request.Exclude)), s.rng)
+	}
+	if delay == 0 && s.tryPlace(now, p) {
+		return
+	}
+	s.enqueue(now, p, now.Add(delay))
+}
+
+// admit applies the rejections that do not depend on the targets.
+func (s *state) admit(now time.Time, p *pending) *result.Error {
+	r := &p.request
+	if r.Fingerprint != 0 && s.tracker.Rejected(r.Fingerprint, now) {
+		if r.Resume || r.Retry {
+			// An earlier attempt ran, so a not-run code would be false.
+			return result.New(result.CrashedMidway, "the request crashed %d targets", suspect.CrashLimit)
+		}
+		return result.New(result.CrashesTargets, "the request crashed %d targets before", suspect.CrashLimit)
+	}
+	v := s.service(r.Service, now)
+	if !retry.EnoughTime(now, r.Deadline, v.firstToken.Mean()) {
+		if r.Resume {
+			return result.New(result.DeadlineExceeded, "less than the expected time to first token (%v) remains", v.firstToken.Mean())
+		}
+		return result.New(result.DeadlineTooShort, "less than the expected time to first token (%v) remains", v.firstToken.Mean())
+	}
+	switch {
+	case r.Resume:
+		s.manager.metrics.retries.WithLabelValues("resume").Inc()
+		if !v.budget.TakeResume() {
+			return result.New(result.ResumeBudgetSpent, "the resume reserve of service %q is empty", r.Service)
+		}
+	case r.Retry:
+		s.manager.metrics.retries.WithLabelValues("retry").Inc()
+		if !v.budget.TakeRetry() {
+			return result.New(result.RetryBudgetSpent, "the retry budget of service %q is empty", r.Service)
+		}
+	default:
+		v.budget.OnRequest()
+	}
+	return nil
+}
+
+func (s *state) class(config *opconfig.Config, r *placement.Request) placement.Class {
+	if r.Resume {
+		return placement.ClassResume
+	}
+	member := config.Member(r.Member)
+	if member != nil && s.usage.OverShare(r.Member, member.Share) {
+		return placement.ClassOverShare
+	}
+	return placement.ClassInShare
+}
+
+// enqueue makes the attempt wait, or sheds work if the queue is full. Resumes are never shed.
+func (s *state) enqueue(now time.Time, p *pending, notBefore time.Time) {
+	limit := min(maxWaiting, max(16, s.pool.Slots(p.request.Service)))
+	if s.queue.Len() >= limit && p.class != placement.ClassResume {
+		if p.class == placement.ClassOverShare {
+			s.refuse(p, result.New(result.Overloaded, "the pool is full and member %q is over its share", p.request.Member))
+			return
+		}
+		if victim, ok := s.queue.Newest(placement.ClassOverShare); ok {
+			s.shed(victim)
+		} else if s.queue.Len() >= maxWaiting {
+			s.refuse(p, result.New(result.Overloaded, "%d attempts wait already", s.queue.Len()))
+			return
+		}
+	}
+	s.pending[p.id] = p
+	s.queue.Push(&placement.Waiting{
+		ID: p.id, Class: p.class, Started: p.request.Started, Since: now, NotBefore: notBefore,
+	})
+	s.manager.metrics.waiting.Set(float64(s.queue.Len()))
+}
+
+func (s *state) shed(id uint64) {
+	p := s.pending[id]
+	delete(s.pending, id)
+	s.queue.Remove(id)
+	s.refuse(p, result.New(result.Overloaded, "the pool is full and member %q is over its share", p.request.Member))
+}
+
+// tryPlace settles the attempt if a target may take it now, or if it became a suspect
+// that must be rejected while it waited.
+func (s *state) tryPlace(now time.Time, p *pending) bool {
+	r := &p.request
+	crashes := 0
+	if r.Fingerprint != 0 {
+		crashes = s.tracker.Crashes(r.Fingerprint, now)
+	}
+	// Each run of a suspect may be its next crash: more runs at a time than crashes
+	// left would cost more than the limit of targets.
+	if crashes > 0 && len(s.byPrint[r.Fingerprint]) >= suspect.CrashLimit-crashes {
+		p.verdict = placement.AllFull
+		return false
+	}
+	query := placement.Query{
+		Service: r.Service, Version: r.Version, Class: p.class, Blocks: r.Blocks,
+		Exclude: r.Exclude, Suspect: crashes > 0, Now: now,
+	}
+	if crashes > 0 {
+		query.CrashZone = s.tracker.CrashZone(r.Fingerprint)
+	}
+	if query.Version == "" {
+		query.Version = s.version(r, p.id)
+	}
+	target, verdict := s.pool.Choose(query, s.rng)
+	p.verdict = verdict
+	if verdict != placement.Chosen {
+		return false
+	}
+	version := query.Version
+	if version == "" && len(target.Versions) > 0 {
+		version = target.Versions[0]
+	}
+	s.assign(now, p, target, version, crashes > 0)
+	return true
+}
+
+func (s *state) assign(now time.Time, p *pending, target membership.Target, version string, suspected bool) {
+	r := p.request
+	id := p.id
+	level := s.pool.LoadLevel(target.Name, now)
+	s.pool.Reserve(target.Name, suspected)
+	s.service(r.Service, now).inflight++
+	if r.Fingerprint != 0 {
+		s.running[id] = running{r.Fingerprint, now, target.Name}
+		s.byPrint[r.Fingerprint] = append(s.byPrint[r.Fingerprint], id)
+	}
+	s.manager.metrics.placed.WithLabelValues(p.class.String()).Inc()
+	s.manager.metrics.wait.Observe(now.Sub(p.since).Seconds())
+	decision := placement.Decision{Target: target, Version: version, Suspect: suspected}
+	release := func(outcome placement.Outcome) {
+		s.manager.send(context.Background(), func(s *state) {
+			s.release(time.Now(), id, r, decision, level, outcome)
+		})
+	}
+	p.answer <- reply{assignment: &Assignment{Decision: decision, Done: release}}
+}
+
+// version chooses the version of a new request. Where the chosen one has no target, any
+// other version with targets that is not withdrawn takes its place.
+func (s *state) version(r *placement.Request, id uint64) string {
+	config := s.config()
+	if config == nil {
+		return ""
+	}
+	service := config.Service(r.Service)
+	if service == nil || service.Kind == opconfig.KindApplication || len(service.Versions) == 0 {
+		return ""
+	}
+	seed := r.Fingerprint
+	if seed == 0 {
+		seed = id
+	}
+	if s.options.Split != nil {
+		v := s.options.Split(r.Service, r.Route, seed)
+		if v != "" && !s.withdrawn(r.Service, v) && s.pool.Count(r.Service, v) > 0 {
+			return v
+		}
+	}
+	return s.configuredVersion(service, seed)
+}
+
+// configuredVersion chooses by the configured shares among the versions that can run.
+func (s *state) configuredVersion(service *opconfig.Service, seed uint64) string {
+	total, last := 0.0, ""
+	usable := func(v *opconfig.Version) bool {
+		return !s.withdrawn(service.Name, v.Name) && s.pool.Count(service.Name, v.Name) > 0
+	}
+	for i := range service.Versions {
+		if v := &service.Versions[i]; usable(v) {
+			total += v.Share
+			last = v.Name
+		}
+	}
+	if last == "" {
+		// No version can run: naming one makes the attempt wait for it.
+		return service.Versions[0].Name
+	}
+	point := total * float64(seed%10000) / 10000
+	for i := range service.Versions {
+		v := &service.Versions[i]
+		if !usable(v) {
+			continue
+		}
+		if point < v.Share {
+			return v.Name
+		}
+		point -= v.Share
+	}
+	return last
+}
+
+func (s *state) withdrawn(service, version string) bool {
+	return s.options.Withdrawn != nil && s.options.Withdrawn(service, version)
+}
+
+// release ends an attempt: it frees the reservation and learns from the outcome.
+func (s *state) release(now time.Time, id uint64, r placement.Request, d placement.Decision, level int, o placement.Outcome) {
+	aboard := s.pool.Suspects(d.Target.Name) > 0
+	s.pool.Release(d.Target.Name, d.Suspect)
+	v := s.service(r.Service, now)
+	v.inflight--
+	v.firstToken.Observe(o.FirstToken)
+	s.endRun(now, id, o)
+	if s.options.Observe != nil && d.Version != "" && !o.Cancelled && !s.repeatedDeath(now, d.Target.Name, o) {
+		s.options.Observe(r.Service, d.Version, r.Route, d.Target.Zone, level, o, aboard)
+	}
+	s.drain(now)
+}
+
+func (s *state) endRun(now time.Time, id uint64, o placement.Outcome) {
+	run, ok := s.running[id]
+	if !ok {
+		return
+	}
+	delete(s.running, id)
+	ids := s.byPrint[run.fingerprint]
+	for i, other := range ids {
+		if other == id {
+			ids = append(ids[:i:i], ids[i+1:]...)
+			break
+		}
+	}
+	if len(ids) == 0 {
+		delete(s.byPrint, run.fingerprint)
+	} else {
+		s.byPrint[run.fingerprint] = ids
+	}
+	elapsed := now.Sub(run.since)
+	switch {
+	case o.TargetDied:
+		s.tracker.RunEnded(run.fingerprint, elapsed)
+	case !o.Failed && !o.Cancelled:
+		s.clear(run.fingerprint, elapsed, true)
+	}
+}
+
+func (s *state) clear(fingerprint uint64, run time.Duration, completed bool) {
+	if s.tracker.Ran(fingerprint, run, completed) {
+		s.manager.metrics.cleared.Inc()
+		s.export(time.Now())
+	}
+}
+
+// repeatedDeath reports whether the outcome belongs to a crash that was reported as
+// evidence already: one crash fails a whole batch, which is one event and not many.
+func (s *state) repeatedDeath(now time.Time, target string, o placement.Outcome) bool {
+	if !o.TargetDied {
+		return false
+	}
+	last, ok := s.lastDeath[target]
+	s.lastDeath[target] = now
+	return ok && now.Sub(last) <= deathWindow
+}
+
+// drain offers free targets to waiting attempts in order.
+func (s *state) drain(now time.Time) {
+	if s.queue.Len() == 0 {
+		return
+	}
+	misses := 0
+	s.queue.Drain(now, func(id uint64) (bool, bool) {
+		p := s.pending[id]
+		if err := s.recheck(now, p); err != nil {
+			delete(s.pending, id)
+			s.refuse(p, err)
+			return true, true
+		}
+		if s.tryPlace(now, p) {
+			delete(s.pending, id)
+			return true, true
+		}
+		misses++
+		return false, misses < maxMisses
+	})
+	s.manager.metrics.waiting.Set(float64(s.queue.Len()))
+}
+
+// recheck refuses an attempt whose situation changed while it waited.
+func (s *state) recheck(now time.Time, p *pending) *result.Error {
+	r := &p.request
+	if r.Fingerprint != 0 && s.tracker.Rejected(r.Fingerprint, now) {
+		if r.Resume || r.Retry {
+			return result.New(result.CrashedMidway, "the request crashed %d targets", suspect.CrashLimit)
+		}
+		return result.New(result.CrashesTargets, "the request crashed %d targets", suspect.CrashLimit)
+	}
+	if p.class == placement.ClassOverShare && now.Sub(p.since) > overShareWait {
+		return result.New(result.Overloaded, "no free slot within %v for member %q, which is over its share", overShareWait, r.Member)
+	}
+	return nil
+}
+
+// abandon refuses an attempt that still waits when its context ends.
+func (s *state) abandon(id uint64) {
+	p := s.pending[id]
+	if p == nil {
+		return
+	}
+	delete(s.pending, id)
+	s.queue.Remove(id)
+	s.manager.metrics.waiting.Set(float64(s.queue.Len()))
+	s.refuse(p, waitEnded(p))
+}
+
+func waitEnded(p *pending) *result.Error {
+	r := &p.request
+	switch {
+	case p.verdict == placement.AllFull && r.Resume:
+		return result.New(result.DeadlineExceeded, "no target of service %q had room in time", r.Service)
+	case p.verdict == placement.AllFull:
+		return result.New(result.Overloaded, "no target of service %q had room in time", r.Service)
+	case r.Resume:
+		return result.New(result.VersionGone, "no target of service %q has version %q", r.Service, r.Version)
+	case r.Version != "":
+		return result.New(result.VersionUnavailable, "no target of service %q has version %q", r.Service, r.Version)
+	}
+	return result.New(result.NoTarget, "no target of service %q is ready", r.Service)
+}
+
+func (s *state) refuse(p *pending, err *result.Error) {
+	s.manager.metrics.refused.WithLabelValues(err.Code.String()).Inc()
+	s.options.Logger.Debug().Str("service", p.request.Service).Str("code", err.Code.String()).Msg("attempt refused")
+	p.answer <- reply{err: err}
+}
+
+func (s *state) stop() {
+	for id, p := range s.pending {
+		delete(s.pending, id)
+		s.refuse(p, result.New(result.Leaving, "the entry is shutting down"))
+	}
+}
+
+func (s *state) tick(now time.Time) {
+	s.refreshSnapshot(now, true)
+	s.usage.Refresh(now)
+	s.tracker.Expire(now)
+	s.refreshEntries(now)
+	for _, run := range s.running {
+		s.clear(run.fingerprint, now.Sub(run.since), false)
+	}
+	for target, at := range s.lastDeath {
+		if now.Sub(at) > deathWindow {
+			delete(s.lastDeath, target)
+		}
+	}
+	s.drain(now)
+	s.manager.metrics.suspects.Set(float64(s.tracker.Len()))
+	s.export(now)
+}
+
+func (s *state) refreshSnapshot(now time.Time, force bool) {
+	snapshot := s.options.Snapshot()
+	if snapshot == nil || snapshot == s.snapshot {
+		return
+	}
+	if !force && s.snapshot != nil && now.Sub(s.snapshotAt) < snapshotInterval {
+		return
+	}
+	s.snapshot, s.snapshotAt = snapshot, now
+	s.pool.Update(snapshot)
+	for _, vm := range s.tracker.RecentVMs(now) {
+		// A VM whose targets fall silent right after a crash has failed as a whole.
+		if vmSilent(snapshot, vm) {
+			s.tracker.VMLost(vm, now)
+		}
+	}
+}
+
+func vmSilent(snapshot *membership.Snapshot, vm string) bool {
+	for i := range snapshot.Targets {
+		if t := &snapshot.Targets[i]; t.VM == vm && !t.Suspected {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *state) refreshEntries(now time.Time) {
+	names := []string{s.options.EntryName}
+	for name, at := range s.lastSeen {
+		if now.Sub(at) > entryMaxAge {
+			delete(s.lastSeen, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	s.pool.SetEntries(names)
+}
+
+func (s *state) observeAgent(now time.Time, agent *wire.AgentState) {
+	for _, name := range agent.GetEntries() {
+		if name != s.options.EntryName {
+			s.lastSeen[name] = now
+		}
+	}
+	use := make(map[string]float64, len(agent.GetUseHere()))
+	for _, u := range agent.GetUseHere() {
+		use[u.GetMember()] = u.GetTokensPerSecond()
+	}
+	s.usage.Observe(agent.GetTarget(), now, use)
+	for _, d := range agent.GetDeaths() {
+		s.death(suspect.Death{
+			ID: d.GetDeathId(), Target: agent.GetTarget(), VM: agent.GetVm(), Zone: agent.GetZone(),
+			At: time.UnixMilli(d.GetUnixMs()), Fingerprints: d.GetRunningFingerprints(),
+		}, now)
+	}
+}
+
+func (s *state) death(d suspect.Death, now time.Time) {
+	if !s.tracker.Report(d, now) {
+		return
+	}
+	s.manager.metrics.deaths.Inc()
+	s.options.Logger.Info().Str("death", d.ID).Str("target", d.Target).Int("running", len(d.Fingerprints)).Msg("target crashed")
+	s.export(now)
+}
+
+func (s *state) progress(now time.Time, fingerprint uint64, completed bool) {
+	longest := time.Duration(0)
+	for _, id := range s.byPrint[fingerprint] {
+		longest = max(longest, now.Sub(s.running[id].since))
+	}
+	s.clear(fingerprint, longest, completed)
+}
+
+func (s *state) mergeSuspects(records []suspect.Record, now time.Time) {
+	s.tracker.Merge(records, now)
+	s.export(now)
+}
+
+// export publishes the suspects for Contribute if they changed.
+func (s *state) export(now time.Time) {
+	if s.tracker.Generation() == s.exported {
+		return
+	}
+	s.exported = s.tracker.Generation()
+	out := toWire(s.tracker.Export(now))
+	s.manager.exported.Store(&out)
+}
