Add stream state machine and completion handlers with resume after a loss

Callers must receive every token once although targets fail midway (I1, I2). The state machine in internal/core/stream follows one attempt at a time and continues a lost one elsewhere with the delivered token ids. Resume through another entry is not served yet.

--- /dev/null
+++ b/internal/core/stream/codec.go
@@ -0,0 +1,157 @@
+package stream
+
+import (
+	"cmp"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxEventIDBytes bounds the header that a caller may send.
+	maxEventIDBytes = 512
+	// maxGenerationBytes bounds a generation id; own ids are UUIDs of 36 bytes.
+	maxGenerationBytes = 64
+)
+
+// ErrEventID is returned for text that is no event id.
+var ErrEventID = errors.New("event id is not GENERATION.AGENT.INCARNATION.INDEX")
+
+// EventID is the resume position that each event of a streamed response carries.
+type EventID struct {
+	Generation  string
+	Agent       string // host:port of the agent that holds the log
+	Incarnation uint64
+	Index       uint64 // last token whose bytes are completely delivered
+}
+
+// String returns GENERATION.AGENT.INCARNATION.INDEX with AGENT in base64url.
+func (e EventID) String() string {
+	return e.Generation + "." + base64.RawURLEncoding.EncodeToString([]byte(e.Agent)) +
+		"." + strconv.FormatUint(e.Incarnation, 10) + "." + strconv.FormatUint(e.Index, 10)
+}
+
+// ParseEventID is the inverse of EventID.String. It accepts only the canonical form;
+// the error is ErrEventID.
+func ParseEventID(text string) (EventID, error) {
+	parts := strings.Split(text, ".")
+	if len(text) > maxEventIDBytes || len(parts) != 4 || !validGeneration(parts[0]) {
+		return EventID{}, ErrEventID
+	}
+	agent, agentErr := base64.RawURLEncoding.Strict().DecodeString(parts[1])
+	incarnation, incarnationErr := strconv.ParseUint(parts[2], 10, 64)
+	index, indexErr := strconv.ParseUint(parts[3], 10, 64)
+	if agentErr != nil || incarnationErr != nil || indexErr != nil || !validAgent(string(agent)) {
+		return EventID{}, ErrEventID
+	}
+	id := EventID{Generation: parts[0], Agent: string(agent), Incarnation: incarnation, Index: index}
+	if id.String() != text {
+		return EventID{}, ErrEventID
+	}
+	return id, nil
+}
+
+func validGeneration(text string) bool {
+	if text == "" || len(text) > maxGenerationBytes {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(r rune) bool {
+		return r != '-' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	})
+}
+
+// validAgent accepts printable ASCII with a port. Whether an agent has this address
+// is decided by the entry's own view, never by the event id.
+func validAgent(text string) bool {
+	host, port, ok := cutLast(text, ":")
+	number, err := strconv.ParseUint(port, 10, 16)
+	printable := !strings.ContainsFunc(host, func(r rune) bool { return r <= ' ' || r >= utf8.RuneSelf })
+	return ok && host != "" && printable && err == nil && number > 0
+}
+
+func cutLast(text, separator string) (before, after string, found bool) {
+	at := strings.LastIndex(text, separator)
+	if at < 0 {
+		return text, "", false
+	}
+	return text[:at], text[at+len(separator):], true
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Checksum returns the CRC-32C over the ids, 4 bytes big endian each, continued
+// from the checksum of the ids before them (0 at the start).
+func Checksum(before uint32, ids []uint32) uint32 {
+	var word [4]byte
+	for _, id := range ids {
+		binary.BigEndian.PutUint32(word[:], id)
+		before = crc32.Update(before, castagnoli, word[:])
+	}
+	return before
+}
+
+// Joiner joins token bytes to text that ends on UTF-8 boundaries.
+type Joiner struct{ held []byte }
+
+// Add returns the text that is complete after the token, and whether the token's
+// bytes are completely contained in the text returned so far. Bytes that cannot
+// become valid UTF-8 are replaced by U+FFFD.
+func (j *Joiner) Add(token []byte) (text string, complete bool) {
+	j.held = append(j.held, token...)
+	if endsInsideRune(j.held) {
+		return "", false
+	}
+	return j.Flush(), true
+}
+
+// Flush returns the held bytes as text.
+func (j *Joiner) Flush() string {
+	text := strings.ToValidUTF8(string(j.held), "\uFFFD")
+	j.held = j.held[:0]
+	return text
+}
+
+func endsInsideRune(b []byte) bool {
+	for back := 1; back < utf8.UTFMax && back <= len(b); back++ {
+		tail := b[len(b)-back:]
+		if utf8.RuneStart(tail[0]) {
+			return !utf8.FullRune(tail)
+		}
+	}
+	return false
+}
+
+// Agent is a candidate for the second copy of a log.
+type Agent struct {
+	Address string // host:port
+	Zone    string
+}
+
+// ReplicaFor returns the agent that keeps the second copy of a generation's log:
+// the one with the highest rendezvous score among agents outside ownZone, the zone
+// of the serving agent. ok is false if there is none.
+func ReplicaFor(generation, ownZone string, agents []Agent) (agent Agent, ok bool) {
+	ranked := RankReplicas(generation, ownZone, agents)
+	if len(ranked) == 0 {
+		return Agent{}, false
+	}
+	return ranked[0], true
+}
+
+// RankReplicas returns the agents outside ownZone in order of falling rendezvous
+// score. An entry that does not know the zone passes "" and gets all agents.
+func RankReplicas(generation, ownZone string, agents []Agent) []Agent {
+	ranked := slices.DeleteFunc(slices.Clone(agents), func(a Agent) bool { return ownZone != "" && a.Zone == ownZone })
+	score := func(a Agent) uint64 { return xxhash.Sum64String(generation + "\x00" + a.Address) }
+	slices.SortFunc(ranked, func(a, b Agent) int {
+		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Address, b.Address))
+	})
+	return ranked
+}
--- /dev/null
+++ b/internal/entry/generations/generations_test.go
@@ -0,0 +1,114 @@
+package generations
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/core/stream"
+)
+
+type received struct {
+	status int
+	code   string
+	text   string
+	ids    []string
+	final  *extension
+	done   bool
+	errors int
+}
+
+func post(c *qt.C, url, path, payload, lastID string) *http.Response {
+	method := http.MethodPost
+	if payload == "" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequest(method, url+path, strings.NewReader(payload))
+	c.Assert(err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	if lastID != "" {
+		r.Header.Set("Last-Event-ID", lastID)
+	}
+	response, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	return response
+}
+
+// collect reads events until the body ends or limit event ids arrived (0: no limit).
+func collect(c *qt.C, response *http.Response, limit int) received {
+	defer func() { _ = response.Body.Close() }()
+	got := received{status: response.StatusCode, code: response.Header.Get("Bramleygap-Code")}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			got.ids = append(got.ids, id)
+		}
+		if line == "event: error" {
+			got.errors++
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			got.done = true
+			continue
+		}
+		var part chunk
+		c.Assert(json.Unmarshal([]byte(data), &part), qt.IsNil)
+		for _, choice := range part.Choices {
+			if choice.Text != nil {
+				got.text += *choice.Text
+			}
+			if choice.Delta != nil {
+				got.text += choice.Delta.Content
+			}
+		}
+		if part.Bramleygap != nil {
+			got.final = part.Bramleygap
+		}
+		if limit > 0 && len(got.ids) >= limit {
+			return got
+		}
+	}
+	return got
+}
+
+const twelve = `{"model":"letters","prompt":"draft","max_tokens":12,"stream":true}`
+
+func assertComplete(c *qt.C, got received) {
+	ids, text := expected(12)
+	c.Assert(got.text, qt.Equals, text)
+	c.Assert(got.done, qt.IsTrue)
+	c.Assert(got.errors, qt.Equals, 0)
+	c.Assert(got.final, qt.IsNotNil)
+	c.Assert(got.final.Tokens, qt.Equals, uint64(12))
+	c.Assert(got.final.Checksum, qt.Equals, stream.Checksum(0, ids))
+}
+
+// Guards against missing, repeated or foreign tokens after a loss (I1, I2).
+func TestLossesAreInvisibleToCaller(t *testing.T) {
+	for name, script := range map[string][]fault{
+		"no loss":       nil,
+		"killed stream": {{5, "break"}},
+		"killed first":  {{0, "break"}},
+		"engine died":   {{5, "died"}},
+		"silent":        {{5, "silent"}},
+		"duplicate":     {{5, "duplicate"}},
+		"gap":           {{5, "gap"}},
+		"twice":         {{5, "break"}, {8, "break"}},
+		"every target":  {{2, "break"}, {4, "gap"}, {6, "break"}, {8, "died"}, {10, "break"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			cluster := newCluster(t, script...)
+			url, _, _ := cluster.entry(t, false)
+			assertComplete(c, collect(c, post(c, url, "/v1/completions", twelve, ""), 0))
+		})
+	}
+}
