Add the operator service of the entry

Operators change the configuration concurrently and lose answers; a compare-and-set with read-back by change id tells each of them what happened.

--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -38,7 +38,8 @@
 type member struct {
 	report Report
 	heard  time.Time
-	loadAt time.Time
+	// target is built once for each report; Snapshot adds what depends on the time.
+	target Target
 	// listed is set once the VM list has contained the VM.
 	listed bool
 }
@@ -81,8 +82,8 @@
 	if old != nil && !newer(report, old.report) {
 		return false
 	}
-	m := &member{report: report, heard: now}
-	m.loadAt = now.Add(-time.Duration(report.State.GetLoadAgeMs()) * time.Millisecond)
+	delete(v.tombstones, name)
+	m := &member{report: report, heard: now, target: targetOf(report.State, now)}
 	_, m.listed = v.vms[report.State.GetVm()]
 	if old != nil && old.report.State.GetVm() == report.State.GetVm() {
 		m.listed = m.listed || old.listed
@@ -163,6 +164,14 @@
 	return dropped && silence >= SuspectAfter
 }
 
+// State returns the newest report of a target, or nil.
+func (v *View) State(target string) *wire.AgentState {
+	if m := v.members[target]; m != nil {
+		return m.report.State
+	}
+	return nil
+}
+
 // States returns the newest report of each target, sorted by name.
 func (v *View) States() []*wire.AgentState {
 	states := make([]*wire.AgentState, 0, len(v.members))
@@ -182,7 +191,7 @@
 	}
 	s := &Snapshot{At: now, Targets: make([]Target, 0, len(v.members))}
 	for _, m := range v.members {
-		target := targetOf(m)
+		target := m.target
 		target.Suspected = reference.Sub(m.heard) >= SuspectAfter
 		target.Leaving = target.Leaving || v.leaving(target.VM)
 		s.Targets = append(s.Targets, target)
@@ -195,8 +204,7 @@
 	return v.vms[vm].Leaving || v.retired[vm] || v.drained[vm]
 }
 
-func targetOf(m *member) Target {
-	state := m.report.State
+func targetOf(state *wire.AgentState, now time.Time) Target {
 	kind := KindModel
 	if state.GetKind() == wire.TargetKind_TARGET_KIND_APPLICATION {
 		kind = KindApplication
@@ -219,7 +227,7 @@
 		Running:      int(state.GetRunning()),
 		Waiting:      int(state.GetWaiting()),
 		Slots:        int(state.GetSlots()),
-		LoadAt:       m.loadAt,
+		LoadAt:       now.Add(-time.Duration(state.GetLoadAgeMs()) * time.Millisecond),
 		CachedBlocks: blocks,
 	}
 }
--- a/internal/entry/cluster/operator.go
+++ b/internal/entry/cluster/operator.go
@@ -1,9 +1,201 @@
 package cluster
 
-import "bramleygap/internal/wire"
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bramleygap/internal/platform"
+	"bramleygap/internal/result"
+	"bramleygap/internal/wire"
+)
 
 // operatorServer answers operator commands.
 type operatorServer struct {
 	wire.UnimplementedOperatorServer
 	manager *Manager
 }
+
+// Apply implements wire.OperatorServer.
+func (o *operatorServer) Apply(ctx context.Context, request *wire.ApplyRequest) (*wire.ApplyResponse, error) {
+	response := o.manager.apply(ctx, request)
+	o.manager.metrics.countOperator("apply", result.Code(response.GetCode()))
+	return response, nil
+}
+
+// Status implements wire.OperatorServer.
+func (o *operatorServer) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusResponse, error) {
+	m := o.manager
+	response := &wire.StatusResponse{StoreReachable: m.storeReachable.Load()}
+	if m.options.Versions != nil {
+		response.Versions = m.options.Versions.VersionStatus()
+	}
+	err := m.do(ctx, func(s *state) { s.fillStatus(response) })
+	m.metrics.countOperator("status", result.OK)
+	return response, err
+}
+
+func (s *state) fillStatus(response *wire.StatusResponse) {
+	m := s.manager
+	response.Missing = s.missing(m.revisionInForce())
+	response.Targets = s.view.States()
+	for _, node := range m.Nodes() {
+		response.Nodes = append(response.Nodes, ackOf(node, 0))
+	}
+	config := m.Config()
+	if config == nil {
+		return
+	}
+	response.ConfigRevision = config.Revision
+	response.ConfigOperator = config.Operator
+	response.ConfigChangeId = config.ChangeID
+	response.ConfigText = config.Text
+	total := 0.0
+	for _, tokens := range s.use {
+		total += tokens
+	}
+	for _, member := range config.Config.Members {
+		status := &wire.MemberStatus{Member: member.Name, Share: member.Share}
+		if total > 0 {
+			status.Use = 100 * s.use[member.Name] / total
+		}
+		response.Members = append(response.Members, status)
+	}
+}
+
+// Drain implements wire.OperatorServer.
+func (o *operatorServer) Drain(ctx context.Context, request *wire.DrainRequest) (*wire.DrainResponse, error) {
+	running, err := o.manager.drain(ctx, request.GetVm(), request.GetUndo())
+	code, message := codeOf(err)
+	o.manager.metrics.countOperator("drain", code)
+	return &wire.DrainResponse{Code: uint32(code), Message: message, Running: running}, nil
+}
+
+// codeOf returns what a response says about err; nil is OK.
+func codeOf(err error) (result.Code, string) {
+	if err == nil {
+		return result.OK, ""
+	}
+	coded := codedError(err)
+	return coded.Code, coded.Message
+}
+
+// drainMark is the value of the row drain/VM.
+type drainMark struct {
+	UnixMs int64 `json:"unix_ms"`
+}
+
+// drain marks a VM as leaving, or takes the mark back, and returns how many requests
+// run there. The row makes all entries tell the agent; agents hear of it from this
+// entry at once.
+func (m *Manager) drain(ctx context.Context, vm string, undo bool) (uint32, error) {
+	known, drained, running := false, false, uint32(0)
+	if err := m.do(ctx, func(s *state) { known, drained, running = s.findVM(vm) }); err != nil {
+		return 0, err
+	}
+	if !known && !(undo && drained) {
+		return 0, result.New(result.UnknownVM, "no live VM has the id %q", vm)
+	}
+	if m.options.Table == nil {
+		return running, result.New(result.StoreUnavailable, "this entry has no table service")
+	}
+	if err := m.writeDrain(ctx, vm, undo); err != nil {
+		return running, err
+	}
+	err := m.do(ctx, func(s *state) { s.markDrained(vm, undo) })
+	signal(m.pushAll)
+	return running, err
+}
+
+// findVM reports whether the VM is live or drained, and how many requests run there.
+func (s *state) findVM(id string) (known, drained bool, running uint32) {
+	for _, vm := range s.vms {
+		known = known || vm.ID == id
+	}
+	for _, agent := range s.view.States() {
+		if agent.GetVm() == id {
+			known = true
+			running += agent.GetRunning()
+		}
+	}
+	for _, vm := range s.drained {
+		drained = drained || vm == id
+	}
+	return known, drained, running
+}
+
+func (s *state) markDrained(vm string, undo bool) {
+	var next []string
+	for _, id := range s.drained {
+		if id != vm {
+			next = append(next, id)
+		}
+	}
+	if !undo {
+		next = append(next, vm)
+	}
+	s.drainChanges++
+	s.setDrained(union(next, nil))
+}
+
+// writeDrain writes or deletes the row. Both are idempotent, so a lost answer is
+// resolved by repeating the write.
+func (m *Manager) writeDrain(ctx context.Context, vm string, undo bool) error {
+	key := drainPrefix + vm
+	txn := platform.Txn{Deletes: []string{key}}
+	if !undo {
+		value, err := json.Marshal(drainMark{UnixMs: time.Now().UnixMilli()})
+		if err != nil {
+			return err
+		}
+		txn = platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}}
+	}
+	var err error
+	uncertain := false
+	for attempt := 0; attempt < applyAttempts; attempt++ {
+		if attempt > 0 && !sleep(ctx, jittered(applyRetryDelay)) {
+			break
+		}
+		if _, err = m.commit(ctx, txn, "put_drain"); err == nil {
+			return nil
+		}
+		uncertain = uncertain || !errors.Is(err, platform.ErrRefused)
+	}
+	if uncertain {
+		return &result.Error{Code: result.OutcomeUnknown, Message: "the table service did not confirm the change; repeat the command: " + err.Error(), Cause: err}
+	}
+	return &result.Error{Code: result.StoreUnavailable, Message: "the table service refused the write, nothing was changed: " + err.Error(), Cause: err}
+}
+
+// VersionStart implements wire.OperatorServer.
+func (o *operatorServer) VersionStart(ctx context.Context, request *wire.VersionStartRequest) (*wire.VersionResponse, error) {
+	code, message := codeOf(o.manager.startVersion(ctx, request, uuid.NewString()))
+	o.manager.metrics.countOperator("version_start", code)
+	return &wire.VersionResponse{Code: uint32(code), Message: message}, nil
+}
+
+// VersionWithdraw implements wire.OperatorServer. It needs no store.
+func (o *operatorServer) VersionWithdraw(_ context.Context, request *wire.VersionWithdrawRequest) (*wire.VersionResponse, error) {
+	code, message := codeOf(o.manager.withdrawByOperator(request))
+	o.manager.metrics.countOperator("version_withdraw", code)
+	return &wire.VersionResponse{Code: uint32(code), Message: message}, nil
+}
+
+func (m *Manager) withdrawByOperator(request *wire.VersionWithdrawRequest) error {
+	config := m.Config()
+	if config == nil {
+		return result.New(result.NotReady, "this entry has no operator configuration yet; ask another entry")
+	}
+	if err := checkVersion(config.Config, request.GetService(), request.GetVersion()); err != nil {
+		return err
+	}
+	reason := "withdrawn by operator " + request.GetOperator()
+	if request.GetReason() != "" {
+		reason += ": " + request.GetReason()
+	}
+	m.Withdraw(request.GetService(), request.GetVersion(), reason)
+	return nil
+}
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -62,7 +62,9 @@
 	// drainChanges counts local changes of drained, so that a list that was read
 	// before a change does not undo it.
 	drainChanges uint64
-	lastTick     time.Time
+	// agents and use are rebuilt by publish for the messages to agents.
+	agents []*wire.AgentAddress
+	use    map[string]float64
 	// rejectedRevision is the last revision whose rejection was logged.
 	rejectedRevision uint64
 }
@@ -77,7 +79,6 @@
 		entries:  make(map[string]*entryInfo),
 		peers:    make(map[string]bool),
 		watchers: make(map[string]*watcher),
-		lastTick: now,
 	}
 }
 
@@ -155,7 +156,9 @@
 
 // observeAgent takes in a heartbeat and reports whether it was news.
 func (s *state) observeAgent(report membership.Report) bool {
-	if !s.view.Heartbeat(time.Now(), report) {
+	now := time.Now()
+	before := s.view.State(report.State.GetTarget())
+	if !s.view.Heartbeat(now, report) {
 		s.manager.metrics.heartbeats.WithLabelValues("stale").Inc()
 		return false
 	}
@@ -169,10 +172,31 @@
 	for _, observer := range s.manager.options.AgentObservers {
 		observer.ObserveAgent(report.State)
 	}
-	s.publish(time.Now())
+	// A change of load waits for the next tick, since a new snapshot costs time in
+	// proportion to the number of targets.
+	if before == nil || routable(before) != routable(report.State) || !slices.Equal(before.GetVersions(), report.State.GetVersions()) {
+		s.publish(now)
+	}
 	return true
 }
 
+// routability is what decides whether a target gets new work, apart from its versions.
+type routability struct {
+	incarnation    uint64
+	ready, leaving bool
+	vm, address    string
+}
+
+func routable(state *wire.AgentState) routability {
+	return routability{
+		incarnation: state.GetIncarnation(),
+		ready:       state.GetReady(),
+		leaving:     state.GetLeaving(),
+		vm:          state.GetVm(),
+		address:     state.GetAddress(),
+	}
+}
+
 // observeEntry takes in a sign of life of another entry, first-hand or relayed.
 func (s *state) observeEntry(node Node, clock int64, direct bool) {
 	if node.Name == s.self().Name || node.Name == "" {
@@ -291,6 +315,7 @@
 	snapshot := s.view.Snapshot(now)
 	s.manager.snapshot.Store(snapshot)
 	s.publishNodes(snapshot)
+	s.summarise()
 	counts := map[string]int{"usable": 0, "leaving": 0, "suspected": 0, "not_ready": 0}
 	for i := range snapshot.Targets {
 		counts[targetState(&snapshot.Targets[i])]++
@@ -357,20 +382,21 @@
 	return missing
 }
 
-// useByMember adds up the work that the live targets reported, in token units per second.
-func (s *state) useByMember() map[string]float64 {
-	total := make(map[string]float64)
+// summarise adds up the work that the live targets reported, in token units per
+// second, and lists their agents.
+func (s *state) summarise() {
+	s.agents, s.use = nil, make(map[string]float64)
 	for _, agent := range s.view.States() {
+		s.agents = append(s.agents, &wire.AgentAddress{Address: agent.GetAddress(), Zone: agent.GetZone(), Service: agent.GetService()})
 		for _, use := range agent.GetUseHere() {
-			total[use.GetMember()] += use.GetTokensPerSecond()
+			s.use[use.GetMember()] += use.GetTokensPerSecond()
 		}
 	}
-	return total
 }
 
-// entryState builds the message for the agent at the address, which last reported
-// the given revision; known is false before its first report.
-func (s *state) entryState(address string, revision uint64, known bool) *wire.EntryState {
+// entryState builds the message for an agent from its last report, which is nil
+// before its first one.
+func (s *state) entryState(last *wire.AgentState) *wire.EntryState {
 	m := s.manager
 	message := &wire.EntryState{
 		Entry:       m.options.Settings.PeerListen,
@@ -378,20 +404,17 @@
 		Sequence:    m.sequence.Add(1),
 		Withdrawn:   m.withdrawn.list(),
 		LeavingVms:  s.drained,
+		Agents:      s.agents,
 	}
 	if config := m.Config(); config != nil {
 		message.ConfigRevision = config.Revision
-		if known && revision < config.Revision {
+		if last != nil && last.GetConfigRevision() < config.Revision {
 			message.ConfigText = config.Text
 		}
 	}
-	elsewhere := s.useByMember()
-	for _, agent := range s.view.States() {
-		message.Agents = append(message.Agents, &wire.AgentAddress{Address: agent.GetAddress(), Zone: agent.GetZone(), Service: agent.GetService()})
-		if agent.GetAddress() != address {
-			continue
-		}
-		for _, use := range agent.GetUseHere() {
+	elsewhere := maps.Clone(s.use)
+	if current := s.view.State(last.GetTarget()); current != nil {
+		for _, use := range current.GetUseHere() {
 			elsewhere[use.GetMember()] -= use.GetTokensPerSecond()
 		}
 	}
--- a/internal/entry/cluster/watch.go
+++ b/internal/entry/cluster/watch.go
@@ -86,11 +86,11 @@
 	defer heartbeat.Stop()
 	silence := time.NewTimer(watchSilence)
 	defer silence.Stop()
-	var revision, sent uint64
-	known := false
+	var last *wire.AgentState
+	var sent uint64
 	send := func() error {
 		var message *wire.EntryState
-		if err := m.do(ctx, func(s *state) { message = s.entryState(w.address, revision, known) }); err != nil {
+		if err := m.do(ctx, func(s *state) { message = s.entryState(last) }); err != nil {
 			return err
 		}
 		if message.ConfigText != "" {
@@ -117,9 +117,9 @@
 			silence.Reset(watchSilence)
 			report := membership.Report{Stream: number, State: message}
 			err = m.do(ctx, func(s *state) { s.observeAgent(report) })
-			revision, known = message.GetConfigRevision(), true
+			last = message
 			// Bring an agent up to date at once, but send the text only once between heartbeats.
-			if own := adoption.RevisionOf(m.Config()); revision < own && sent < own {
+			if own := adoption.RevisionOf(m.Config()); last.GetConfigRevision() < own && sent < own {
 				signal(w.wake)
 			}
 		}
