--- a/internal/entry/cluster/apply.go
+++ b/internal/entry/cluster/apply.go
@@ -6,7 +6,6 @@
 	"errors"
 	"time"
 
-	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/opconfig"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/result"
@@ -150,11 +149,14 @@
 			return &result.Error{Code: result.StoreUnavailable, Message: "the table service refused the write, nothing was changed: " + err.Error(), Cause: err}
 		}
 		uncertain = uncertain || (err != nil && !errors.Is(err, platform.ErrRefused))
-		done, err := m.readBack(ctx, row, base, response)
-		if done {
+		if done, err := m.readBack(ctx, row, base, response); done {
 			return err
 		}
 	}
+	if !uncertain {
+		// Every write conflicted, but the table could not be read for the winner's name.
+		return result.New(result.Conflict, "revision %d was replaced by another change; start again from the new revision", base.revision)
+	}
 	return result.New(result.OutcomeUnknown,
 		"the table service did not confirm change %s; repeat the command with the same change id, or check `bramleygap status`", row.ChangeID)
 }
@@ -227,6 +229,9 @@
 		if err != nil {
 			return err
 		}
+		if text == current.row.Text {
+			return nil
+		}
 		last = m.apply(ctx, &wire.ApplyRequest{
 			ChangeId:     changeID,
 			Operator:     request.GetOperator(),
@@ -274,6 +279,3 @@
 	}
 	return nil
 }
-
-// revisionInForce is the revision that Status compares the nodes with.
-func (m *Manager) revisionInForce() uint64 { return adoption.RevisionOf(m.Config()) }
--- a/internal/entry/cluster/operator.go
+++ b/internal/entry/cluster/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/result"
 	"bramleygap/internal/wire"
@@ -40,7 +41,7 @@
 
 func (s *state) fillStatus(response *wire.StatusResponse) {
 	m := s.manager
-	response.Missing = s.missing(m.revisionInForce())
+	response.Missing = s.missing(adoption.RevisionOf(m.Config()))
 	response.Targets = s.view.States()
 	for _, node := range m.Nodes() {
 		response.Nodes = append(response.Nodes, ackOf(node, 0))
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,89 @@
+// Package operator implements the operator commands: check, apply, status, drain and version.
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"bramleygap/internal/result"
+	"bramleygap/internal/rpc"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// callTimeout bounds one request to one entry. An entry repeats a write whose
+	// answer is lost, which takes up to 20 s when the store swallows requests.
+	callTimeout = 25 * time.Second
+	// maxFileBytes bounds a file that is read; longer files are reported by the parsers.
+	maxFileBytes = 2 << 20
+)
+
+// Options selects the entries to ask and how to print.
+type Options struct {
+	// Entries are host:port of entries; the next one is asked if one is unreachable.
+	Entries []string
+	// Operator is recorded with each change.
+	Operator string
+	// Timeout bounds the wait until a change is in force on all live nodes.
+	Timeout time.Duration
+	// JSON selects JSON in place of tables.
+	JSON bool
+}
+
+// ask calls f with the entries in turn until one answers. Requests must be safe to
+// repeat at another entry.
+func ask[T any](ctx context.Context, options Options, f func(context.Context, wire.OperatorClient) (T, error)) (T, error) {
+	var none T
+	var failures []error
+	if len(options.Entries) == 0 {
+		return none, errors.New("no entry is given; write --entry IP:PORT")
+	}
+	for _, address := range options.Entries {
+		answer, err := askOne(ctx, address, f)
+		if err == nil {
+			return answer, nil
+		}
+		failures = append(failures, fmt.Errorf("entry %s: %w", address, err))
+		if code := status.Code(err); code != codes.Unavailable && code != codes.DeadlineExceeded {
+			break
+		}
+	}
+	return none, errors.Join(failures...)
+}
+
+func askOne[T any](ctx context.Context, address string, f func(context.Context, wire.OperatorClient) (T, error)) (T, error) {
+	conn, err := rpc.Dial(address)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f(ctx, wire.NewOperatorClient(conn))
+}
+
+// coded is a response that carries a result code.
+type coded interface {
+	GetCode() uint32
+	GetMessage() string
+}
+
+// resultOf returns the response's code as an error, or nil for OK.
+func resultOf(response coded) error {
+	if code := result.Code(response.GetCode()); code != result.OK {
+		return result.New(code, "%s", response.GetMessage())
+	}
+	return nil
+}
+
+func getStatus(ctx context.Context, options Options) (*wire.StatusResponse, error) {
+	return ask(ctx, options, func(ctx context.Context, client wire.OperatorClient) (*wire.StatusResponse, error) {
+		return client.Status(ctx, &wire.StatusRequest{})
+	})
+}
--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -55,6 +55,20 @@
 	return strings.Join(lines, "\n")
 }
 
+// InFile returns err with the file named in each problem; other errors are unchanged.
+func InFile(file string, err error) error {
+	var problems Problems
+	if !errors.As(err, &problems) {
+		return err
+	}
+	named := make(Problems, len(problems))
+	for i, problem := range problems {
+		problem.File = file
+		named[i] = problem
+	}
+	return named
+}
+
 // Document is a decoded text that collects problems.
 type Document struct {
 	file     string
