--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -55,6 +55,20 @@
 	return strings.Join(lines, "\n")
 }
 
+// InFile returns err with the file named in each problem; other errors are unchanged.
+func InFile(file string, err error) error {
+	var problems Problems
+	if !errors.As(err, &problems) {
+		return err
+	}
+	named := make(Problems, len(problems))
+	for i, problem := range problems {
+		problem.File = file
+		named[i] = problem
+	}
+	return named
+}
+
 // Document is a decoded text that collects problems.
 type Document struct {
 	file     string
@@ -176,13 +190,20 @@
 			return
 		}
 	}
-	if v := reflect.ValueOf(value); v.Type() == target.Type() {
+	if v := reflect.ValueOf(value); v.Type() == target.Type() && !localTime(value) {
 		target.Set(v)
 		return
 	}
 	d.Add(path, "has the wrong type; write %s", describe(target.Type()))
 }
 
+// localTime reports whether the value is a time without a zone, which would mean
+// different instants on VMs with different time zones.
+func localTime(value any) bool {
+	t, ok := value.(time.Time)
+	return ok && strings.HasSuffix(t.Location().String(), "-local")
+}
+
 func (d *Document) decodeText(value any, target encoding.TextUnmarshaler, path string) {
 	text, ok := value.(string)
 	if !ok {
