Test target selection, suspects, retry budget and the router

Seen failing: two suspects on one target; leaving targets in the index; own attempts counted twice; one sample instead of four; resumes ordered by arrival; a cleared death that counts again after a merge; no correlation of a zone's deaths; correlation that also discounts a request that moved; eviction of the most crashes first; resumes without a reserve; each request of a crashed batch as evidence.

--- /dev/null
+++ b/internal/core/placement/placement_test.go
@@ -0,0 +1,212 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"bramleygap/internal/core/membership"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func targets(n int) *membership.Snapshot {
+	s := &membership.Snapshot{At: now}
+	for i := range n {
+		s.Targets = append(s.Targets, membership.Target{
+			Name: fmt.Sprintf("t%d", i), VM: fmt.Sprintf("vm%d", i), Zone: string(rune('a' + i%3)),
+			Service: "s", Versions: []string{"v1"}, Ready: true, Slots: 4, LoadAt: now,
+		})
+	}
+	return s
+}
+
+func newPool(s *membership.Snapshot) *Pool {
+	p := NewPool("e1", "a")
+	p.Update(s)
+	return p
+}
+
+// Guards against placing work on a target that is leaving, silent, excluded or without
+// the version, for small pools and for sampled ones.
+func TestChooseOnlyEligible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := targets(rapid.SampledFrom([]int{1, 5, 100}).Draw(t, "n"))
+		for i := range s.Targets {
+			s.Targets[i].Leaving = rapid.Bool().Draw(t, "leaving")
+			s.Targets[i].Suspected = rapid.Bool().Draw(t, "suspected")
+			if rapid.Bool().Draw(t, "v2") {
+				s.Targets[i].Versions = []string{"v2"}
+			}
+		}
+		exclude := []string{s.Targets[rapid.IntRange(0, len(s.Targets)-1).Draw(t, "x")].Name}
+		eligible := 0
+		for i := range s.Targets {
+			if s.Targets[i].Usable() && s.Targets[i].HasVersion("v2") && s.Targets[i].Name != exclude[0] {
+				eligible++
+			}
+		}
+		got, verdict := newPool(s).Choose(Query{Service: "s", Version: "v2", Exclude: exclude, Now: now}, newRand())
+		if (verdict == Chosen) != (eligible > 0) {
+			t.Fatalf("verdict %v with %d eligible targets", verdict, eligible)
+		}
+		if verdict == Chosen && (!got.Usable() || !got.HasVersion("v2") || got.Name == exclude[0]) {
+			t.Fatalf("chose %+v", got)
+		}
+	})
+}
+
+// Guards against a report that counts this entry's own attempts twice, against an old
+// report that keeps a target busy, and against ignoring cache and zone.
+func TestScore(t *testing.T) {
+	c := qt.New(t)
+	s := targets(2)
+	s.Targets[1].Zone = "a"
+	s.Targets[0].Running = 2
+	choose := func(p *Pool, q Query) string {
+		q.Service, q.Class = "s", ClassInShare
+		if q.Now.IsZero() {
+			q.Now = now
+		}
+		got, _ := p.Choose(q, newRand())
+		return got.Name
+	}
+	p := newPool(s)
+	c.Check(choose(p, Query{}), qt.Equals, "t1")
+	p.Reserve("t1", false)
+	c.Check(choose(p, Query{Now: now.Add(loadMaxAge)}), qt.Equals, "t0", qt.Commentf("old report"))
+
+	p = newPool(targets(2))
+	c.Check(choose(p, Query{}), qt.Equals, "t0", qt.Commentf("own zone"))
+	p.Reserve("t0", false)
+	reported := targets(2)
+	reported.Targets[0].Running, reported.Targets[0].LoadAt = 1, now.Add(time.Second)
+	p.Update(reported)
+	c.Check(p.slots["t0"].load(now.Add(time.Second)), qt.Equals, 0.25, qt.Commentf("own attempt counted once"))
+
+	s = targets(2)
+	s.Targets[1].CachedBlocks = map[uint64]struct{}{1: {}, 2: {}}
+	c.Check(choose(newPool(s), Query{Blocks: []uint64{1, 2}}), qt.Equals, "t1", qt.Commentf("cached prefix"))
+	c.Check(choose(newPool(s), Query{Blocks: []uint64{9, 1}}), qt.Equals, "t0", qt.Commentf("cached block after a gap"))
+}
+
+// Guards against two suspects on one target, which would let a crash be attributed to both.
+func TestOneSuspectPerTarget(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(targets(3))
+	rng := newRand()
+	seen := map[string]bool{}
+	for range 3 {
+		got, verdict := p.Choose(Query{Service: "s", Suspect: true, Now: now}, rng)
+		c.Assert(verdict, qt.Equals, Chosen)
+		c.Assert(seen[got.Name], qt.IsFalse)
+		seen[got.Name] = true
+		p.Reserve(got.Name, true)
+	}
+	_, verdict := p.Choose(Query{Service: "s", Suspect: true, Now: now}, rng)
+	c.Assert(verdict, qt.Equals, AllFull)
+	p.Release("t1", true)
+	got, _ := p.Choose(Query{Service: "s", Suspect: true, Now: now}, rng)
+	c.Assert(got.Name, qt.Equals, "t1")
+}
+
+// Guards against over-share work taking the room that in-share work and resumes need.
+func TestClassesUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(targets(1))
+	admitted := func(class Class) (n int) {
+		for {
+			if _, verdict := p.Choose(Query{Service: "s", Class: class, Now: now}, newRand()); verdict != Chosen {
+				return n
+			}
+			p.Reserve("t0", false)
+			n++
+		}
+	}
+	c.Check(admitted(ClassOverShare), qt.Equals, 4)
+	c.Check(admitted(ClassInShare), qt.Equals, 4)
+	c.Check(admitted(ClassResume), qt.Equals, 8)
+}
+
+// Guards against resumes waiting behind new work, and younger resumes before older ones.
+func TestQueueOrder(t *testing.T) {
+	c := qt.New(t)
+	q := NewQueue()
+	q.Push(&Waiting{ID: 1, Class: ClassOverShare})
+	q.Push(&Waiting{ID: 2, Class: ClassInShare})
+	q.Push(&Waiting{ID: 3, Class: ClassResume, Started: now})
+	q.Push(&Waiting{ID: 4, Class: ClassResume, Started: now.Add(-time.Minute)})
+	q.Push(&Waiting{ID: 5, Class: ClassInShare, NotBefore: now.Add(time.Second)})
+	q.Push(&Waiting{ID: 6, Class: ClassOverShare})
+	victim, _ := q.Newest(ClassOverShare)
+	c.Check(victim, qt.Equals, uint64(6))
+	c.Check(q.Remove(6), qt.IsTrue)
+	var order []uint64
+	collect := func(id uint64) (bool, bool) {
+		order = append(order, id)
+		return id != 2, true
+	}
+	q.Drain(now, collect)
+	q.Drain(now.Add(time.Second), collect)
+	c.Check(order, qt.DeepEquals, []uint64{4, 3, 2, 1, 2, 5})
+	c.Check(q.Len(), qt.Equals, 1)
+}
+
+// Guards against sampling that overloads some targets of a large pool.
+func TestLargePoolStaysBalanced(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(targets(1100))
+	rng := newRand()
+	for range 1100 * 2 {
+		got, verdict := p.Choose(Query{Service: "s", Class: ClassInShare, Now: now}, rng)
+		c.Assert(verdict, qt.Equals, Chosen)
+		p.Reserve(got.Name, false)
+	}
+	most := 0
+	for name := range p.slots {
+		most = max(most, p.Inflight(name))
+	}
+	c.Check(most <= 4, qt.IsTrue, qt.Commentf("%d of mean 2", most))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 1100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := newPool(targets(n))
+			rng := newRand()
+			blocks := []uint64{1, 2, 3, 4}
+			for i := 0; b.Loop(); i++ {
+				blocks[3] = uint64(i)
+				got, _ := p.Choose(Query{Service: "s", Version: "v1", Class: ClassInShare, Blocks: blocks, Now: now}, rng)
+				p.Reserve(got.Name, false)
+				p.Release(got.Name, false)
+			}
+		})
+	}
+}
+
+func BenchmarkChooseFull(b *testing.B) {
+	s := targets(1100)
+	for i := range s.Targets {
+		s.Targets[i].Running = 8
+	}
+	p := newPool(s)
+	rng := newRand()
+	for b.Loop() {
+		p.Choose(Query{Service: "s", Version: "v1", Class: ClassInShare, Now: now}, rng)
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	s := targets(1100)
+	p := newPool(s)
+	for b.Loop() {
+		p.Update(s)
+	}
+}
--- /dev/null
+++ b/internal/core/suspect/suspect_test.go
@@ -0,0 +1,148 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+func died(n int, zone string, after time.Duration, fingerprints ...uint64) Death {
+	return Death{
+		ID: fmt.Sprintf("d%d", n), Target: fmt.Sprintf("t%d", n), VM: fmt.Sprintf("vm%d", n), Zone: zone,
+		At: now.Add(after), Fingerprints: fingerprints,
+	}
+}
+
+// Guards against one crashing request costing three engines at each entry, and against
+// rejecting the requests that ran beside it.
+func TestRequestSentThroughThreeEntriesCostsThreeEngines(t *testing.T) {
+	c := qt.New(t)
+	entries := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+	const crasher = 1
+	engines := 0
+	at := time.Duration(0)
+	for send := range 9 {
+		entry := entries[send%3]
+		for !entry.Rejected(crasher, now.Add(at)) {
+			engines++
+			// New neighbours each time: earlier ones are suspects and run apart.
+			entry.Report(died(engines, "a", at, crasher, uint64(100+engines), uint64(200+engines)), now.Add(at))
+			at += time.Second
+			if engines%2 == 1 {
+				break // the caller gives up and sends again elsewhere
+			}
+		}
+		for _, peer := range entries {
+			peer.Merge(entry.Export(now.Add(at)), now.Add(at))
+		}
+	}
+	c.Check(engines, qt.Equals, 3)
+	for _, entry := range entries {
+		c.Check(entry.Rejected(crasher, now.Add(at)), qt.IsTrue)
+		for f := range entry.entries {
+			c.Check(f == crasher || !entry.Rejected(f, now.Add(at)), qt.IsTrue, qt.Commentf("neighbour %d", f))
+		}
+	}
+}
+
+// Guards against a zone or VM failure that makes its requests suspects.
+func TestZoneAndVMLossCountNothing(t *testing.T) {
+	c := qt.New(t)
+	zone := NewTracker()
+	for i := range 5 {
+		zone.Report(died(i, "a", time.Duration(i)*time.Second, uint64(i), uint64(10+i)), now.Add(5*time.Second))
+	}
+	for _, r := range zone.Export(now) {
+		c.Check(zone.Crashes(r.Fingerprint, now), qt.Equals, 0)
+	}
+	apart := NewTracker()
+	apart.Report(died(1, "a", 0, 1), now)
+	apart.Report(died(2, "b", 0, 2), now)
+	apart.Report(died(3, "a", 6*time.Second, 3), now.Add(6*time.Second))
+	for f := uint64(1); f <= 3; f++ {
+		c.Check(apart.Crashes(f, now.Add(6*time.Second)), qt.Equals, 1)
+	}
+	apart.VMLost("vm3", now.Add(7*time.Second))
+	c.Check(apart.Crashes(3, now.Add(7*time.Second)), qt.Equals, 0)
+	c.Check(apart.Crashes(1, now.Add(7*time.Second)), qt.Equals, 1)
+}
+
+// Guards against counting one death twice, whether reported by the stream without a zone
+// or by heartbeats with one.
+func TestDeathCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker()
+	c.Check(tr.Report(Death{ID: "d1", At: now, Fingerprints: []uint64{1}}, now), qt.IsTrue)
+	c.Check(tr.Report(died(1, "a", 0, 1), now), qt.IsFalse)
+	c.Check(tr.Crashes(1, now), qt.Equals, 1)
+	tr.Report(died(2, "a", time.Second, 2), now.Add(time.Second))
+	c.Check(tr.Crashes(1, now), qt.Equals, 0, qt.Commentf("zone learned later"))
+}
+
+// Guards against clearing a request that crashes late, and against never clearing one.
+func TestClearing(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker()
+	tr.Report(died(1, "a", 0, 1, 2), now)
+	tr.RunEnded(1, 30*time.Second)
+	c.Check(tr.Ran(1, 35*time.Second, false), qt.IsFalse)
+	c.Check(tr.Ran(1, 41*time.Second, false), qt.IsTrue)
+	c.Check(tr.Crashes(1, now), qt.Equals, 0)
+	c.Check(tr.Ran(2, time.Second, true), qt.IsTrue)
+	tr.Report(died(1, "a", 0, 1), now)
+	c.Check(tr.Crashes(1, now), qt.Equals, 0, qt.Commentf("old death repeated"))
+	tr.Report(died(2, "b", 0, 1), now)
+	c.Check(tr.Crashes(1, now), qt.Equals, 1)
+	c.Check(tr.Crashes(1, now.Add(lifetime)), qt.Equals, 0)
+	tr.Expire(now.Add(lifetime))
+	c.Check(tr.Len(), qt.Equals, 0)
+}
+
+// Guards against memory that grows with the number of crashes, and against dropping the
+// requests closest to rejection first.
+func TestBound(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker()
+	tr.Report(died(1, "a", 0, 1), now)
+	tr.Report(died(2, "b", 0, 1), now)
+	for i := range 3 * maxEntries {
+		tr.Merge([]Record{{Fingerprint: uint64(10 + i), Deaths: []string{"x"}, Expires: now.Add(time.Minute)}}, now)
+		c.Assert(tr.Len() <= maxEntries, qt.IsTrue)
+	}
+	c.Check(tr.Crashes(1, now), qt.Equals, 2)
+}
+
+// Guards against entries that disagree after exchanging the same states in another order
+// or more than once.
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	record := rapid.Custom(func(t *rapid.T) Record {
+		ids := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 3)
+		return Record{
+			Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "f"),
+			Deaths:      ids.Draw(t, "deaths"), Cleared: ids.Draw(t, "cleared"),
+			Expires: now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "s")) * time.Second),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		states := rapid.SliceOfN(rapid.SliceOfN(record, 0, 4), 1, 4).Draw(t, "states")
+		a, b := NewTracker(), NewTracker()
+		for i := range states {
+			a.Merge(states[i], now)
+			b.Merge(states[len(states)-1-i], now)
+		}
+		b.Merge(states[0], now)
+		if got, want := fmt.Sprint(b.Export(now)), fmt.Sprint(a.Export(now)); got != want {
+			t.Fatalf("%s\n%s", got, want)
+		}
+		for f := uint64(1); f <= 3; f++ {
+			if a.Crashes(f, now) != b.Crashes(f, now) {
+				t.Fatalf("counts differ for %d", f)
+			}
+		}
+	})
+}
--- a/internal/entry/router/manager_test.go
+++ b/internal/entry/router/manager_test.go
@@ -31,7 +31,7 @@
 		{Name: "permits", Kind: opconfig.KindApplication},
 	}}
 	target := func(name, service string, versions ...string) membership.Target {
-		return membership.Target{Name: name, Zone: "a", Service: service, Versions: versions, Ready: true, Slots: 4}
+		return membership.Target{Name: name, VM: "vm-" + name, Zone: "a", Service: service, Versions: versions, Ready: true, Slots: 4}
 	}
 	snapshot := &membership.Snapshot{Targets: []membership.Target{
 		target("m1", "letters", "v1"), target("m2", "letters", "v1"), target("app", "permits"),
@@ -121,3 +121,103 @@
 	_, err := m.Place(ctx, placement.Request{Service: "letters", Version: "v9"})
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Guards against a crashing request that costs more than three engines when its caller
+// sends it through each entry in turn, and against rejecting requests of the same batch.
+func TestCrashingRequestCostsThreeEngines(t *testing.T) {
+	c := qt.New(t)
+	entries := []*Manager{start(t, "e1", nil), start(t, "e2", nil), start(t, "e3", nil)}
+	engines := 0
+	for send := range 6 {
+		m := entries[send%3]
+		neighbour := placement.Request{Service: "letters", Fingerprint: uint64(100 + send)}
+		a, err := m.Place(context.Background(), placement.Request{Service: "letters", Fingerprint: 7})
+		if err != nil {
+			c.Assert(codeOf(err), qt.Equals, result.CrashesTargets)
+			continue
+		}
+		b, err := m.Place(context.Background(), neighbour)
+		c.Assert(err, qt.IsNil)
+		engines++
+		// Heartbeats tell every entry of the crash.
+		death := &wire.TargetDeath{
+			DeathId: a.Target.Name + string(rune('0'+send)), UnixMs: time.Now().UnixMilli(),
+			RunningFingerprints: []uint64{7, neighbour.Fingerprint},
+		}
+		for _, e := range entries {
+			e.ObserveAgent(&wire.AgentState{Target: a.Target.Name, Vm: "vm-" + a.Target.Name, Zone: a.Target.Zone, Deaths: []*wire.TargetDeath{death}})
+			settled := make(chan struct{})
+			e.states <- func(*state) { close(settled) }
+			<-settled
+		}
+		a.Done(placement.Outcome{Failed: true, TargetDied: true})
+		b.Done(placement.Outcome{Failed: true, TargetDied: true})
+	}
+	c.Check(engines, qt.Equals, 3)
+	for _, m := range entries {
+		for send := range 3 {
+			a, err := m.Place(context.Background(), placement.Request{Service: "letters", Fingerprint: uint64(100 + send)})
+			c.Assert(err, qt.IsNil)
+			a.Done(placement.Outcome{})
+		}
+	}
+}
+
+// Guards against one crash of an engine counting as a failure for each request of its
+// batch, which would withdraw a good version after a single crash.
+func TestCrashIsOnePieceOfEvidence(t *testing.T) {
+	c := qt.New(t)
+	observed := make(chan placement.Outcome, 8)
+	m := start(t, "e1", func(o *Options) {
+		o.Observe = func(_, _, _, _ string, _ int, outcome placement.Outcome, _ bool) { observed <- outcome }
+	})
+	var batch []*Assignment
+	for i := range 3 {
+		a, err := m.Place(context.Background(), placement.Request{
+			Service: "letters", Fingerprint: uint64(i + 1), Exclude: []string{"m2"},
+		})
+		c.Assert(err, qt.IsNil)
+		batch = append(batch, a)
+	}
+	for _, a := range batch {
+		a.Done(placement.Outcome{Failed: true, TargetDied: true})
+	}
+	settled := make(chan struct{})
+	m.mailbox <- func(*state) { close(settled) }
+	<-settled
+	c.Check(len(observed), qt.Equals, 1)
+}
+
+// Guards against over-share work waiting in a full pool ahead of work within its share,
+// and against a waiting attempt that is not placed when room appears.
+func TestQueueUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	m := start(t, "e1", func(o *Options) {
+		config := o.Config().Config
+		config.Members = []opconfig.Member{{Name: "over", Share: 50}, {Name: "in", Share: 50}}
+	})
+	m.ObserveAgent(&wire.AgentState{Target: "m1", UseHere: []*wire.MemberUse{
+		{Member: "over", TokensPerSecond: 90}, {Member: "in", TokensPerSecond: 10},
+	}})
+	settled := make(chan struct{})
+	m.states <- func(s *state) { s.usage.Refresh(time.Now()); close(settled) }
+	<-settled
+	var held []*Assignment
+	for range 16 { // two targets with four slots, twice their slots in-share
+		a, err := m.Place(context.Background(), placement.Request{Service: "letters", Member: "in"})
+		c.Assert(err, qt.IsNil)
+		held = append(held, a)
+	}
+	_, err := m.Place(context.Background(), placement.Request{Service: "letters", Member: "over"})
+	c.Assert(codeOf(err), qt.Equals, result.Overloaded)
+	placed := make(chan error, 1)
+	a, err := m.Place(context.Background(), placement.Request{Service: "letters", Version: "v1", Resume: true})
+	c.Assert(err, qt.IsNil, qt.Commentf("resumes are not held back by new work"))
+	a.Done(placement.Outcome{})
+	go func() {
+		_, err := m.Place(context.Background(), placement.Request{Service: "letters", Member: "in"})
+		placed <- err
+	}()
+	held[0].Done(placement.Outcome{})
+	c.Assert(<-placed, qt.IsNil)
+}
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -50,21 +50,30 @@
 	inflight   int
 }
 
+// fullKey names the targets and the class of work that found no room.
+type fullKey struct {
+	service, version string
+	class            placement.Class
+}
+
 // state is owned by the task of Run.
 type state struct {
-	manager    *Manager
-	options    *Options
-	rng        *rand.Rand
-	pool       *placement.Pool
-	queue      *placement.Queue
-	pending    map[uint64]*pending
-	usage      *placement.Usage
-	tracker    *suspect.Tracker
-	services   map[string]*service
-	running    map[uint64]running // by attempt id
-	byPrint    map[uint64][]uint64
-	lastSeen   map[string]time.Time // entries, by name
-	lastDeath  map[string]time.Time // targets, by name
+	manager   *Manager
+	options   *Options
+	rng       *rand.Rand
+	pool      *placement.Pool
+	queue     *placement.Queue
+	pending   map[uint64]*pending
+	usage     *placement.Usage
+	tracker   *suspect.Tracker
+	services  map[string]*service
+	running   map[uint64]running // by attempt id
+	byPrint   map[uint64][]uint64
+	lastSeen  map[string]time.Time // entries, by name
+	lastDeath map[string]time.Time // targets, by name
+	// full holds what found no room in the current pass over the queue, so that
+	// further attempts of the kind skip the search.
+	full       map[fullKey]bool
 	snapshot   *membership.Snapshot
 	snapshotAt time.Time
 	exported   uint64
@@ -85,6 +94,7 @@
 		byPrint:   map[uint64][]uint64{},
 		lastSeen:  map[string]time.Time{},
 		lastDeath: map[string]time.Time{},
+		full:      map[fullKey]bool{},
 	}
 }
 
@@ -124,6 +134,7 @@
 	}
 	p.class = s.class(config, &request)
 	s.refreshSnapshot(now, false)
+	clear(s.full)
 	delay := time.Duration(0)
 	if request.Retry && !request.Resume {
 		delay = retry.Backoff(max(1, len(request.Exclude)), s.rng)
@@ -222,22 +233,28 @@
 		p.verdict = placement.AllFull
 		return false
 	}
+	version := r.Version
+	if version == "" {
+		version = s.version(r, p.id)
+	}
+	key := fullKey{r.Service, version, p.class}
+	if s.full[key] {
+		p.verdict = placement.AllFull
+		return false
+	}
 	query := placement.Query{
-		Service: r.Service, Version: r.Version, Class: p.class, Blocks: r.Blocks,
+		Service: r.Service, Version: version, Class: p.class, Blocks: r.Blocks,
 		Exclude: r.Exclude, Suspect: crashes > 0, Now: now,
 	}
 	if crashes > 0 {
 		query.CrashZone = s.tracker.CrashZone(r.Fingerprint)
 	}
-	if query.Version == "" {
-		query.Version = s.version(r, p.id)
-	}
 	target, verdict := s.pool.Choose(query, s.rng)
 	p.verdict = verdict
 	if verdict != placement.Chosen {
+		s.full[key] = verdict == placement.AllFull && !query.Suspect && len(r.Exclude) == 0
 		return false
 	}
-	version := query.Version
 	if version == "" && len(target.Versions) > 0 {
 		version = target.Versions[0]
 	}
@@ -361,11 +378,11 @@
 	case o.TargetDied:
 		s.tracker.RunEnded(run.fingerprint, elapsed)
 	case !o.Failed && !o.Cancelled:
-		s.clear(run.fingerprint, elapsed, true)
+		s.clearSuspect(run.fingerprint, elapsed, true)
 	}
 }
 
-func (s *state) clear(fingerprint uint64, run time.Duration, completed bool) {
+func (s *state) clearSuspect(fingerprint uint64, run time.Duration, completed bool) {
 	if s.tracker.Ran(fingerprint, run, completed) {
 		s.manager.metrics.cleared.Inc()
 		s.export(time.Now())
@@ -389,6 +406,7 @@
 		return
 	}
 	misses := 0
+	clear(s.full)
 	s.queue.Drain(now, func(id uint64) (bool, bool) {
 		p := s.pending[id]
 		if err := s.recheck(now, p); err != nil {
@@ -467,7 +485,7 @@
 	s.tracker.Expire(now)
 	s.refreshEntries(now)
 	for _, run := range s.running {
-		s.clear(run.fingerprint, now.Sub(run.since), false)
+		s.clearSuspect(run.fingerprint, now.Sub(run.since), false)
 	}
 	for target, at := range s.lastDeath {
 		if now.Sub(at) > deathWindow {
@@ -487,23 +505,34 @@
 	if !force && s.snapshot != nil && now.Sub(s.snapshotAt) < snapshotInterval {
 		return
 	}
+	previous := s.snapshot
 	s.snapshot, s.snapshotAt = snapshot, now
 	s.pool.Update(snapshot)
 	for _, vm := range s.tracker.RecentVMs(now) {
 		// A VM whose targets fall silent right after a crash has failed as a whole.
-		if vmSilent(snapshot, vm) {
+		if previous != nil && hasVM(previous, vm) && !answers(snapshot, vm) {
 			s.tracker.VMLost(vm, now)
 		}
 	}
 }
 
-func vmSilent(snapshot *membership.Snapshot, vm string) bool {
+func hasVM(snapshot *membership.Snapshot, vm string) bool {
+	for i := range snapshot.Targets {
+		if snapshot.Targets[i].VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// answers reports whether a target of the VM sends heartbeats in time.
+func answers(snapshot *membership.Snapshot, vm string) bool {
 	for i := range snapshot.Targets {
 		if t := &snapshot.Targets[i]; t.VM == vm && !t.Suspected {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (s *state) refreshEntries(now time.Time) {
@@ -552,7 +581,7 @@
 	for _, id := range s.byPrint[fingerprint] {
 		longest = max(longest, now.Sub(s.running[id].since))
 	}
-	s.clear(fingerprint, longest, completed)
+	s.clearSuspect(fingerprint, longest, completed)
 }
 
 func (s *state) mergeSuspects(records []suspect.Record, now time.Time) {
