Add the entry's calls to application services

Routes marked once run through the claim of their Idempotency-Key; other routes are retried at another target only where that is safe.

--- /dev/null
+++ b/internal/entry/calls/handler.go
@@ -0,0 +1,285 @@
+package calls
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bramleygap/internal/core/oncecall"
+	"bramleygap/internal/entry/caller"
+	"bramleygap/internal/opconfig"
+	"bramleygap/internal/result"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// KeyHeader identifies a non-idempotent call.
+	KeyHeader = "Idempotency-Key"
+	// CallIDHeader names the call in responses and logs.
+	CallIDHeader = "Bramleygap-Call-Id"
+	// RepeatedHeader marks a stored outcome of an earlier call with the same key.
+	RepeatedHeader = "Bramleygap-Repeated"
+
+	maxKeyBytes  = 255
+	kindOnce     = "once"
+	kindRepeated = "idempotent"
+)
+
+// droppedHeaders do not pass from the caller to the engine: the bearer key belongs to
+// this system, and method overrides could turn a route into another that is marked once.
+var droppedHeaders = []string{
+	"Authorization", "X-Http-Method", "X-Http-Method-Override", "X-Method-Override",
+}
+
+// droppedPrefix is the prefix of this system's own headers.
+const droppedPrefix = "Bramleygap-"
+
+// hopByHop lists headers of the engine's response that concern its connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// call is one authenticated request.
+type call struct {
+	id       string
+	identity caller.Identity
+	service  *opconfig.Service
+	route    *opconfig.Route
+	method   string
+	// path is the escaped path and query without the service.
+	path     string
+	headers  []*wire.Header
+	body     []byte
+	started  time.Time
+	deadline time.Time
+}
+
+func (c *call) kind() string {
+	if c.route.Once {
+		return kindOnce
+	}
+	return kindRepeated
+}
+
+// safe reports whether the method has no effect, so that it may be repeated after dispatch.
+func (c *call) safe() bool { return c.method == http.MethodGet || c.method == http.MethodHead }
+
+// reserve is kept between the target's deadline and the caller's, so that the agent
+// can still report an exchange that timed out.
+func (c *call) reserve() time.Duration {
+	return min(maxAnswerReserve, c.deadline.Sub(c.started)/reservePart)
+}
+
+// answer is the response to the caller. The code is OK if the target answered.
+type answer struct {
+	outcome  oncecall.Outcome
+	repeated bool
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.enter() {
+		h.options.Refusals.Write(w, result.New(result.Leaving, "the entry is shutting down"))
+		return
+	}
+	defer h.leave()
+	c, err := h.parse(w, r)
+	if err != nil {
+		h.options.Refusals.Write(w, err)
+		return
+	}
+	w.Header().Set(CallIDHeader, c.id)
+	var reply answer
+	if c.route.Once {
+		reply = h.once(r, c)
+	} else {
+		reply = h.idempotent(r.Context(), c)
+	}
+	h.finish(w, c, reply)
+}
+
+// parse authenticates a request and finds its route. Errors are *result.Error of class not-run.
+func (h *Handler) parse(w http.ResponseWriter, r *http.Request) (*call, error) {
+	serviceName, path, err := splitPath(r)
+	if err != nil {
+		return nil, err
+	}
+	adopted := h.options.Config()
+	if adopted == nil || adopted.Config == nil {
+		return nil, result.New(result.NotReady, "no operator configuration adopted yet")
+	}
+	identity, err := caller.Authenticate(r, adopted.Config, serviceName)
+	if err != nil {
+		return nil, err
+	}
+	service := adopted.Config.Service(serviceName)
+	if service.Kind != opconfig.KindApplication {
+		return nil, result.New(result.UnknownService, "service %q is not an application service", serviceName)
+	}
+	route := match(service.Routes, r.Method, path)
+	if route == nil {
+		return nil, result.New(result.UnknownRoute, "service %q has no route %s %s", serviceName, r.Method, path)
+	}
+	if err := checkKey(r, route); err != nil {
+		return nil, err
+	}
+	body, err := readBody(w, r, h.options.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	timeout := service.Timeout.Duration
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	now := time.Now()
+	return &call{
+		id: uuid.NewString(), identity: identity, service: service, route: route, method: r.Method,
+		path: forwardedPath(r, serviceName), headers: forwardedHeaders(r.Header), body: body,
+		started: now, deadline: now.Add(timeout),
+	}, nil
+}
+
+// splitPath returns the service and the decoded rest of the path. A path that an engine
+// could read as another path than the one that was matched is rejected: the routes
+// decide which calls are protected against repetition.
+func splitPath(r *http.Request) (service, rest string, err error) {
+	service, rest, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	rest = "/" + rest
+	escaped := strings.ToLower(r.URL.EscapedPath())
+	for _, code := range []string{"%2f", "%5c", "%2e", "%00"} {
+		if strings.Contains(escaped, code) {
+			return "", "", result.New(result.MalformedRequest, "the path contains %s", code)
+		}
+	}
+	for segment := range strings.SplitSeq(strings.Trim(rest, "/"), "/") {
+		if segment == "." || segment == ".." || (segment == "" && rest != "/") || strings.Contains(segment, `\`) {
+			return "", "", result.New(result.MalformedRequest, "the path contains a dot segment, an empty segment or a backslash")
+		}
+	}
+	if strings.HasSuffix(rest, "//") || strings.HasPrefix(rest, "//") {
+		return "", "", result.New(result.MalformedRequest, "the path contains an empty segment")
+	}
+	return service, rest, nil
+}
+
+// forwardedPath returns the escaped path and query without the service.
+func forwardedPath(r *http.Request, service string) string {
+	escaped := strings.TrimPrefix(r.URL.EscapedPath(), "/")
+	_, rest, _ := strings.Cut(escaped, "/")
+	path := "/" + rest
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// match returns the route with the longest path among those that match, exact paths first.
+func match(routes []opconfig.Route, method, path string) *opconfig.Route {
+	var best *opconfig.Route
+	for i := range routes {
+		route := &routes[i]
+		if !methodMatches(route.Method, method) || !pathMatches(route.Path, path) {
+			continue
+		}
+		if best == nil || specificity(route.Path) > specificity(best.Path) {
+			best = route
+		}
+	}
+	return best
+}
+
+func methodMatches(pattern, method string) bool {
+	return strings.EqualFold(pattern, method) || (strings.EqualFold(pattern, http.MethodGet) && method == http.MethodHead)
+}
+
+func pathMatches(pattern, path string) bool {
+	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return pattern == path
+}
+
+func specificity(pattern string) int {
+	if prefix, ok := strings.CutSuffix(pattern, "*"); ok {
+		return 2 * len(prefix)
+	}
+	return 2*len(pattern) + 1
+}
+
+func checkKey(r *http.Request, route *opconfig.Route) error {
+	if !route.Once {
+		return nil
+	}
+	keys := r.Header.Values(KeyHeader)
+	switch {
+	case len(keys) == 0 || (len(keys) == 1 && keys[0] == ""):
+		return result.New(result.KeyRequired, "this route needs the header %s", KeyHeader)
+	case len(keys) > 1:
+		return result.New(result.MalformedRequest, "more than one header %s", KeyHeader)
+	case len(keys[0]) > maxKeyBytes:
+		return result.New(result.MalformedRequest, "%s is longer than %d bytes", KeyHeader, maxKeyBytes)
+	}
+	return nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.RequestTooLarge, "the body exceeds %d bytes", limit)
+	case err != nil:
+		return nil, &result.Error{Code: result.MalformedRequest, Message: "the body cannot be read", Cause: err}
+	}
+	return body, nil
+}
+
+// forwardedHeaders returns the caller's headers for the engine; the agent drops the
+// hop-by-hop ones, since it also knows the Connection header.
+func forwardedHeaders(from http.Header) []*wire.Header {
+	var headers []*wire.Header
+	for name, values := range from {
+		if slices.Contains(droppedHeaders, name) || strings.HasPrefix(name, droppedPrefix) {
+			continue
+		}
+		for _, value := range values {
+			headers = append(headers, &wire.Header{Name: name, Value: value})
+		}
+	}
+	return headers
+}
+
+// finish sends the answer and accounts for it.
+func (h *Handler) finish(w http.ResponseWriter, c *call, reply answer) {
+	code := reply.outcome.Code
+	h.metrics.calls.WithLabelValues(c.service.Name, c.kind(), code.String()).Inc()
+	h.metrics.seconds.WithLabelValues(c.kind()).Observe(time.Since(c.started).Seconds())
+	event := h.options.Logger.Debug()
+	if code != result.OK {
+		event = h.options.Logger.Warn()
+	}
+	event.Str("call", c.id).Str("service", c.service.Name).Str("route", c.route.Path).Str("account", c.identity.Account.Name).
+		Str("code", code.String()).Str("class", code.Class().String()).Bool("repeated", reply.repeated).
+		Int("status", reply.outcome.Status).Str("detail", reply.outcome.Message).Msg("call answered")
+	if reply.repeated {
+		w.Header().Set(RepeatedHeader, "true")
+	}
+	if code != result.OK {
+		h.options.Refusals.Write(w, &result.Error{Code: code, Message: reply.outcome.Message})
+		return
+	}
+	for _, header := range reply.outcome.Headers {
+		name := textproto.CanonicalMIMEHeaderKey(header.Name)
+		if !slices.Contains(hopByHop, name) && !strings.HasPrefix(name, droppedPrefix) {
+			w.Header().Add(name, header.Value)
+		}
+	}
+	w.WriteHeader(reply.outcome.Status)
+	_, _ = w.Write(reply.outcome.Body)
+}
--- /dev/null
+++ b/internal/entry/calls/sweep.go
@@ -0,0 +1,103 @@
+package calls
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"bramleygap/internal/core/oncecall"
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/opconfig"
+	"bramleygap/internal/platform"
+)
+
+const (
+	// sweepLimit bounds the rows that one step of the sweep reads and deletes.
+	sweepLimit = 200
+	// sweepBusy and sweepIdle are the pauses after a step that deleted something or left
+	// prefixes to look at, and after a round without either.
+	sweepBusy = time.Second
+	sweepIdle = time.Minute
+)
+
+var cancelledOutcome = placement.Outcome{Cancelled: true}
+
+// RunSweep deletes expired claims until ctx ends. Each step costs one list and at most
+// one transaction.
+func (h *Handler) RunSweep(ctx context.Context) {
+	var sweeper oncecall.Sweeper
+	for {
+		pause := sweepIdle
+		if _, err := h.sweepStep(ctx, &sweeper, time.Now()); err != nil {
+			h.options.Logger.Warn().Err(err).Msg("sweep of expired claims failed")
+		} else if !sweeper.Idle() {
+			pause = sweepBusy
+		}
+		// Entries start together; without jitter they would all list the same prefixes at once.
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// sweepStep lists one prefix and deletes the expired claims under it.
+func (h *Handler) sweepStep(ctx context.Context, sweeper *oncecall.Sweeper, now time.Time) (int, error) {
+	if sweeper.Idle() {
+		sweeper.Start(h.claimPrefixes())
+	}
+	prefix, ok := sweeper.Next()
+	if !ok {
+		return 0, nil
+	}
+	listed, err := h.options.Table.List(ctx, prefix, sweepLimit)
+	if err != nil {
+		return 0, err
+	}
+	rows := make([]oncecall.Row, len(listed))
+	for i, row := range listed {
+		rows[i] = oncecall.Row{Key: row.Key, Value: row.Value, Revision: row.Revision}
+	}
+	return h.deleteRows(ctx, sweeper.Listed(prefix, rows, sweepLimit, now))
+}
+
+// deleteRows deletes rows unless one has changed since it was listed; a lost answer
+// needs no settlement, since the next round finds what is left.
+func (h *Handler) deleteRows(ctx context.Context, rows []oncecall.Row) (int, error) {
+	if len(rows) == 0 {
+		return 0, nil
+	}
+	var txn platform.Txn
+	for _, row := range rows {
+		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Revision: row.Revision})
+		txn.Deletes = append(txn.Deletes, row.Key)
+	}
+	done, err := h.options.Table.Commit(ctx, txn)
+	if err != nil || !done.Committed {
+		return 0, err
+	}
+	h.metrics.swept.Add(float64(len(rows)))
+	return len(rows), nil
+}
+
+// claimPrefixes returns the prefixes of the services and accounts in force. Claims of a
+// removed service or account stay until it is configured again.
+func (h *Handler) claimPrefixes() []string {
+	adopted := h.options.Config()
+	if adopted == nil || adopted.Config == nil {
+		return nil
+	}
+	var prefixes []string
+	for _, service := range adopted.Config.Services {
+		if service.Kind != opconfig.KindApplication {
+			continue
+		}
+		for _, account := range adopted.Config.Accounts {
+			prefixes = append(prefixes, oncecall.RowPrefix(service.Name, account.Name))
+		}
+	}
+	return prefixes
+}
