--- a/internal/core/stream/codec.go
+++ b/internal/core/stream/codec.go
@@ -28,13 +28,17 @@
 type EventID struct {
 	Generation  string
 	Agent       string // host:port of the agent that holds the log
+	Attempt     uint32 // attempt that wrote the log
 	Incarnation uint64
 	Index       uint64 // last token whose bytes are completely delivered
 }
 
-// String returns GENERATION.AGENT.INCARNATION.INDEX with AGENT in base64url.
+// String returns GENERATION.AGENT.INCARNATION.INDEX. AGENT is the base64url form of
+// host:port/ATTEMPT: copies of the logs of several attempts may exist, and only the
+// attempt number tells whether a copy has the tokens that the caller received.
 func (e EventID) String() string {
-	return e.Generation + "." + base64.RawURLEncoding.EncodeToString([]byte(e.Agent)) +
+	agent := e.Agent + "/" + strconv.FormatUint(uint64(e.Attempt), 10)
+	return e.Generation + "." + base64.RawURLEncoding.EncodeToString([]byte(agent)) +
 		"." + strconv.FormatUint(e.Incarnation, 10) + "." + strconv.FormatUint(e.Index, 10)
 }
 
@@ -48,10 +52,12 @@
 	agent, agentErr := base64.RawURLEncoding.Strict().DecodeString(parts[1])
 	incarnation, incarnationErr := strconv.ParseUint(parts[2], 10, 64)
 	index, indexErr := strconv.ParseUint(parts[3], 10, 64)
-	if agentErr != nil || incarnationErr != nil || indexErr != nil || !validAgent(string(agent)) {
+	address, number, _ := cutLast(string(agent), "/")
+	attempt, attemptErr := strconv.ParseUint(number, 10, 32)
+	if agentErr != nil || attemptErr != nil || incarnationErr != nil || indexErr != nil || !validAgent(address) {
 		return EventID{}, ErrEventID
 	}
-	id := EventID{Generation: parts[0], Agent: string(agent), Incarnation: incarnation, Index: index}
+	id := EventID{Generation: parts[0], Agent: address, Attempt: uint32(attempt), Incarnation: incarnation, Index: index}
 	if id.String() != text {
 		return EventID{}, ErrEventID
 	}
--- a/internal/core/stream/messages.go
+++ b/internal/core/stream/messages.go
@@ -86,6 +86,8 @@
 	IDs     []uint32 // known tokens from index 0
 	Bytes   [][]byte
 	From    uint64 // first index that the caller lacks; at most len(IDs)
+	// Since is when the caller asked to resume.
+	Since time.Time
 	// Live is set if events of Attempt follow; then Target, Address and Incarnation name its agent.
 	Live        bool
 	Target      string
@@ -170,6 +172,7 @@
 	First       uint64
 	IDs         []uint32
 	Bytes       [][]byte
+	Attempt     uint32
 	Address     string // agent that holds the log
 	Incarnation uint64
 }
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -41,7 +41,8 @@
 	// maxBarren is the number of attempts in a row that may fail without a new token.
 	maxBarren = 8
 	// attemptBlock separates the attempt numbers of successive connections, whose
-	// entries do not know of each other's speculative attempts.
+	// entries do not know of each other's attempts. The block is the attach epoch,
+	// which no two connections share.
 	attemptBlock = 1000
 )
 
@@ -104,7 +105,7 @@
 	lastAttempt uint32
 	lastRequest uint32
 	retryAt     time.Time // next RequestTarget while there is neither attempt nor request
-	exclude     []string
+	exclude     []string  // targets that failed since the last accepted token
 
 	ran       bool // an attempt may have run
 	barren    int
@@ -302,11 +303,11 @@
 	if r.speculative {
 		return
 	}
-	if msg.Code == result.CrashesTargets {
+	if msg.Code == result.CrashesTargets || msg.Code == result.DeadlineTooShort {
 		m.finish(msg.Code)
 		return
 	}
-	if r.excluded && lacksTarget(msg.Code) {
+	if r.excluded {
 		m.exclude = nil
 		m.requestTarget(false)
 		return
@@ -315,7 +316,7 @@
 }
 
 func lacksTarget(code result.Code) bool {
-	return code == result.NoTarget || code == result.VersionUnavailable || code == result.DeadlineTooShort
+	return code == result.NoTarget || code == result.VersionUnavailable
 }
 
 // wait asks for a target again after a pause. Nothing delivered: the caller can send
@@ -390,7 +391,6 @@
 	if a == m.rival {
 		loser, label = m.current, "speculative"
 		m.lost(loser, reasonSpeculation)
-		m.exclude = addName(m.exclude, loser.target)
 	}
 	m.current, m.rival = a, nil
 	m.count(CountWinner, label, 1)
@@ -415,11 +415,8 @@
 	a.lastToken = m.now
 	m.active(a)
 	m.barren = 0
-	if !m.lossAt.IsZero() {
-		m.emit(Resumed{Reason: m.lossCause, Latency: m.now.Sub(m.lossAt)})
-		m.lossAt = time.Time{}
-	}
-	m.deliver(first, a.address, a.incarnation)
+	m.exclude = nil
+	m.deliver(first, a.number, a.address, a.incarnation)
 }
 
 // cancelSpeculation withdraws the request for a speculative target once the
@@ -431,7 +428,11 @@
 	}
 }
 
-func (m *Machine) deliver(first uint64, address string, incarnation uint64) {
+func (m *Machine) deliver(first uint64, attempt uint32, address string, incarnation uint64) {
+	if !m.lossAt.IsZero() {
+		m.emit(Resumed{Reason: m.lossCause, Latency: m.now.Sub(m.lossAt)})
+		m.lossAt = time.Time{}
+	}
 	if m.buffered == 0 {
 		m.takenAt = m.now
 	}
@@ -443,6 +444,7 @@
 		First:       first,
 		IDs:         slices.Clone(m.ids[first:]),
 		Bytes:       slices.Clone(m.bytes[first:]),
+		Attempt:     attempt,
 		Address:     address,
 		Incarnation: incarnation,
 	})
@@ -639,6 +641,7 @@
 }
 
 func (m *Machine) restartTimers() {
+	m.takenAt = m.now
 	for _, a := range []*attempt{m.current, m.rival} {
 		if a != nil {
 			a.lastActivity = m.now
@@ -679,14 +682,14 @@
 	m.version, m.adapter = msg.Version, msg.Adapter
 	m.epoch = max(m.epoch, msg.Epoch)
 	m.ran = true
-	m.lastAttempt = (msg.Attempt/attemptBlock + 1) * attemptBlock
-	m.lossAt, m.lossCause = m.now, reasonEntryLost
+	m.lastAttempt = max(msg.Attempt/attemptBlock+1, uint32(m.epoch)) * attemptBlock
+	m.lossAt, m.lossCause = msg.Since, reasonEntryLost
 	if msg.From > m.next() {
 		m.finish(result.ResumeLost)
 		return
 	}
 	if msg.From < m.next() {
-		m.deliver(msg.From, msg.Address, msg.Incarnation)
+		m.deliver(msg.From, msg.Attempt, msg.Address, msg.Incarnation)
 	}
 	m.continueLog(msg)
 }
--- a/internal/entry/generations/output.go
+++ b/internal/entry/generations/output.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// continueAfter makes the position that the caller already has the current event id.
+func (o *output) continueAfter(id stream.EventID) {
+	o.id = id
+	o.hasID = true
+	o.resumable.Store(true)
+}
+
 // run writes effects until the queue is closed. taken is called after each Deliver;
 // gone after a failed write, when the rest of the queue is dropped.
 func (o *output) run(taken, gone func()) {
@@ -137,6 +144,7 @@
 			o.id = stream.EventID{
 				Generation:  o.spec.GetGeneration(),
 				Agent:       d.Address,
+				Attempt:     d.Attempt,
 				Incarnation: d.Incarnation,
 				Index:       d.First + uint64(i),
 			}
--- /dev/null
+++ b/internal/entry/generations/resume_test.go
@@ -0,0 +1,188 @@
+package generations
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/core/stream"
+)
+
+// disconnect reads limit events of a generation that then stalls, and drops the connection.
+func disconnect(c *qt.C, cluster *fakeCluster, url string) received {
+	got := collect(c, post(c, url, "/v1/completions", twelve, ""), 4)
+	c.Assert(got.final, qt.IsNil)
+	return got
+}
+
+// Guards against lost or repeated tokens when a caller reconnects to another entry,
+// be it attached to the running log or continued from a copy (I1, I2).
+func TestResumeThroughAnotherEntry(t *testing.T) {
+	for name, live := range map[string]bool{"attached": true, "copy": false} {
+		for _, path := range []string{"/v1/generations/resume", "/v1/completions"} {
+			t.Run(name+path, func(t *testing.T) {
+				c := qt.New(t)
+				cluster := newCluster(t, fault{6, "hold"})
+				cluster.attached = live
+				first, _, _ := cluster.entry(t, false)
+				second, _, _ := cluster.entry(t, false)
+				got := disconnect(c, cluster, first)
+				payload := twelve
+				if path == "/v1/generations/resume" {
+					payload = ""
+				}
+				rest := collect(c, post(c, second, path, payload, got.ids[len(got.ids)-1]), 0)
+				rest.text = got.text + rest.text
+				assertComplete(c, rest)
+			})
+		}
+	}
+}
+
+// Guards against an answer from an index that no copy reaches, and against connections
+// to addresses that only the caller names.
+func TestResumeWithoutLogIsLost(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t, fault{6, "hold"})
+	url, _, _ := cluster.entry(t, false)
+	got := disconnect(c, cluster, url)
+	id, err := stream.ParseEventID(got.ids[0])
+	c.Assert(err, qt.IsNil)
+	beyond, unknown, foreign := id, id, id
+	beyond.Index = 100
+	unknown.Generation = "00000000-0000-0000-0000-000000000000"
+	foreign.Agent, foreign.Generation = "127.0.0.1:1", unknown.Generation
+	for _, lost := range []stream.EventID{beyond, unknown, foreign} {
+		got := collect(c, post(c, url, "/v1/generations/resume", "", lost.String()), 0)
+		c.Assert(got.status, qt.Equals, 410)
+		c.Assert(got.code, qt.Equals, "2002")
+	}
+	bad := collect(c, post(c, url, "/v1/generations/resume", "", "x"), 0)
+	c.Assert(bad.code, qt.Equals, "1023")
+}
+
+// Guards against a copy of another attempt's log, whose tokens may differ from those
+// that the caller received (I2).
+func TestCopyOfOtherAttemptIsRefused(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t, fault{6, "hold"})
+	first, _, _ := cluster.entry(t, false)
+	second, _, _ := cluster.entry(t, false)
+	got := disconnect(c, cluster, first)
+	cluster.mu.Lock()
+	for _, log := range cluster.logs {
+		log.Attempt = 2
+		log.Ids[3]++
+	}
+	cluster.mu.Unlock()
+	lost := collect(c, post(c, second, "/v1/generations/resume", "", got.ids[3]), 0)
+	c.Assert(lost.code, qt.Equals, "2002")
+}
+
+// Guards against a resume of another account's generation.
+func TestResumeChecksAccount(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t, fault{6, "hold"})
+	cluster.attached = true
+	url, _, _ := cluster.entry(t, false)
+	got := disconnect(c, cluster, url)
+	cluster.mu.Lock()
+	for _, log := range cluster.logs {
+		log.Spec.Account = "other"
+	}
+	cluster.mu.Unlock()
+	refused := collect(c, post(c, url, "/v1/generations/resume", "", got.ids[0]), 0)
+	c.Assert(refused.code, qt.Equals, "2002")
+	c.Assert(refused.text, qt.Equals, "")
+}
+
+// Guards against a resume although the operator disabled it, and against [DONE] after a failure.
+func TestDisableResumeEndsWithTargetDied(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t, fault{5, "break"})
+	url, _, _ := cluster.entry(t, true)
+	got := collect(c, post(c, url, "/v1/completions", twelve, ""), 0)
+	_, text := expected(5)
+	c.Assert(got.text, qt.Equals, text)
+	c.Assert(got.errors, qt.Equals, 1)
+	c.Assert(got.done, qt.IsFalse)
+}
+
+// Guards against reservations that are never returned and deaths that are not reported.
+func TestOutcomesAreReportedOnce(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t, fault{2, "died"}, fault{4, "break"})
+	url, h, registry := cluster.entry(t, false)
+	assertComplete(c, collect(c, post(c, url, "/v1/completions", twelve, ""), 0))
+	c.Assert(h.Drain(context.Background()), qt.IsNil)
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	c.Assert(cluster.open, qt.Equals, 0)
+	c.Assert(cluster.outcomes, qt.HasLen, len(cluster.requests))
+	c.Assert(cluster.outcomes[0].TargetDied, qt.IsTrue)
+	c.Assert(cluster.outcomes[len(cluster.outcomes)-1].Failed, qt.IsFalse)
+	c.Assert(cluster.deaths, qt.DeepEquals, []string{"death-1"})
+	for _, r := range cluster.requests[1:] {
+		c.Assert(r.GetSpec().GetSampling().GetSeed(), qt.Equals, cluster.requests[0].GetSpec().GetSampling().GetSeed())
+		c.Assert(r.GetResume(), qt.IsTrue)
+	}
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	for _, family := range families {
+		if family.GetName() == "bramleygap_entry_resume_latency_seconds" {
+			c.Assert(family.GetMetric()[0].GetHistogram().GetSampleCount() >= 2, qt.IsTrue)
+		}
+	}
+}
+
+// Guards against a drain that interrupts a request or admits a new one (I8).
+func TestDrainWaitsForRunningRequests(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t, fault{6, "hold"}, fault{6, "hold"}, fault{6, "hold"}, fault{6, "hold"})
+	url, h, _ := cluster.entry(t, false)
+	response := post(c, url, "/v1/completions", twelve, "")
+	ended, stop := context.WithCancel(context.Background())
+	stop()
+	c.Assert(errors.Is(h.Drain(ended), context.Canceled), qt.IsTrue)
+	c.Assert(collect(c, post(c, url, "/v1/completions", twelve, ""), 0).code, qt.Equals, "1015")
+	close(cluster.release)
+	assertComplete(c, collect(c, response, 0))
+	c.Assert(h.Drain(context.Background()), qt.IsNil)
+}
+
+// Guards against wrong shapes of whole responses and chat chunks, and against
+// requests that are let through without a key or with fields out of range.
+func TestFormats(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(t)
+	url, _, _ := cluster.entry(t, false)
+	_, text := expected(3)
+	chat := collect(c, post(c, url, "/v1/chat/completions",
+		`{"model":"letters","max_tokens":3,"stream":true,"messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]}`, ""), 0)
+	c.Assert(chat.text, qt.Equals, text)
+	c.Assert(cluster.requests[0].GetSpec().GetPrompt(), qt.Equals, "user: hi\nassistant:")
+
+	response := post(c, url, "/v1/completions", `{"model":"letters","prompt":"a","max_tokens":3}`, "")
+	defer func() { _ = response.Body.Close() }()
+	var whole chunk
+	c.Assert(json.NewDecoder(response.Body).Decode(&whole), qt.IsNil)
+	c.Assert(*whole.Choices[0].Text, qt.Equals, text)
+	c.Assert(*whole.Choices[0].FinishReason, qt.Equals, "length")
+
+	for payload, code := range map[string]string{
+		`{"model":"letters"}`:                              "1001",
+		`{"model":"letters","prompt":"a","max_tokens":0}`:  "1001",
+		`{"model":"letters","prompt":"a","deadline_ms":0}`: "1001",
+		`{"model":"other","prompt":"a"}`:                   "1004",
+	} {
+		c.Check(collect(c, post(c, url, "/v1/completions", payload, ""), 0).code, qt.Equals, code, qt.Commentf("%s", payload))
+	}
+	models := post(c, url, "/v1/models", "", "")
+	defer func() { _ = models.Body.Close() }()
+	var list struct{ Data []model }
+	c.Assert(json.NewDecoder(models.Body).Decode(&list), qt.IsNil)
+	c.Assert(list.Data, qt.HasLen, 1)
+}
--- a/internal/entry/generations/session.go
+++ b/internal/entry/generations/session.go
@@ -337,7 +337,7 @@
 	}
 	attempt.client = client
 	request := &wire.GenerateRequest{
-		Spec:           s.specFor(e.Version, e.Adapter),
+		Spec:           s.specFor(e),
 		Attempt:        e.Attempt,
 		AttachEpoch:    e.Epoch,
 		PrefixTokenIds: e.PrefixIDs,
@@ -356,14 +356,15 @@
 	}()
 }
 
-// specFor returns a copy of the generation's specification for one version.
-func (s *session) specFor(version, adapter string) *wire.GenerationSpec {
+// specFor returns the generation's specification for one attempt.
+func (s *session) specFor(e stream.StartAttempt) *wire.GenerationSpec {
 	return &wire.GenerationSpec{
 		Generation:     s.spec.GetGeneration(),
 		Service:        s.spec.GetService(),
 		Model:          s.spec.GetModel(),
-		Version:        version,
-		Adapter:        adapter,
+		Version:        e.Version,
+		Adapter:        e.Adapter,
+		PrefixTokens:   uint64(len(e.PrefixIDs)),
 		Prompt:         s.spec.GetPrompt(),
 		PromptTokenIds: s.spec.GetPromptTokenIds(),
 		Sampling:       s.spec.GetSampling(),
