--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -484,7 +484,7 @@
 		m.ran = true
 	}
 	outcome := placement.Outcome{Failed: true, TargetDied: msg.TargetDied}
-	if msg.Code == result.Preempted || msg.Code == result.Leaving {
+	if refused(msg.Code) {
 		outcome = placement.Outcome{Cancelled: true}
 	}
 	if endsGeneration(msg.Code) {
@@ -496,6 +496,12 @@
 	m.lose(a, msg.Code.String(), msg.Code, outcome, CancelNone)
 }
 
+// refused reports that the agent turned the attempt away or took its slot back,
+// which is no evidence against the target or its version.
+func refused(code result.Code) bool {
+	return code == result.Preempted || (code.Class() == result.ClassNotRun && code != result.TargetUnreachable)
+}
+
 // endsGeneration lists the codes of an agent after which another target would not help.
 func endsGeneration(code result.Code) bool {
 	switch code {
@@ -559,7 +565,8 @@
 		return
 	}
 	if m.request != nil {
-		m.request.speculative = false
+		// Its wait was short: without a target, the next request waits in full.
+		m.request.speculative, m.request.excluded = false, true
 		return
 	}
 	if m.barren <= 1 {
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -168,6 +168,17 @@
 	b.c.Assert(finishes[0].Code, qt.Equals, result.Overloaded)
 }
 
+// Guards against a generation that ends because the short wait for a speculative
+// target expired just after the only attempt failed.
+func TestSpeculativeRequestOutlivesFailedAttempt(t *testing.T) {
+	b := newBench(t, Options{})
+	b.assign(1, "a", "v1")
+	b.c.Assert(effectsOf[RequestTarget](b.pass(time.Second)), qt.HasLen, 1)
+	effects := b.step(PlaceFailed{Request: 2, Code: result.NoTarget})
+	b.c.Assert(effectsOf[Finish](effects), qt.HasLen, 0)
+	b.c.Assert(effectsOf[RequestTarget](effects)[0].Wait, qt.Equals, firstPlaceWait)
+}
+
 // Guards against a superseded entry that cancels the attempt of its successor, and
 // against a disconnected caller whose generation is cancelled before it can resume.
 func TestEndsThatLeaveTheLogAttachable(t *testing.T) {
--- a/internal/entry/generations/fake_test.go
+++ b/internal/entry/generations/fake_test.go
@@ -66,6 +66,8 @@
 	outcomes []placement.Outcome
 	deaths   []string
 	open     int
+	placed   int
+	dialed   []string
 	version  string
 }
 
@@ -199,6 +201,7 @@
 			continue
 		}
 		f.open++
+		f.placed++
 		return &router.Assignment{Decision: placement.Decision{Target: target, Version: f.version}, Done: f.done}, nil
 	}
 	return nil, result.New(result.NoTarget, "no target")
@@ -235,6 +238,9 @@
 		Snapshot:      func() *membership.Snapshot { return &membership.Snapshot{Targets: f.targets} },
 		Router:        f,
 		Agent: func(address string) (wire.AgentClient, error) {
+			f.mu.Lock()
+			f.dialed = append(f.dialed, address)
+			f.mu.Unlock()
 			conn, err := f.pool.Conn(address)
 			return wire.NewAgentClient(conn), err
 		},
