Serve the thin full path as separate processes

Purpose: caller, entry, agent, model engine and application engine in one frame, with the demo, the load command, trace replay and end-to-end tests.

TestGenerationSurvivesEngineKill kills the serving engine process halfway and was seen failing with disable_resume = true: the caller received TARGET_DIED (2008) after 60 of 120 tokens. With resumption it receives all tokens once.

Ruled out for the first demo failure: the entry, not the client, refused the request, because a settings struct built in code had no body limit; the entry now applies the documented default itself.

--- a/cmd/bramleygap/main.go
+++ b/cmd/bramleygap/main.go
@@ -7,9 +7,33 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"bramleygap/internal/demo"
+	"bramleygap/internal/load"
+	"bramleygap/internal/operator"
 )
 
-type commandLine struct{}
+type commandLine struct {
+	Entry   entryCommand   `cmd:"" help:"Run an entry: terminate callers' HTTP and route requests to agents."`
+	Agent   agentCommand   `cmd:"" help:"Run an agent beside one target."`
+	Check   checkCommand   `cmd:"" help:"Validate settings files and operator configurations."`
+	Apply   applyCommand   `cmd:"" help:"Submit an operator configuration and wait until it is in force."`
+	Status  statusCommand  `cmd:"" help:"Show services, versions, members and targets."`
+	Drain   drainCommand   `cmd:"" help:"Stop new work on a VM."`
+	Version versionCommand `cmd:"" help:"Start, withdraw or show versions."`
+	Load    load.Command   `cmd:"" help:"Replay a trace against running entries and report the measures."`
+	Demo    demo.Command   `cmd:"" help:"Run all roles and stand-ins on loopback and kill an engine during a generation."`
+	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in of the platform, a model engine or an application engine."`
+}
+
+// Aliases keep the command line in one place.
+type (
+	checkCommand   = operator.CheckCommand
+	applyCommand   = operator.ApplyCommand
+	statusCommand  = operator.StatusCommand
+	drainCommand   = operator.DrainCommand
+	versionCommand = operator.VersionCommand
+)
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,240 @@
+// Package client is a small client of the callers' HTTP interface: streamed
+// completions with a check that they are whole, and calls to plain services.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	maxEventBytes = 1 << 20
+	maxErrorBytes = 64 << 10
+	doneMarker    = "[DONE]"
+)
+
+// Client sends requests to one entry or balancer.
+type Client struct {
+	// BaseURL has no trailing slash.
+	BaseURL string
+	// Key is the bearer key of the client account.
+	Key string
+	// HTTP is the underlying client; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// CompletionRequest is the body of POST /v1/completions.
+type CompletionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Seed      uint64 `json:"seed,omitempty"`
+	Stream    bool   `json:"stream"`
+}
+
+// Failure is an error response or an error event.
+type Failure struct {
+	Status  int    `json:"-"`
+	Code    uint32 `json:"code"`
+	Type    string `json:"type"`
+	Class   string `json:"class"`
+	Message string `json:"message"`
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s (%d, %s): %s", f.Type, f.Code, f.Class, f.Message)
+}
+
+// Summary is the extension object of the final chunk.
+type Summary struct {
+	Generation string `json:"generation"`
+	Tokens     int    `json:"tokens"`
+	// Checksum is the CRC-32C over all token ids, 4 bytes big endian each.
+	Checksum uint32 `json:"checksum"`
+}
+
+// Completion is what has been received of one generation, over one or more connections.
+type Completion struct {
+	Text strings.Builder
+	// LastID is the id of the last event, to be sent as Last-Event-ID.
+	LastID       string
+	FinishReason string
+	Summary      Summary
+	// Chunks counts the chunks with text; a chunk holds one or more tokens.
+	Chunks int
+	// Done is set when the terminal marker arrived after the final chunk.
+	Done bool
+	// FirstToken is the time from the request to the first text.
+	FirstToken time.Duration
+	// LongestGap is the longest time between two chunks with text.
+	LongestGap time.Duration
+
+	lastText time.Time
+}
+
+// Whole reports whether the generation ended with its terminal event.
+func (c *Completion) Whole() bool { return c.Done && c.FinishReason != "" }
+
+// Tokens returns the number of tokens received, from the index in the last event id.
+func (c *Completion) Tokens() int {
+	dot := strings.LastIndexByte(c.LastID, '.')
+	index, err := strconv.Atoi(c.LastID[dot+1:])
+	if err != nil {
+		return 0
+	}
+	return index + 1
+}
+
+type chunk struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Bramleygap *Summary `json:"bramleygap"`
+	Error      *Failure `json:"error"`
+}
+
+// Complete streams a completion into got. If got has a LastID, the generation goes on
+// after it. onChunk, if not nil, is called after each chunk and ends the reading by
+// returning false. Errors are *Failure for refusals and error events, else of the transport.
+func (c *Client) Complete(ctx context.Context, request CompletionRequest, got *Completion, onChunk func(*Completion) bool) error {
+	request.Stream = true
+	raw, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	response, err := c.do(ctx, http.MethodPost, "/v1/completions", raw, http.Header{"Last-Event-Id": optional(got.LastID)})
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return readFailure(response)
+	}
+	return got.read(response.Body, started, onChunk)
+}
+
+// Call sends one request to a plain service; key is the idempotency key, empty for none.
+// It returns the status and body of the application, or a *Failure of the system.
+func (c *Client) Call(ctx context.Context, method, service, path string, body []byte, key string) (int, []byte, error) {
+	response, err := c.do(ctx, method, "/"+service+path, body, http.Header{"Idempotency-Key": optional(key)})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	if response.Header.Get("Bramleygap-Code") != "" {
+		return response.StatusCode, nil, readFailure(response)
+	}
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, answer, err
+}
+
+func optional(value string) []string {
+	if value == "" {
+		return nil
+	}
+	return []string{value}
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.BaseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		if len(values) > 0 {
+			request.Header[name] = values
+		}
+	}
+	// The entry answers repeats of a key, but a resend by the transport would hide that one happened.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	if c.HTTP != nil {
+		return c.HTTP.Do(request)
+	}
+	return http.DefaultClient.Do(request)
+}
+
+func readFailure(response *http.Response) error {
+	raw, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	var body chunk
+	if err := json.Unmarshal(raw, &body); err != nil || body.Error == nil {
+		return fmt.Errorf("status %d: %s", response.StatusCode, raw)
+	}
+	body.Error.Status = response.StatusCode
+	return body.Error
+}
+
+// read consumes server-sent events until the stream ends.
+func (c *Completion) read(r io.Reader, started time.Time, onChunk func(*Completion) bool) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxEventBytes)
+	id := ""
+	for lines.Scan() {
+		line := lines.Text()
+		if value, ok := strings.CutPrefix(line, "id: "); ok {
+			id = value
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == doneMarker {
+			c.Done = true
+			continue
+		}
+		var received chunk
+		if err := json.Unmarshal([]byte(data), &received); err != nil {
+			return fmt.Errorf("malformed chunk %q: %w", data, err)
+		}
+		if received.Error != nil {
+			return received.Error
+		}
+		c.add(received, id, started)
+		if onChunk != nil && !onChunk(c) {
+			return nil
+		}
+	}
+	return lines.Err()
+}
+
+func (c *Completion) add(received chunk, id string, started time.Time) {
+	if id != "" {
+		c.LastID = id
+	}
+	for _, choice := range received.Choices {
+		c.addText(choice.Text, started)
+		if choice.FinishReason != nil {
+			c.FinishReason = *choice.FinishReason
+		}
+	}
+	if received.Bramleygap != nil {
+		c.Summary = *received.Bramleygap
+	}
+}
+
+func (c *Completion) addText(text string, started time.Time) {
+	if text == "" {
+		return
+	}
+	now := time.Now()
+	if c.Chunks == 0 {
+		c.FirstToken = now.Sub(started)
+	} else {
+		c.LongestGap = max(c.LongestGap, now.Sub(c.lastText))
+	}
+	c.lastText = now
+	c.Chunks++
+	c.Text.WriteString(text)
+}
--- /dev/null
+++ b/internal/e2e/resume_test.go
@@ -0,0 +1,135 @@
+package e2e
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/client"
+	"bramleygap/internal/load"
+)
+
+const (
+	seed      = 4242
+	maxTokens = 120
+)
+
+// startSmall starts the platform, one application engine, the given number of model
+// engines spread over zones, an agent beside each, and one entry for each name.
+func startSmall(t *testing.T, engines int, entryExtra string, entries ...string) *installation {
+	in := newInstallation(t)
+	in.startPlatform()
+	for i := range engines {
+		name := fmt.Sprintf("engine%d", i)
+		in.startEngine(name, engineOptions{version: "v1"})
+		in.startAgent("agent-"+name, name, fmt.Sprintf("zone%d", i%3), "model", "letters", "v1")
+	}
+	in.startApp("app0")
+	in.startAgent("agent-app0", "app0", "zone0", "application", "counter")
+	for i, name := range entries {
+		in.startEntry(name, fmt.Sprintf("zone%d", i%3), entryExtra)
+	}
+	in.apply(entries[0], in.operatorsText())
+	for _, name := range entries {
+		in.waitFor(name, "http://"+in.address[name+"-admin"]+"/readyz")
+	}
+	in.eventually("every target is ready", func() bool {
+		output, err := in.run("status", "--entry", in.address[entries[0]+"-peer"], "--json")
+		return err == nil && strings.Count(strings.ReplaceAll(output, " ", ""), `"ready":true`) >= engines+1
+	})
+	return in
+}
+
+func (in *installation) operatorsText() string {
+	return fmt.Sprintf(operators, keyHash("clerk-key"), keyHash("planner-key"))
+}
+
+func keyHash(key string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(key))) }
+
+// apply retries until the entry accepts, since it may still be starting.
+func (in *installation) apply(entry, text string) {
+	in.t.Helper()
+	path := in.writeFile("operators.toml", text)
+	in.eventually("operator configuration applied", func() bool {
+		output, err := in.run("apply", "--entry", in.address[entry+"-peer"], "--timeout", "1s", path)
+		if err != nil {
+			in.t.Logf("apply: %v %s", err, output)
+		}
+		return err == nil || strings.Contains(output, "accepted")
+	})
+}
+
+// servingAgent returns the name of the agent that an event id points to.
+func (in *installation) servingAgent(eventID string) string {
+	in.t.Helper()
+	address := load.ServingAgent(eventID)
+	for name, known := range in.address {
+		if known == address && strings.HasPrefix(name, "agent-") {
+			return name
+		}
+	}
+	in.t.Fatalf("no agent has address %q of event id %q", address, eventID)
+	return ""
+}
+
+// Guards against a lost, repeated or mixed token when the serving engine dies halfway.
+func TestGenerationSurvivesEngineKill(t *testing.T) {
+	in := startSmall(t, 2, "", "entry0")
+	request := completion(readPrompt(t))
+	var got client.Completion
+	killed := false
+	err := in.caller("entry0").Complete(t.Context(), request, &got, func(received *client.Completion) bool {
+		if !killed && received.Tokens() >= maxTokens/2 {
+			killed = true
+			in.processes[strings.TrimPrefix(in.servingAgent(received.LastID), "agent-")].kill()
+			in.checkStatusCall("entry0")
+		}
+		return true
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, killed, qt.IsTrue)
+	in.assertWhole(&got, "v1", request)
+}
+
+// checkStatusCall asserts that a read of the application engine succeeds.
+func (in *installation) checkStatusCall(entry string) {
+	in.t.Helper()
+	status, body, err := in.caller(entry).Call(in.t.Context(), http.MethodGet, "counter", "/status/17", nil, "")
+	qt.Assert(in.t, err, qt.IsNil)
+	qt.Assert(in.t, status, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+}
+
+// Guards against unclear refusals: each wrong request gets its numbered code.
+func TestRefusals(t *testing.T) {
+	in := startSmall(t, 1, "max_body_bytes = 4096", "entry0")
+	cases := []struct {
+		name, path, key, body, code string
+	}{
+		{"unknown service", "/v1/completions", "clerk-key", `{"model":"poems","prompt":"x"}`, "1004"},
+		{"malformed body", "/v1/completions", "clerk-key", `{"model":`, "1001"},
+		{"oversized body", "/v1/completions", "clerk-key", `{"model":"letters","prompt":"` + strings.Repeat("x", 5000) + `"}`, "1002"},
+		{"unknown key", "/v1/completions", "nobody", `{"model":"letters","prompt":"x"}`, "1003"},
+		{"once-call without key", "/counter/permits", "clerk-key", `{}`, "1006"},
+		{"unknown route", "/counter/other", "clerk-key", `{}`, "1018"},
+		{"unknown plain service", "/parking/x", "clerk-key", `{}`, "1004"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			request, err := http.NewRequest(http.MethodPost, "http://"+in.address["entry0"]+test.path, bytes.NewReader([]byte(test.body)))
+			qt.Assert(t, err, qt.IsNil)
+			request.Header.Set("Authorization", "Bearer "+test.key)
+			response, err := http.DefaultClient.Do(request)
+			qt.Assert(t, err, qt.IsNil)
+			defer response.Body.Close()
+			raw, _ := io.ReadAll(response.Body)
+			qt.Assert(t, response.Header.Get("Bramleygap-Code"), qt.Equals, test.code, qt.Commentf("%s", raw))
+			qt.Assert(t, strings.Contains(string(raw), `"class":"not-run"`), qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/internal/e2e/stream_test.go
@@ -0,0 +1,106 @@
+package e2e
+
+import (
+	"bytes"
+	"hash/crc32"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/client"
+	"bramleygap/internal/engineapi"
+	"bramleygap/internal/standin/engine"
+)
+
+// operators is the operator configuration of the tests: keys are "clerk-key" and "planner-key".
+const operators = `
+note = "end-to-end test"
+
+[[member]]
+name = "otaru"
+share = 60
+
+[[member]]
+name = "guests"
+share = 40
+
+[[account]]
+name = "clerks"
+member = "otaru"
+key_sha256 = "%s"
+
+[[account]]
+name = "planners"
+member = "guests"
+key_sha256 = "%s"
+
+[[target_class]]
+name = "engines"
+honours_fencing = true
+
+[[service]]
+name = "letters"
+kind = "model"
+model = "letters"
+target_class = "engines"
+depends_on = ["counter"]
+
+[[service.version]]
+name = "v1"
+share = 100
+
+[[service]]
+name = "counter"
+kind = "application"
+
+[[service.route]]
+method = "POST"
+path = "/permits"
+once = true
+
+[[service.route]]
+method = "POST"
+path = "/orders"
+once = true
+
+[[service.route]]
+method = "GET"
+path = "/status/*"
+`
+
+// caller returns a client of an entry with the key of the clerks' account.
+func (in *installation) caller(entry string) *client.Client {
+	return &client.Client{BaseURL: "http://" + in.address[entry], Key: "clerk-key"}
+}
+
+func completion(prompt string) client.CompletionRequest {
+	return client.CompletionRequest{Model: "letters", Prompt: prompt, MaxTokens: maxTokens, Seed: seed}
+}
+
+// assertWhole checks that the caller received exactly the generation that the engine
+// produces for these inputs, with its terminal event.
+func (in *installation) assertWhole(got *client.Completion, version string, request client.CompletionRequest) {
+	in.t.Helper()
+	c := qt.New(in.t)
+	c.Assert(got.Whole(), qt.IsTrue, qt.Commentf("no terminal event after %q", tail(got.Text.String(), 80)))
+	tokens, finish := engine.ExpectedTokens(engineapi.GenerateRequest{
+		Model: "letters", Version: version, Prompt: request.Prompt, Seed: request.Seed, MaxTokens: uint32(request.MaxTokens),
+	})
+	c.Assert(got.FinishReason, qt.Equals, finish)
+	var text, ids bytes.Buffer
+	for _, token := range tokens {
+		text.Write(token.Bytes)
+		ids.Write([]byte{byte(token.ID >> 24), byte(token.ID >> 16), byte(token.ID >> 8), byte(token.ID)})
+	}
+	c.Assert(got.Text.String(), qt.Equals, strings.ToValidUTF8(text.String(), "\uFFFD"))
+	c.Assert(got.Summary.Tokens, qt.Equals, len(tokens))
+	c.Assert(got.Summary.Checksum, qt.Equals, crc32.Checksum(ids.Bytes(), crc32.MakeTable(crc32.Castagnoli)))
+}
+
+func readPrompt(t *testing.T) string {
+	raw, err := os.ReadFile("testdata/prompt.txt")
+	qt.Assert(t, err, qt.IsNil)
+	return string(raw)
+}
--- /dev/null
+++ b/internal/entry/views.go
@@ -0,0 +1,17 @@
+package entry
+
+import (
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/membership"
+)
+
+// The parts refer to each other through these methods, since the cluster manager is
+// built last and feeds the others.
+
+func (e *entry) config() *adoption.Adopted { return e.cluster.Config() }
+
+func (e *entry) snapshot() *membership.Snapshot { return e.cluster.Snapshot() }
+
+func (e *entry) withdrawn(service, version string) bool {
+	return e.cluster.Withdrawn(service, version)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,9 @@
 // operator configuration.
 package settings
 
+// DefaultMaxBodyBytes bounds a caller's request body unless the settings say otherwise.
+const DefaultMaxBodyBytes = 4 << 20
+
 // Entry holds the settings of an entry.
 type Entry struct {
 	// Name identifies the VM; unique in the installation.
