--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -191,6 +191,30 @@
 	b.c.Assert(effectsOf[EndAttempt](effects)[0].Cancel, qt.Equals, CancelLater)
 }
 
+// Guards against a log that is continued although it is complete or too short, and
+// against attempt numbers that an earlier entry may have used.
+func TestAttachedLog(t *testing.T) {
+	c := qt.New(t)
+	ids := []uint32{1, 2, 3}
+	log := AttachedLog{Attempt: 2, Epoch: 3, Version: "v1", IDs: ids, Bytes: make([][]byte, 3), From: 2}
+	effects := New(Options{}).Step(epochStart, log)
+	c.Assert(effectsOf[Deliver](effects)[0].IDs, qt.DeepEquals, ids[2:])
+	c.Assert(effectsOf[RequestTarget](effects)[0].Version, qt.Equals, "v1")
+	m := New(Options{})
+	m.Step(epochStart, log)
+	start := effectsOf[StartAttempt](m.Step(epochStart, Assigned{Request: 1, Target: "b", Version: "v1"}))
+	c.Assert(start[0].PrefixIDs, qt.DeepEquals, ids)
+	c.Assert(start[0].Attempt, qt.Equals, uint32(3*attemptBlock+1))
+
+	log.End = &Finished{Reason: "stop", Tokens: 3, Checksum: Checksum(0, ids)}
+	effects = New(Options{}).Step(epochStart, log)
+	c.Assert(effectsOf[Finish](effects)[0].Code, qt.Equals, result.OK)
+	c.Assert(effectsOf[RequestTarget](effects), qt.HasLen, 0)
+	log.From = 4
+	effects = New(Options{}).Step(epochStart, log)
+	c.Assert(effectsOf[Finish](effects)[0].Code, qt.Equals, result.ResumeLost)
+}
+
 const worldTokens = 8 // length of every generation in the property test
 
 // world is a network that loses, repeats and reorders the messages of all attempts.
--- a/internal/entry/generations/session.go
+++ b/internal/entry/generations/session.go
@@ -13,6 +13,7 @@
 	"bramleygap/internal/core/stream"
 	"bramleygap/internal/entry/caller"
 	"bramleygap/internal/entry/router"
+	"bramleygap/internal/opconfig"
 	"bramleygap/internal/result"
 	"bramleygap/internal/wire"
 )
@@ -267,22 +268,21 @@
 	if service == nil {
 		return nil
 	}
-	share := -1.0
-	adapter := ""
-	for _, v := range service.Versions {
+	var chosen *opconfig.Version
+	for i := range service.Versions {
+		v := &service.Versions[i]
 		if version == v.Name {
-			return s.h.options.PromptBlocks(service.Model, v.Name, v.Adapter, s.spec.GetPrompt())
+			chosen = v
+			break
 		}
-		if v.Share > share {
-			share, adapter = v.Share, v.Adapter
+		if version == "" && (chosen == nil || v.Share > chosen.Share) {
+			chosen = v
 		}
 	}
-	for _, v := range service.Versions {
-		if version == "" && v.Share == share {
-			return s.h.options.PromptBlocks(service.Model, v.Name, adapter, s.spec.GetPrompt())
-		}
+	if chosen == nil {
+		return nil
 	}
-	return nil
+	return s.h.options.PromptBlocks(service.Model, chosen.Name, chosen.Adapter, s.spec.GetPrompt())
 }
 
 func (s *session) onAnswer(answer placed) stream.Message {
