--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"bramleygap/internal/engineapi"
 	"bramleygap/internal/entry/caller"
 	"bramleygap/internal/entry/calls"
 	"bramleygap/internal/entry/cluster"
@@ -127,6 +128,7 @@
 		Snapshot:      e.snapshot,
 		Router:        e.router,
 		Agent:         e.agent,
+		PromptBlocks:  engineapi.PromptBlocks,
 		EntryName:     s.Name,
 		Refusals:      refusals,
 		Registerer:    e.options.Registry,
