--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -190,13 +190,20 @@
 			return
 		}
 	}
-	if v := reflect.ValueOf(value); v.Type() == target.Type() {
+	if v := reflect.ValueOf(value); v.Type() == target.Type() && !localTime(value) {
 		target.Set(v)
 		return
 	}
 	d.Add(path, "has the wrong type; write %s", describe(target.Type()))
 }
 
+// localTime reports whether the value is a time without a zone, which would mean
+// different instants on VMs with different time zones.
+func localTime(value any) bool {
+	t, ok := value.(time.Time)
+	return ok && strings.HasSuffix(t.Location().String(), "-local")
+}
+
 func (d *Document) decodeText(value any, target encoding.TextUnmarshaler, path string) {
 	text, ok := value.(string)
 	if !ok {
