--- a/internal/entry/cluster/apply.go
+++ b/internal/entry/cluster/apply.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/opconfig"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/result"
@@ -64,6 +65,13 @@
 	if request.GetDryRun() {
 		return response, nil
 	}
+	// A table that lost newer revisions, for example by a restore, would accept a
+	// change that no node adopts.
+	if newest := inForce(m.Config()); current.revision < newest.revision {
+		return response, result.New(result.StoreUnavailable,
+			"the table has revision %d, but the newer revision %d is in force on this entry; nothing was changed, repeat the command or restore the table",
+			current.revision, newest.revision)
+	}
 	if request.GetBaseRevision() != current.revision {
 		return response, conflict(response, current, request.GetBaseRevision())
 	}
@@ -106,12 +114,20 @@
 		err = &result.Error{Code: result.StoreUnavailable, Message: "the table service cannot be read, nothing was changed: " + err.Error(), Cause: err}
 	}
 	if config := m.Config(); dryRun && config != nil {
-		row := configRow{change: change{ChangeID: config.ChangeID, Operator: config.Operator}, Text: config.Text}
-		return stored{row: row, revision: config.Revision}, nil
+		return inForce(config), nil
 	}
 	return stored{}, err
 }
 
+// inForce returns an adopted configuration, which may be nil, as a stored one.
+func inForce(config *adoption.Adopted) stored {
+	if config == nil {
+		return stored{}
+	}
+	row := configRow{change: change{ChangeID: config.ChangeID, Operator: config.Operator}, Text: config.Text}
+	return stored{row: row, revision: config.Revision}
+}
+
 // conflict fills in the winner and returns the error.
 func conflict(response *wire.ApplyResponse, current stored, base uint64) error {
 	response.Revision = current.revision
--- a/internal/entry/cluster/manager.go
+++ b/internal/entry/cluster/manager.go
@@ -79,8 +79,10 @@
 	pushAll   chan struct{}
 	pushSome  chan struct{}
 	writeRows chan struct{}
-	stopped   chan struct{}
-	tasks     sync.WaitGroup
+	// wakeAgents makes the watch tasks send their state at once.
+	wakeAgents chan struct{}
+	stopped    chan struct{}
+	tasks      sync.WaitGroup
 }
 
 // New returns a Manager; Run starts its tasks.
@@ -89,15 +91,16 @@
 		options.Readiness = obs.NewReadiness("")
 	}
 	m := &Manager{
-		options:   options,
-		pool:      rpc.NewPool(),
-		metrics:   newMetrics(options.Registerer),
-		withdrawn: newWithdrawnSet(),
-		requests:  make(chan func(*state)),
-		pushAll:   make(chan struct{}, 1),
-		pushSome:  make(chan struct{}, 1),
-		writeRows: make(chan struct{}, 1),
-		stopped:   make(chan struct{}),
+		options:    options,
+		pool:       rpc.NewPool(),
+		metrics:    newMetrics(options.Registerer),
+		withdrawn:  newWithdrawnSet(),
+		requests:   make(chan func(*state)),
+		pushAll:    make(chan struct{}, 1),
+		pushSome:   make(chan struct{}, 1),
+		writeRows:  make(chan struct{}, 1),
+		wakeAgents: make(chan struct{}, 1),
+		stopped:    make(chan struct{}),
 	}
 	m.snapshot.Store(&membership.Snapshot{})
 	m.nodes.Store(&[]Node{})
@@ -130,6 +133,8 @@
 			return
 		case request := <-m.requests:
 			request(s)
+		case <-m.wakeAgents:
+			s.notifyWatchers()
 		case <-ticker.C:
 			s.tick(time.Now())
 		}
@@ -201,7 +206,7 @@
 	m.metrics.withdrawn.Set(float64(m.withdrawn.size()))
 	signal(m.pushAll)
 	signal(m.writeRows)
-	m.notifyAgents()
+	signal(m.wakeAgents)
 }
 
 // Withdrawn reports whether a version is withdrawn.
@@ -217,13 +222,7 @@
 	m.metrics.withdrawn.Set(float64(m.withdrawn.size()))
 	signal(m.pushSome)
 	signal(m.writeRows)
-	m.notifyAgents()
-}
-
-// notifyAgents makes the watch tasks send their state at once. It does not wait for
-// the owner task, so that parts may call Withdraw.
-func (m *Manager) notifyAgents() {
-	go func() { _ = m.do(context.Background(), func(s *state) { s.notifyWatchers() }) }()
+	signal(m.wakeAgents)
 }
 
 // signal wakes the reader of a channel with capacity 1; pending signals coalesce.
--- a/internal/entry/cluster/operator.go
+++ b/internal/entry/cluster/operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 
 	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/platform"
@@ -42,7 +43,7 @@
 func (s *state) fillStatus(response *wire.StatusResponse) {
 	m := s.manager
 	response.Missing = s.missing(adoption.RevisionOf(m.Config()))
-	response.Targets = s.view.States()
+	response.Targets = s.targetStates()
 	for _, node := range m.Nodes() {
 		response.Nodes = append(response.Nodes, ackOf(node, 0))
 	}
@@ -67,6 +68,18 @@
 	}
 }
 
+// targetStates returns the agents' reports with the leaving flag as this entry's
+// placement sees it, which includes retired and drained VMs.
+func (s *state) targetStates() []*wire.AgentState {
+	var states []*wire.AgentState
+	for _, target := range s.manager.Snapshot().Targets {
+		report := proto.CloneOf(s.view.State(target.Name))
+		report.Leaving = target.Leaving
+		states = append(states, report)
+	}
+	return states
+}
+
 // Drain implements wire.OperatorServer.
 func (o *operatorServer) Drain(ctx context.Context, request *wire.DrainRequest) (*wire.DrainResponse, error) {
 	running, err := o.manager.drain(ctx, request.GetVm(), request.GetUndo())
