--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -19,6 +19,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	// The binary under test is built from these; without the imports the test cache
+	// would return results of an older binary.
+	_ "bramleygap/internal/demo"
+	_ "bramleygap/internal/operator"
 )
 
 // hangLimit ends a test that makes no progress; it decides no verdict otherwise.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,6 +169,7 @@
 	group, tasks := errgroup.WithContext(tasks)
 	group.Go(func() error { return ignoreCancel(e.cluster.Run(tasks)) })
 	group.Go(func() error { return ignoreCancel(e.router.Run(tasks)) })
+	group.Go(func() error { e.calls.RunSweep(tasks); return nil })
 	group.Go(func() error {
 		return obs.ServeAdmin(tasks, e.options.Settings.AdminListen, obs.AdminHandler(e.options.Registry, e.readiness))
 	})
@@ -206,6 +207,10 @@
 		e.options.Logger.Error().Err(err).Msg("graceful shutdown cut off requests")
 		return
 	}
+	if err := errors.Join(e.generations.Drain(limit), e.calls.Drain(limit)); err != nil {
+		e.options.Logger.Error().Err(err).Msg("graceful shutdown left work unfinished")
+		return
+	}
 	e.options.Logger.Info().Msg("graceful shutdown finished")
 }
 
