Keep copies for each attempt; report a drained VM as leaving

Two attempts of a race can have the same replica. With one copy for each generation the later attempt's copy replaced the one of the attempt that won, so FetchLog names the attempt it prefers and the entry asks for the latest one where that copy ends too early. ReplicaFor of the stream package replaces the agent's own rendezvous hashing.

Entries list drained VMs in EntryState.leaving_vms; nothing read it yet.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -134,7 +134,9 @@
 	leaving   bool
 	adopted   adoption.Adopted
 	// entries maps each watching entry to the number of its streams.
-	entries    map[string]int
+	entries map[string]int
+	// drainedBy are the watching entries that list this VM as drained.
+	drainedBy  map[string]bool
 	withdrawn  map[versionKey]*wire.WithdrawnVersion
 	agents     []*wire.AgentAddress
 	fence      uint64
@@ -224,6 +226,7 @@
 		shares:      share.New(share.DefaultParams, defaultSlots),
 		changed:     make(chan struct{}),
 		entries:     make(map[string]int),
+		drainedBy:   make(map[string]bool),
 		withdrawn:   make(map[versionKey]*wire.WithdrawnVersion),
 		links:       make(map[string]*replicaLink),
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -267,6 +267,44 @@
 	c.Assert(refused.failed.GetCode(), qt.Equals, uint32(result.TargetUnreachable))
 }
 
+// Guards against a replaced engine process that passes for the old one because it answers
+// the probe after the crash, and against an agent that does not recover with its engine.
+func TestReplacedEngineIsADeath(t *testing.T) {
+	c := qt.New(t)
+	r := startRig(c, engine.Options{}, nil)
+	stream := r.generate(r.context(), &wire.GenerateRequest{Spec: generationSpec("g6-0", 1_000_000)})
+	got := new(transcript).read(c, stream, 0, 3)
+	watch := r.watch(&wire.EntryState{Entry: "e1"})
+	a := newAgent(Options{Settings: settings.Agent{TargetKind: kindModel}, Logger: zerolog.Nop()}, "x", "y")
+	a.engineAnswered(time.Now(), engineapi.Health{Instance: "old"})
+	a.engineAnswered(time.Now(), engineapi.Health{Instance: "new"})
+	c.Assert(a.target.deaths, qt.HasLen, 1)
+	c.Assert(a.target.ready(), qt.IsTrue)
+	r.engine.SetFaults(engine.Faults{Crash: true})
+	c.Assert(got.read(c, stream, 0, -1).failed.GetTargetDied(), qt.IsTrue)
+	r.engine, _ = startEngine(c, engine.Options{}, r.target)
+	await(c, watch, func(s *wire.AgentState) bool { return s.GetReady() && len(s.GetDeaths()) == 1 })
+	again := new(transcript).read(c, r.generate(r.context(), &wire.GenerateRequest{Spec: generationSpec("g6-1", 5)}), 0, -1)
+	c.Assert(again.finished, qt.IsNotNil)
+}
+
+// Guards against a drained VM that takes new work (I7), and against a drain that one
+// entry's older state ends.
+func TestDrainedVMRefusesWork(t *testing.T) {
+	c := qt.New(t)
+	a := newAgent(Options{Settings: settings.Agent{TargetKind: kindModel, VM: "vm1"}, Logger: zerolog.Nop()}, "x", "y")
+	a.learn(time.Now(), &wire.EntryState{Entry: "e1", LeavingVms: []string{"vm1"}})
+	a.learn(time.Now(), &wire.EntryState{Entry: "e2"})
+	c.Assert(a.refusal(&wire.GenerateRequest{Spec: generationSpec("g", 1), Attempt: 1}).Code, qt.Equals, result.UnknownService)
+	a.options.Settings.Service = "letters"
+	c.Assert(a.refusal(&wire.GenerateRequest{Spec: generationSpec("g", 1), Attempt: 1}).Code, qt.Equals, result.Leaving)
+	state, _ := a.nextState()
+	c.Assert(state.GetLeaving(), qt.IsTrue)
+	a.learn(time.Now(), &wire.EntryState{Entry: "e1"})
+	state, _ = a.nextState()
+	c.Assert(state.GetLeaving(), qt.IsFalse)
+}
+
 // Guards against a broken stream of a live engine that counts as a crash, which would
 // turn its requests into suspects.
 func TestBrokenStreamIsNoDeath(t *testing.T) {
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -108,7 +108,7 @@
 		return result.New(result.MalformedRequest, "prefix ids and bytes differ in number")
 	case a.options.Settings.TargetKind != kindModel || s.GetService() != a.options.Settings.Service:
 		return result.New(result.UnknownService, "this agent does not serve %q", s.GetService())
-	case a.leaving:
+	case a.refusesWork():
 		return result.New(result.Leaving, "the agent is leaving")
 	case !a.target.up:
 		return result.New(result.TargetUnreachable, "the engine does not run")
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -11,8 +11,9 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
-	"bramleygap/internal/core/rendezvous"
+	"bramleygap/internal/core/stream"
 	"bramleygap/internal/core/tokenlog"
+	"bramleygap/internal/result"
 	"bramleygap/internal/wire"
 )
 
@@ -70,7 +71,7 @@
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
 		}
-		replica, found := rendezvous.Choose(generation, candidates, a.options.Settings.Zone)
+		replica, found := stream.ReplicaFor(generation, a.options.Settings.Zone, candidates)
 		if !found {
 			continue
 		}
@@ -101,11 +102,11 @@
 }
 
 // replicaCandidates requires a.mu.
-func (a *Agent) replicaCandidates() []rendezvous.Candidate {
-	candidates := make([]rendezvous.Candidate, 0, len(a.agents))
+func (a *Agent) replicaCandidates() []stream.Agent {
+	candidates := make([]stream.Agent, 0, len(a.agents))
 	for _, agent := range a.agents {
 		if agent.GetAddress() != a.address {
-			candidates = append(candidates, rendezvous.Candidate{Address: agent.GetAddress(), Zone: agent.GetZone()})
+			candidates = append(candidates, stream.Agent{Address: agent.GetAddress(), Zone: agent.GetZone()})
 		}
 	}
 	return candidates
@@ -125,6 +126,10 @@
 func replicaRecord(t *attempt) *wire.LogRecord {
 	tokens := t.log.Read(t.replicated)
 	end := t.log.End()
+	if end != nil && end.Code != 0 && end.Code != uint32(result.TargetDied) && end.Code != uint32(result.GenerationFailed) {
+		// An entry ended the attempt and goes on with another one.
+		return nil
+	}
 	finished := end != nil && end.Code == 0 && !t.endReplicated
 	if len(tokens) == 0 && !finished {
 		return nil
@@ -291,7 +296,7 @@
 	defer a.mu.Unlock()
 	next, err := a.store.Replicate(time.Now(), record)
 	switch {
-	case errors.Is(err, tokenlog.ErrSuperseded), errors.Is(err, tokenlog.ErrEnded):
+	case errors.Is(err, tokenlog.ErrEnded):
 		// Nothing of this attempt is wanted any more.
 		return record.First + uint64(len(record.Tokens)), nil
 	case err != nil:
@@ -300,15 +305,12 @@
 	return next, nil
 }
 
-// FetchLog implements wire.AgentServer. Of an own log and a copy, the one of the later
-// attempt counts, then the longer one.
+// FetchLog implements wire.AgentServer. The own log or the copy of the wanted attempt
+// counts; without one, the log that changed last.
 func (a *Agent) FetchLog(_ context.Context, request *wire.FetchLogRequest) (*wire.FetchLogResponse, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	log, second := a.store.Own(request.GetGeneration()), a.store.Copy(request.GetGeneration())
-	if log == nil || (second != nil && newer(second, log)) {
-		log = second
-	}
+	log := a.store.Find(request.GetGeneration(), request.GetAttempt())
 	if log == nil {
 		return &wire.FetchLogResponse{}, nil
 	}
@@ -321,10 +323,3 @@
 	}
 	return response, nil
 }
-
-func newer(a, b *tokenlog.Log[spec]) bool {
-	if a.Attempt != b.Attempt {
-		return a.Attempt > b.Attempt
-	}
-	return a.Next() > b.Next()
-}
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -85,6 +85,7 @@
 	w.agent.entries[w.entry]--
 	if w.agent.entries[w.entry] <= 0 {
 		delete(w.agent.entries, w.entry)
+		delete(w.agent.drainedBy, w.entry)
 	}
 }
 
@@ -96,6 +97,7 @@
 		a.fence = state.GetHighestFence()
 	}
 	a.fenceKnown = true
+	a.learnDrain(state)
 	a.mergeWithdrawn(state.GetWithdrawn())
 	if len(state.GetAgents()) > 0 {
 		a.agents = state.GetAgents()
@@ -118,6 +120,24 @@
 	a.adopt(now, state.GetConfigRevision(), state.GetConfigText())
 }
 
+// refusesWork requires a.mu. It reports whether the process stops or its VM is drained.
+func (a *Agent) refusesWork() bool { return a.leaving || len(a.drainedBy) > 0 }
+
+// learnDrain requires a.mu. The VM is drained while any watching entry says so, since an
+// entry that just started may not have read the list yet.
+func (a *Agent) learnDrain(state *wire.EntryState) {
+	before := a.refusesWork()
+	if slices.Contains(state.GetLeavingVms(), a.options.Settings.VM) {
+		a.drainedBy[state.GetEntry()] = true
+	} else {
+		delete(a.drainedBy, state.GetEntry())
+	}
+	if before != a.refusesWork() {
+		a.logger.Info().Bool("drained", !before).Msg("drain changed")
+		a.notify()
+	}
+}
+
 // mergeWithdrawn requires a.mu. The set only grows.
 func (a *Agent) mergeWithdrawn(versions []*wire.WithdrawnVersion) {
 	for _, version := range versions {
@@ -162,8 +182,8 @@
 		Sequence:       a.sequence,
 		Kind:           wire.TargetKind_TARGET_KIND_APPLICATION,
 		Service:        a.options.Settings.Service,
-		Ready:          a.target.ready() && !a.leaving,
-		Leaving:        a.leaving,
+		Ready:          a.target.ready() && !a.refusesWork(),
+		Leaving:        a.refusesWork(),
 		ConfigRevision: a.adopted.Revision,
 		HighestFence:   a.fence,
 		Entries:        slices.Sorted(maps.Keys(a.entries)),
--- a/internal/core/tokenlog/store.go
+++ b/internal/core/tokenlog/store.go
@@ -13,17 +13,24 @@
 // DefaultLimits keep an agent under the 64 MB that a node may use for control.
 var DefaultLimits = Limits{Bytes: 32 << 20, Retention: 120 * time.Second}
 
+// copyKey names a copy. Copies are kept for each attempt, since the two attempts of a
+// race may have the same replica and either may win.
+type copyKey struct {
+	generation string
+	attempt    uint32
+}
+
 // Store holds the logs of one agent. It is not safe for concurrent use.
 type Store[S any] struct {
 	limits Limits
 	own    map[string]*Log[S]
-	copies map[string]*Log[S]
+	copies map[copyKey]*Log[S]
 	bytes  int
 }
 
 // NewStore returns an empty store.
 func NewStore[S any](limits Limits) *Store[S] {
-	return &Store[S]{limits: limits, own: make(map[string]*Log[S]), copies: make(map[string]*Log[S])}
+	return &Store[S]{limits: limits, own: make(map[string]*Log[S]), copies: make(map[copyKey]*Log[S])}
 }
 
 // Bytes returns the estimated memory in use.
@@ -32,8 +39,27 @@
 // Own returns the agent's own log of a generation, or nil.
 func (s *Store[S]) Own(generation string) *Log[S] { return s.own[generation] }
 
-// Copy returns the second copy of another agent's log, or nil.
-func (s *Store[S]) Copy(generation string) *Log[S] { return s.copies[generation] }
+// Find returns the own log or copy of the attempt; without one, the log of the
+// generation that changed last, or nil.
+func (s *Store[S]) Find(generation string, attempt uint32) *Log[S] {
+	best := s.own[generation]
+	for key, log := range s.copies {
+		if key.generation == generation && (best == nil || better(log, best, attempt)) {
+			best = log
+		}
+	}
+	return best
+}
+
+func better[S any](a, b *Log[S], attempt uint32) bool {
+	switch {
+	case (a.Attempt == attempt) != (b.Attempt == attempt):
+		return a.Attempt == attempt
+	case !a.touched.Equal(b.touched):
+		return a.touched.After(b.touched)
+	}
+	return a.Attempt > b.Attempt
+}
 
 // Logs returns the agent's own logs in no particular order.
 func (s *Store[S]) Logs() []*Log[S] {
@@ -82,7 +108,9 @@
 	if !s.makeRoom(log.size) {
 		return nil, ErrFull
 	}
-	s.drop(s.own, begin.Generation)
+	if previous = s.own[begin.Generation]; previous != nil {
+		s.drop(previous)
+	}
 	s.own[begin.Generation] = log
 	s.bytes += log.size
 	return log, nil
@@ -107,7 +135,7 @@
 
 // grow counts added bytes, unless the log is no longer in the store.
 func (s *Store[S]) grow(log *Log[S], added int) {
-	if s.own[log.Generation] != log && s.copies[log.Generation] != log {
+	if s.own[log.Generation] != log && s.copies[copyKey{log.Generation, log.Attempt}] != log {
 		return
 	}
 	s.bytes += added
@@ -154,18 +182,15 @@
 }
 
 // Replicate takes in a record and returns the next index wanted of this attempt; a
-// sender rewinds when it is lower than what it sent. Records of earlier attempts are
-// refused, so that a copy never mixes two attempts.
+// sender rewinds when it is lower than what it sent. Attempts have separate copies, so
+// that a copy never mixes two.
 func (s *Store[S]) Replicate(now time.Time, record Record[S]) (uint64, error) {
-	log := s.copies[record.Generation]
-	if log != nil && record.Attempt < log.Attempt {
-		return 0, ErrSuperseded
-	}
-	if log == nil || record.Attempt > log.Attempt {
+	key := copyKey{record.Generation, record.Attempt}
+	log := s.copies[key]
+	if log == nil {
 		if record.Spec == nil || record.First != 0 {
 			return 0, nil
 		}
-		s.drop(s.copies, record.Generation)
 		log = newLog(now, Begin[S]{
 			Generation: record.Generation, Attempt: record.Attempt, Epoch: record.Epoch,
 			Spec: *record.Spec, SpecBytes: record.SpecBytes,
@@ -173,7 +198,7 @@
 		if !s.makeRoom(log.size) {
 			return 0, ErrFull
 		}
-		s.copies[record.Generation] = log
+		s.copies[key] = log
 		s.bytes += log.size
 	}
 	log.epoch = max(log.epoch, record.Epoch)
@@ -195,15 +220,15 @@
 // Expire drops logs and copies whose retention has passed and returns how many.
 func (s *Store[S]) Expire(now time.Time) int {
 	dropped := 0
-	for generation, log := range s.own {
+	for _, log := range s.own {
 		if log.end != nil && now.Sub(log.touched) >= s.limits.Retention {
-			s.drop(s.own, generation)
+			s.drop(log)
 			dropped++
 		}
 	}
-	for generation, log := range s.copies {
+	for _, log := range s.copies {
 		if now.Sub(log.touched) >= s.limits.Retention {
-			s.drop(s.copies, generation)
+			s.drop(log)
 			dropped++
 		}
 	}
@@ -214,39 +239,43 @@
 // then copies that still grow. Running logs of its own are never evicted.
 func (s *Store[S]) makeRoom(wanted int) bool {
 	for s.bytes+wanted > s.limits.Bytes {
-		from, victim := s.oldest(func(log *Log[S]) bool { return log.end != nil })
-		if victim == nil {
-			from, victim = s.copies, s.oldestIn(s.copies, func(*Log[S]) bool { return true })
-		}
+		victim := s.oldest()
 		if victim == nil {
 			return false
 		}
-		s.drop(from, victim.Generation)
+		s.drop(victim)
 	}
 	return true
 }
 
-func (s *Store[S]) oldest(eligible func(*Log[S]) bool) (map[string]*Log[S], *Log[S]) {
-	own, held := s.oldestIn(s.own, eligible), s.oldestIn(s.copies, eligible)
-	if own == nil || (held != nil && held.touched.Before(own.touched)) {
-		return s.copies, held
-	}
-	return s.own, own
-}
-
-func (s *Store[S]) oldestIn(logs map[string]*Log[S], eligible func(*Log[S]) bool) *Log[S] {
-	var oldest *Log[S]
-	for _, log := range logs {
-		if eligible(log) && (oldest == nil || log.touched.Before(oldest.touched)) {
-			oldest = log
+func (s *Store[S]) oldest() *Log[S] {
+	var ended, growing *Log[S]
+	consider := func(log *Log[S], own bool) {
+		switch {
+		case log.end != nil && (ended == nil || log.touched.Before(ended.touched)):
+			ended = log
+		case log.end == nil && !own && (growing == nil || log.touched.Before(growing.touched)):
+			growing = log
 		}
 	}
-	return oldest
+	for _, log := range s.own {
+		consider(log, true)
+	}
+	for _, log := range s.copies {
+		consider(log, false)
+	}
+	if ended != nil {
+		return ended
+	}
+	return growing
 }
 
-func (s *Store[S]) drop(from map[string]*Log[S], generation string) {
-	if log := from[generation]; log != nil {
-		s.bytes -= log.size
-		delete(from, generation)
+func (s *Store[S]) drop(log *Log[S]) {
+	s.bytes -= log.size
+	key := copyKey{log.Generation, log.Attempt}
+	if s.copies[key] == log {
+		delete(s.copies, key)
+		return
 	}
+	delete(s.own, log.Generation)
 }
--- a/internal/core/tokenlog/tokenlog_test.go
+++ b/internal/core/tokenlog/tokenlog_test.go
@@ -127,6 +127,23 @@
 	c.Assert(store.Own("2"), qt.IsNotNil)
 }
 
+// Guards against a copy of a cancelled attempt that hides the copy of the attempt that
+// won a race between two.
+func TestFindPrefersWantedThenLatestAttempt(t *testing.T) {
+	c := qt.New(t)
+	store := NewStore[string](DefaultLimits)
+	for second, attempt := range []uint32{1, 2, 1} {
+		_, err := store.Replicate(start.Add(time.Duration(second)*time.Second), Record[string]{
+			Generation: "g", Attempt: attempt, Spec: new(string), First: uint64(second / 2), Tokens: []Token{{ID: attempt}},
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(store.Find("g", 0).Attempt, qt.Equals, uint32(1))
+	c.Assert(store.Find("g", 0).Next(), qt.Equals, uint64(2))
+	c.Assert(store.Find("g", 2).Attempt, qt.Equals, uint32(2))
+	c.Assert(store.Find("other", 0) == nil, qt.IsTrue)
+}
+
 // Guards against another definition of the checksum than the callers': CRC-32C over
 // 4 bytes big endian for each id.
 func TestChecksum(t *testing.T) {
--- a/internal/entry/generations/resume.go
+++ b/internal/entry/generations/resume.go
@@ -204,23 +204,33 @@
 	return ranked[:min(len(ranked), fetchAgents)]
 }
 
-// fetchFrom returns an agent's copy, or nil if it has none that reaches the index.
+// fetchFrom returns an agent's copy, or nil if it has none that reaches the index. The
+// copy of the attempt in the event id may end before the index while that of a later
+// attempt, which began with the delivered tokens, does not.
 func (h *Handler) fetchFrom(ctx context.Context, address string, id stream.EventID) *wire.FetchLogResponse {
 	client, err := h.options.Agent(address)
 	if err != nil {
 		return nil
 	}
-	found, err := client.FetchLog(ctx, &wire.FetchLogRequest{Generation: id.Generation})
-	if err != nil || !found.GetFound() || found.GetSpec().GetGeneration() != id.Generation {
-		return nil
-	}
-	if !holdsDelivered(found.GetAttempt(), found.GetSpec(), id) {
-		return nil
-	}
-	if uint64(len(found.GetIds())) <= id.Index || len(found.GetBytes()) != len(found.GetIds()) {
-		return nil
+	for _, attempt := range []uint32{id.Attempt, latestAttempt} {
+		found, err := client.FetchLog(ctx, &wire.FetchLogRequest{Generation: id.Generation, Attempt: attempt})
+		if err != nil || !found.GetFound() {
+			return nil
+		}
+		if usableCopy(found, id) {
+			return found
+		}
 	}
-	return found
+	return nil
+}
+
+// latestAttempt asks for the log of a generation that changed last.
+const latestAttempt = 0
+
+func usableCopy(found *wire.FetchLogResponse, id stream.EventID) bool {
+	return found.GetSpec().GetGeneration() == id.Generation &&
+		holdsDelivered(found.GetAttempt(), found.GetSpec(), id) &&
+		uint64(len(found.GetIds())) > id.Index && len(found.GetBytes()) == len(found.GetIds())
 }
 
 func logOfCopy(c *wire.FetchLogResponse, epoch uint64, id stream.EventID) *stream.AttachedLog {
