--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -459,6 +459,37 @@
 	}
 }
 
+// Guards against a copy that stays incomplete after the replica lost its state.
+func TestReplicaRestartGetsWholeLog(t *testing.T) {
+	c := qt.New(t)
+	a := newAgent(Options{Settings: settings.Agent{TargetKind: kindModel}, Logger: zerolog.Nop()}, "x", "y")
+	now := time.Now()
+	log, err := a.store.Start(now, tokenlog.Begin[spec]{Generation: "g", Attempt: 1, Spec: generationSpec("g", 9)})
+	c.Assert(err, qt.IsNil)
+	t1 := &attempt{log: log, replica: "r"}
+	send := func(replica *Agent) {
+		record := replicaRecord(t1)
+		next, err := replica.takeRecord(record)
+		c.Assert(err, qt.IsNil)
+		acknowledge("r", pendingRecord{t1, record}, &wire.LogAck{NextIndex: next})
+	}
+	fresh := func() *Agent {
+		return newAgent(Options{Settings: settings.Agent{TargetKind: kindModel}, Logger: zerolog.Nop()}, "r", "y")
+	}
+	before, after := fresh(), fresh()
+	c.Assert(a.store.Append(now, log, 0, tokenlog.Token{ID: 5}), qt.IsNil)
+	send(before)
+	c.Assert(a.store.Append(now, log, 1, tokenlog.Token{ID: 6}), qt.IsNil)
+	c.Assert(a.store.Finish(now, log, tokenlog.End{Tokens: 2}), qt.IsNil)
+	send(after)
+	c.Assert(t1.endReplicated, qt.IsFalse)
+	send(after)
+	c.Assert(after.store.Find("g", 1).Next(), qt.Equals, uint64(2))
+	c.Assert(after.store.Find("g", 1).End(), qt.IsNotNil)
+	c.Assert(t1.endReplicated, qt.IsTrue)
+	c.Assert(replicaRecord(t1) == nil, qt.IsTrue)
+}
+
 // Guards against two members of which one keeps all slots: the attempt of the member
 // over its share ends with PREEMPTED, the waiting one runs.
 func TestMemberBelowShareIsAdmittedByPreemption(t *testing.T) {
