Let operator commands move on from a stopping entry

A request that met a stopping entry failed with an unspecified gRPC code, on which the commands do not ask the next entry. Test entries now register their metrics, so that a duplicate or invalid metric name fails.

--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -69,6 +69,7 @@
 func listen(t *testing.T) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.New(t).Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
 	return listener
 }
 
@@ -86,6 +87,7 @@
 		Table:       table,
 		VMs:         vms,
 		Logger:      zerolog.New(io.Discard),
+		Registerer:  obs.NewRegistry(),
 		Readiness:   obs.NewReadiness("starting"),
 	})
 	p := serve(t, listener, manager.RegisterServers, func(ctx context.Context) { _ = manager.Run(ctx) })
--- a/internal/entry/cluster/manager.go
+++ b/internal/entry/cluster/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -11,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/core/membership"
@@ -33,7 +34,8 @@
 	jitterFraction = 0.2
 )
 
-var errStopped = errors.New("cluster manager stopped")
+// errStopped makes operator commands ask the next entry.
+var errStopped = status.Error(codes.Unavailable, "the entry is stopping")
 
 // VersionReporter reports the rollouts for Status; the rollout logic implements it.
 type VersionReporter interface {
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -125,7 +125,7 @@
 		status, err := getStatus(ctx, options)
 		missing := missingFrom(status, revision)
 		if err == nil && status.GetConfigRevision() >= revision && len(missing) == 0 {
-			_, _ = fmt.Fprintf(w, "in force on all %d live nodes\n", len(status.GetNodes()))
+			_, _ = fmt.Fprintf(w, "in force on all live nodes (%d)\n", len(status.GetNodes()))
 			return nil
 		}
 		if !time.Now().Before(deadline) || ctx.Err() != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -75,7 +75,7 @@
 	c.Assert(out.String(), qt.Matches, `(?s)difference to revision 0:\n.*  member m share: \+ 50\n.*`)
 	out.Reset()
 	c.Assert(Apply(ctx, ann, Change{File: write(t, text), ID: "one"}, &out), qt.IsNil)
-	c.Assert(out.String(), qt.Matches, `(?s)difference to revision 0:\n.*change one based on revision 0\naccepted as revision 1\nin force on all 1 live nodes\n`)
+	c.Assert(out.String(), qt.Matches, `(?s)difference to revision 0:\n.*change one based on revision 0\naccepted as revision 1\nin force on all live nodes \(1\)\n`)
 
 	bob := ann
 	bob.Operator = "bob"
