Add evidence, rollout decisions and the rollouts task

Bad versions must lose their traffic without the table service, and good ones must advance only under a lease: the decisions are pure, the task around them polls the row and writes it by compare-and-set.

--- /dev/null
+++ b/internal/core/rollout/decide.go
@@ -0,0 +1,200 @@
+package rollout
+
+import (
+	"time"
+
+	"bramleygap/internal/core/evidence"
+)
+
+const (
+	// LeaseTime is how long an owner may act after a write. It bounds how long a rollout
+	// rests when its owner crashes.
+	LeaseTime = 10 * time.Second
+	// renewAfter leaves several attempts to renew before the lease ends.
+	renewAfter = 3 * time.Second
+	// leaseMargin is kept from the end of the lease, for clocks that differ.
+	leaseMargin = 1 * time.Second
+	// maxRowAge is the age from which a row is too old to advance from.
+	maxRowAge = 3 * time.Second
+	// minStepTime lets results of a step arrive before the next one.
+	minStepTime = 10 * time.Second
+	// maxStepTime bounds the observation of a step that passes.
+	maxStepTime = 5 * time.Minute
+	// stepPart is the part of the time per step that a passing step is observed for.
+	stepPart = 0.25
+	// decideBefore is how long before the deadline the owner decides: a takeover of the
+	// lease and a few polls of the row fit between.
+	decideBefore = 20 * time.Second
+	// finishMargin is the time before the deadline from which a rollout is not completed
+	// any more: entries that have not read "done" by the deadline withdraw the version.
+	finishMargin = 3 * time.Second
+	// maxUnjudgedStep is the highest step (20%) that is reached by pace alone, to gather
+	// evidence where traffic is low.
+	maxUnjudgedStep = 3
+)
+
+// Owner identifies an entry that may hold the lease.
+type Owner struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Input is what an entry knows about one rollout.
+type Input struct {
+	Now time.Time
+	Row Row
+	// ReadAt is when the row was read from the table.
+	ReadAt time.Time
+	Self   Owner
+	// Withdrawn is set if the version is in the set of withdrawn versions.
+	Withdrawn bool
+	Verdict   evidence.Verdict
+	// Loaded is set if enough targets have the version for the next step.
+	Loaded bool
+}
+
+// Output is what the entry does next.
+type Output struct {
+	// Withdraw, if not empty, is the reason for adding the version to the set of
+	// withdrawn versions. It needs neither the lease nor the table.
+	Withdraw string
+	// Put, if not nil, replaces the row by compare-and-set on the revision read.
+	Put *Row
+}
+
+// Decide returns the next action. A row that was written since it was read makes the
+// compare-and-set fail, so an owner that was paused cannot act on it.
+func Decide(in *Input) Output {
+	switch in.Row.State {
+	case Running:
+		return decideRunning(in)
+	case Done:
+		return decideDone(in)
+	}
+	if in.Row.State == Withdrawn && !in.Withdrawn {
+		return Output{Withdraw: in.Row.Reason}
+	}
+	return Output{}
+}
+
+func decideRunning(in *Input) Output {
+	if in.Withdrawn {
+		return Output{Put: ended(in, Withdrawn, "withdrawn")}
+	}
+	if in.Verdict.Withdraw {
+		return Output{Withdraw: in.Verdict.Reason, Put: ended(in, Withdrawn, in.Verdict.Reason)}
+	}
+	if !in.Now.Before(at(in.Row.Deadline)) {
+		const reason = "not complete at the deadline"
+		return Output{Withdraw: reason, Put: ended(in, Withdrawn, reason)}
+	}
+	if in.Now.Sub(in.ReadAt) > maxRowAge {
+		return Output{}
+	}
+	if !in.holdsLease() {
+		return Output{Put: in.acquire()}
+	}
+	if row := in.advance(); row != nil {
+		row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+		return Output{Put: row}
+	}
+	if at(in.Row.LeaseUntil).Sub(in.Now) < LeaseTime-renewAfter {
+		row := in.Row
+		row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+		return Output{Put: &row}
+	}
+	return Output{}
+}
+
+func decideDone(in *Input) Output {
+	if in.Withdrawn {
+		return Output{Put: ended(in, Withdrawn, "withdrawn after completion")}
+	}
+	if in.Verdict.Withdraw && in.Now.Before(KeepsPreviousUntil(&in.Row)) {
+		return Output{Withdraw: in.Verdict.Reason, Put: ended(in, Withdrawn, in.Verdict.Reason)}
+	}
+	return Output{}
+}
+
+// KeepsPreviousUntil returns until when the previous version of a completed rollout
+// stays loaded and takes the traffic back if the new one turns bad.
+func KeepsPreviousUntil(r *Row) time.Time {
+	return at(r.Ended).Add(time.Duration(r.KeepPrevious) * time.Millisecond)
+}
+
+func ended(in *Input, state State, reason string) *Row {
+	row := in.Row
+	row.State, row.Reason, row.Ended = state, reason, in.Now.UnixMilli()
+	return &row
+}
+
+// HoldsLease reports whether the owner may act on the row at the given time.
+func HoldsLease(r *Row, self Owner, now time.Time) bool {
+	return r.Owner == self.Name && r.Incarnation == self.Incarnation &&
+		now.Before(at(r.LeaseUntil).Add(-leaseMargin))
+}
+
+func (in *Input) holdsLease() bool { return HoldsLease(&in.Row, in.Self, in.Now) }
+
+// acquire takes a lease that has ended, with the next fencing number.
+func (in *Input) acquire() *Row {
+	if in.Now.Before(at(in.Row.LeaseUntil).Add(leaseMargin)) && in.Row.Owner != in.Self.Name {
+		return nil
+	}
+	row := in.Row
+	row.Owner, row.Incarnation = in.Self.Name, in.Self.Incarnation
+	row.Fence++
+	row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+	return &row
+}
+
+// advance returns the row of the next step, or nil if the step goes on.
+func (in *Input) advance() *Row {
+	last := len(steps) - 1
+	left := at(in.Row.Deadline).Sub(in.Now)
+	if left <= decideBefore {
+		return in.decideAtDeadline(left)
+	}
+	if !in.Loaded {
+		return nil
+	}
+	if in.Row.Step == 0 {
+		return in.step()
+	}
+	onStep := in.Now.Sub(at(in.Row.StepSince))
+	perStep := max(minStepTime, (left+onStep-decideBefore)/time.Duration(last-in.Row.Step+1))
+	observe := min(maxStepTime, max(minStepTime, time.Duration(stepPart*float64(perStep))))
+	switch {
+	case in.Row.Step == last && in.Verdict.StepPassed && in.Verdict.Passed && onStep >= observe:
+		return ended(in, Done, "")
+	case in.Row.Step == last:
+		return nil
+	case in.Verdict.StepPassed && onStep >= observe:
+		return in.step()
+	case onStep >= perStep && !in.Verdict.Leaning && in.Row.Step < maxUnjudgedStep:
+		return in.step()
+	}
+	return nil
+}
+
+// decideAtDeadline completes a version shown to be good. Others are left to be withdrawn
+// at the deadline, unless the operator wants an unjudged version to finish.
+func (in *Input) decideAtDeadline(left time.Duration) *Row {
+	if left <= finishMargin || !in.Loaded {
+		return nil
+	}
+	if in.Verdict.Passed {
+		return ended(in, Done, "")
+	}
+	if in.Row.OnTooLittle == Finish && !in.Verdict.Leaning {
+		return ended(in, Done, "too little traffic to judge")
+	}
+	return nil
+}
+
+func (in *Input) step() *Row {
+	row := in.Row
+	row.Step++
+	row.StepSince = in.Now.UnixMilli()
+	return &row
+}
--- /dev/null
+++ b/internal/entry/rollouts/manager.go
@@ -0,0 +1,309 @@
+// Package rollouts runs the rollouts of new versions on one entry: it polls the rollout
+// rows, counts outcomes, advances with the lease and halts without it.
+package rollouts
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/evidence"
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/rollout"
+	"bramleygap/internal/opconfig"
+	"bramleygap/internal/platform"
+	"bramleygap/internal/result"
+	"bramleygap/internal/wire"
+)
+
+const (
+	pollInterval = time.Second
+	tickInterval = 500 * time.Millisecond
+	// storeTimeout bounds one operation of the table service.
+	storeTimeout = 3 * time.Second
+	// orderTimeout bounds one order; loading a version takes tens of seconds.
+	orderTimeout = time.Minute
+	mailboxSize  = 8192
+	maxRows      = 1000
+)
+
+// Options configures a Manager.
+type Options struct {
+	EntryName   string
+	Zone        string
+	Incarnation uint64
+	// Config returns the adopted operator configuration; nil means none yet.
+	Config func() *adoption.Adopted
+	// Snapshot returns the current membership view; nil means none yet.
+	Snapshot func() *membership.Snapshot
+	Table    platform.Table
+	// Agent returns a client of the agent at host:port.
+	Agent func(address string) (wire.AgentClient, error)
+	// Withdraw adds a version to the set of withdrawn versions and tells the other
+	// entries. It must not block.
+	Withdraw func(service, version, reason string)
+	// Withdrawn reports whether a version is in the set.
+	Withdrawn  func(service, version string) bool
+	Registerer prometheus.Registerer
+	Logger     zerolog.Logger
+}
+
+// view is what Split reads: the sorted rows of each service.
+type view map[string][]rollout.Row
+
+// Manager implements the router's split, cluster.Part and the version status.
+type Manager struct {
+	options  Options
+	mailbox  chan func(*state)
+	done     chan struct{}
+	view     atomic.Pointer[view]
+	exported atomic.Pointer[[]*wire.EvidenceCounter]
+	status   atomic.Pointer[[]*wire.VersionStatus]
+	metrics  *metrics
+}
+
+// New returns a Manager; its Run must be called once.
+func New(options Options) *Manager {
+	return &Manager{
+		options: options,
+		mailbox: make(chan func(*state), mailboxSize),
+		done:    make(chan struct{}),
+		metrics: newMetrics(options.Registerer),
+	}
+}
+
+// Run polls, evaluates and acts until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	defer close(m.done)
+	s := newState(m, ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	s.tick(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-m.mailbox:
+			message(s)
+		case <-ticker.C:
+			s.tick(time.Now())
+		}
+	}
+}
+
+// Split chooses the version of a new request by the rows of its service; empty leaves the
+// choice to the configured shares. Entries with the same rows choose alike for a seed.
+// The split is by service; the route does not change it.
+func (m *Manager) Split(service, _ string, seed uint64) string {
+	v := m.view.Load()
+	if v == nil {
+		return ""
+	}
+	return rollout.Split((*v)[service], m.withdrawnIn(service), seed)
+}
+
+func (m *Manager) withdrawnIn(service string) func(string) bool {
+	return func(version string) bool { return m.options.Withdrawn(service, version) }
+}
+
+// Observe counts the outcome of a request. It does not block.
+func (m *Manager) Observe(service, version, route, zone string, loadLevel int, outcome placement.Outcome, suspectAboard bool) {
+	if outcome.Cancelled {
+		return
+	}
+	key := evidence.Key{Service: service, Version: version, Route: route, Zone: zone, Level: loadLevel}
+	m.offer(func(s *state) { s.observe(time.Now(), key, outcome, suspectAboard) })
+}
+
+// offer delivers a message unless the mailbox is full. Lost observations make evidence
+// slower and lost states are repeated by the next exchange.
+func (m *Manager) offer(message func(*state)) bool {
+	select {
+	case m.mailbox <- message:
+		return true
+	default:
+		m.metrics.dropped.Inc()
+		return false
+	}
+}
+
+// deliver waits for room in the mailbox; it is for results of the manager's own work.
+func (m *Manager) deliver(message func(*state)) {
+	select {
+	case m.mailbox <- message:
+	case <-m.done:
+	}
+}
+
+// Contribute implements cluster.Part with the evidence counters.
+func (m *Manager) Contribute(peer *wire.PeerState) {
+	if counters := m.exported.Load(); counters != nil {
+		peer.Evidence = append(peer.Evidence, *counters...)
+	}
+}
+
+// Merge implements cluster.Part.
+func (m *Manager) Merge(peer *wire.PeerState) {
+	if counters := peer.GetEvidence(); len(counters) > 0 {
+		m.offer(func(s *state) { s.counters.Merge(counters, s.tracked) })
+	}
+}
+
+// VersionStatus returns the state of each rollout that this entry knows.
+func (m *Manager) VersionStatus() []*wire.VersionStatus {
+	if status := m.status.Load(); status != nil {
+		return *status
+	}
+	return nil
+}
+
+// Start writes the row of a new rollout. Errors are *result.Error values: CONFLICT names
+// the operator whose rollout exists, STORE_UNAVAILABLE means that the outcome is not
+// known and the command may be repeated.
+func (m *Manager) Start(ctx context.Context, service, version string, deadline time.Time, operator string) error {
+	config := configOf(&m.options)
+	if config == nil {
+		return result.New(result.NotReady, "no operator configuration yet")
+	}
+	if config.Service(service) == nil {
+		return result.New(result.UnknownService, "service %q is not configured", service)
+	}
+	v := findVersion(config.Service(service), version)
+	if v == nil {
+		return result.New(result.UnknownVersion, "service %q has no version %q", service, version)
+	}
+	if m.options.Withdrawn(service, version) {
+		return result.New(result.Conflict, "version %q was withdrawn; a corrected one needs another name", version)
+	}
+	now := time.Now()
+	if !deadline.After(now) {
+		return result.New(result.InvalidText, "the deadline %v has passed", deadline)
+	}
+	var rows []rollout.Row
+	if known := m.view.Load(); known != nil {
+		rows = (*known)[service]
+	}
+	previous := previousVersion(config.Service(service), rows, version, m.withdrawnIn(service))
+	if previous == "" {
+		return result.New(result.UnknownVersion, "service %q has no other version to compare with", service)
+	}
+	row := newRow(service, v, previous, deadline, now)
+	row.Operator = operator
+	return m.create(ctx, row)
+}
+
+// create inserts the row; a lost response is resolved by reading back.
+func (m *Manager) create(ctx context.Context, row rollout.Row) error {
+	key := rollout.Key(row.Service, row.Version)
+	value := row.Encode()
+	res, err := m.options.Table.Commit(ctx, platform.Txn{
+		Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key, Value: value}},
+	})
+	if err == nil && res.Committed {
+		return nil
+	}
+	if errors.Is(err, platform.ErrRefused) {
+		return result.New(result.StoreUnavailable, "the table service refused the write: %v", err)
+	}
+	stored, err := m.options.Table.Get(ctx, key)
+	if err != nil {
+		return result.New(result.StoreUnavailable, "the outcome of the write is not known: %v", err)
+	}
+	if stored.Revision == 0 {
+		return result.New(result.StoreUnavailable, "the write did not take effect")
+	}
+	if bytes.Equal(stored.Value, value) {
+		return nil
+	}
+	winner, err := rollout.Parse(stored.Value)
+	if err != nil {
+		return eris.Wrapf(err, "row %s", key)
+	}
+	if winner.Started == row.Started && winner.Operator == row.Operator && winner.Deadline == row.Deadline {
+		return nil // the row was written and an owner has changed it since
+	}
+	return result.New(result.Conflict, "operator %q started version %q already", winner.Operator, row.Version)
+}
+
+func newRow(service string, v *opconfig.Version, previous string, deadline, now time.Time) rollout.Row {
+	return rollout.Row{
+		Service: service, Version: v.Name, Previous: previous, State: rollout.Running,
+		Started: now.UnixMilli(), StepSince: now.UnixMilli(), Deadline: deadline.UnixMilli(),
+		KeepPrevious: v.KeepPrevious.Milliseconds(), OnTooLittle: rollout.OnTooLittle(v.OnTooLittleTraffic),
+	}
+}
+
+func configOf(o *Options) *opconfig.Config {
+	if a := o.Config(); a != nil {
+		return a.Config
+	}
+	return nil
+}
+
+func findVersion(service *opconfig.Service, name string) *opconfig.Version {
+	for i := range service.Versions {
+		if service.Versions[i].Name == name {
+			return &service.Versions[i]
+		}
+	}
+	return nil
+}
+
+// previousVersion returns what carries the traffic now: the version that the last
+// rollout completed, or else the one with the largest configured share.
+func previousVersion(service *opconfig.Service, rows []rollout.Row, except string, withdrawn func(string) bool) string {
+	for i := len(rows) - 1; i >= 0; i-- {
+		if v := rows[i].Version; rows[i].State == rollout.Done && v != except && !withdrawn(v) {
+			return v
+		}
+	}
+	best, share := "", -1.0
+	for i := range service.Versions {
+		v := &service.Versions[i]
+		if v.Name != except && !withdrawn(v.Name) && v.Share > share {
+			best, share = v.Name, v.Share
+		}
+	}
+	return best
+}
+
+type metrics struct {
+	requests  *prometheus.CounterVec
+	withdrawn *prometheus.CounterVec
+	share     *prometheus.GaugeVec
+	writes    *prometheus.CounterVec
+	polls     *prometheus.CounterVec
+	orders    *prometheus.CounterVec
+	dropped   prometheus.Counter
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleygap_rollout_" + name, Help: help}, labels)
+	}
+	m := &metrics{
+		requests:  counter("requests_total", "Outcomes counted as evidence.", "service", "version", "outcome"),
+		withdrawn: counter("withdrawals_total", "Versions that this entry withdrew.", "service", "version"),
+		share: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_rollout_share_percent", Help: "Share of new requests as of the last row read.",
+		}, []string{"service", "version"}),
+		writes: counter("row_writes_total", "Writes of rollout rows.", "outcome"),
+		polls:  counter("polls_total", "Reads of the rollout rows.", "outcome"),
+		orders: counter("orders_total", "Orders to load a version, by result code.", "code"),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bramleygap_rollout_messages_dropped_total", Help: "Outcomes and peer states dropped because the mailbox was full.",
+		}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.requests, m.withdrawn, m.share, m.writes, m.polls, m.orders, m.dropped)
+	}
+	return m
+}
