Test evidence, rollouts and their task; keep waiting attempts from blocking others

Attempts that no target can take filled the pass over the queue and kept attempts for other targets waiting; they are now searched for once a pass. A retry of undelivered work takes another point of the split, so that a bad new version does not get all attempts of a request. Equal test statistics depended on map order; the widest group now gives the reason.

--- a/internal/core/evidence/evaluator.go
+++ b/internal/core/evidence/evaluator.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sort"
 	"time"
 )
 
@@ -250,7 +251,8 @@
 	}
 }
 
-// accumulate advances the tests by one evaluation and withdraws by the strongest one.
+// accumulate advances the tests by one evaluation and withdraws by the strongest one;
+// of equal ones the widest gives the reason.
 func (e *Evaluator) accumulate(grown map[group]*[signals]float64) {
 	floor := passBound() * floorFactor
 	for g := range grown {
@@ -258,12 +260,12 @@
 			e.bad[g] = &[signals]float64{}
 		}
 	}
-	strongest, reason := e.withdrawBound(), e.withdraw
-	for g, ratios := range grown {
+	bound, strongest, reason := e.withdrawBound(), 0.0, e.withdraw
+	for _, g := range widestFirst(grown) {
 		for s := range signals {
 			b := e.bad[g]
-			b[s] = max(floor, b[s]+ratios[s])
-			if e.withdraw == "" && b[s] >= strongest {
+			b[s] = max(floor, b[s]+grown[g][s])
+			if e.withdraw == "" && b[s] >= bound && b[s] > strongest {
 				strongest = b[s]
 				reason = fmt.Sprintf("%s of %s", s, g)
 			}
@@ -278,6 +280,20 @@
 	}
 }
 
+func widestFirst(grown map[group]*[signals]float64) []group {
+	groups := make([]group, 0, len(grown))
+	for g := range grown {
+		groups = append(groups, g)
+	}
+	sort.Slice(groups, func(i, j int) bool {
+		if groups[i].level != groups[j].level {
+			return groups[i].level < groups[j].level
+		}
+		return groups[i].route < groups[j].route
+	})
+	return groups
+}
+
 // oldRate estimates the old version's rate in a stratum, one standard error above the
 // measured one, and tells whether the old version has recent traffic there.
 func (e *Evaluator) oldRate(st stratum, s signal, overall float64) (float64, bool) {
--- /dev/null
+++ b/internal/core/evidence/evidence_test.go
@@ -0,0 +1,97 @@
+package evidence
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func all(string) bool { return true }
+
+// Guards against counts that depend on the order or the number of exchanges, and against
+// an entry overwriting its own counts by an old copy.
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sources := []*Counters{NewCounters("a", 1), NewCounters("b", 1), NewCounters("b", 2)}
+		x, y := NewCounters("x", 1), NewCounters("y", 1)
+		total := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			from := sources[rapid.IntRange(0, 2).Draw(t, "from")]
+			from.Add(Key{Service: "s", Version: "v"}, rapid.Bool().Draw(t, "failed"), false, false)
+			total++
+			x.Merge(from.Export(), all)
+		}
+		for i := range sources {
+			y.Merge(x.Export(), all)
+			y.Merge(sources[len(sources)-1-i].Export(), all)
+			sources[i].Merge(y.Export(), all)
+		}
+		if got, want := fmt.Sprint(y.Totals("s", "v")), fmt.Sprint(x.Totals("s", "v")); got != want {
+			t.Fatalf("%s and %s", got, want)
+		}
+		if got := x.Totals("s", "v")[Key{Service: "s", Version: "v"}].Requests; got != total {
+			t.Fatalf("%d requests of %d", got, total)
+		}
+	})
+}
+
+// judge feeds n requests a second of both versions for 60 s with the given failures of
+// each hundred requests.
+func judge(oldFailures, newFailures int, suspect bool) Verdict {
+	c, e := NewCounters("e", 1), NewEvaluator("s", "v2", "v1")
+	now := time.Unix(1000, 0)
+	var v Verdict
+	for i := range 600 {
+		c.Add(Key{Service: "s", Version: "v1", Zone: "a"}, i%100 < oldFailures, false, false)
+		c.Add(Key{Service: "s", Version: "v2", Zone: "a"}, (i*37)%100 < newFailures, false, suspect)
+		v = e.Evaluate(now.Add(time.Duration(i)*100*time.Millisecond), c)
+	}
+	return v
+}
+
+// Guards against judging a version by failures that the old one has as well or that came
+// beside a suspect, and against passing one that fails more.
+func TestVerdicts(t *testing.T) {
+	c := qt.New(t)
+	c.Check(judge(0, 0, false).Passed, qt.IsTrue)
+	c.Check(judge(0, 20, false).Withdraw, qt.IsTrue)
+	c.Check(judge(0, 20, false).Reason, qt.Equals, "failures of all requests")
+	c.Check(judge(0, 20, true).Withdraw, qt.IsFalse)
+	c.Check(judge(20, 20, false).Withdraw, qt.IsFalse)
+	c.Check(judge(5, 60, false).Passed, qt.IsFalse)
+}
+
+// Guards against completing a version that was never seen on a route or at a load level
+// that carries much of the traffic.
+func TestUnseenRouteIsNotPassed(t *testing.T) {
+	c := qt.New(t)
+	counters, e := NewCounters("e", 1), NewEvaluator("s", "v2", "v1")
+	var v Verdict
+	for i := range 400 {
+		counters.Add(Key{Service: "s", Version: "v1", Route: fmt.Sprint(i % 2)}, false, false, false)
+		counters.Add(Key{Service: "s", Version: "v2", Route: "0"}, false, false, false)
+		v = e.Evaluate(time.Unix(int64(i), 0), counters)
+	}
+	c.Check(v.StepPassed, qt.IsTrue)
+	c.Check(v.Passed, qt.IsFalse)
+}
+
+// Guards against calling requests slow without a reference, and against a reference that
+// is forgotten when the old version has no traffic.
+func TestBaseline(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBaseline(now)
+	c.Check(b.Slow(now, time.Hour, time.Hour), qt.IsFalse)
+	for range baselineMinimum {
+		b.Observe(now, 100*time.Millisecond, 10*time.Millisecond)
+	}
+	for _, at := range []time.Time{now, now.Add(baselineWindow), now.Add(5 * baselineWindow)} {
+		c.Check(b.Slow(at, 140*time.Millisecond, 14*time.Millisecond), qt.IsFalse)
+		c.Check(b.Slow(at, 160*time.Millisecond, 0), qt.IsTrue)
+		c.Check(b.Slow(at, 0, 16*time.Millisecond), qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/internal/core/rollout/rollout_test.go
@@ -0,0 +1,114 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/core/evidence"
+	"bramleygap/internal/core/membership"
+)
+
+var noneWithdrawn = func(string) bool { return false }
+
+// Guards against requests that get the version outside its share, and against a
+// withdrawn version that still gets requests.
+func TestSplit(t *testing.T) {
+	c := qt.New(t)
+	rows := []Row{{Service: "s", Version: "v2", Previous: "v1", State: Running, Step: 3}}
+	share := func(withdrawn func(string) bool) map[string]int {
+		got := map[string]int{}
+		for seed := range uint64(10000) {
+			got[Split(rows, withdrawn, seed)]++
+		}
+		return got
+	}
+	got := share(noneWithdrawn)
+	c.Check(got["v2"] > 1800 && got["v2"] < 2200 && got["v1"] == 10000-got["v2"], qt.IsTrue, qt.Commentf("%v", got))
+	c.Check(share(func(v string) bool { return v == "v2" }), qt.DeepEquals, map[string]int{"v1": 10000})
+	rows[0].State = Done
+	c.Check(share(noneWithdrawn), qt.DeepEquals, map[string]int{"v2": 10000})
+	c.Check(share(func(v string) bool { return v == "v2" }), qt.DeepEquals, map[string]int{"v1": 10000})
+}
+
+// Guards against an advance from an old row or without the lease, against a version left
+// between versions at its deadline, and against a halt that needs the table service.
+func TestDecide(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000_000)
+	self := Owner{"e1", 1}
+	passed := evidence.Verdict{StepPassed: true, Passed: true}
+	base := Input{
+		Now: now, ReadAt: now, Self: self, Loaded: true, Verdict: passed,
+		Row: Row{
+			State: Running, Step: 4, Owner: "e1", Incarnation: 1, Fence: 3,
+			StepSince: now.Add(-time.Hour).UnixMilli(), Deadline: now.Add(time.Hour).UnixMilli(),
+			LeaseUntil: now.Add(LeaseTime).UnixMilli(),
+		},
+	}
+	decide := func(change func(*Input)) Output {
+		in := base
+		change(&in)
+		return Decide(&in)
+	}
+	c.Check(decide(func(*Input) {}).Put.State, qt.Equals, Done)
+	c.Check(decide(func(in *Input) { in.ReadAt = now.Add(-time.Minute) }).Put, qt.IsNil)
+	c.Check(decide(func(in *Input) { in.Self.Name = "e2" }).Put, qt.IsNil, qt.Commentf("lease held by another"))
+	taken := decide(func(in *Input) { in.Self, in.Row.LeaseUntil = Owner{"e2", 1}, now.Add(-2*time.Second).UnixMilli() }).Put
+	c.Check([]any{taken.Owner, taken.Fence, taken.Step}, qt.DeepEquals, []any{"e2", uint64(4), 4})
+	restarted := decide(func(in *Input) { in.Self.Incarnation = 2 }).Put
+	c.Check([]any{restarted.Fence, restarted.State}, qt.DeepEquals, []any{uint64(4), Running})
+	c.Check(decide(func(in *Input) { in.Loaded = false }).Put, qt.IsNil)
+	halt := decide(func(in *Input) {
+		in.Verdict = evidence.Verdict{Withdraw: true, Reason: "failures"}
+		in.Self.Name, in.ReadAt = "e2", now.Add(-time.Hour)
+	})
+	c.Check(halt.Withdraw, qt.Equals, "failures")
+	c.Check(decide(func(in *Input) { in.Row.State, in.Row.Reason = Withdrawn, "by peer" }).Withdraw, qt.Equals, "by peer")
+	late := func(in *Input) { in.Now, in.ReadAt = now.Add(time.Hour), now }
+	c.Check(decide(late).Withdraw, qt.Not(qt.Equals), "")
+	c.Check(decide(func(in *Input) { late(in); in.Row.State = Done }).Withdraw, qt.Equals, "")
+	unjudged := func(in *Input) {
+		in.Verdict, in.Row.Deadline = evidence.Verdict{}, now.Add(decideBefore-time.Second).UnixMilli()
+	}
+	c.Check(decide(unjudged).Put, qt.IsNil)
+	c.Check(decide(func(in *Input) { unjudged(in); in.Row.OnTooLittle = Finish }).Put.State, qt.Equals, Done)
+	backToOld := func(in *Input) {
+		in.Verdict = evidence.Verdict{Withdraw: true, Reason: "failures"}
+		in.Row.State, in.Row.Ended = Done, now.Add(-time.Minute).UnixMilli()
+	}
+	c.Check(decide(backToOld).Withdraw, qt.Equals, "")
+	c.Check(decide(func(in *Input) { backToOld(in); in.Row.KeepPrevious = time.Hour.Milliseconds() }).Withdraw, qt.Equals, "failures")
+}
+
+// Guards against loading a version everywhere at once and against loading it in one zone.
+func TestLoadsAreStaggered(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	var targets []membership.Target
+	for i := range 20 {
+		targets = append(targets, membership.Target{Name: fmt.Sprint(i), Zone: string(zones[i%3]), Service: "s", Ready: true})
+	}
+	row := &Row{Service: "s", Version: "v2", Step: 2} // next step: 20%, 5 of 20 targets
+	ordered := map[string]time.Time{}
+	perZone := map[string]int{}
+	for round := range 3 {
+		next := NextLoads(row, targets, ordered, now)
+		c.Assert(len(next), qt.Equals, []int{2, 2, 1}[round])
+		for _, n := range next {
+			ordered[n.Name] = now
+			perZone[n.Zone]++
+		}
+		c.Assert(NextLoads(row, targets, ordered, now), qt.HasLen, 0, qt.Commentf("loads in progress"))
+		for i := range targets {
+			if _, ok := ordered[targets[i].Name]; ok {
+				targets[i].Versions = []string{"v2"}
+			}
+		}
+	}
+	c.Check(Loaded(row, targets), qt.IsTrue)
+	c.Check(NextLoads(row, targets, ordered, now), qt.HasLen, 0)
+	c.Check(len(perZone), qt.Equals, 3)
+}
--- a/internal/entry/rollouts/manager.go
+++ b/internal/entry/rollouts/manager.go
@@ -3,7 +3,6 @@
 package rollouts
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -203,9 +202,8 @@
 // create inserts the row; a lost response is resolved by reading back.
 func (m *Manager) create(ctx context.Context, row rollout.Row) error {
 	key := rollout.Key(row.Service, row.Version)
-	value := row.Encode()
 	res, err := m.options.Table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key, Value: value}},
+		Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key, Value: row.Encode()}},
 	})
 	if err == nil && res.Committed {
 		return nil
@@ -220,15 +218,12 @@
 	if stored.Revision == 0 {
 		return result.New(result.StoreUnavailable, "the write did not take effect")
 	}
-	if bytes.Equal(stored.Value, value) {
-		return nil
-	}
 	winner, err := rollout.Parse(stored.Value)
 	if err != nil {
 		return eris.Wrapf(err, "row %s", key)
 	}
 	if winner.Started == row.Started && winner.Operator == row.Operator && winner.Deadline == row.Deadline {
-		return nil // the row was written and an owner has changed it since
+		return nil // the write took effect; an owner may have changed the row since
 	}
 	return result.New(result.Conflict, "operator %q started version %q already", winner.Operator, row.Version)
 }
--- a/internal/entry/router/manager_test.go
+++ b/internal/entry/router/manager_test.go
@@ -221,3 +221,49 @@
 	held[0].Done(placement.Outcome{})
 	c.Assert(<-placed, qt.IsNil)
 }
+
+// Guards against attempts that cannot be placed keeping others from their turn.
+func TestUnplaceableAttemptsDoNotBlockQueue(t *testing.T) {
+	c := qt.New(t)
+	m := start(t, "e1", nil)
+	settled := make(chan int)
+	m.mailbox <- func(s *state) {
+		now := time.Now()
+		for id := range uint64(2 * maxSearches) {
+			s.place(now, 1<<40+id, placement.Request{Service: "letters", Version: "v9"}, make(chan reply, 1))
+		}
+		answer := make(chan reply, 1)
+		last := &pending{id: 1 << 50, request: placement.Request{Service: "permits"}, class: placement.ClassInShare, answer: answer}
+		s.enqueue(now, last, now)
+		s.drain(now)
+		settled <- len(answer)
+	}
+	c.Assert(<-settled, qt.Equals, 1)
+}
+
+// Guards against more runs of a suspect at a time than crashes are left to it.
+func TestRunsOfSuspectAreBounded(t *testing.T) {
+	c := qt.New(t)
+	m := start(t, "e1", nil)
+	m.ReportDeath("d1", []uint64{7}, "v1")
+	m.ReportDeath("d2", []uint64{7}, "v1")
+	a, err := m.Place(context.Background(), placement.Request{Service: "letters", Fingerprint: 7})
+	c.Assert(err, qt.IsNil)
+	placed := make(chan error, 1)
+	settled := make(chan int)
+	m.mailbox <- func(s *state) {
+		answer := make(chan reply, 1)
+		s.place(time.Now(), 1<<40, placement.Request{Service: "letters", Fingerprint: 7}, answer)
+		settled <- len(answer)
+		go func() { placed <- (<-answer).unpackError() }()
+	}
+	c.Assert(<-settled, qt.Equals, 0, qt.Commentf("a second run could be the fourth crash"))
+	m.ReportDeath("d3", []uint64{7}, "v1")
+	a.Done(placement.Outcome{Failed: true, TargetDied: true})
+	c.Assert(codeOf(<-placed), qt.Equals, result.CrashesTargets)
+}
+
+func (r reply) unpackError() error {
+	_, err := r.unpack()
+	return err
+}
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -24,9 +24,11 @@
 	entryMaxAge = 10 * time.Second
 	// deathWindow is the time within which failures on one target are one crash.
 	deathWindow = 2 * time.Second
-	// maxMisses ends a pass over the queue after that many attempts that found no target,
-	// so that a full pool costs a bounded amount of work each tick.
-	maxMisses = 64
+	// maxSearches ends a pass over the queue after that many searches that found no
+	// target, so that a full pool costs a bounded amount of work each pass. Attempts of a
+	// kind that found no room before are not searched for, so that they cannot keep
+	// attempts for other targets from their turn.
+	maxSearches = 256
 )
 
 type pending struct {
@@ -50,10 +52,11 @@
 	inflight   int
 }
 
-// fullKey names the targets and the class of work that found no room.
+// fullKey names a kind of work that found no target.
 type fullKey struct {
 	service, version string
 	class            placement.Class
+	suspect          bool
 }
 
 // state is owned by the task of Run.
@@ -73,7 +76,8 @@
 	lastDeath map[string]time.Time // targets, by name
 	// full holds what found no room in the current pass over the queue, so that
 	// further attempts of the kind skip the search.
-	full       map[fullKey]bool
+	full       map[fullKey]placement.Verdict
+	searches   int
 	snapshot   *membership.Snapshot
 	snapshotAt time.Time
 	exported   uint64
@@ -94,7 +98,7 @@
 		byPrint:   map[uint64][]uint64{},
 		lastSeen:  map[string]time.Time{},
 		lastDeath: map[string]time.Time{},
-		full:      map[fullKey]bool{},
+		full:      map[fullKey]placement.Verdict{},
 	}
 }
 
@@ -237,9 +241,9 @@
 	if version == "" {
 		version = s.version(r, p.id)
 	}
-	key := fullKey{r.Service, version, p.class}
-	if s.full[key] {
-		p.verdict = placement.AllFull
+	key := fullKey{r.Service, version, p.class, crashes > 0}
+	if verdict, ok := s.full[key]; ok {
+		p.verdict = verdict
 		return false
 	}
 	query := placement.Query{
@@ -252,7 +256,10 @@
 	target, verdict := s.pool.Choose(query, s.rng)
 	p.verdict = verdict
 	if verdict != placement.Chosen {
-		s.full[key] = verdict == placement.AllFull && !query.Suspect && len(r.Exclude) == 0
+		s.searches++
+		if len(r.Exclude) == 0 {
+			s.full[key] = verdict
+		}
 		return false
 	}
 	if version == "" && len(target.Versions) > 0 {
@@ -298,6 +305,11 @@
 	if seed == 0 {
 		seed = id
 	}
+	if r.Retry {
+		// Nothing was delivered, so the version may change. Another point of the split
+		// keeps a request from spending all its attempts on a new version that is bad.
+		seed = ^seed
+	}
 	if s.options.Split != nil {
 		v := s.options.Split(r.Service, r.Route, seed)
 		if v != "" && !s.withdrawn(r.Service, v) && s.pool.Count(r.Service, v) > 0 {
@@ -405,7 +417,7 @@
 	if s.queue.Len() == 0 {
 		return
 	}
-	misses := 0
+	s.searches = 0
 	clear(s.full)
 	s.queue.Drain(now, func(id uint64) (bool, bool) {
 		p := s.pending[id]
@@ -418,8 +430,7 @@
 			delete(s.pending, id)
 			return true, true
 		}
-		misses++
-		return false, misses < maxMisses
+		return false, s.searches < maxSearches
 	})
 	s.manager.metrics.waiting.Set(float64(s.queue.Len()))
 }
