--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"bramleygap/internal/entry/calls"
 	"bramleygap/internal/entry/cluster"
 	"bramleygap/internal/entry/generations"
+	"bramleygap/internal/entry/rollouts"
 	"bramleygap/internal/entry/router"
 	"bramleygap/internal/obs"
 	"bramleygap/internal/platform"
@@ -53,6 +54,7 @@
 	readiness   *obs.Readiness
 	cluster     *cluster.Manager
 	router      *router.Manager
+	rollouts    *rollouts.Manager
 	generations *generations.Handler
 	calls       *calls.Handler
 	peers       *grpc.Server
@@ -95,13 +97,28 @@
 
 func (e *entry) buildDecisions(client *platform.Client) {
 	s := e.options.Settings
+	e.rollouts = rollouts.New(rollouts.Options{
+		EntryName:   s.Name,
+		Zone:        s.Zone,
+		Incarnation: e.incarnation,
+		Config:      e.config,
+		Snapshot:    e.snapshot,
+		Table:       client,
+		Agent:       e.agent,
+		Withdraw:    e.withdraw,
+		Withdrawn:   e.withdrawn,
+		Registerer:  e.options.Registry,
+		Logger:      e.options.Logger,
+	})
 	e.router = router.New(router.Options{
 		EntryName:   s.Name,
 		Zone:        s.Zone,
 		Incarnation: e.incarnation,
 		Snapshot:    e.snapshot,
 		Config:      e.config,
+		Split:       e.rollouts.Split,
 		Withdrawn:   e.withdrawn,
+		Observe:     e.rollouts.Observe,
 		Registerer:  e.options.Registry,
 		Logger:      e.options.Logger,
 	})
@@ -110,8 +127,9 @@
 		Incarnation:    e.incarnation,
 		Table:          client,
 		VMs:            client,
-		Parts:          []cluster.Part{e.router},
+		Parts:          []cluster.Part{e.router, e.rollouts},
 		AgentObservers: []cluster.AgentObserver{e.router},
+		Versions:       e.rollouts,
 		Readiness:      e.readiness,
 		Registerer:     e.options.Registry,
 		Logger:         e.options.Logger,
@@ -169,6 +187,7 @@
 	group, tasks := errgroup.WithContext(tasks)
 	group.Go(func() error { return ignoreCancel(e.cluster.Run(tasks)) })
 	group.Go(func() error { return ignoreCancel(e.router.Run(tasks)) })
+	group.Go(func() error { return ignoreCancel(e.rollouts.Run(tasks)) })
 	group.Go(func() error { e.calls.RunSweep(tasks); return nil })
 	group.Go(func() error {
 		return obs.ServeAdmin(tasks, e.options.Settings.AdminListen, obs.AdminHandler(e.options.Registry, e.readiness))
