Test messages to agents and the exchange of parts

Seen failing: an agent's own usage counted as usage elsewhere; the text sent to an agent that has it; an answer that is not merged; a request that is not merged; parts that contribute nothing. A first form with two real entries did not notice the unmerged answer, since each also started exchanges, and was replaced by one with a peer that only answers.

--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -12,6 +12,8 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/membership"
 	"bramleygap/internal/obs"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/platform/platformtest"
@@ -80,12 +82,17 @@
 }
 
 func startEntry(t *testing.T, name string, table platform.Table, vms platform.VMList, seeds ...settings.Seed) *testEntry {
+	return startEntryWith(t, name, nil, table, vms, seeds...)
+}
+
+func startEntryWith(t *testing.T, name string, parts []Part, table platform.Table, vms platform.VMList, seeds ...settings.Seed) *testEntry {
 	listener := listen(t)
 	manager := New(Options{
 		Settings:    settings.Entry{Name: name, Zone: "a", PeerListen: listener.Addr().String(), Seeds: seeds},
 		Incarnation: uint64(time.Now().UnixNano()),
 		Table:       table,
 		VMs:         vms,
+		Parts:       parts,
 		Logger:      zerolog.New(io.Discard),
 		Registerer:  obs.NewRegistry(),
 		Readiness:   obs.NewReadiness("starting"),
@@ -385,3 +392,77 @@
 	c.Assert(s.missing(9), qt.DeepEquals, []string{"entry/self", "entry/x"})
 	c.Assert(s.entries["entry/x"].clock, qt.Equals, int64(10))
 }
+
+// Guards against an agent that corrects its weights by its own usage, and against
+// the text being sent again to an agent that has it.
+func TestEntryStateForAgent(t *testing.T) {
+	c := qt.New(t)
+	s := newState(New(Options{Settings: settings.Entry{Name: "self", PeerListen: "127.0.0.1:1"}}), context.Background(), time.Now())
+	for i, name := range []string{"t1", "t2", "t3"} {
+		s.observeAgent(membership.Report{Stream: 1, State: &wire.AgentState{
+			Target: name, Incarnation: 1, Sequence: 1, ConfigRevision: uint64(i),
+			UseHere: []*wire.MemberUse{{Member: "m", TokensPerSecond: float64(10 * (i + 1))}},
+		}})
+	}
+	s.adopt(adoption.Candidate{Revision: 2, Text: configText})
+	message := s.entryState(s.view.State("t1"))
+	c.Assert(message.UseElsewhere[0].TokensPerSecond, qt.Equals, 50.0)
+	c.Assert(message.Agents, qt.HasLen, 3)
+	c.Assert(message.ConfigText, qt.Equals, configText)
+	c.Assert(s.entryState(s.view.State("t3")).ConfigText, qt.Equals, "")
+	c.Assert(s.entryState(nil).ConfigText, qt.Equals, "")
+}
+
+// countingPart is a Part that keeps the highest sequence number it has merged.
+type countingPart struct {
+	mu     sync.Mutex
+	merged map[string]uint64
+}
+
+func (p *countingPart) Contribute(message *wire.PeerState) {
+	message.Use = append(message.Use, &wire.OriginUse{Origin: message.Entry, Sequence: 7})
+}
+
+func (p *countingPart) Merge(message *wire.PeerState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, use := range message.Use {
+		p.merged[use.Origin] = use.Sequence
+	}
+}
+
+// passivePeer answers exchanges and starts none.
+type passivePeer struct {
+	wire.UnimplementedPeerServer
+	part *countingPart
+}
+
+func (p *passivePeer) Exchange(_ context.Context, message *wire.PeerState) (*wire.PeerState, error) {
+	p.part.Merge(message)
+	answer := &wire.PeerState{Entry: "passive"}
+	p.part.Contribute(answer)
+	return answer, nil
+}
+
+// Guards against parts that are left out of the request, the answer, or the merge
+// of either.
+func TestPartsExchangeInBothDirections(t *testing.T) {
+	c := qt.New(t)
+	own, other := &countingPart{merged: make(map[string]uint64)}, &countingPart{merged: make(map[string]uint64)}
+	p := serve(t, listen(t), func(s *grpc.Server) { wire.RegisterPeerServer(s, &passivePeer{part: other}) }, func(context.Context) {})
+	e := startEntryWith(t, "e1", []Part{own}, nil, nil, settings.Seed{Address: p.address, Role: "entry"})
+	holds := func(p *countingPart, origin string) bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.merged[origin] == 7
+	}
+	until(func() bool { return holds(other, "e1") && holds(own, "passive") })
+	conn, err := e.Conn(e.address)
+	c.Assert(err, qt.IsNil)
+	request := &wire.PeerState{Entry: "caller"}
+	other.Contribute(request)
+	answer, err := wire.NewPeerClient(conn).Exchange(context.Background(), request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(holds(own, "caller"), qt.IsTrue)
+	c.Assert(answer.Use, qt.HasLen, 1)
+}
