--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,8 @@
 	ReplicateInterval time.Duration
 	// LeaveDelay is how long a leaving agent waits for entries to notice; default 1 s.
 	LeaveDelay time.Duration
+	// FlushTimeout bounds the replication of the last log records at exit; default 3 s.
+	FlushTimeout time.Duration
 }
 
 func (t Timing) withDefaults() Timing {
@@ -77,6 +79,7 @@
 	set(&t.ReplicateAfter, 2*time.Second)
 	set(&t.ReplicateInterval, 50*time.Millisecond)
 	set(&t.LeaveDelay, time.Second)
+	set(&t.FlushTimeout, 3*time.Second)
 	return t
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -410,12 +410,16 @@
 	c.Assert(a.admitOrder(request) == nil, qt.IsTrue)
 }
 
-// Guards against a planned stop that interrupts a running generation (I8) or lets new
-// work in (I7).
+// Guards against a planned stop that interrupts a running generation (I8), lets new work
+// in (I7), or takes the only log along.
 func TestLeavingFinishesRunningGenerations(t *testing.T) {
 	c := qt.New(t)
-	r := startRig(c, engine.Options{Faults: engine.Faults{SlowFactor: map[string]float64{"v1": 20}}}, nil)
-	watch := r.watch(&wire.EntryState{Entry: "e1"})
+	replica := startRig(c, engine.Options{}, func(o *Options) { o.Settings.Name, o.Settings.Zone = "a2", "z2" })
+	r := startRig(c, engine.Options{Faults: engine.Faults{SlowFactor: map[string]float64{"v1": 20}}}, func(o *Options) {
+		// Only the flush at the end replicates.
+		o.Timing.ReplicateAfter, o.Timing.FlushTimeout = time.Hour, time.Hour
+	})
+	watch := r.watch(&wire.EntryState{Entry: "e1", Agents: []*wire.AgentAddress{{Address: replica.address, Zone: "z2"}}})
 	s := generationSpec("g9", 100)
 	ids, _ := expected(s)
 	stream := r.generate(r.context(), &wire.GenerateRequest{Spec: s})
@@ -431,6 +435,10 @@
 	c.Assert(got.ids, qt.DeepEquals, ids)
 	c.Assert(got.finished, qt.IsNotNil)
 	<-r.left
+	copied, err := replica.client.FetchLog(r.context(), &wire.FetchLogRequest{Generation: "g9", Attempt: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(copied.GetIds(), qt.DeepEquals, ids)
+	c.Assert(copied.GetFinished(), qt.IsNotNil)
 }
 
 // Guards against a second copy that is missing or differs from the log, also after the
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -22,7 +22,6 @@
 	replicaTimeout = time.Second
 	// replicaBackoff is the pause after a failed batch.
 	replicaBackoff = 500 * time.Millisecond
-	flushTimeout   = 3 * time.Second
 )
 
 // replicaLink is the stream of log records to one other agent. Agent.mu guards it,
@@ -222,7 +221,7 @@
 // flushReplicas replicates all finished logs before the agent exits, so that callers
 // that lost their connection can still read the end.
 func (a *Agent) flushReplicas() {
-	deadline := time.Now().Add(flushTimeout)
+	deadline := time.Now().Add(a.timing.FlushTimeout)
 	for time.Now().Before(deadline) {
 		batches := a.dueBatches(time.Now(), 0)
 		if len(batches) == 0 && !a.linksBusy() {
