Tell a restarted agent the highest fencing number

Entries never set EntryState.highest_fence, so a restarted agent took 0 as known and obeyed any order. The field now has presence: it is absent until the entry has heard from the agent, and an agent obeys nothing before. Entries keep the highest number that each target reported over all incarnations.

Seen failing with the fence taken as known without the field, and with the entry passing on the last report instead of the highest.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"bramleygap/internal/core/tokenlog"
 	"bramleygap/internal/engineapi"
@@ -388,7 +389,7 @@
 		c.Assert(err, qt.IsNil)
 		return response
 	}
-	watch := r.watch(&wire.EntryState{Entry: "e1", HighestFence: 5})
+	watch := r.watch(&wire.EntryState{Entry: "e1", HighestFence: proto.Uint64(5)})
 	await(c, watch, func(s *wire.AgentState) bool {
 		return s.GetHighestFence() == 5 || watch.Send(&wire.EntryState{Entry: "e1"}) != nil
 	})
@@ -406,7 +407,9 @@
 	a := newAgent(Options{Settings: settings.Agent{TargetKind: kindModel}, Logger: zerolog.Nop()}, "x", "y")
 	request := &wire.OrderRequest{Fence: 3, Kind: wire.OrderKind_ORDER_KIND_LOAD}
 	c.Assert(a.admitOrder(request).Code, qt.Equals, result.NotReady)
-	a.learn(time.Now(), &wire.EntryState{HighestFence: 2})
+	a.learn(time.Now(), &wire.EntryState{Entry: "e1"})
+	c.Assert(a.admitOrder(request).Code, qt.Equals, result.NotReady)
+	a.learn(time.Now(), &wire.EntryState{HighestFence: proto.Uint64(2)})
 	c.Assert(a.admitOrder(request) == nil, qt.IsTrue)
 }
 
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -96,7 +96,7 @@
 	if state.GetHighestFence() > a.fence {
 		a.fence = state.GetHighestFence()
 	}
-	a.fenceKnown = true
+	a.fenceKnown = a.fenceKnown || state.HighestFence != nil
 	a.learnDrain(state)
 	a.mergeWithdrawn(state.GetWithdrawn())
 	if len(state.GetAgents()) > 0 {
--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -143,7 +143,7 @@
 	return &wire.AgentState{
 		Target: a.state.Target, Vm: a.state.Vm, Zone: a.state.Zone, Address: a.state.Address, Incarnation: a.state.Incarnation,
 		Sequence: a.state.Sequence, Kind: a.state.Kind, Service: a.state.Service, Versions: a.state.Versions, Ready: true,
-		Leaving: a.state.Leaving, Slots: a.state.Slots, ConfigRevision: a.state.ConfigRevision,
+		Leaving: a.state.Leaving, Slots: a.state.Slots, ConfigRevision: a.state.ConfigRevision, HighestFence: a.state.HighestFence,
 	}
 }
 
@@ -372,6 +372,23 @@
 	c.Assert(start("v9"), qt.Equals, result.UnknownVersion)
 	c.Assert(start("v1"), qt.Equals, result.OK)
 	c.Assert(second.Config().Config.Service("chat").Version("v1").Deadline.IsZero(), qt.IsFalse)
+
+	// A restarted agent is told the fencing number that its predecessor reported.
+	setFence := func(incarnation, fence uint64) {
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		agent.state.Incarnation, agent.state.HighestFence = incarnation, fence
+		agent.received = nil
+	}
+	told := func() bool { return agent.seen(func(s *wire.EntryState) bool { return s.GetHighestFence() == 7 }) }
+	setFence(1, 7)
+	until(told)
+	// The third message after the restart was certainly built from the new report.
+	for range 3 {
+		setFence(2, 0)
+		until(func() bool { return agent.seen(func(*wire.EntryState) bool { return true }) })
+	}
+	c.Assert(told(), qt.IsTrue)
 }
 
 // Guards against an old process's relayed acknowledgement that counts for the new one.
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/platform"
@@ -62,6 +64,9 @@
 	// drainChanges counts local changes of drained, so that a list that was read
 	// before a change does not undo it.
 	drainChanges uint64
+	// fences has the highest fencing number that each target reported, over all
+	// incarnations of its agent.
+	fences map[string]uint64
 	// agents and use are rebuilt by publish for the messages to agents.
 	agents []*wire.AgentAddress
 	use    map[string]float64
@@ -79,6 +84,7 @@
 		entries:  make(map[string]*entryInfo),
 		peers:    make(map[string]bool),
 		watchers: make(map[string]*watcher),
+		fences:   make(map[string]uint64),
 	}
 }
 
@@ -164,6 +170,8 @@
 	}
 	s.manager.metrics.heartbeats.WithLabelValues("ok").Inc()
 	s.heardVMs[report.State.GetVm()] = true
+	target := report.State.GetTarget()
+	s.fences[target] = max(s.fences[target], report.State.GetHighestFence())
 	s.acks.Observe(adoption.Ack{
 		Node:        roleAgent + "/" + report.State.GetTarget(),
 		Incarnation: report.State.GetIncarnation(),
@@ -412,6 +420,9 @@
 			message.ConfigText = config.Text
 		}
 	}
+	if last != nil {
+		message.HighestFence = proto.Uint64(s.fences[last.GetTarget()])
+	}
 	elsewhere := maps.Clone(s.use)
 	if current := s.view.State(last.GetTarget()); current != nil {
 		for _, use := range current.GetUseHere() {
