Answer CLAIM_UNAVAILABLE where a store outage leaves an earlier call possible

An entry that never saw a key answered STORE_UNAVAILABLE (not-run) in a store outage, although another entry may have dispatched an earlier call with that key. Not-run is told only with proof, so code 3004 of class unknown takes its place. STORE_UNAVAILABLE remains for a call whose own claim was inserted and withdrawn before dispatch; the machine now tries that withdrawal when its patience with the store ends.

The property test drops the exemption for machines that the store never answered, and checks KEY_REUSED against dispatches of the same body.

--- a/internal/core/oncecall/machine.go
+++ b/internal/core/oncecall/machine.go
@@ -151,8 +151,9 @@
 	// claim and revision are the machine's own row as last known.
 	claim    Claim
 	revision uint64
-	// seen is set once the store gave any answer about the row.
-	seen bool
+	// holds is set while the store's last answer was that the row at revision is this
+	// machine's claim; contended is set once it held the claim of another request.
+	holds, contended bool
 	// wrote is set once a write of this machine took effect or may yet do so.
 	wrote bool
 	// dispatched is set once the row is known to be ours and dispatched; from then
@@ -222,12 +223,10 @@
 func (m *Machine) onWritten(now time.Time, e StoreEvent) []Effect {
 	switch e.Status {
 	case StoreOK:
-		m.seen = true
 		m.wrote = true
 		m.revision = e.Revision
 		return m.onApplied(now)
 	case StoreConflict:
-		m.seen = true
 		return m.read("conflict")
 	case StoreRefused:
 		return m.storeFailed(now, "refused")
@@ -270,6 +269,10 @@
 	}
 	if m.giveUp == nil {
 		m.giveUp = &Outcome{Code: result.StoreUnavailable, Message: "the table service does not answer"}
+		if m.holds {
+			// A withdrawal that succeeds now proves that the key was not dispatched.
+			return m.withdraw()
+		}
 	}
 	effects := m.tell(now, m.unsettled())
 	if !m.wrote {
@@ -286,20 +289,22 @@
 }
 
 // unsettled is the answer when the row cannot be read. "Not run" needs proof that no
-// other entry can have dispatched the key: either the row is ours and dispatched, which
-// nobody may take over, or the store never spoke of the key.
+// other entry can have dispatched the key: the row is ours and dispatched, which nobody
+// may take over.
 func (m *Machine) unsettled() Answer {
-	if m.dispatched || (!m.seen && !m.params.KnownKey) {
+	switch {
+	case m.dispatched:
 		return Answer{Outcome: *m.giveUp}
+	case m.contended || m.params.KnownKey:
+		return Answer{Outcome: Outcome{Code: result.CallInProgress, Message: "the table service does not answer; the state of the call with this key is not known"}}
 	}
-	return Answer{Outcome: Outcome{Code: result.CallInProgress, Message: "the table service does not answer; the state of the call with this key is not known"}}
+	return Answer{Outcome: Outcome{Code: result.ClaimUnavailable, Message: "the table service does not answer; this request was not sent to a target, but an earlier one with the same key may have run; repeat with the same key"}}
 }
 
 func (m *Machine) onRead(now time.Time, e StoreEvent) []Effect {
 	if e.Status != StoreOK {
 		return m.storeFailed(now, "read failed")
 	}
-	m.seen = true
 	if e.Revision == 0 {
 		return m.absent(now)
 	}
@@ -350,6 +355,8 @@
 	// answered as not run, since the new owner may dispatch.
 	m.giveUp = nil
 	m.dispatched = false
+	m.holds = false
+	m.contended = true
 	switch {
 	case m.told || m.done != nil:
 		return m.finish()
@@ -394,6 +401,7 @@
 // claimRow writes the claim over the given revision.
 func (m *Machine) claimRow(now time.Time, revision uint64) []Effect {
 	m.phase = phaseClaiming
+	m.holds = false
 	m.revision = revision
 	m.claim.State = StateClaimed
 	m.claim.Key = m.params.Key
@@ -412,6 +420,7 @@
 
 // owned continues with the machine's own claim that was not dispatched.
 func (m *Machine) owned(now time.Time) []Effect {
+	m.holds = true
 	if m.expired(now) {
 		return m.giveUpAs(now, m.lateOutcome())
 	}
--- a/internal/core/oncecall/machine_test.go
+++ b/internal/core/oncecall/machine_test.go
@@ -34,8 +34,8 @@
 	sent     bool
 	answered int
 	notRun   bool
-	// heard is set once the store answered this node.
-	heard bool
+	// hash is the hash of the request's body.
+	hash string
 }
 
 func (m *model) write(effect Effect) StoreEvent {
@@ -63,7 +63,7 @@
 
 func (m *model) spawn(hash string) {
 	id := fmt.Sprintf("call-%d", len(m.machines))
-	n := &node{id: id, skew: time.Duration(rapid.IntRange(-20, 20).Draw(m.t, "skew")) * time.Second}
+	n := &node{id: id, hash: hash, skew: time.Duration(rapid.IntRange(-20, 20).Draw(m.t, "skew")) * time.Second}
 	n.Machine = New(Params{
 		CallID: id, Key: "k", RequestHash: hash, Owner: id, Deadline: m.now.Add(n.skew + 30*time.Second),
 		Lapse: 5 * time.Second, FollowFor: 2 * time.Second, Poll: 100 * time.Millisecond,
@@ -109,23 +109,22 @@
 		}
 		return
 	}
-	if code.Class() != result.ClassNotRun || code == result.KeyReused {
+	if code.Class() != result.ClassNotRun {
 		return
 	}
 	if n.sent {
 		m.t.Fatalf("%s told %s after dispatch", n.id, code)
 	}
 	n.notRun = true
-	// A machine that the store never answered cannot know of earlier calls with its key.
-	if n.heard && len(m.dispatches) > 0 {
-		m.t.Fatalf("%s told %s although the key was dispatched by %v", n.id, code, m.dispatches)
+	for _, other := range m.machines {
+		// KEY_REUSED speaks of this body only; any other refusal speaks of the key.
+		if other.sent && (code != result.KeyReused || other.hash == n.hash) {
+			m.t.Fatalf("%s told %s although the key was dispatched by %v", n.id, code, m.dispatches)
+		}
 	}
 }
 
 func (m *model) deliver(n *node, event Event) {
-	if e, ok := event.(StoreEvent); ok && (e.Status == StoreOK || e.Status == StoreConflict) {
-		n.heard = true
-	}
 	m.take(n, n.Step(m.now.Add(n.skew), event))
 }
 
@@ -311,3 +310,19 @@
 	effects := machine.Step(now, StoreEvent{Status: StoreLost})
 	c.Assert(effects[0].Answer.Outcome.Code.Class(), qt.Equals, result.ClassUnknown)
 }
+
+// Guards against "not run" for a claim that was inserted but may be dispatched by another
+// entry, when the store fails before dispatch: only a withdrawal is proof.
+func TestStoreFailsBeforeDispatch(t *testing.T) {
+	for status, code := range map[StoreStatus]result.Code{StoreOK: result.StoreUnavailable, StoreRefused: result.ClaimUnavailable, StoreLost: result.ClaimUnavailable} {
+		now := time.Unix(1_000_000, 0)
+		machine := New(Params{CallID: "id", Deadline: now.Add(time.Minute), SettleFor: time.Minute, Poll: time.Millisecond})
+		machine.Begin(now)
+		machine.Step(now, StoreEvent{Status: StoreOK, Revision: 1})
+		machine.Step(now, PlaceEvent{})
+		withdrawal := machine.Step(now, StoreEvent{Status: StoreRefused})
+		qt.Assert(t, withdrawal[0].Kind, qt.Equals, EffectDelete)
+		effects := machine.Step(now, StoreEvent{Status: status})
+		qt.Assert(t, effects[0].Answer.Outcome.Code, qt.Equals, code)
+	}
+}
--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -186,7 +186,8 @@
 	entry := in.entry(&targets{addresses: []string{address}})
 	entry.timing.storePatience = 0
 	in.platform.Control(standin.Control{Outage: new(true)})
-	in.c.Assert(issue(entry, "k").code, qt.Equals, result.StoreUnavailable)
+	// Another entry may have dispatched the key, so an entry that never saw it has no proof.
+	in.c.Assert(issue(entry, "k").code, qt.Equals, result.ClaimUnavailable)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 0)
 	in.c.Assert(request(entry, "GET", "/permits/status/1", "", "").status, qt.Equals, 200)
 	in.c.Assert(request(entry, "POST", "/permits/orders", "", "x").status, qt.Equals, 201)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -81,9 +81,10 @@
 	ResumeBudgetSpent  Code = 2013
 	TargetRefusedOrder Code = 2014
 
-	OutcomeUnknown Code = 3001
-	TargetSilent   Code = 3002
-	Internal       Code = 3003
+	OutcomeUnknown   Code = 3001
+	TargetSilent     Code = 3002
+	Internal         Code = 3003
+	ClaimUnavailable Code = 3004
 )
 
 type entry struct {
@@ -135,9 +136,10 @@
 	ResumeBudgetSpent:  {"RESUME_BUDGET_SPENT", ClassRan, http.StatusServiceUnavailable},
 	TargetRefusedOrder: {"TARGET_REFUSED_ORDER", ClassRan, http.StatusConflict},
 
-	OutcomeUnknown: {"OUTCOME_UNKNOWN", ClassUnknown, http.StatusBadGateway},
-	TargetSilent:   {"TARGET_SILENT", ClassUnknown, http.StatusGatewayTimeout},
-	Internal:       {"INTERNAL", ClassUnknown, http.StatusInternalServerError},
+	OutcomeUnknown:   {"OUTCOME_UNKNOWN", ClassUnknown, http.StatusBadGateway},
+	TargetSilent:     {"TARGET_SILENT", ClassUnknown, http.StatusGatewayTimeout},
+	Internal:         {"INTERNAL", ClassUnknown, http.StatusInternalServerError},
+	ClaimUnavailable: {"CLAIM_UNAVAILABLE", ClassUnknown, http.StatusServiceUnavailable},
 }
 
 // String returns the upper-case name of the code, or its number if it is not in the table.
