Make the settlement and poll durations of calls injectable

TestStoreOutage was reported to take 32 s, which is the settlement limit of 30 s plus the longest pause: a test that ends in an outage drained until its calls stopped settling. The cleanup now ends the outage first.

--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -129,8 +129,10 @@
 		Table: platform.NewClient(platform.ClientOptions{BaseURL: in.url, Timeout: time.Minute}), EntryName: "e", Registerer: registry,
 		Refusals: caller.NewRefusals(registry), Logger: zerolog.Nop(),
 	})
-	handler.timing = timing{lapse: claimLapse, followFor: time.Minute, storePatience: time.Minute, storeTimeout: time.Minute}
+	handler.timing = timing{lapse: claimLapse, followFor: time.Minute, storePatience: time.Minute, storeTimeout: time.Minute, settleFor: time.Minute, poll: time.Millisecond}
 	in.t.Cleanup(func() {
+		// A test that ended in an outage would wait until its calls stop settling.
+		in.platform.Control(standin.Control{Outage: new(false)})
 		in.c.Check(handler.Drain(context.Background()), qt.IsNil)
 		in.c.Check(r.open.Load(), qt.Equals, int64(0), qt.Commentf("assignments that were not ended"))
 	})
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -41,8 +41,8 @@
 			CallID: c.id, Key: key, RequestHash: oncecall.RequestHash(c.method, c.path, c.body),
 			Owner: h.options.EntryName, Incarnation: h.options.Incarnation,
 			Deadline: c.deadline.Add(-c.reserve()),
-			Lapse:    h.timing.lapse, FollowFor: h.timing.followFor, Poll: pollInterval,
-			StorePatience: h.timing.storePatience, SettleFor: settleFor, KnownKey: h.known.has(rowKey),
+			Lapse:    h.timing.lapse, FollowFor: h.timing.followFor, Poll: h.timing.poll,
+			StorePatience: h.timing.storePatience, SettleFor: h.timing.settleFor, KnownKey: h.known.has(rowKey),
 		}),
 	}
 	if !h.enterBackground() {
--- a/internal/entry/calls/options.go
+++ b/internal/entry/calls/options.go
@@ -68,7 +68,7 @@
 
 // timing holds the waits that tests change, so that no verdict depends on the machine's speed.
 type timing struct {
-	lapse, followFor, storePatience, storeTimeout time.Duration
+	lapse, followFor, storePatience, storeTimeout, settleFor, poll time.Duration
 }
 
 // Handler serves /{service}/... for services of kind application.
@@ -96,7 +96,7 @@
 		options: options,
 		metrics: newMetrics(options.Registerer),
 		known:   newKeySet(rememberedKeys),
-		timing:  timing{lapse: claimLapse, followFor: followFor, storePatience: storePatience, storeTimeout: storeTimeout},
+		timing:  timing{lapse: claimLapse, followFor: followFor, storePatience: storePatience, storeTimeout: storeTimeout, settleFor: settleFor, poll: pollInterval},
 		idle:    make(chan struct{}),
 	}
 }
