--- a/internal/standin/app/app.go
+++ b/internal/standin/app/app.go
@@ -57,6 +57,8 @@
 	// ByKey counts runs by the Idempotency-Key header.
 	ByKey   map[string]int `json:"by_key"`
 	Queries int            `json:"queries"`
+	// Waiting is the number of orders that Freeze or DelayMS hold before they run.
+	Waiting int `json:"waiting"`
 }
 
 // App is one application engine; it is safe for concurrent use.
@@ -175,6 +177,19 @@
 	}
 }
 
+// waitOrder is wait with the order counted in Runs.Waiting.
+func (a *App) waitOrder(r *http.Request) bool {
+	a.addWaiting(1)
+	defer a.addWaiting(-1)
+	return a.wait(r)
+}
+
+func (a *App) addWaiting(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runs.Waiting += n
+}
+
 // take consumes one use of a fault counter.
 func (a *App) take(counter *int) bool {
 	a.mu.Lock()
@@ -188,7 +203,7 @@
 
 func (a *App) serveOrder(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
-	if err != nil || !a.wait(r) {
+	if err != nil || !a.waitOrder(r) {
 		return
 	}
 	if a.take(&a.control.closeBeforeRun) {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -57,6 +57,8 @@
 	RateLimited int `json:"rate_limited"`
 	Refused     int `json:"refused"`
 	Dropped     int `json:"dropped"`
+	// WritesWaiting is the number of writes that DelayMS holds at present.
+	WritesWaiting int `json:"writes_waiting"`
 }
 
 type vmChange struct {
@@ -248,7 +250,10 @@
 // write applies faults and the write limit in front of a handler, and drops its response if wanted.
 func (p *Platform) write(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if !p.admit(w, r, p.writes) {
+		p.count(func(c *Counters) { c.WritesWaiting++ })
+		admitted := p.admit(w, r, p.writes)
+		p.count(func(c *Counters) { c.WritesWaiting-- })
+		if !admitted {
 			return
 		}
 		p.count(func(c *Counters) { c.Writes++ })
