--- /dev/null
+++ b/internal/core/placement/bench_test.go
@@ -0,0 +1,50 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramleygap/internal/benchsize"
+	"bramleygap/internal/core/membership"
+)
+
+func benchPool(size benchsize.Size, now time.Time) (*Pool, *membership.Snapshot) {
+	view := membership.New(now)
+	for i := range size.Agents {
+		state := size.AgentState(i, 0)
+		state.Running = uint32(i % 8)
+		view.Heartbeat(now, membership.Report{Stream: 1, State: state})
+	}
+	pool := NewPool("entry-000", size.Zone(0))
+	snapshot := view.Snapshot(now)
+	pool.Update(snapshot)
+	return pool, snapshot
+}
+
+func BenchmarkChoose(b *testing.B) {
+	benchsize.Run(b, func(b *testing.B, size benchsize.Size) {
+		now := time.Unix(1_800_000_000, 0)
+		pool, _ := benchPool(size, now)
+		rng := rand.New(rand.NewPCG(1, 2))
+		query := Query{Service: size.Service(0), Version: "v1", Class: ClassInShare, Blocks: []uint64{1, 2, 3, 4}, Now: now}
+		for i := 0; b.Loop(); i++ {
+			query.Blocks[3] = uint64(i)
+			target, verdict := pool.Choose(query, rng)
+			if verdict != Chosen {
+				b.Fatal(verdict)
+			}
+			pool.Reserve(target.Name, false)
+			pool.Release(target.Name, false)
+		}
+	})
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	benchsize.Run(b, func(b *testing.B, size benchsize.Size) {
+		pool, snapshot := benchPool(size, time.Unix(1_800_000_000, 0))
+		for b.Loop() {
+			pool.Update(snapshot)
+		}
+	})
+}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -175,22 +175,6 @@
 	c.Check(most <= 4, qt.IsTrue, qt.Commentf("%d of mean 2", most))
 }
 
-func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{20, 1100} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			p := newPool(targets(n))
-			rng := newRand()
-			blocks := []uint64{1, 2, 3, 4}
-			for i := 0; b.Loop(); i++ {
-				blocks[3] = uint64(i)
-				got, _ := p.Choose(Query{Service: "s", Version: "v1", Class: ClassInShare, Blocks: blocks, Now: now}, rng)
-				p.Reserve(got.Name, false)
-				p.Release(got.Name, false)
-			}
-		})
-	}
-}
-
 func BenchmarkChooseFull(b *testing.B) {
 	s := targets(1100)
 	for i := range s.Targets {
@@ -202,11 +186,3 @@
 		p.Choose(Query{Service: "s", Version: "v1", Class: ClassInShare, Now: now}, rng)
 	}
 }
-
-func BenchmarkUpdate(b *testing.B) {
-	s := targets(1100)
-	p := newPool(s)
-	for b.Loop() {
-		p.Update(s)
-	}
-}
