Unload the previous version after the configured time

The previous version stays loaded for keep_previous after completion and then takes memory of the engines for nothing. Unloading needs the lease and its fencing number, like a load.

--- a/internal/core/rollout/decide.go
+++ b/internal/core/rollout/decide.go
@@ -51,6 +51,8 @@
 	Verdict   evidence.Verdict
 	// Loaded is set if enough targets have the version for the next step.
 	Loaded bool
+	// PreviousLoaded is set while a usable target still has the previous version.
+	PreviousLoaded bool
 }
 
 // Output is what the entry does next.
@@ -98,12 +100,7 @@
 		row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
 		return Output{Put: row}
 	}
-	if at(in.Row.LeaseUntil).Sub(in.Now) < LeaseTime-renewAfter {
-		row := in.Row
-		row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
-		return Output{Put: &row}
-	}
-	return Output{}
+	return Output{Put: in.renew()}
 }
 
 func decideDone(in *Input) Output {
@@ -113,7 +110,34 @@
 	if in.Verdict.Withdraw && in.Now.Before(KeepsPreviousUntil(&in.Row)) {
 		return Output{Withdraw: in.Verdict.Reason, Put: ended(in, Withdrawn, in.Verdict.Reason)}
 	}
-	return Output{}
+	if !Retiring(&in.Row, in.Now) || in.Now.Sub(in.ReadAt) > maxRowAge {
+		return Output{}
+	}
+	if !in.holdsLease() {
+		return Output{Put: in.acquire()}
+	}
+	if !in.PreviousLoaded {
+		row := in.Row
+		row.Retired = true
+		return Output{Put: &row}
+	}
+	return Output{Put: in.renew()}
+}
+
+// Retiring reports whether the previous version is to be unloaded: the time for which it
+// stays loaded is configured and over, and it is not unloaded yet.
+func Retiring(r *Row, now time.Time) bool {
+	return r.State == Done && r.KeepPrevious > 0 && !r.Retired && !now.Before(KeepsPreviousUntil(r))
+}
+
+// renew returns the row with a new lease, or nil while the lease is young.
+func (in *Input) renew() *Row {
+	if at(in.Row.LeaseUntil).Sub(in.Now) >= LeaseTime-renewAfter {
+		return nil
+	}
+	row := in.Row
+	row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+	return &row
 }
 
 // KeepsPreviousUntil returns until when the previous version of a completed rollout
--- a/internal/core/rollout/load.go
+++ b/internal/core/rollout/load.go
@@ -101,3 +101,19 @@
 	}
 	return taken
 }
+
+// NextUnloads returns the usable targets to order an unload of the previous version on
+// now. Ordered maps targets to the time of an earlier order.
+func NextUnloads(r *Row, targets []membership.Target, ordered map[string]time.Time, now time.Time) []membership.Target {
+	var next []membership.Target
+	for i := range targets {
+		t := &targets[i]
+		if t.Service != r.Service || !t.Usable() || !t.HasVersion(r.Previous) || !t.HasVersion(r.Version) {
+			continue
+		}
+		if at, ok := ordered[t.Name]; !ok || now.Sub(at) >= loadTimeout {
+			next = append(next, *t)
+		}
+	}
+	return next
+}
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -75,6 +75,13 @@
 	}
 	c.Check(decide(unjudged).Put, qt.IsNil)
 	c.Check(decide(func(in *Input) { unjudged(in); in.Row.OnTooLittle = Finish }).Put.State, qt.Equals, Done)
+	retire := func(in *Input) {
+		in.Row.State, in.Row.KeepPrevious, in.Row.Ended = Done, 1000, now.Add(-2*time.Second).UnixMilli()
+	}
+	c.Check(decide(retire).Put.Retired, qt.IsTrue)
+	c.Check(decide(func(in *Input) { retire(in); in.PreviousLoaded = true }).Put, qt.IsNil)
+	c.Check(decide(func(in *Input) { retire(in); in.Self.Incarnation = 2 }).Put.Fence, qt.Equals, uint64(4))
+	c.Check(decide(func(in *Input) { retire(in); in.Row.KeepPrevious = 0 }).Put, qt.IsNil)
 	backToOld := func(in *Input) {
 		in.Verdict = evidence.Verdict{Withdraw: true, Reason: "failures"}
 		in.Row.State, in.Row.Ended = Done, now.Add(-time.Minute).UnixMilli()
--- a/internal/core/rollout/row.go
+++ b/internal/core/rollout/row.go
@@ -53,8 +53,10 @@
 	// Fence grows with each change of the owner; orders carry it.
 	Fence      uint64 `json:"fence"`
 	LeaseUntil int64  `json:"lease_until_unix_ms,omitempty"`
-	Operator   string `json:"operator,omitempty"`
-	Reason     string `json:"reason,omitempty"`
+	// Retired is set once the previous version was unloaded from all targets.
+	Retired  bool   `json:"retired,omitempty"`
+	Operator string `json:"operator,omitempty"`
+	Reason   string `json:"reason,omitempty"`
 }
 
 // Key returns the table key of a rollout.
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -268,7 +268,8 @@
 	active := s.active(service)
 	out := rollout.Decide(&rollout.Input{
 		Now: now, Row: t.row, ReadAt: t.readAt, Self: s.self, Withdrawn: withdrawn, Verdict: t.verdict,
-		Loaded: active == t && rollout.Loaded(&t.row, targets),
+		Loaded:         active == t && rollout.Loaded(&t.row, targets),
+		PreviousLoaded: len(rollout.NextUnloads(&t.row, targets, nil, now)) > 0 || s.inUse(service, t.row.Previous),
 	})
 	if out.Withdraw != "" {
 		s.manager.metrics.withdrawn.WithLabelValues(service, version).Inc()
@@ -280,11 +281,27 @@
 	if out.Put != nil {
 		s.put(now, t, *out.Put)
 	}
-	if active == t && !withdrawn && now.Sub(t.readAt) < rollout.LeaseTime && rollout.HoldsLease(&t.row, s.self, now) {
-		s.order(now, t, targets)
+	if withdrawn || !rollout.HoldsLease(&t.row, s.self, now) {
+		return
+	}
+	switch {
+	case active == t:
+		s.order(now, t, wire.OrderKind_ORDER_KIND_LOAD, t.row.Version, rollout.NextLoads(&t.row, targets, t.ordered, now))
+	case rollout.Retiring(&t.row, now) && !s.inUse(service, t.row.Previous):
+		s.order(now, t, wire.OrderKind_ORDER_KIND_UNLOAD, t.row.Previous, rollout.NextUnloads(&t.row, targets, t.ordered, now))
 	}
 }
 
+// inUse reports whether a running rollout starts from the version or leads to it, or the
+// rows make it the version that carries the traffic.
+func (s *state) inUse(service, version string) bool {
+	if t := s.active(service); t != nil && (t.row.Version == version || t.row.Previous == version) {
+		return true
+	}
+	v := s.manager.view.Load()
+	return v != nil && rollout.Split((*v)[service], s.manager.withdrawnIn(service), 0) == version
+}
+
 // active returns the rollout of the service that is worked on.
 func (s *state) active(service string) *tracked {
 	v := s.manager.view.Load()
@@ -342,18 +359,20 @@
 	s.nextPoll = time.Time{}
 }
 
-// order asks the next targets to load the version, with the fencing number of the lease.
-func (s *state) order(now time.Time, t *tracked, targets []membership.Target) {
+// order asks targets to load or unload a version, with the fencing number of the lease.
+func (s *state) order(now time.Time, t *tracked, kind wire.OrderKind, version string, targets []membership.Target) {
 	config := configOf(s.options)
 	if config == nil {
 		return
 	}
-	model := config.Service(t.row.Service).Model
-	for _, target := range rollout.NextLoads(&t.row, targets, t.ordered, now) {
+	service := config.Service(t.row.Service)
+	if service == nil {
+		return
+	}
+	for _, target := range targets {
 		t.ordered[target.Name] = now
 		request := &wire.OrderRequest{
-			Fence: t.row.Fence, Owner: s.self.Name, Kind: wire.OrderKind_ORDER_KIND_LOAD,
-			Model: model, Version: t.row.Version,
+			Fence: t.row.Fence, Owner: s.self.Name, Kind: kind, Model: service.Model, Version: version,
 		}
 		go s.sendOrder(target, request)
 	}
@@ -373,7 +392,7 @@
 	s.manager.metrics.orders.WithLabelValues(code.String()).Inc()
 	if code != result.OK {
 		s.options.Logger.Warn().Err(err).Str("target", target.Name).Str("version", request.GetVersion()).
-			Str("code", code.String()).Msg("order to load failed")
+			Str("code", code.String()).Msg("order failed")
 	}
 }
 
