Keep own evidence counts across rollouts; bound the router's periodic work

Counters dropped after a rollout started again from 0 and were hidden by the larger copies that other entries sent on. Own counts now stay and are sent only while a rollout needs them; the old version's earlier counts no longer appear as recent traffic. TestNextRolloutCountsFromThere was seen failing with own counts dropped.

The router rehashed entries and targets every 50 ms, by count about 8 million hashes a second at 370 entries and 1,100 targets. Passes over everything now run every 500 ms, the hashing only when an entry comes or goes.

--- a/internal/core/evidence/counters.go
+++ b/internal/core/evidence/counters.go
@@ -80,9 +80,13 @@
 	return totals
 }
 
-// Retain drops the counts of services for which keep returns false.
+// Retain drops other entries' counts of services for which keep returns false. Own counts
+// stay: if they started again from 0, the larger copies at other entries would hide them.
 func (c *Counters) Retain(keep func(service string) bool) {
 	for o, buckets := range c.byOr {
+		if o == c.self {
+			continue
+		}
 		for key := range buckets {
 			if !keep(key.Service) {
 				delete(buckets, key)
@@ -94,11 +98,15 @@
 	}
 }
 
-// Export returns all counts in no particular order.
-func (c *Counters) Export() []*wire.EvidenceCounter {
+// Export returns the counts of the services for which keep returns true, in no
+// particular order.
+func (c *Counters) Export(keep func(service string) bool) []*wire.EvidenceCounter {
 	var out []*wire.EvidenceCounter
 	for o, buckets := range c.byOr {
 		for k, n := range buckets {
+			if !keep(k.Service) {
+				continue
+			}
 			out = append(out, &wire.EvidenceCounter{
 				Origin: o.name, Incarnation: o.incarnation, Service: k.Service, Version: k.Version,
 				Route: k.Route, Zone: k.Zone, LoadLevel: uint32(k.Level), Requests: n.Requests,
--- a/internal/core/evidence/evaluator.go
+++ b/internal/core/evidence/evaluator.go
@@ -133,6 +133,9 @@
 	step     [signals]float64
 	total    [signals]float64
 	withdraw string
+	// primed is set once the old version's counts from before the rollout are known;
+	// they count for its overall rate, but not as recent traffic.
+	primed bool
 }
 
 // NewEvaluator returns a test of a version against the previous one.
@@ -166,7 +169,7 @@
 }
 
 func delta(now, before Counts) Counts {
-	// A count falls when the counters of a restarted rollout were dropped.
+	// A sum falls when the copies of other entries were dropped after a rollout.
 	sub := func(a, b uint64) uint64 { return a - min(a, b) }
 	return Counts{
 		sub(now.Requests, before.Requests), sub(now.Failures, before.Failures),
@@ -201,6 +204,9 @@
 	for key, counts := range totals {
 		hits, n := delta(counts, e.lastOld[key]).trials()
 		e.lastOld[key] = counts
+		if !e.primed {
+			continue
+		}
 		r := e.old[stratumOf(key)]
 		if r == nil {
 			r = &rate{}
@@ -213,6 +219,7 @@
 			r.longHits[s] += hits[s]
 		}
 	}
+	e.primed = true
 }
 
 // routeRates returns the old version's overall rates by route.
--- a/internal/core/evidence/evidence_test.go
+++ b/internal/core/evidence/evidence_test.go
@@ -22,12 +22,12 @@
 			from := sources[rapid.IntRange(0, 2).Draw(t, "from")]
 			from.Add(Key{Service: "s", Version: "v"}, rapid.Bool().Draw(t, "failed"), false, false)
 			total++
-			x.Merge(from.Export(), all)
+			x.Merge(from.Export(all), all)
 		}
 		for i := range sources {
-			y.Merge(x.Export(), all)
-			y.Merge(sources[len(sources)-1-i].Export(), all)
-			sources[i].Merge(y.Export(), all)
+			y.Merge(x.Export(all), all)
+			y.Merge(sources[len(sources)-1-i].Export(all), all)
+			sources[i].Merge(y.Export(all), all)
 		}
 		if got, want := fmt.Sprint(y.Totals("s", "v")), fmt.Sprint(x.Totals("s", "v")); got != want {
 			t.Fatalf("%s and %s", got, want)
@@ -38,6 +38,22 @@
 	})
 }
 
+// Guards against own counts that start again from 0 after a rollout and are hidden by the
+// larger copies at other entries.
+func TestNextRolloutCountsFromThere(t *testing.T) {
+	c := qt.New(t)
+	a, b := NewCounters("a", 1), NewCounters("b", 1)
+	key := Key{Service: "s", Version: "v1"}
+	for range 5 {
+		a.Add(key, false, false, false)
+	}
+	b.Merge(a.Export(all), all)
+	a.Retain(func(string) bool { return false })
+	a.Add(key, false, false, false)
+	b.Merge(a.Export(all), all)
+	c.Check(b.Totals("s", "v1")[key].Requests, qt.Equals, uint64(6))
+}
+
 // judge feeds n requests a second of both versions for 60 s with the given failures of
 // each hundred requests.
 func judge(oldFailures, newFailures int, suspect bool) Verdict {
--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -157,7 +157,7 @@
 		if from.dead || from.held != nil || to.dead || to.held != nil {
 			continue
 		}
-		to.counters.Merge(from.counters.Export(), func(string) bool { return true })
+		to.counters.Merge(from.counters.Export(func(string) bool { return true }), func(string) bool { return true })
 		to.withdrawn = to.withdrawn || from.withdrawn
 	}
 }
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -398,7 +398,7 @@
 
 // publish makes counters and status available to other tasks.
 func (s *state) publish() {
-	counters := s.counters.Export()
+	counters := s.counters.Export(s.tracked)
 	s.manager.exported.Store(&counters)
 	var status []*wire.VersionStatus
 	for _, t := range s.rollouts {
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,9 @@
 	overShareWait = 2 * time.Second
 	// entryMaxAge is how long an entry counts as watching the targets after an agent named it.
 	entryMaxAge = 10 * time.Second
+	// upkeepInterval is the time between passes over all suspects, running attempts and
+	// usage reports, whose cost grows with the installation.
+	upkeepInterval = 500 * time.Millisecond
 	// deathWindow is the time within which failures on one target are one crash.
 	deathWindow = 2 * time.Second
 	// maxSearches ends a pass over the queue after that many searches that found no
@@ -78,6 +82,8 @@
 	// further attempts of the kind skip the search.
 	full       map[fullKey]placement.Verdict
 	searches   int
+	entries    []string
+	upkeepAt   time.Time
 	snapshot   *membership.Snapshot
 	snapshotAt time.Time
 	exported   uint64
@@ -492,6 +498,16 @@
 
 func (s *state) tick(now time.Time) {
 	s.refreshSnapshot(now, true)
+	if now.Sub(s.upkeepAt) >= upkeepInterval {
+		s.upkeepAt = now
+		s.upkeep(now)
+	}
+	s.drain(now)
+	s.export(now)
+}
+
+// upkeep drops what is too old and clears suspects that have run long enough.
+func (s *state) upkeep(now time.Time) {
 	s.usage.Refresh(now)
 	s.tracker.Expire(now)
 	s.refreshEntries(now)
@@ -503,9 +519,7 @@
 			delete(s.lastDeath, target)
 		}
 	}
-	s.drain(now)
 	s.manager.metrics.suspects.Set(float64(s.tracker.Len()))
-	s.export(now)
 }
 
 func (s *state) refreshSnapshot(now time.Time, force bool) {
@@ -556,7 +570,10 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	s.pool.SetEntries(names)
+	if !slices.Equal(names, s.entries) {
+		s.entries = names
+		s.pool.SetEntries(names)
+	}
 }
 
 func (s *state) observeAgent(now time.Time, agent *wire.AgentState) {
