--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -477,12 +477,12 @@
 	now := time.Now()
 	log, err := a.store.Start(now, tokenlog.Begin[spec]{Generation: "g", Attempt: 1, Spec: generationSpec("g", 9)})
 	c.Assert(err, qt.IsNil)
-	t1 := &attempt{log: log, replica: "r"}
+	t1 := &attempt{log: log, replica: "r", changed: make(chan struct{})}
 	send := func(replica *Agent) {
 		record := replicaRecord(t1)
 		next, err := replica.takeRecord(record)
 		c.Assert(err, qt.IsNil)
-		acknowledge("r", pendingRecord{t1, record}, &wire.LogAck{NextIndex: next})
+		acknowledge(now, "r", pendingRecord{t1, record}, &wire.LogAck{NextIndex: next})
 	}
 	fresh := func() *Agent {
 		return newAgent(Options{Settings: settings.Agent{TargetKind: kindModel}, Logger: zerolog.Nop()}, "r", "y")
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -36,7 +36,7 @@
 	benchsize.Run(b, func(b *testing.B, size benchsize.Size) {
 		state := &wire.EntryState{
 			Entry: size.EntryAddress(0), Incarnation: 1_800_000_000_000_000_000, Sequence: 100_000,
-			ConfigRevision: 1800, UseElsewhere: size.MemberUse(), HighestFence: 17,
+			ConfigRevision: 1800, UseElsewhere: size.MemberUse(), HighestFence: proto.Uint64(17),
 		}
 		for i := range size.Agents {
 			state.Agents = append(state.Agents, &wire.AgentAddress{Address: size.AgentAddress(i), Zone: size.Zone(i), Service: size.Service(i)})
