--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,7 +22,8 @@
 	Key      map[string]string `required:"" help:"Bearer key of a client account, ACCOUNT=KEY; repeat for more."`
 	Speed    float64           `default:"1" help:"Replay this many times faster."`
 	RunsURL  string            `help:"URL of the application engine stand-in's run counters, to check non-idempotent calls."`
-	Control  map[string]string `help:"Control URL of the stand-in that a fault names as its target, TARGET=URL; faults without one are skipped."`
+	Control  map[string]string `help:"Control URL of a stand-in, TARGET=URL; TARGET is platform, application, or the IP:PORT of the agent beside a model engine. Faults of other targets are skipped."`
+	Metrics  []string          `help:"Base URL of an entry's admin server, to report resume latency and extra tokens; repeat for more."`
 	JSON     bool              `name:"json" help:"Print the report as JSON."`
 }
 
@@ -34,6 +36,10 @@
 	if err != nil {
 		return err
 	}
+	before, err := ScrapeEntries(ctx, c.Metrics)
+	if err != nil {
+		return err
+	}
 	results, err := Replay(ctx, Options{
 		Events: events, Outcomes: outcomes, URLs: c.URL, Keys: c.Key, Speed: c.Speed,
 		Injector: controlInjector(c.Control), Progress: c.progress,
@@ -48,6 +54,13 @@
 		}
 	}
 	report := NewReport(results, outcomes, runs)
+	if len(c.Metrics) > 0 {
+		after, err := ScrapeEntries(ctx, c.Metrics)
+		if err != nil {
+			return err
+		}
+		report.Resources = after.Since(before, report.Tokens)
+	}
 	if c.JSON {
 		err = json.NewEncoder(os.Stdout).Encode(report)
 	} else {
@@ -129,9 +142,19 @@
 	trace.ActionCutAppAnswer:  `{"close_after_run":1}`,
 }
 
-// Inject posts the fault to its target's control URL.
-func (c controlInjector) Inject(ctx context.Context, fault trace.Event, _ string) error {
-	url, body := c[fault.Target], controlBodies[fault.Action]
+// defaultTargets name the part that a fault without a target is for; faults of engines
+// are for the one behind the agent that serves the generation.
+var defaultTargets = map[trace.Action]string{
+	trace.ActionStoreOutage:   "platform",
+	trace.ActionStoreRecovery: "platform",
+	trace.ActionDropAnswer:    "platform",
+	trace.ActionCutAppAnswer:  "application",
+}
+
+// Inject posts the fault to its target's control URL; a target without one is skipped.
+func (c controlInjector) Inject(ctx context.Context, fault trace.Event, servingAgent string) error {
+	target := cmp.Or(fault.Target, defaultTargets[fault.Action], servingAgent)
+	url, body := c[target], controlBodies[fault.Action]
 	if url == "" || body == "" {
 		return nil
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -44,7 +44,9 @@
 	// LongestGap is the longest pause within each generation; with a loss it is the resume latency.
 	LongestGap Quantiles `json:"longest_gap"`
 	Tokens     int       `json:"tokens"`
-	Breaches   []string  `json:"breaches"`
+	// Resources is nil if the entries' metrics were not read.
+	Resources *Resources `json:"resources,omitempty"`
+	Breaches  []string   `json:"breaches"`
 }
 
 type recorder struct{ histogram *hdrhistogram.Histogram }
@@ -151,6 +153,10 @@
 	}{{"first token", r.FirstToken}, {"whole generation", r.Total}, {"longest gap", r.LongestGap}, {"calls", r.Calls}} {
 		fmt.Fprintf(table, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", row.name, row.q.Count, row.q.P50, row.q.P95, row.q.P99, row.q.Max)
 	}
+	if r.Resources != nil {
+		fmt.Fprintf(table, "\nresumes\t%d\nresume latency mean\t%.0f ms\nresume latency p95 at most\t%.0f ms\nextra tokens per token\t%.4f\nspeculative attempts\t%.0f\n",
+			r.Resources.Resumes, r.Resources.ResumeMean, r.Resources.ResumeP95, r.Resources.ExtraPerToken, r.Resources.SpeculativeAttempts)
+	}
 	for _, breach := range r.Breaches {
 		fmt.Fprintf(table, "BREACH\t%s\n", breach)
 	}
