--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,7 +30,11 @@
 // hangLimit ends a test that makes no progress; it decides no verdict otherwise.
 const hangLimit = 60 * time.Second
 
-var binary string
+var (
+	binary string
+	// installations counts the installations of this test process.
+	installations atomic.Uint32
+)
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "bramleygap-e2e")
@@ -77,14 +82,18 @@
 
 // installation is a set of processes with the addresses they listen on.
 type installation struct {
-	t         *testing.T
+	t *testing.T
+	// host is a loopback address of this installation only. On a shared one, an outgoing
+	// connection or another test can take the port of a process that is being restarted.
+	host      string
 	folder    string
 	processes map[string]*process
 	address   map[string]string
 }
 
 func newInstallation(t *testing.T) *installation {
-	in := &installation{t: t, folder: t.TempDir(), processes: map[string]*process{}, address: map[string]string{}}
+	number := uint32(os.Getpid())<<8 + installations.Add(1)
+	in := &installation{t: t, host: fmt.Sprintf("127.%d.%d.%d", 1+number>>16%250, number>>8%256, 1+number%250), folder: t.TempDir(), processes: map[string]*process{}, address: map[string]string{}}
 	t.Cleanup(in.stop)
 	return in
 }
@@ -112,7 +121,7 @@
 	if address, ok := in.address[name]; ok {
 		return address
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", in.host+":0")
 	qt.Assert(in.t, err, qt.IsNil)
 	defer listener.Close()
 	in.address[name] = listener.Addr().String()
