Answer CLAIM_UNAVAILABLE for a key at an entry that is leaving or not ready

The randomised test of calls found NOT_READY (not-run) told by a restarted entry for a key that had run through the other entry. LEAVING was told in the same way. Both come from the state of this entry and are no proof for the key, so requests with a key get CLAIM_UNAVAILABLE instead; requests without one keep their codes. TestRequestsRefusedBeforeDispatch asserted LEAVING for a request with a key and now asserts both cases.

--- a/internal/core/oncecall/machine.go
+++ b/internal/core/oncecall/machine.go
@@ -16,6 +16,9 @@
 	maxPause = 2 * time.Second
 )
 
+// NotSentNow is the part of a ClaimUnavailable message that says what is known.
+const NotSentNow = "this request was not sent to a target, but an earlier one with the same key may have run; repeat with the same key"
+
 // Params describe one received request. All durations are hints for progress;
 // no safety property depends on them.
 type Params struct {
@@ -298,7 +301,7 @@
 	case m.contended || m.params.KnownKey:
 		return Answer{Outcome: Outcome{Code: result.CallInProgress, Message: "the table service does not answer; the state of the call with this key is not known"}}
 	}
-	return Answer{Outcome: Outcome{Code: result.ClaimUnavailable, Message: "the table service does not answer; this request was not sent to a target, but an earlier one with the same key may have run; repeat with the same key"}}
+	return Answer{Outcome: Outcome{Code: result.ClaimUnavailable, Message: "the table service does not answer; " + NotSentNow}}
 }
 
 func (m *Machine) onRead(now time.Time, e StoreEvent) []Effect {
--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -393,7 +393,13 @@
 		in.c.Assert(request(entry, "POST", path, "", "x").code, qt.Equals, code, qt.Commentf("%s", path))
 	}
 	in.c.Assert(entry.Drain(context.Background()), qt.IsNil)
-	in.c.Assert(issue(entry, "k").code, qt.Equals, result.Leaving)
+	in.c.Assert(request(entry, "POST", "/permits/orders", "", "x").code, qt.Equals, result.Leaving)
+	// A key may have run through another entry, so the state of this one proves nothing.
+	in.c.Assert(issue(entry, "k").code, qt.Equals, result.ClaimUnavailable)
+	entry = in.entry(&targets{})
+	entry.options.Config = func() *adoption.Adopted { return nil }
+	in.c.Assert(issue(entry, "k").code, qt.Equals, result.ClaimUnavailable)
+	in.c.Assert(request(entry, "GET", "/permits/status", "", "").code, qt.Equals, result.NotReady)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 0)
 }
 
--- a/internal/entry/calls/handler.go
+++ b/internal/entry/calls/handler.go
@@ -85,13 +85,13 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !h.enter() {
-		h.options.Refusals.Write(w, result.New(result.Leaving, "the entry is shutting down"))
+		h.refuse(w, r, result.New(result.Leaving, "the entry is shutting down"))
 		return
 	}
 	defer h.leave()
 	c, err := h.parse(w, r)
 	if err != nil {
-		h.options.Refusals.Write(w, err)
+		h.refuse(w, r, err)
 		return
 	}
 	w.Header().Set(CallIDHeader, c.id)
@@ -104,6 +104,17 @@
 	h.finish(w, c, reply)
 }
 
+// refuse rejects a request before its claim was looked at. A request with a key may
+// repeat one that ran through another entry, so a refusal that comes from the state of
+// this entry is no proof for the key.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	refusal := caller.AsError(err)
+	if r.Header.Get(KeyHeader) != "" && (refusal.Code == result.Leaving || refusal.Code == result.NotReady) {
+		err = result.New(result.ClaimUnavailable, "%s; %s", refusal.Message, oncecall.NotSentNow)
+	}
+	h.options.Refusals.Write(w, err)
+}
+
 // parse authenticates a request and finds its route. Errors are *result.Error of class not-run.
 func (h *Handler) parse(w http.ResponseWriter, r *http.Request) (*call, error) {
 	serviceName, path, err := splitPath(r)
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -47,7 +47,7 @@
 	}
 	if !h.enterBackground() {
 		cancel()
-		return answer{outcome: oncecall.Outcome{Code: result.Leaving, Message: "the entry is shutting down"}}
+		return answer{outcome: oncecall.Outcome{Code: result.ClaimUnavailable, Message: "the entry is shutting down; " + oncecall.NotSentNow}}
 	}
 	go func() {
 		defer h.leave()
