--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -21,6 +21,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/http2"
 	"google.golang.org/grpc"
 
 	agentcalls "bramleygap/internal/agent/calls"
@@ -75,7 +76,7 @@
 func (r *targets) ReportProgress(uint64, bool)          {}
 
 type installation struct {
-	t        *testing.T
+	t        testing.TB
 	c        *qt.C
 	platform *standin.Platform
 	url      string
@@ -85,7 +86,7 @@
 	agents   map[string]*grpc.Server
 }
 
-func newInstallation(t *testing.T) (*installation, string) {
+func newInstallation(t testing.TB) (*installation, string) {
 	in := &installation{t: t, c: qt.New(t), platform: standin.New(standin.Options{}), app: app.New(app.Options{}), timeout: time.Minute, pool: rpc.NewPool(), agents: map[string]*grpc.Server{}}
 	table := httptest.NewServer(in.platform.Handler())
 	engine := httptest.NewServer(in.app.Handler())
@@ -379,6 +380,61 @@
 	}
 }
 
+// refusingStreams is a gRPC server that refuses each stream as not processed, by RST_STREAM
+// or by GOAWAY, which gRPC answers with a resend of its own. It counts the streams.
+func refusingStreams(t *testing.T, goAway bool) (string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	streams := new(atomic.Int64)
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		_, _ = io.CopyN(io.Discard, conn, int64(len(http2.ClientPreface)))
+		framer := http2.NewFramer(conn, conn)
+		_ = framer.WriteSettings()
+		for {
+			frame, err := framer.ReadFrame()
+			if err != nil {
+				return
+			}
+			switch frame := frame.(type) {
+			case *http2.SettingsFrame:
+				if !frame.IsAck() {
+					_ = framer.WriteSettingsAck()
+				}
+			case *http2.HeadersFrame:
+				streams.Add(1)
+				if goAway {
+					_ = framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+					return
+				}
+				_ = framer.WriteRSTStream(frame.StreamID, http2.ErrCodeRefusedStream)
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String(), streams
+}
+
+// Guards against gRPC's transparent retry, which disabled retries do not cover, and
+// against "not run" for a stream that was begun.
+func TestNoResendByGRPC(t *testing.T) {
+	for _, goAway := range []bool{false, true} {
+		in, _ := newInstallation(t)
+		agent, streams := refusingStreams(t, goAway)
+		in.c.Assert(issue(in.entry(&targets{addresses: []string{agent}}), "k").code.Class(), qt.Equals, result.ClassUnknown)
+		in.c.Assert(streams.Load(), qt.Equals, int64(1))
+	}
+}
+
 // Guards against requests that reach a route other than the one that was matched, and
 // against once-calls without a key.
 func TestRequestsRefusedBeforeDispatch(t *testing.T) {
