Continue a generation whose attempt was cancelled before its caller returned

A caller that came back more than 10 s after it lost its connection attached to the retained log, received the tokens in it and then CANCELLED, since the attempt had been cancelled for want of a caller. The entry now continues on another target, as after a loss; a deadline still ends the generation.

--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -72,6 +72,7 @@
 	version      string
 	adapter      string
 	accepted     bool
+	attached     bool // started by another connection
 	speculated   bool
 	startedAt    time.Time
 	lastActivity time.Time
@@ -487,7 +488,10 @@
 	if refused(msg.Code) {
 		outcome = placement.Outcome{Cancelled: true}
 	}
-	if endsGeneration(msg.Code) {
+	// An attached attempt was cancelled before this caller came back for it; cancels of
+	// earlier epochs are rejected since.
+	cancelledBefore := a.attached && msg.Code == result.Cancelled
+	if endsGeneration(msg.Code) && !cancelledBefore {
 		m.remove(a)
 		m.end(a, placement.Outcome{Cancelled: true}, CancelNone)
 		m.finish(msg.Code)
@@ -714,6 +718,7 @@
 			version:      msg.Version,
 			adapter:      msg.Adapter,
 			accepted:     true,
+			attached:     true,
 			startedAt:    m.now,
 			lastActivity: m.now,
 		}
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -215,6 +215,17 @@
 	c.Assert(effectsOf[Finish](effects)[0].Code, qt.Equals, result.ResumeLost)
 }
 
+// Guards against a caller that returns after its attempt was cancelled for want of a
+// caller, and gets CANCELLED instead of the rest.
+func TestAttachedLogOfCancelledAttemptContinues(t *testing.T) {
+	c := qt.New(t)
+	m := New(Options{})
+	m.Step(epochStart, AttachedLog{Attempt: 2, Epoch: 3, Version: "v1", IDs: []uint32{1}, Bytes: make([][]byte, 1), From: 1, Live: true})
+	effects := m.Step(epochStart, Failed{Attempt: 2, Code: result.Cancelled})
+	c.Assert(effectsOf[Finish](effects), qt.HasLen, 0)
+	c.Assert(effectsOf[RequestTarget](effects)[0].Version, qt.Equals, "v1")
+}
+
 const worldTokens = 8 // length of every generation in the property test
 
 // world is a network that loses, repeats and reorders the messages of all attempts.
