--- a/cmd/bramleygap/main.go
+++ b/cmd/bramleygap/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"bramleygap/internal/benchcheck"
 	"bramleygap/internal/demo"
 	"bramleygap/internal/load"
 	"bramleygap/internal/operator"
@@ -24,6 +25,8 @@
 	Load    load.Command   `cmd:"" help:"Replay a trace against running entries and report the measures."`
 	Demo    demo.Command   `cmd:"" help:"Run all roles and stand-ins on loopback and kill an engine during a generation."`
 	Standin standinCommand `cmd:"" hidden:"" help:"Run a stand-in of the platform, a model engine or an application engine."`
+
+	BenchCheck benchCheckCommand `cmd:"" hidden:"" help:"Compare a run of the benchmarks with the bounds and an earlier run."`
 }
 
 // Aliases keep the command line in one place.
@@ -33,6 +36,8 @@
 	statusCommand  = operator.StatusCommand
 	drainCommand   = operator.DrainCommand
 	versionCommand = operator.VersionCommand
+
+	benchCheckCommand = benchcheck.Command
 )
 
 func main() {
