Send the list of agents to agents only on change

The list now has a version, the digest of its content. Heartbeats name the version; the list follows when the agent's answer names another one. An agent keeps a list once for all entries that name it and uses the one that most entries name. Ruled out: a version counted by each entry, since each of several entries would send the same list after each change; keeping the last list received, since entries with different views would overwrite each other's.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -143,7 +143,7 @@
 	// drainedBy are the watching entries that list this VM as drained.
 	drainedBy  map[string]bool
 	withdrawn  map[versionKey]*wire.WithdrawnVersion
-	agents     []*wire.AgentAddress
+	lists      agentLists
 	fence      uint64
 	fenceKnown bool
 	links      map[string]*replicaLink
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -299,10 +299,10 @@
 	c.Assert(a.refusal(&wire.GenerateRequest{Spec: generationSpec("g", 1), Attempt: 1}).Code, qt.Equals, result.UnknownService)
 	a.options.Settings.Service = "letters"
 	c.Assert(a.refusal(&wire.GenerateRequest{Spec: generationSpec("g", 1), Attempt: 1}).Code, qt.Equals, result.Leaving)
-	state, _ := a.nextState()
+	state, _ := a.nextState(&watcher{agent: a})
 	c.Assert(state.GetLeaving(), qt.IsTrue)
 	a.learn(time.Now(), &wire.EntryState{Entry: "e1"})
-	state, _ = a.nextState()
+	state, _ = a.nextState(&watcher{agent: a})
 	c.Assert(state.GetLeaving(), qt.IsFalse)
 }
 
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -104,8 +104,9 @@
 
 // replicaCandidates requires a.mu.
 func (a *Agent) replicaCandidates() []stream.Agent {
-	candidates := make([]stream.Agent, 0, len(a.agents))
-	for _, agent := range a.agents {
+	agents := a.lists.agents()
+	candidates := make([]stream.Agent, 0, len(agents))
+	for _, agent := range agents {
 		if agent.GetAddress() != a.address {
 			candidates = append(candidates, stream.Agent{Address: agent.GetAddress(), Zone: agent.GetZone()})
 		}
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -26,7 +27,7 @@
 	heartbeat := time.NewTicker(a.timing.Heartbeat)
 	defer heartbeat.Stop()
 	for {
-		state, changed := a.nextState()
+		state, changed := a.nextState(watcher)
 		if err := stream.Send(state); err != nil {
 			return err
 		}
@@ -49,6 +50,8 @@
 	// entry is the name in the first message; agent.mu guards it.
 	entry  string
 	closed bool
+	// agents is the version of the list that the entry named last, 0 if unknown here.
+	agents uint64
 }
 
 func (w *watcher) receive(stream grpc.BidiStreamingServer[wire.EntryState, wire.AgentState]) error {
@@ -62,6 +65,7 @@
 		}
 		w.register(state.GetEntry())
 		w.agent.learn(time.Now(), state)
+		w.takeAgents(state)
 	}
 }
 
@@ -79,6 +83,7 @@
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
 	w.closed = true
+	w.agent.lists.hold(&w.agents, 0)
 	if w.entry == "" {
 		return
 	}
@@ -89,6 +94,20 @@
 	}
 }
 
+// takeAgents notes the list of agents that the entry names, if this agent has it.
+func (w *watcher) takeAgents(state *wire.EntryState) {
+	a := w.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	version := state.GetAgentsVersion()
+	if agents := state.GetAgents(); len(agents) > 0 {
+		version = a.lists.add(agents)
+	}
+	if !w.closed {
+		a.lists.hold(&w.agents, version)
+	}
+}
+
 // learn takes in what an entry knows.
 func (a *Agent) learn(now time.Time, state *wire.EntryState) {
 	a.mu.Lock()
@@ -99,9 +118,6 @@
 	a.fenceKnown = a.fenceKnown || state.HighestFence != nil
 	a.learnDrain(state)
 	a.mergeWithdrawn(state.GetWithdrawn())
-	if len(state.GetAgents()) > 0 {
-		a.agents = state.GetAgents()
-	}
 	if state.GetUseElsewhere() != nil {
 		elsewhere := make(map[string]float64)
 		for _, use := range state.GetUseElsewhere() {
@@ -168,7 +184,7 @@
 }
 
 // nextState returns the state to send and a channel that is closed at the next change.
-func (a *Agent) nextState() (*wire.AgentState, <-chan struct{}) {
+func (a *Agent) nextState(w *watcher) (*wire.AgentState, <-chan struct{}) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -187,6 +203,7 @@
 		ConfigRevision: a.adopted.Revision,
 		HighestFence:   a.fence,
 		Entries:        slices.Sorted(maps.Keys(a.entries)),
+		AgentsVersion:  cmp.Or(w.agents, a.lists.used),
 	}
 	if a.options.Settings.TargetKind == kindModel {
 		a.addModelState(now, state)
--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -422,12 +422,12 @@
 		}})
 	}
 	s.adopt(adoption.Candidate{Revision: 2, Text: configText})
-	message := s.entryState(s.view.State("t1"))
+	message := s.entryState(s.view.State("t1"), false)
 	c.Assert(message.UseElsewhere[0].TokensPerSecond, qt.Equals, 50.0)
 	c.Assert(message.Agents, qt.HasLen, 3)
 	c.Assert(message.ConfigText, qt.Equals, configText)
-	c.Assert(s.entryState(s.view.State("t3")).ConfigText, qt.Equals, "")
-	c.Assert(s.entryState(nil).ConfigText, qt.Equals, "")
+	c.Assert(s.entryState(s.view.State("t3"), false).ConfigText, qt.Equals, "")
+	c.Assert(s.entryState(nil, false).ConfigText, qt.Equals, "")
 }
 
 // countingPart is a Part that keeps the highest sequence number it has merged.
--- a/internal/entry/cluster/messages_bench_test.go
+++ b/internal/entry/cluster/messages_bench_test.go
@@ -45,6 +45,9 @@
 		}, now.UnixMilli(), true)
 	}
 	s.summarise()
+	for _, last := range s.view.States() {
+		last.AgentsVersion = s.agentsVersion
+	}
 	return s
 }
 
@@ -59,7 +62,7 @@
 		for b.Loop() {
 			toAgents, fromAgents = 0, 0
 			for _, last := range s.view.States() {
-				data, _ := proto.Marshal(s.entryState(last))
+				data, _ := proto.Marshal(s.entryState(last, false))
 				toAgents += len(data) + framing
 				fromAgents += proto.Size(last) + framing
 			}
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -68,8 +68,9 @@
 	// incarnations of its agent.
 	fences map[string]uint64
 	// agents and use are rebuilt by publish for the messages to agents.
-	agents []*wire.AgentAddress
-	use    map[string]float64
+	agents        []*wire.AgentAddress
+	agentsVersion uint64
+	use           map[string]float64
 	// rejectedRevision is the last revision whose rejection was logged.
 	rejectedRevision uint64
 }
@@ -400,11 +401,12 @@
 			s.use[use.GetMember()] += use.GetTokensPerSecond()
 		}
 	}
+	s.agentsVersion = membership.AgentsVersion(s.agents)
 }
 
 // entryState builds the message for an agent from its last report, which is nil
-// before its first one.
-func (s *state) entryState(last *wire.AgentState) *wire.EntryState {
+// before its first one. lacksAgents adds the list of agents.
+func (s *state) entryState(last *wire.AgentState, lacksAgents bool) *wire.EntryState {
 	m := s.manager
 	message := &wire.EntryState{
 		Entry:       m.options.Settings.PeerListen,
@@ -412,7 +414,12 @@
 		Sequence:    m.sequence.Add(1),
 		Withdrawn:   m.withdrawn.list(),
 		LeavingVms:  s.drained,
-		Agents:      s.agents,
+
+		AgentsVersion: s.agentsVersion,
+	}
+	// An agent that names no version holds no list, or is older than this field.
+	if lacksAgents || (last != nil && last.GetAgentsVersion() == 0) {
+		message.Agents = s.agents
 	}
 	if config := m.Config(); config != nil {
 		message.ConfigRevision = config.Revision
--- a/internal/entry/cluster/watch.go
+++ b/internal/entry/cluster/watch.go
@@ -88,11 +88,20 @@
 	defer silence.Stop()
 	var last *wire.AgentState
 	var sent uint64
+	// agentsNamed and agentsSent are the versions of the list of agents in the last
+	// message and in the last one with the list. The agent lacks a list that it was told
+	// of and does not name: it may have it from another entry.
+	var agentsNamed, agentsSent uint64
+	lacksAgents := false
 	send := func() error {
 		var message *wire.EntryState
-		if err := m.do(ctx, func(s *state) { message = s.entryState(last) }); err != nil {
+		if err := m.do(ctx, func(s *state) { message = s.entryState(last, lacksAgents) }); err != nil {
 			return err
 		}
+		agentsNamed, lacksAgents = message.AgentsVersion, false
+		if len(message.Agents) > 0 {
+			agentsSent = message.AgentsVersion
+		}
 		if message.ConfigText != "" {
 			sent = message.ConfigRevision
 		}
@@ -116,8 +125,14 @@
 		case message := <-received:
 			silence.Reset(watchSilence)
 			report := membership.Report{Stream: number, State: message}
-			err = m.do(ctx, func(s *state) { s.observeAgent(report) })
+			err = m.do(ctx, func(s *state) {
+				s.observeAgent(report)
+				lacksAgents = agentsNamed == s.agentsVersion && message.GetAgentsVersion() != s.agentsVersion
+			})
 			last = message
+			if lacksAgents && agentsSent != agentsNamed {
+				signal(w.wake)
+			}
 			// Bring an agent up to date at once, but send the text only once between heartbeats.
 			if own := adoption.RevisionOf(m.Config()); last.GetConfigRevision() < own && sent < own {
 				signal(w.wake)
