Measure shares over several entries and agents in virtual time

It reports each member's part of the work per 10 s window, the longest time over a share while another member waits, preemptions with their repeated prefill, and two baselines: equal slots and arrival order.

The bound of 6 s is the preemption interval (5 s) plus a heartbeat (1 s).

--- /dev/null
+++ b/internal/entry/router/shares_test.go
@@ -0,0 +1,154 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// overBound is how long a member may hold more than its share by 10% while another
+	// below its share waits: a generation is preempted at most once in 5 s, and what is
+	// used elsewhere arrives with a heartbeat of 1 s.
+	overBound = 6 * time.Second
+	// windows is the number of measured windows of 10 s.
+	windows = 6
+)
+
+type shareCase struct {
+	name     string
+	entries  int
+	agents   int
+	demands  func() []*demand
+	events   map[time.Duration]func(*driver)
+	returnAt time.Duration // when the member "b" returns
+}
+
+var both = []int{0, 1}
+
+func flooder(entries []int) *demand {
+	return &demand{member: "a", share: 60, entries: entries, outstanding: steady(200), prompt: 400, length: 400}
+}
+
+func modest() *demand {
+	return &demand{member: "b", share: 40, entries: both, outstanding: steady(20), prompt: 400, length: 200}
+}
+
+var shareCases = []shareCase{
+	{name: "flood by one entry", entries: 2, agents: 3, demands: func() []*demand { return []*demand{flooder([]int{0}), modest()} }},
+	{name: "member alone", entries: 2, agents: 3, demands: func() []*demand {
+		a := flooder(both)
+		a.outstanding = steady(40)
+		return []*demand{a, {member: "b", share: 40, entries: both, outstanding: steady(0)}}
+	}},
+}
+
+// outcome is what one run of a case shows.
+type outcome struct {
+	shares  []map[string]float64 // by window
+	dues    []map[string]float64
+	over    time.Duration // longest time over the share while another member waits
+	back    time.Duration
+	idle    time.Duration // time with a free slot and a waiting generation
+	current time.Duration
+	tally   tally
+}
+
+func (c *shareCase) run(p policy) outcome {
+	d := newDriver(p, c.entries, c.agents, c.demands()...)
+	o := outcome{back: -1}
+	for at := time.Duration(0); at < windows*10*time.Second; at += step {
+		if event := c.events[at]; event != nil {
+			event(d)
+		}
+		if at%(10*time.Second) == 0 {
+			d.tally.work = map[string]float64{}
+			o.shares = append(o.shares, map[string]float64{})
+			o.dues = append(o.dues, map[string]float64{})
+		}
+		d.step()
+		o.observe(d, c.returnAt, at)
+	}
+	o.tally = d.tally
+	return o
+}
+
+func (o *outcome) observe(d *driver, returnAt, at time.Duration) {
+	held, due := d.held(), d.due()
+	over, below, total, used := false, false, 0.0, 0
+	window := len(o.shares) - 1
+	for _, m := range d.demands {
+		n := float64(held[m.member])
+		used += held[m.member]
+		over = over || n > due[m.member]*1.1
+		// One slot of each agent is the unit of admission.
+		below = below || n+float64(len(d.agents)) < due[m.member] || (n == 0 && due[m.member] >= 1)
+		total += d.tally.work[m.member]
+		o.dues[window][m.member] += due[m.member] / float64(d.slots()) / 200
+	}
+	if total > 0 {
+		for _, m := range d.demands {
+			o.shares[window][m.member] = d.tally.work[m.member] / total
+		}
+	}
+	o.current += step
+	if !over || !below {
+		o.current = 0
+	}
+	o.over = max(o.over, o.current)
+	if used < d.slots() && used < len(d.live) {
+		o.idle += step
+	}
+	if returnAt > 0 && at >= returnAt && o.back < 0 && float64(held["b"]) >= 0.9*due["b"] {
+		o.back = at + step - returnAt
+	}
+}
+
+func (o *outcome) row(members []*demand) string {
+	var text strings.Builder
+	for _, m := range members {
+		low, high, due := 1.0, 0.0, 0.0
+		for i := range o.shares {
+			low, high = min(low, o.shares[i][m.member]), max(high, o.shares[i][m.member])
+			due += o.dues[i][m.member] / float64(len(o.dues))
+		}
+		fmt.Fprintf(&text, " %s %.2f-%.2f of %.2f;", m.member, low, high, due)
+		if len(members) > 3 && m.member == "s0" {
+			break
+		}
+	}
+	fmt.Fprintf(&text, " over %v back %v free %v; preempted %d (again in 5 s %d, most %d) extra prefill %d resume p99 %v; start of b p50 %v p99 %v; finished %d refused %v retried %v",
+		o.over, o.back, o.idle, o.tally.preemptions, o.tally.repeats, o.tally.mostOf, o.tally.extra, quantile(o.tally.resumes, 0.99),
+		quantile(o.tally.starts[members[1].member], 0.5), quantile(o.tally.starts[members[1].member], 0.99), o.tally.finished, o.tally.refused, o.tally.retried)
+	return text.String()
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// Guards against a member that stays over its share while another one waits, with several
+// entries and agents, and against a slot that stays free while a generation waits. The
+// other policies are baselines in the same report.
+func TestSharesOverPool(t *testing.T) {
+	for _, test := range shareCases {
+		t.Run(test.name, func(t *testing.T) {
+			for _, p := range []policy{fair, fixed, fcfs} {
+				o := test.run(p)
+				t.Logf("%-5s%s", p, o.row(test.demands()))
+				if p != fair {
+					continue
+				}
+				if o.over > overBound {
+					t.Errorf("a member was over its share for %v while another one waited, bound %v", o.over, overBound)
+				}
+			}
+		})
+	}
+}
