Count only competing members when an entry finds a member over its share

An entry compared a member's use with its configured percentage of the pool even if nobody else used the pool. A member alone with 60% was thus over its share, and its waiting generations were refused as OVERLOADED after 2 s, although shares hold only among competing members. Ruled out: the agents, whose fair queueing counts competing members already.

The test fails with the previous comparison.

--- a/internal/core/placement/usage.go
+++ b/internal/core/placement/usage.go
@@ -47,8 +47,15 @@
 	}
 }
 
-// OverShare reports whether a member with the given share in percent uses more of the
-// pool's work than its share.
-func (u *Usage) OverShare(member string, sharePercent float64) bool {
-	return u.totals[member] > overShareFactor*u.total*sharePercent/100
+// OverShare reports whether a member uses more of the pool's work than its share among
+// the members that use the pool. A member alone is never over its share. The shares are
+// those of the operator configuration; they need not add up to 100.
+func (u *Usage) OverShare(member string, share func(member string) float64) bool {
+	competing := 0.0
+	for name, use := range u.totals {
+		if use > 0 {
+			competing += share(name)
+		}
+	}
+	return competing > 0 && u.totals[member] > overShareFactor*u.total*share(member)/competing
 }
--- a/internal/entry/router/shares_test.go
+++ b/internal/entry/router/shares_test.go
@@ -24,6 +24,7 @@
 	demands  func() []*demand
 	events   map[time.Duration]func(*driver)
 	returnAt time.Duration // when the member "b" returns
+	alone    bool          // no other member competes
 }
 
 var both = []int{0, 1}
@@ -38,7 +39,7 @@
 
 var shareCases = []shareCase{
 	{name: "flood by one entry", entries: 2, agents: 3, demands: func() []*demand { return []*demand{flooder([]int{0}), modest()} }},
-	{name: "member alone", entries: 2, agents: 3, demands: func() []*demand {
+	{name: "member alone", alone: true, entries: 2, agents: 3, demands: func() []*demand {
 		a := flooder(both)
 		a.outstanding = steady(40)
 		return []*demand{a, {member: "b", share: 40, entries: both, outstanding: steady(0)}}
@@ -145,6 +146,9 @@
 				if p != fair {
 					continue
 				}
+				if test.alone && len(o.tally.refused) > 0 {
+					t.Errorf("refused %v though no other member competes", o.tally.refused)
+				}
 				if o.over > overBound {
 					t.Errorf("a member was over its share for %v while another one waited, bound %v", o.over, overBound)
 				}
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -20,6 +20,9 @@
 	maxWaiting = 10000
 	// overShareWait is how long over-share work may wait for a free slot.
 	overShareWait = 2 * time.Second
+	// unknownShare is the share, in percent, of a member that the operator configuration
+	// does not list; the agents use the same.
+	unknownShare = 1
 	// entryMaxAge is how long an entry counts as watching the targets after an agent named it.
 	entryMaxAge = 10 * time.Second
 	// deathWindow is the time within which failures on one target are one crash.
@@ -187,13 +190,21 @@
 	if r.Resume {
 		return placement.ClassResume
 	}
-	member := config.Member(r.Member)
-	if member != nil && s.usage.OverShare(r.Member, member.Share) {
+	if config.Member(r.Member) != nil && s.usage.OverShare(r.Member, shareOf(config)) {
 		return placement.ClassOverShare
 	}
 	return placement.ClassInShare
 }
 
+func shareOf(config *opconfig.Config) func(string) float64 {
+	return func(name string) float64 {
+		if member := config.Member(name); member != nil {
+			return member.Share
+		}
+		return unknownShare
+	}
+}
+
 // enqueue makes the attempt wait, or sheds work if the queue is full. Resumes are never shed.
 func (s *state) enqueue(now time.Time, p *pending, notBefore time.Time) {
 	limit := min(maxWaiting, max(16, s.pool.Slots(p.request.Service)))
