Give each in-share member its own room in the agents' queues

A member that flooded every entry filled the queues of all agents and the entries' queues before the first usage report. Work of another member then found no target, waited 5 s at the entry and was refused, so no agent ever saw it wait and nothing was preempted. In-share work may now queue at a full target as long as its member has fewer attempts of this entry there than the target has slots. The note of kinds of work without room is kept by member. Ruled out: preemption at the agents (no member waited there), the order of the entry's queue (attempts without room do not hold up others).

The new cases fail without hasOwnRoom.

--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -79,12 +79,12 @@
 	}
 	p := newPool(s)
 	c.Check(choose(p, Query{}), qt.Equals, "t1")
-	p.Reserve("t1", false)
+	p.Reserve("t1", "", false)
 	c.Check(choose(p, Query{Now: now.Add(loadMaxAge)}), qt.Equals, "t0", qt.Commentf("old report"))
 
 	p = newPool(targets(2))
 	c.Check(choose(p, Query{}), qt.Equals, "t0", qt.Commentf("own zone"))
-	p.Reserve("t0", false)
+	p.Reserve("t0", "", false)
 	reported := targets(2)
 	reported.Targets[0].Running, reported.Targets[0].LoadAt = 1, now.Add(time.Second)
 	p.Update(reported)
@@ -107,11 +107,11 @@
 		c.Assert(verdict, qt.Equals, Chosen)
 		c.Assert(seen[got.Name], qt.IsFalse)
 		seen[got.Name] = true
-		p.Reserve(got.Name, true)
+		p.Reserve(got.Name, "", true)
 	}
 	_, verdict := p.Choose(Query{Service: "s", Suspect: true, Now: now}, rng)
 	c.Assert(verdict, qt.Equals, AllFull)
-	p.Release("t1", true)
+	p.Release("t1", "", true)
 	got, _ := p.Choose(Query{Service: "s", Suspect: true, Now: now}, rng)
 	c.Assert(got.Name, qt.Equals, "t1")
 }
@@ -125,7 +125,7 @@
 			if _, verdict := p.Choose(Query{Service: "s", Class: class, Now: now}, newRand()); verdict != Chosen {
 				return n
 			}
-			p.Reserve("t0", false)
+			p.Reserve("t0", "", false)
 			n++
 		}
 	}
@@ -134,6 +134,29 @@
 	c.Check(admitted(ClassResume), qt.Equals, 8)
 }
 
+// Guards against a member that fills the queues of all targets and so keeps another one
+// from every agent, where it would get slots back.
+func TestOwnRoomAtFullTarget(t *testing.T) {
+	c := qt.New(t)
+	p := newPool(targets(1))
+	for range 16 {
+		p.Reserve("t0", "a", false)
+	}
+	choose := func(member string, class Class) Verdict {
+		_, verdict := p.Choose(Query{Service: "s", Member: member, Class: class, Now: now}, newRand())
+		return verdict
+	}
+	for range 4 {
+		c.Assert(choose("b", ClassInShare), qt.Equals, Chosen)
+		c.Assert(choose("b", ClassOverShare), qt.Equals, AllFull)
+		p.Reserve("t0", "b", false)
+	}
+	c.Assert(choose("b", ClassInShare), qt.Equals, AllFull, qt.Commentf("own room is as large as the engine"))
+	c.Assert(choose("a", ClassInShare), qt.Equals, AllFull)
+	p.Release("t0", "b", false)
+	c.Assert(choose("b", ClassInShare), qt.Equals, Chosen)
+}
+
 // Guards against resumes waiting behind new work, and younger resumes before older ones.
 func TestQueueOrder(t *testing.T) {
 	c := qt.New(t)
@@ -166,7 +189,7 @@
 	for range 1100 * 2 {
 		got, verdict := p.Choose(Query{Service: "s", Class: ClassInShare, Now: now}, rng)
 		c.Assert(verdict, qt.Equals, Chosen)
-		p.Reserve(got.Name, false)
+		p.Reserve(got.Name, "", false)
 	}
 	most := 0
 	for name := range p.slots {
@@ -184,8 +207,8 @@
 			for i := 0; b.Loop(); i++ {
 				blocks[3] = uint64(i)
 				got, _ := p.Choose(Query{Service: "s", Version: "v1", Class: ClassInShare, Blocks: blocks, Now: now}, rng)
-				p.Reserve(got.Name, false)
-				p.Release(got.Name, false)
+				p.Reserve(got.Name, "", false)
+				p.Release(got.Name, "", false)
 			}
 		})
 	}
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -72,6 +72,8 @@
 // Query is a request for one target.
 type Query struct {
 	Service string
+	// Member is whose reservations count for the member's own room at a target.
+	Member string
 	// Version restricts the choice to targets that have loaded it; empty accepts any.
 	Version string
 	Class   Class
@@ -107,9 +109,11 @@
 	// inflightAtReport is inflight when the current load report arrived. The report
 	// includes these reservations, so they are subtracted from it.
 	inflightAtReport int
-	suspects         int
-	preferred        bool
-	present          bool
+	// members counts the reservations of each member.
+	members   map[string]int
+	suspects  int
+	preferred bool
+	present   bool
 }
 
 // Pool holds the targets of the last snapshot, indexed by service and version, and
@@ -186,7 +190,7 @@
 func (p *Pool) updateTarget(t *membership.Target) {
 	s := p.slots[t.Name]
 	if s == nil {
-		s = &slot{preferred: p.prefers(t.Name)}
+		s = &slot{preferred: p.prefers(t.Name), members: map[string]int{}}
 		p.slots[t.Name] = s
 	}
 	if !s.target.LoadAt.Equal(t.LoadAt) || s.target.Incarnation != t.Incarnation {
@@ -299,7 +303,7 @@
 		return 0, false
 	}
 	load := s.load(q.Now)
-	if load >= q.Class.loadLimit() {
+	if load >= q.Class.loadLimit() && !s.hasOwnRoom(q) {
 		return 0, false
 	}
 	score := load - cacheBenefit*matched(q.Blocks, s.target.CachedBlocks)
@@ -315,6 +319,13 @@
 	return score, true
 }
 
+// hasOwnRoom reports whether in-share work may queue at a target that is full: the agent
+// takes slots back for a waiting member only if that member waits there. Without such
+// room a member that filled all queues would keep the others from every agent.
+func (s *slot) hasOwnRoom(q *Query) bool {
+	return q.Class == ClassInShare && s.members[q.Member] < s.capacity()
+}
+
 func (s *slot) capacity() int { return max(1, s.target.Slots) }
 
 // load estimates the load per slot: own reservations plus the part of the reported
@@ -391,24 +402,28 @@
 	p.affinity[block] = target
 }
 
-// Reserve counts one attempt on a target.
-func (p *Pool) Reserve(target string, suspect bool) {
+// Reserve counts one attempt of a member on a target.
+func (p *Pool) Reserve(target, member string, suspect bool) {
 	s := p.slots[target]
 	if s == nil {
 		return
 	}
 	s.inflight++
+	s.members[member]++
 	if suspect {
 		s.suspects++
 	}
 }
 
-// Release ends one attempt on a target.
-func (p *Pool) Release(target string, suspect bool) {
+// Release ends one attempt of a member on a target.
+func (p *Pool) Release(target, member string, suspect bool) {
 	s := p.slots[target]
 	if s == nil {
 		return
 	}
+	if s.members[member]--; s.members[member] <= 0 {
+		delete(s.members, member)
+	}
 	s.inflight = max(0, s.inflight-1)
 	if suspect {
 		s.suspects = max(0, s.suspects-1)
--- a/internal/entry/router/pool_test.go
+++ b/internal/entry/router/pool_test.go
@@ -456,8 +456,9 @@
 // among the members with demand, bounded by its demand, with the rest passed on.
 func (d *driver) due() map[string]float64 {
 	want := map[string]float64{}
-	for _, g := range d.live {
-		want[g.member]++
+	for _, m := range d.demands {
+		// Callers of refused requests still want the work.
+		want[m.member] = float64(m.outstanding(d.now.Sub(d.start)))
 	}
 	due, left := map[string]float64{}, float64(d.slots())
 	open := slices.Clone(d.demands)
--- a/internal/entry/router/shares_test.go
+++ b/internal/entry/router/shares_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bramleygap/internal/core/placement"
 )
 
 const (
@@ -39,6 +41,26 @@
 
 var shareCases = []shareCase{
 	{name: "flood by one entry", entries: 2, agents: 3, demands: func() []*demand { return []*demand{flooder([]int{0}), modest()} }},
+	{name: "flood by all entries", entries: 2, agents: 3, demands: func() []*demand { return []*demand{flooder(both), modest()} }},
+	{name: "idle member returns", entries: 2, agents: 3, returnAt: 20 * time.Second, demands: func() []*demand {
+		b := modest()
+		b.outstanding = between(20*time.Second, time.Hour, 20)
+		a := flooder(both)
+		a.length = 2000
+		return []*demand{a, b}
+	}},
+	{name: "partition", entries: 2, agents: 4, demands: func() []*demand { return []*demand{flooder(both), modest()} },
+		events: map[time.Duration]func(*driver){
+			20 * time.Second: func(d *driver) { d.partition(0, 2, 3) },
+			40 * time.Second: func(d *driver) { d.agents[2].partial, d.agents[3].partial = nil, nil },
+		}},
+	{name: "entry replaced", entries: 2, agents: 3, demands: func() []*demand { return []*demand{flooder(both), modest()} },
+		events: map[time.Duration]func(*driver){20 * time.Second: func(d *driver) { d.replaceEntry(0) }}},
+	{name: "share below a slot", entries: 2, agents: 3, demands: func() []*demand {
+		a, b := flooder(both), modest()
+		a.share, b.share = 90, 10
+		return []*demand{a, b}
+	}},
 	{name: "member alone", alone: true, entries: 2, agents: 3, demands: func() []*demand {
 		a := flooder(both)
 		a.outstanding = steady(40)
@@ -46,6 +68,27 @@
 	}},
 }
 
+func between(from, to time.Duration, n int) func(time.Duration) int {
+	return func(at time.Duration) int {
+		if at >= from && at < to {
+			return n
+		}
+		return 0
+	}
+}
+
+// partition cuts an entry off from agents; its attempts there are lost to it.
+func (d *driver) partition(entry int, agents ...int) {
+	for _, i := range agents {
+		d.agents[i].partial = append(d.agents[i].partial, entry)
+	}
+	for _, g := range slices.Clone(d.live) {
+		if g.entry == entry && g.assignment != nil && d.agentOf(g).cut(entry) {
+			d.lose(g, placement.Outcome{Failed: true})
+		}
+	}
+}
+
 // outcome is what one run of a case shows.
 type outcome struct {
 	shares  []map[string]float64 // by window
@@ -126,6 +169,27 @@
 	return text.String()
 }
 
+// checkWindows asserts that no member got more than its share by 10% and a slot of each
+// agent in a window of 10 s. Windows that begin less than overBound after the start, a
+// return or another event may still show the time before.
+func (o *outcome) checkWindows(t *testing.T, test *shareCase) {
+	changes := []time.Duration{0, test.returnAt}
+	for at := range test.events {
+		changes = append(changes, at)
+	}
+	for i := range o.shares {
+		begin := time.Duration(i) * 10 * time.Second
+		if slices.ContainsFunc(changes, func(at time.Duration) bool { return begin+10*time.Second > at && begin < at+overBound }) {
+			continue
+		}
+		for member, got := range o.shares[i] {
+			if due := o.dues[i][member]; got > due*1.1+1.0/poolSlots {
+				t.Errorf("window %d: %s has %.2f of the work and is due %.2f", i, member, got, due)
+			}
+		}
+	}
+}
+
 func quantile(values []time.Duration, q float64) time.Duration {
 	if len(values) == 0 {
 		return 0
@@ -146,6 +210,7 @@
 				if p != fair {
 					continue
 				}
+				o.checkWindows(t, &test)
 				if test.alone && len(o.tally.refused) > 0 {
 					t.Errorf("refused %v though no other member competes", o.tally.refused)
 				}
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -60,6 +60,7 @@
 	service, version string
 	class            placement.Class
 	suspect          bool
+	member           string
 }
 
 // state is owned by the task of Run.
@@ -252,13 +253,13 @@
 	if version == "" {
 		version = s.version(r, p.id)
 	}
-	key := fullKey{r.Service, version, p.class, crashes > 0}
+	key := fullKey{r.Service, version, p.class, crashes > 0, r.Member}
 	if verdict, ok := s.full[key]; ok {
 		p.verdict = verdict
 		return false
 	}
 	query := placement.Query{
-		Service: r.Service, Version: version, Class: p.class, Blocks: r.Blocks,
+		Service: r.Service, Member: r.Member, Version: version, Class: p.class, Blocks: r.Blocks,
 		Exclude: r.Exclude, Suspect: crashes > 0, Now: now,
 	}
 	if crashes > 0 {
@@ -284,7 +285,7 @@
 	r := p.request
 	id := p.id
 	level := s.pool.LoadLevel(target.Name, now)
-	s.pool.Reserve(target.Name, suspected)
+	s.pool.Reserve(target.Name, r.Member, suspected)
 	s.service(r.Service, now).inflight++
 	if r.Fingerprint != 0 {
 		s.running[id] = running{r.Fingerprint, now, target.Name}
@@ -367,7 +368,7 @@
 // release ends an attempt: it frees the reservation and learns from the outcome.
 func (s *state) release(now time.Time, id uint64, r placement.Request, d placement.Decision, level int, o placement.Outcome) {
 	aboard := s.pool.Suspects(d.Target.Name) > 0
-	s.pool.Release(d.Target.Name, d.Suspect)
+	s.pool.Release(d.Target.Name, r.Member, d.Suspect)
 	v := s.service(r.Service, now)
 	v.inflight--
 	v.firstToken.Observe(o.FirstToken)
