--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -21,6 +21,9 @@
 	maxWaiting = 10000
 	// overShareWait is how long over-share work may wait for a free slot.
 	overShareWait = 2 * time.Second
+	// unknownShare is the share, in percent, of a member that the operator configuration
+	// does not list; the agents use the same.
+	unknownShare = 1
 	// entryMaxAge is how long an entry counts as watching the targets after an agent named it.
 	entryMaxAge = 10 * time.Second
 	// upkeepInterval is the time between passes over all suspects, running attempts and
@@ -61,6 +64,7 @@
 	service, version string
 	class            placement.Class
 	suspect          bool
+	member           string
 }
 
 // state is owned by the task of Run.
@@ -193,13 +197,21 @@
 	if r.Resume {
 		return placement.ClassResume
 	}
-	member := config.Member(r.Member)
-	if member != nil && s.usage.OverShare(r.Member, member.Share) {
+	if config.Member(r.Member) != nil && s.usage.OverShare(r.Member, shareOf(config)) {
 		return placement.ClassOverShare
 	}
 	return placement.ClassInShare
 }
 
+func shareOf(config *opconfig.Config) func(string) float64 {
+	return func(name string) float64 {
+		if member := config.Member(name); member != nil {
+			return member.Share
+		}
+		return unknownShare
+	}
+}
+
 // enqueue makes the attempt wait, or sheds work if the queue is full. Resumes are never shed.
 func (s *state) enqueue(now time.Time, p *pending, notBefore time.Time) {
 	limit := min(maxWaiting, max(16, s.pool.Slots(p.request.Service)))
@@ -247,13 +259,13 @@
 	if version == "" {
 		version = s.version(r, p.id)
 	}
-	key := fullKey{r.Service, version, p.class, crashes > 0}
+	key := fullKey{r.Service, version, p.class, crashes > 0, r.Member}
 	if verdict, ok := s.full[key]; ok {
 		p.verdict = verdict
 		return false
 	}
 	query := placement.Query{
-		Service: r.Service, Version: version, Class: p.class, Blocks: r.Blocks,
+		Service: r.Service, Member: r.Member, Version: version, Class: p.class, Blocks: r.Blocks,
 		Exclude: r.Exclude, Suspect: crashes > 0, Now: now,
 	}
 	if crashes > 0 {
@@ -279,7 +291,7 @@
 	r := p.request
 	id := p.id
 	level := s.pool.LoadLevel(target.Name, now)
-	s.pool.Reserve(target.Name, suspected)
+	s.pool.Reserve(target.Name, r.Member, suspected)
 	s.service(r.Service, now).inflight++
 	if r.Fingerprint != 0 {
 		s.running[id] = running{r.Fingerprint, now, target.Name}
@@ -362,7 +374,7 @@
 // release ends an attempt: it frees the reservation and learns from the outcome.
 func (s *state) release(now time.Time, id uint64, r placement.Request, d placement.Decision, level int, o placement.Outcome) {
 	aboard := s.pool.Suspects(d.Target.Name) > 0
-	s.pool.Release(d.Target.Name, d.Suspect)
+	s.pool.Release(d.Target.Name, r.Member, d.Suspect)
 	v := s.service(r.Service, now)
 	v.inflight--
 	v.firstToken.Observe(o.FirstToken)
