Choose a generation's replica once for each list of agents

Cause: the replica depends only on the generation and the list of agents, but was chosen anew in each interval of 10 ms.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -40,8 +40,10 @@
 	dispatched bool
 	life       uint64
 
-	replica    string
-	replicated uint64
+	replica string
+	// replicaList is the version of the list of agents that replica was chosen from.
+	replicaList uint64
+	replicated  uint64
 	// endReplicated is set when the replica acknowledged the end.
 	endReplicated bool
 	held          hold
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -64,22 +64,22 @@
 func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	candidates := a.replicaCandidates()
+	var candidates []stream.Agent
 	batches := make(map[*replicaLink][]pendingRecord)
 	for generation, t := range a.attempts {
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
 		}
-		replica, found := stream.ReplicaFor(generation, a.options.Settings.Zone, candidates)
-		if !found {
-			t.held.release()
-			continue
+		if t.replicaList != a.lists.used {
+			if candidates == nil {
+				candidates = a.replicaCandidates()
+			}
+			a.chooseReplica(t, candidates)
 		}
-		if replica.Address != t.replica {
-			t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
-			t.held.release()
+		if t.replica == "" {
+			continue
 		}
-		link := a.link(replica.Address)
+		link := a.link(t.replica)
 		if link.busy || now.Before(link.notUntil) {
 			continue
 		}
@@ -93,6 +93,17 @@
 	return batches
 }
 
+// chooseReplica requires a.mu. A new replica gets the whole log.
+func (a *Agent) chooseReplica(t *attempt, candidates []stream.Agent) {
+	t.replicaList = a.lists.used
+	// Without a candidate the address is empty and nothing is replicated.
+	replica, _ := stream.ReplicaFor(t.log.Generation, a.options.Settings.Zone, candidates)
+	if replica.Address != t.replica {
+		t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
+		t.held.release()
+	}
+}
+
 // generationStart returns when the generation began, on any agent; a resumed one is
 // replicated at once.
 func generationStart(t *attempt) time.Time {
