--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -53,15 +53,16 @@
 // targets is a router that takes the first target that is not excluded.
 type targets struct {
 	addresses []string
-	hold      chan struct{} // if set, Place waits until it is closed
+	hold      chan struct{} // if set, the first Place waits until it is closed
 	held      chan struct{}
 	open      atomic.Int64
 }
 
 func (r *targets) Place(_ context.Context, request placement.Request) (*router.Assignment, error) {
-	if r.hold != nil {
+	if hold := r.hold; hold != nil {
+		r.hold = nil
 		close(r.held)
-		<-r.hold
+		<-hold
 	}
 	for _, address := range r.addresses {
 		if !slices.Contains(request.Exclude, address) {
@@ -223,7 +224,8 @@
 // Guards against a dispatch by an owner that paused after its claim and lost it.
 func TestPausedOwnerLosesItsClaim(t *testing.T) {
 	in, address := newInstallation(t)
-	paused := &targets{addresses: []string{address}, hold: make(chan struct{}), held: make(chan struct{})}
+	hold := make(chan struct{})
+	paused := &targets{addresses: []string{address}, hold: hold, held: make(chan struct{})}
 	first := in.entry(paused)
 	second := in.entry(&targets{addresses: []string{address}})
 	second.timing.lapse = 0
@@ -231,13 +233,33 @@
 	go func() { replies <- issue(first, "k") }()
 	<-paused.held
 	in.c.Assert(issue(second, "k").status, qt.Equals, 201)
-	close(paused.hold)
+	close(hold)
 	late := <-replies
 	in.c.Assert(late.status, qt.Equals, 201)
 	in.c.Assert(late.repeated, qt.IsTrue)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 1)
 }
 
+// Guards against a target that stays reserved when the dispatch write is refused and the
+// call is placed again; the entry's cleanup counts the reservations.
+func TestDispatchWriteRefused(t *testing.T) {
+	in, address := newInstallation(t)
+	hold := make(chan struct{})
+	router := &targets{addresses: []string{address}, hold: hold, held: make(chan struct{})}
+	entry := in.entry(router)
+	replies := make(chan reply)
+	go func() { replies <- issue(entry, "k") }()
+	<-router.held
+	refused := in.platform.Counters().Refused
+	in.platform.Control(standin.Control{Outage: new(true)})
+	close(hold)
+	for in.platform.Counters().Refused == refused {
+		time.Sleep(time.Millisecond)
+	}
+	in.platform.Control(standin.Control{Outage: new(false)})
+	in.c.Assert((<-replies).status, qt.Equals, 201)
+}
+
 // Guards against a run by a repeat after the owner crashed between dispatch and sending:
 // the repeat cannot know whether the call was sent.
 func TestCrashAfterClaimWasDispatched(t *testing.T) {
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -178,6 +178,8 @@
 }
 
 func (t *onceTask) place(attempt int) oncecall.Event {
+	// A call whose dispatch write failed is placed again.
+	t.release()
 	if attempt > 1 {
 		t.handler.retried(t.call, t.lastCode)
 	}
