Make the sources of the binary an input of the end-to-end test cache

go test returned a cached pass of internal/e2e after a change of internal/core/oncecall: the blank imports of demo and operator do not change the test binary, since the linker removes what is not called. The tests now read the source folders, which go test records. Seen: (cached) before this change and a run after it, for the same edit.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -20,11 +21,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	// The binary under test is built from these; without the imports the test cache
-	// would return results of an older binary.
-	_ "bramleygap/internal/demo"
-	_ "bramleygap/internal/operator"
 )
 
 // hangLimit ends a test that makes no progress; it decides no verdict otherwise.
@@ -92,12 +88,23 @@
 }
 
 func newInstallation(t *testing.T) *installation {
+	readSources(t)
 	number := uint32(os.Getpid())<<8 + installations.Add(1)
 	in := &installation{t: t, host: fmt.Sprintf("127.%d.%d.%d", 1+number>>16%250, number>>8%256, 1+number%250), folder: t.TempDir(), processes: map[string]*process{}, address: map[string]string{}}
 	t.Cleanup(in.stop)
 	return in
 }
 
+// readSources makes the sources of the binary under test an input of the test cache,
+// which would otherwise return results of an older binary. Imports of its packages do
+// not, since the linker removes what the test itself does not call.
+func readSources(t *testing.T) {
+	for _, folder := range []string{"../../cmd", "../../internal"} {
+		err := filepath.WalkDir(folder, func(_ string, _ fs.DirEntry, err error) error { return err })
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
 func (in *installation) stop() {
 	for _, p := range in.processes {
 		p.signal(syscall.SIGCONT)
