Rebuild and rerun the end-to-end tests when the program changes

The test package did not import what the started binary contains, so that go test reported cached results of an earlier binary: broken variants of the entry passed. The harness imports these packages, and gives calls a time limit, so that a variant that never ends a stream fails its test.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -19,6 +19,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	// The started binary is not an import, so that go test would report cached results
+	// of an earlier one. These packages import all of its code.
+	_ "bramleygap/internal/demo"
+	_ "bramleygap/internal/operator"
+	_ "bramleygap/internal/standin"
 )
 
 // hangLimit ends a test that makes no progress; it decides no verdict otherwise.
@@ -218,6 +224,13 @@
 	in.t.Fatalf("condition did not hold within %s: %s", hangLimit, what)
 }
 
+// context ends a call of the test after the hang limit.
+func (in *installation) context() context.Context {
+	ctx, cancel := context.WithTimeout(in.t.Context(), hangLimit)
+	in.t.Cleanup(cancel)
+	return ctx
+}
+
 // run executes an operator command and returns its output.
 func (in *installation) run(arguments ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
