--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -21,6 +21,12 @@
 	doneMarker    = "[DONE]"
 )
 
+// Paths of generations.
+const (
+	PathCompletions = "/v1/completions"
+	PathResume      = "/v1/generations/resume"
+)
+
 // Client sends requests to one entry or balancer.
 type Client struct {
 	// BaseURL has no trailing slash.
@@ -112,8 +118,17 @@
 	if err != nil {
 		return err
 	}
+	return c.receive(ctx, http.MethodPost, PathCompletions, raw, got, onChunk)
+}
+
+// Resume continues the generation that got.LastID names. onChunk and errors are as in Complete.
+func (c *Client) Resume(ctx context.Context, got *Completion, onChunk func(*Completion) bool) error {
+	return c.receive(ctx, http.MethodGet, PathResume, nil, got, onChunk)
+}
+
+func (c *Client) receive(ctx context.Context, method, path string, body []byte, got *Completion, onChunk func(*Completion) bool) error {
 	started := time.Now()
-	response, err := c.do(ctx, http.MethodPost, "/v1/completions", raw, http.Header{"Last-Event-Id": optional(got.LastID)})
+	response, err := c.do(ctx, method, path, body, http.Header{"Last-Event-Id": optional(got.LastID)})
 	if err != nil {
 		return err
 	}
--- a/internal/e2e/resume_test.go
+++ b/internal/e2e/resume_test.go
@@ -39,11 +39,17 @@
 	for _, name := range entries {
 		in.waitFor(name, "http://"+in.address[name+"-admin"]+"/readyz")
 	}
+	in.awaitReady(entries[0], engines+1)
+	return in
+}
+
+// awaitReady waits until an entry sees the given number of ready targets.
+func (in *installation) awaitReady(entry string, targets int) {
+	in.t.Helper()
 	in.eventually("every target is ready", func() bool {
-		output, err := in.run("status", "--entry", in.address[entries[0]+"-peer"], "--json")
-		return err == nil && strings.Count(strings.ReplaceAll(output, " ", ""), `"ready":true`) >= engines+1
+		output, err := in.run("status", "--entry", in.address[entry+"-peer"], "--json")
+		return err == nil && strings.Count(strings.ReplaceAll(output, " ", ""), `"ready":true`) >= targets
 	})
-	return in
 }
 
 func (in *installation) operatorsText() string {
@@ -84,7 +90,7 @@
 	request := completion(readPrompt(t))
 	var got client.Completion
 	killed := false
-	err := in.caller("entry0").Complete(t.Context(), request, &got, func(received *client.Completion) bool {
+	err := in.caller("entry0").Complete(in.context(), request, &got, func(received *client.Completion) bool {
 		if !killed && received.Tokens() >= maxTokens/2 {
 			killed = true
 			in.processes[strings.TrimPrefix(in.servingAgent(received.LastID), "agent-")].kill()
--- a/internal/e2e/stream_test.go
+++ b/internal/e2e/stream_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"bytes"
 	"hash/crc32"
 	"os"
 	"strings"
@@ -85,18 +84,30 @@
 	in.t.Helper()
 	c := qt.New(in.t)
 	c.Assert(got.Whole(), qt.IsTrue, qt.Commentf("no terminal event after %q", tail(got.Text.String(), 80)))
-	tokens, finish := engine.ExpectedTokens(engineapi.GenerateRequest{
+	tokens, finish := expected(version, request)
+	c.Assert(got.FinishReason, qt.Equals, finish)
+	var ids []byte
+	for _, token := range tokens {
+		ids = append(ids, byte(token.ID>>24), byte(token.ID>>16), byte(token.ID>>8), byte(token.ID))
+	}
+	c.Assert(got.Text.String(), qt.Equals, strings.ToValidUTF8(textOf(tokens), "\uFFFD"))
+	c.Assert(got.Summary.Tokens, qt.Equals, len(tokens))
+	c.Assert(got.Summary.Checksum, qt.Equals, crc32.Checksum(ids, crc32.MakeTable(crc32.Castagnoli)))
+}
+
+// expected returns the tokens that the engines generate for a request, and the finish reason.
+func expected(version string, request client.CompletionRequest) ([]engine.Token, string) {
+	return engine.ExpectedTokens(engineapi.GenerateRequest{
 		Model: "letters", Version: version, Prompt: request.Prompt, Seed: request.Seed, MaxTokens: uint32(request.MaxTokens),
 	})
-	c.Assert(got.FinishReason, qt.Equals, finish)
-	var text, ids bytes.Buffer
+}
+
+func textOf(tokens []engine.Token) string {
+	var text strings.Builder
 	for _, token := range tokens {
 		text.Write(token.Bytes)
-		ids.Write([]byte{byte(token.ID >> 24), byte(token.ID >> 16), byte(token.ID >> 8), byte(token.ID)})
 	}
-	c.Assert(got.Text.String(), qt.Equals, strings.ToValidUTF8(text.String(), "\uFFFD"))
-	c.Assert(got.Summary.Tokens, qt.Equals, len(tokens))
-	c.Assert(got.Summary.Checksum, qt.Equals, crc32.Checksum(ids.Bytes(), crc32.MakeTable(crc32.Castagnoli)))
+	return text.String()
 }
 
 func readPrompt(t *testing.T) string {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -189,8 +189,15 @@
 	return float64(digest.Sum64()>>11)/(1<<53) < rate
 }
 
+// minPause is the shortest pause that takes a timer; timers are about 1 ms late, which
+// would limit the rate of tests that need many tokens at once.
+const minPause = 50 * time.Microsecond
+
 // pause waits, and goes on waiting while the engine is frozen.
 func (e *Engine) pause(ctx context.Context, d time.Duration) error {
+	if d < minPause && ctx.Err() == nil {
+		return e.hold(ctx)
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
