Choose a replica once per list of agents

Cause: every 50 ms each running attempt ranked all agents again, under the agent's lock. At the target size a ranking took 1.4 ms (median of 5, 1.07 to 1.90, shared machine); 136 attempts and 20 passes a second would take 3.8 cores.

The choice is kept until the list of agents changes, and the best agent is found without sorting: 0.075 ms at the target size (3 runs, 0.067 to 0.079), 1.3 us in place of 7.2 us at today's. With about 9 generations a second on an agent that is 0.7 ms/s.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -40,8 +40,11 @@
 	dispatched bool
 	life       uint64
 
-	replica    string
-	replicated uint64
+	// replica is empty if there is none.
+	replica string
+	// replicaFrom is the version of the list of agents that it was chosen from.
+	replicaFrom uint64
+	replicated  uint64
 	// endReplicated is set when the replica acknowledged the end.
 	endReplicated bool
 	held          hold
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -64,22 +64,17 @@
 func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	candidates := a.replicaCandidates()
 	batches := make(map[*replicaLink][]pendingRecord)
 	for generation, t := range a.attempts {
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
 		}
-		replica, found := stream.ReplicaFor(generation, a.options.Settings.Zone, candidates)
-		if !found {
+		a.chooseReplica(t)
+		if t.replica == "" {
 			t.held.release()
 			continue
 		}
-		if replica.Address != t.replica {
-			t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
-			t.held.release()
-		}
-		link := a.link(replica.Address)
+		link := a.link(t.replica)
 		if link.busy || now.Before(link.notUntil) {
 			continue
 		}
@@ -93,6 +88,20 @@
 	return batches
 }
 
+// chooseReplica requires a.mu. It chooses again only when the list of agents changed: the
+// choice takes time in proportion to the number of agents.
+func (a *Agent) chooseReplica(t *attempt) {
+	if t.replicaFrom == a.lists.used {
+		return
+	}
+	t.replicaFrom = a.lists.used
+	replica, _ := stream.ReplicaFor(t.log.Generation, a.options.Settings.Zone, a.replicaCandidates())
+	if replica.Address != t.replica {
+		t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
+		t.held.release()
+	}
+}
+
 // generationStart returns when the generation began, on any agent; a resumed one is
 // replicated at once.
 func generationStart(t *attempt) time.Time {
--- a/internal/core/stream/codec.go
+++ b/internal/core/stream/codec.go
@@ -144,18 +144,29 @@
 // the one with the highest rendezvous score among agents outside ownZone, the zone
 // of the serving agent. ok is false if there is none.
 func ReplicaFor(generation, ownZone string, agents []Agent) (agent Agent, ok bool) {
-	ranked := RankReplicas(generation, ownZone, agents)
-	if len(ranked) == 0 {
-		return Agent{}, false
+	best := uint64(0)
+	for _, candidate := range agents {
+		if outside(candidate, ownZone) {
+			score := replicaScore(generation, candidate)
+			if !ok || score > best || (score == best && candidate.Address < agent.Address) {
+				agent, best, ok = candidate, score, true
+			}
+		}
 	}
-	return ranked[0], true
+	return agent, ok
+}
+
+func outside(a Agent, ownZone string) bool { return ownZone == "" || a.Zone != ownZone }
+
+func replicaScore(generation string, a Agent) uint64 {
+	return xxhash.Sum64String(generation + "\x00" + a.Address)
 }
 
 // RankReplicas returns the agents outside ownZone in order of falling rendezvous
 // score. An entry that does not know the zone passes "" and gets all agents.
 func RankReplicas(generation, ownZone string, agents []Agent) []Agent {
-	ranked := slices.DeleteFunc(slices.Clone(agents), func(a Agent) bool { return ownZone != "" && a.Zone == ownZone })
-	score := func(a Agent) uint64 { return xxhash.Sum64String(generation + "\x00" + a.Address) }
+	ranked := slices.DeleteFunc(slices.Clone(agents), func(a Agent) bool { return !outside(a, ownZone) })
+	score := func(a Agent) uint64 { return replicaScore(generation, a) }
 	slices.SortFunc(ranked, func(a, b Agent) int {
 		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Address, b.Address))
 	})
--- a/internal/core/stream/codec_test.go
+++ b/internal/core/stream/codec_test.go
@@ -70,6 +70,7 @@
 	for _, generation := range []string{"g1", "g2", "g3", "g4"} {
 		first, ok := ReplicaFor(generation, "a", agents)
 		second, _ := ReplicaFor(generation, "a", reversed)
+		c.Assert(RankReplicas(generation, "a", agents)[0], qt.Equals, first)
 		c.Assert(ok, qt.IsTrue)
 		c.Assert(first, qt.Equals, second)
 		c.Assert(first.Zone, qt.Not(qt.Equals), "a")
