Draw the fencing numbers of a service's rollouts from one row

Agents compare fencing numbers per target, but each rollout row counted its own, so the orders of a second rollout (number 1) were refused after a first one that had reached a higher number. The numbers now come from the row fence/SERVICE, raised in the transaction that takes the lease, with checks on both rows. Only the rollout whose turn it is takes a lease, since a lease of a queued or retiring rollout would raise the number above that of the active one. An owner whose order is refused as too old takes a new lease.

An entry states the highest number to an agent only after it has read these rows since the agent's first report. Before, an entry that had itself just started stated 0, and a restarted agent then obeyed any order.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -380,8 +381,14 @@
 // Guards against obedience to an old fencing number, also where the engine ignores it
 // and after a restart of the agent.
 func TestOrderFencing(t *testing.T) {
+	for _, ignores := range []bool{true, false} {
+		t.Run(fmt.Sprintf("ignores fencing %v", ignores), func(t *testing.T) { checkOrderFencing(t, ignores) })
+	}
+}
+
+func checkOrderFencing(t *testing.T, ignores bool) {
 	c := qt.New(t)
-	r := startRig(c, engine.Options{IgnoresFencing: true}, nil)
+	r := startRig(c, engine.Options{IgnoresFencing: ignores}, nil)
 	order := func(fence uint64, version string) *wire.OrderResponse {
 		response, err := r.client.Order(r.context(), &wire.OrderRequest{
 			Fence: fence, Owner: "e1", Kind: wire.OrderKind_ORDER_KIND_LOAD, Model: "m", Version: version,
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -49,7 +49,7 @@
 	case a.options.Settings.TargetKind != kindModel:
 		return result.New(result.UnknownService, "the target takes no orders")
 	case !a.fenceKnown:
-		return result.New(result.NotReady, "the highest fencing number is unknown since the start")
+		return result.New(result.NotReady, "the agent has not learned the highest fencing number since its start; an entry states it once it has read the table service")
 	case request.GetFence() < a.fence:
 		return result.New(result.FenceTooOld, "fencing number %d is lower than %d", request.GetFence(), a.fence)
 	}
--- a/internal/core/rollout/bench_test.go
+++ b/internal/core/rollout/bench_test.go
@@ -25,7 +25,7 @@
 		for b.Loop() {
 			NextLoads(&row, targets, nil, now)
 			Decide(&Input{
-				Now: now, Row: row, ReadAt: now, Self: Owner{"self", 1}, Loaded: Loaded(&row, targets),
+				Now: now, Row: row, ReadAt: now, Self: Owner{"self", 1}, Loaded: Loaded(&row, targets), Turn: true,
 				Verdict: evidence.Verdict{StepPassed: true, Requests: 1000},
 			})
 		}
--- a/internal/core/rollout/decide.go
+++ b/internal/core/rollout/decide.go
@@ -51,6 +51,11 @@
 	Verdict   evidence.Verdict
 	// Loaded is set if enough targets have the version for the next step.
 	Loaded bool
+	// Turn is set if this is the rollout of its service that is worked on. Others take no
+	// lease, since a lease raises the fencing number that the service's orders need.
+	Turn bool
+	// Refused is set if a target obeyed a higher fencing number than the lease's.
+	Refused bool
 	// PreviousLoaded is set while a usable target still has the previous version.
 	PreviousLoaded bool
 }
@@ -62,6 +67,9 @@
 	Withdraw string
 	// Put, if not nil, replaces the row by compare-and-set on the revision read.
 	Put *Row
+	// Acquire is set if Put takes a new lease: the fencing number is drawn from the
+	// service's row in the same transaction.
+	Acquire bool
 }
 
 // Decide returns the next action. A row that was written since it was read makes the
@@ -90,11 +98,11 @@
 		const reason = "not complete at the deadline"
 		return Output{Withdraw: reason, Put: ended(in, Withdrawn, reason)}
 	}
-	if in.Now.Sub(in.ReadAt) > maxRowAge {
+	if !in.Turn || in.Now.Sub(in.ReadAt) > maxRowAge {
 		return Output{}
 	}
 	if !in.holdsLease() {
-		return Output{Put: in.acquire()}
+		return in.acquire()
 	}
 	if row := in.advance(); row != nil {
 		row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
@@ -110,11 +118,11 @@
 	if in.Verdict.Withdraw && in.Now.Before(KeepsPreviousUntil(&in.Row)) {
 		return Output{Withdraw: in.Verdict.Reason, Put: ended(in, Withdrawn, in.Verdict.Reason)}
 	}
-	if !Retiring(&in.Row, in.Now) || in.Now.Sub(in.ReadAt) > maxRowAge {
+	if !Retiring(&in.Row, in.Now) || !in.Turn || in.Now.Sub(in.ReadAt) > maxRowAge {
 		return Output{}
 	}
 	if !in.holdsLease() {
-		return Output{Put: in.acquire()}
+		return in.acquire()
 	}
 	if !in.PreviousLoaded {
 		row := in.Row
@@ -158,18 +166,17 @@
 		now.Before(at(r.LeaseUntil).Add(-leaseMargin))
 }
 
-func (in *Input) holdsLease() bool { return HoldsLease(&in.Row, in.Self, in.Now) }
+func (in *Input) holdsLease() bool { return !in.Refused && HoldsLease(&in.Row, in.Self, in.Now) }
 
-// acquire takes a lease that has ended, with the next fencing number.
-func (in *Input) acquire() *Row {
+// acquire takes a lease that has ended, or a new one in place of the own lease.
+func (in *Input) acquire() Output {
 	if in.Now.Before(at(in.Row.LeaseUntil).Add(leaseMargin)) && in.Row.Owner != in.Self.Name {
-		return nil
+		return Output{}
 	}
 	row := in.Row
 	row.Owner, row.Incarnation = in.Self.Name, in.Self.Incarnation
-	row.Fence++
 	row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
-	return &row
+	return Output{Put: &row, Acquire: true}
 }
 
 // advance returns the row of the next step, or nil if the step goes on.
--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -135,6 +135,9 @@
 			m.withdrawn = true
 		}
 		if out.Put != nil {
+			if out.Acquire {
+				out.Put.Fence = NextFence(r.row.Fence, out.Put)
+			}
 			r.commit(m, out.Put, m.revision)
 		}
 	}
@@ -142,7 +145,7 @@
 
 func (r *run) decide(m *member) Output {
 	return Decide(&Input{
-		Now: r.now, Row: m.row, ReadAt: m.readAt, Self: m.owner, Withdrawn: m.withdrawn, Loaded: true,
+		Now: r.now, Row: m.row, ReadAt: m.readAt, Self: m.owner, Withdrawn: m.withdrawn, Loaded: true, Turn: true,
 		Verdict: m.evaluator.Evaluate(r.now, m.counters),
 	})
 }
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -41,7 +41,7 @@
 	self := Owner{"e1", 1}
 	passed := evidence.Verdict{StepPassed: true, Passed: true}
 	base := Input{
-		Now: now, ReadAt: now, Self: self, Loaded: true, Verdict: passed,
+		Now: now, ReadAt: now, Self: self, Loaded: true, Turn: true, Verdict: passed,
 		Row: Row{
 			State: Running, Step: 4, Owner: "e1", Incarnation: 1, Fence: 3,
 			StepSince: now.Add(-time.Hour).UnixMilli(), Deadline: now.Add(time.Hour).UnixMilli(),
@@ -56,10 +56,15 @@
 	c.Check(decide(func(*Input) {}).Put.State, qt.Equals, Done)
 	c.Check(decide(func(in *Input) { in.ReadAt = now.Add(-time.Minute) }).Put, qt.IsNil)
 	c.Check(decide(func(in *Input) { in.Self.Name = "e2" }).Put, qt.IsNil, qt.Commentf("lease held by another"))
-	taken := decide(func(in *Input) { in.Self, in.Row.LeaseUntil = Owner{"e2", 1}, now.Add(-2*time.Second).UnixMilli() }).Put
-	c.Check([]any{taken.Owner, taken.Fence, taken.Step}, qt.DeepEquals, []any{"e2", uint64(4), 4})
-	restarted := decide(func(in *Input) { in.Self.Incarnation = 2 }).Put
-	c.Check([]any{restarted.Fence, restarted.State}, qt.DeepEquals, []any{uint64(4), Running})
+	taken := decide(func(in *Input) { in.Self, in.Row.LeaseUntil = Owner{"e2", 1}, now.Add(-2*time.Second).UnixMilli() })
+	c.Check([]any{taken.Put.Owner, taken.Acquire, taken.Put.Step}, qt.DeepEquals, []any{"e2", true, 4})
+	restarted := decide(func(in *Input) { in.Self.Incarnation = 2 })
+	c.Check([]any{restarted.Acquire, restarted.Put.State}, qt.DeepEquals, []any{true, Running})
+	refused := decide(func(in *Input) { in.Refused = true })
+	c.Check([]any{refused.Acquire, refused.Put.State}, qt.DeepEquals, []any{true, Running})
+	c.Check(decide(func(in *Input) { in.Turn, in.Self.Incarnation = false, 2 }), qt.Equals, Output{})
+	c.Check(NextFence(7, restarted.Put), qt.Equals, uint64(8))
+	c.Check(NextFence(1, restarted.Put), qt.Equals, uint64(4), qt.Commentf("row older than the service's"))
 	c.Check(decide(func(in *Input) { in.Loaded = false }).Put, qt.IsNil)
 	halt := decide(func(in *Input) {
 		in.Verdict = evidence.Verdict{Withdraw: true, Reason: "failures"}
@@ -80,7 +85,7 @@
 	}
 	c.Check(decide(retire).Put.Retired, qt.IsTrue)
 	c.Check(decide(func(in *Input) { retire(in); in.PreviousLoaded = true }).Put, qt.IsNil)
-	c.Check(decide(func(in *Input) { retire(in); in.Self.Incarnation = 2 }).Put.Fence, qt.Equals, uint64(4))
+	c.Check(decide(func(in *Input) { retire(in); in.Self.Incarnation = 2 }).Acquire, qt.IsTrue)
 	c.Check(decide(func(in *Input) { retire(in); in.Row.KeepPrevious = 0 }).Put, qt.IsNil)
 	backToOld := func(in *Input) {
 		in.Verdict = evidence.Verdict{Withdraw: true, Reason: "failures"}
--- a/internal/core/rollout/row.go
+++ b/internal/core/rollout/row.go
@@ -50,7 +50,7 @@
 	OnTooLittle  OnTooLittle `json:"on_too_little_traffic,omitempty"`
 	Owner        string      `json:"owner,omitempty"`
 	Incarnation  uint64      `json:"incarnation,omitempty"`
-	// Fence grows with each change of the owner; orders carry it.
+	// Fence is drawn from the service's row at each new lease; orders carry it.
 	Fence      uint64 `json:"fence"`
 	LeaseUntil int64  `json:"lease_until_unix_ms,omitempty"`
 	// Retired is set once the previous version was unloaded from all targets.
@@ -112,6 +112,20 @@
 	return nil
 }
 
+// Turn returns the row of sorted rows that is worked on: the first running one, else the
+// first completed one whose previous version is to be unloaded, or nil.
+func Turn(rows []Row, withdrawn func(version string) bool, now time.Time) *Row {
+	if active := Active(rows, withdrawn); active != nil {
+		return active
+	}
+	for i := range rows {
+		if Retiring(&rows[i], now) && !withdrawn(rows[i].Version) {
+			return &rows[i]
+		}
+	}
+	return nil
+}
+
 // splitParts is the resolution of the split.
 const splitParts = 10000
 
--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/rollout"
 	"bramleygap/internal/obs"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/platform/platformtest"
@@ -398,6 +399,41 @@
 	c.Assert(told(), qt.IsTrue)
 }
 
+// Guards against a fencing number that is stated to a restarted agent before the table
+// was read after its start, here with the table down and with a restarted entry.
+func TestFenceIsStatedOnceTheTableWasRead(t *testing.T) {
+	c := qt.New(t)
+	table, vms := platformtest.NewTable(), &platformtest.VMs{}
+	_, err := table.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: rollout.FenceKey("chat"), Value: rollout.EncodeFence(9)}}})
+	c.Assert(err, qt.IsNil)
+	agent, _ := startAgent(t, "t1")
+	vms.Set(vmOf(agent))
+	table.SetDown(true)
+	startEntry(t, "e1", table, vms)
+	messages := func(until func(*wire.EntryState) bool) {
+		for seen := uint64(0); ; {
+			agent.mu.Lock()
+			state, sequence := agent.received, agent.received.GetSequence()
+			agent.mu.Unlock()
+			if sequence > seen {
+				seen = sequence
+				if until(state) {
+					return
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	n := 0
+	messages(func(s *wire.EntryState) bool {
+		c.Assert(s.HighestFence, qt.IsNil)
+		n++
+		return n == 4
+	})
+	table.SetDown(false)
+	messages(func(s *wire.EntryState) bool { return s.HighestFence != nil && s.GetHighestFence() == 9 })
+}
+
 // Guards against an old process's relayed acknowledgement that counts for the new one.
 func TestRelayedAcknowledgementOfOldIncarnation(t *testing.T) {
 	c := qt.New(t)
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -67,6 +67,12 @@
 	// fences has the highest fencing number that each target reported, over all
 	// incarnations of its agent.
 	fences map[string]uint64
+	// fenceRows has the highest fencing number drawn for each service, as last read from
+	// the table.
+	fenceRows map[string]uint64
+	// fenceRead has the incarnation of each target's agent for which the rows were read
+	// after the first report of that incarnation.
+	fenceRead map[string]uint64
 	// agents and use are rebuilt by publish for the messages to agents.
 	agents []*wire.AgentAddress
 	use    map[string]float64
@@ -76,15 +82,17 @@
 
 func newState(m *Manager, ctx context.Context, now time.Time) *state {
 	return &state{
-		manager:  m,
-		ctx:      ctx,
-		view:     membership.New(now),
-		acks:     adoption.NewAcks(),
-		heardVMs: make(map[string]bool),
-		entries:  make(map[string]*entryInfo),
-		peers:    make(map[string]bool),
-		watchers: make(map[string]*watcher),
-		fences:   make(map[string]uint64),
+		manager:   m,
+		ctx:       ctx,
+		view:      membership.New(now),
+		acks:      adoption.NewAcks(),
+		heardVMs:  make(map[string]bool),
+		entries:   make(map[string]*entryInfo),
+		peers:     make(map[string]bool),
+		watchers:  make(map[string]*watcher),
+		fences:    make(map[string]uint64),
+		fenceRows: make(map[string]uint64),
+		fenceRead: make(map[string]uint64),
 	}
 }
 
@@ -420,8 +428,10 @@
 			message.ConfigText = config.Text
 		}
 	}
-	if last != nil {
-		message.HighestFence = proto.Uint64(s.fences[last.GetTarget()])
+	// What an entry heard from the agent's predecessor may lack its last order, so the
+	// number counts only once the table was read after the agent's start.
+	if last != nil && s.fenceRead[last.GetTarget()] == last.GetIncarnation() {
+		message.HighestFence = proto.Uint64(max(s.fences[last.GetTarget()], s.fenceRows[last.GetService()]))
 	}
 	elsewhere := maps.Clone(s.use)
 	if current := s.view.State(last.GetTarget()); current != nil {
--- a/internal/entry/cluster/store.go
+++ b/internal/entry/cluster/store.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
 	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/rollout"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/wire"
 )
@@ -76,6 +78,7 @@
 	drainsRead, withdrawalsRead := false, false
 	for round := 0; ; round++ {
 		m.pollConfig(ctx)
+		m.pollFences(ctx)
 		if !drainsRead || round%drainPolls == 0 {
 			drainsRead = m.pollDrains(ctx) == nil
 		}
@@ -128,6 +131,45 @@
 	})
 }
 
+// pollFences reads the fencing numbers if an agent was heard of whose start is later than
+// the last read. Without the table such agents are told no number and obey no order.
+func (m *Manager) pollFences(ctx context.Context) {
+	starts := make(map[string]uint64)
+	if err := m.do(ctx, func(s *state) { s.addUnreadFences(starts) }); err != nil || len(starts) == 0 {
+		return
+	}
+	rows, err := m.list(ctx, rollout.FencePrefix)
+	if err != nil {
+		return
+	}
+	_ = m.do(ctx, func(s *state) { s.setFences(starts, rows) })
+}
+
+// addUnreadFences adds the incarnation of each model target whose agent must not be told
+// a fencing number yet.
+func (s *state) addUnreadFences(starts map[string]uint64) {
+	for _, agent := range s.view.States() {
+		if agent.GetKind() == wire.TargetKind_TARGET_KIND_MODEL && s.fenceRead[agent.GetTarget()] != agent.GetIncarnation() {
+			starts[agent.GetTarget()] = agent.GetIncarnation()
+		}
+	}
+}
+
+// setFences takes in rows that were read after the given starts of agents.
+func (s *state) setFences(starts map[string]uint64, rows []platform.Row) {
+	for _, row := range rows {
+		highest, err := rollout.ParseFence(row.Value)
+		if err != nil {
+			s.manager.options.Logger.Error().Err(err).Str("key", row.Key).Msg("invalid fencing number; agents that started since obey no order")
+			return
+		}
+		service := strings.TrimPrefix(row.Key, rollout.FencePrefix)
+		s.fenceRows[service] = max(s.fenceRows[service], highest)
+	}
+	maps.Copy(s.fenceRead, starts)
+	s.notifyWatchers()
+}
+
 func (m *Manager) pollWithdrawn(ctx context.Context) error {
 	rows, err := m.list(ctx, withdrawnPrefix)
 	if err != nil {
--- a/internal/entry/rollouts/manager_test.go
+++ b/internal/entry/rollouts/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,10 +95,14 @@
 type agent struct {
 	wire.AgentClient
 	orders chan *wire.OrderRequest
+	obeyed atomic.Uint64
 }
 
 func (a *agent) Order(_ context.Context, r *wire.OrderRequest, _ ...grpc.CallOption) (*wire.OrderResponse, error) {
 	a.orders <- r
+	if r.GetFence() < a.obeyed.Load() {
+		return &wire.OrderResponse{Code: uint32(result.FenceTooOld)}, nil
+	}
 	return &wire.OrderResponse{}, nil
 }
 
@@ -112,7 +117,7 @@
 func start(t *testing.T, name string, store *table) *fixture {
 	f := &fixture{table: store, agent: &agent{orders: make(chan *wire.OrderRequest, 10)}, withdraws: make(chan string, 100)}
 	config := &opconfig.Config{Services: []opconfig.Service{{
-		Name: "s", Kind: opconfig.KindModel, Model: "m", Versions: []opconfig.Version{{Name: "v1", Share: 100}, {Name: "v2"}},
+		Name: "s", Kind: opconfig.KindModel, Model: "m", Versions: []opconfig.Version{{Name: "v1", Share: 100}, {Name: "v2"}, {Name: "v3"}},
 	}}}
 	f.Manager = New(Options{
 		EntryName: name, Incarnation: 1, Table: store, Logger: zerolog.Nop(),
@@ -178,6 +183,36 @@
 	c.Assert(len(peer.Evidence) > 0, qt.IsTrue)
 }
 
+// Guards against orders of a second rollout of a service that its targets refuse because
+// they obeyed a higher number of the first one, and against an owner that repeats a
+// refused number.
+func TestRolloutsOfAServiceShareFencingNumbers(t *testing.T) {
+	c := qt.New(t)
+	f := start(t, "e1", newTable())
+	deadline := time.Now().Add(time.Hour)
+	begin := func(version string) uint64 {
+		c.Assert(f.Start(context.Background(), "s", version, deadline, "op"), qt.IsNil)
+		for {
+			if order := <-f.agent.orders; order.Version == version {
+				return order.Fence
+			}
+		}
+	}
+	c.Assert(begin("v2"), qt.Equals, uint64(1))
+	f.withdrawn.Store("v2", "by operator")
+	f.agent.obeyed.Store(4)
+	fence := begin("v3")
+	c.Assert(fence, qt.Equals, uint64(2))
+	for fence < 4 {
+		next := (<-f.agent.orders).Fence
+		c.Assert(next == fence || next == fence+1, qt.IsTrue)
+		fence = next
+	}
+	highest, err := rollout.ParseFence(f.table.rowOf("fence/s"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(highest, qt.Equals, uint64(4))
+}
+
 func (t *table) rowOf(key string) (value []byte) {
 	t.set(func() { value = t.rows[key].Value })
 	return value
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"bramleygap/internal/core/evidence"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
@@ -29,6 +31,8 @@
 	// writing is set while a write of the row is in progress.
 	writing bool
 	ordered map[string]time.Time
+	// refused is the highest fencing number of this row that a target refused as too old.
+	refused uint64
 }
 
 // state is owned by the task of Run.
@@ -269,6 +273,8 @@
 	out := rollout.Decide(&rollout.Input{
 		Now: now, Row: t.row, ReadAt: t.readAt, Self: s.self, Withdrawn: withdrawn, Verdict: t.verdict,
 		Loaded:         active == t && rollout.Loaded(&t.row, targets),
+		Turn:           s.hasTurn(now, t),
+		Refused:        t.refused > 0 && t.refused >= t.row.Fence,
 		PreviousLoaded: len(rollout.NextUnloads(&t.row, targets, nil, now)) > 0 || s.inUse(service, t.row.Previous),
 	})
 	if out.Withdraw != "" {
@@ -279,7 +285,7 @@
 		s.options.Withdraw(service, version, out.Withdraw)
 	}
 	if out.Put != nil {
-		s.put(now, t, *out.Put)
+		s.put(now, t, *out.Put, out.Acquire)
 	}
 	if withdrawn || !rollout.HoldsLease(&t.row, s.self, now) {
 		return
@@ -287,7 +293,7 @@
 	switch {
 	case active == t:
 		s.order(now, t, wire.OrderKind_ORDER_KIND_LOAD, t.row.Version, rollout.NextLoads(&t.row, targets, t.ordered, now))
-	case rollout.Retiring(&t.row, now) && !s.inUse(service, t.row.Previous):
+	case s.hasTurn(now, t) && rollout.Retiring(&t.row, now) && !s.inUse(service, t.row.Previous):
 		s.order(now, t, wire.OrderKind_ORDER_KIND_UNLOAD, t.row.Previous, rollout.NextUnloads(&t.row, targets, t.ordered, now))
 	}
 }
@@ -315,6 +321,16 @@
 	return s.rollouts[versionKey{service, row.Version}]
 }
 
+// hasTurn reports whether the rollout is the one of its service that is worked on.
+func (s *state) hasTurn(now time.Time, t *tracked) bool {
+	v := s.manager.view.Load()
+	if v == nil {
+		return false
+	}
+	row := rollout.Turn((*v)[t.row.Service], s.manager.withdrawnIn(t.row.Service), now)
+	return row != nil && row.Version == t.row.Version
+}
+
 func (s *state) targets() []membership.Target {
 	if snapshot := s.options.Snapshot(); snapshot != nil {
 		return snapshot.Targets
@@ -324,23 +340,53 @@
 
 // put writes the row by compare-and-set. A lost response is resolved by the next poll:
 // nothing is assumed from it.
-func (s *state) put(now time.Time, t *tracked, row rollout.Row) {
+func (s *state) put(now time.Time, t *tracked, row rollout.Row, acquire bool) {
 	if t.writing {
 		return
 	}
 	t.writing = true
-	key, revision := rollout.Key(row.Service, row.Version), t.revision
+	revision := t.revision
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 		defer cancel()
-		res, err := s.options.Table.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{{Key: key, Revision: revision}},
-			Puts:   []platform.Put{{Key: key, Value: row.Encode()}},
-		})
+		var drawn []platform.Row
+		var err error
+		if acquire {
+			drawn, err = s.draw(ctx, &row)
+		}
+		var res platform.TxnResult
+		if err == nil {
+			res, err = s.options.Table.Commit(ctx, txnOf(&row, revision, drawn))
+		}
 		s.manager.deliver(func(s *state) { s.written(now, t, row, res, err) })
 	}()
 }
 
+// draw gives the row the service's next fencing number. It returns the service's row with
+// the new value and the revision read.
+func (s *state) draw(ctx context.Context, row *rollout.Row) ([]platform.Row, error) {
+	stored, err := s.options.Table.Get(ctx, rollout.FenceKey(row.Service))
+	if err != nil {
+		return nil, err
+	}
+	highest, err := rollout.ParseFence(stored.Value)
+	if err != nil {
+		return nil, eris.Wrapf(err, "row %s", rollout.FenceKey(row.Service))
+	}
+	row.Fence = rollout.NextFence(highest, row)
+	return []platform.Row{{Key: rollout.FenceKey(row.Service), Value: rollout.EncodeFence(row.Fence), Revision: stored.Revision}}, nil
+}
+
+// txnOf replaces the row and the other rows if none was written since it was read.
+func txnOf(row *rollout.Row, revision uint64, others []platform.Row) platform.Txn {
+	var txn platform.Txn
+	for _, r := range append(others, platform.Row{Key: rollout.Key(row.Service, row.Version), Value: row.Encode(), Revision: revision}) {
+		txn.Checks = append(txn.Checks, platform.Check{Key: r.Key, Revision: r.Revision})
+		txn.Puts = append(txn.Puts, platform.Put{Key: r.Key, Value: r.Value})
+	}
+	return txn
+}
+
 func (s *state) written(at time.Time, t *tracked, row rollout.Row, res platform.TxnResult, err error) {
 	t.writing = false
 	switch {
@@ -374,17 +420,17 @@
 		request := &wire.OrderRequest{
 			Fence: t.row.Fence, Owner: s.self.Name, Kind: kind, Model: service.Model, Version: version,
 		}
-		go s.sendOrder(target, request)
+		go s.sendOrder(t, target, request)
 	}
 }
 
-func (s *state) sendOrder(target membership.Target, request *wire.OrderRequest) {
+func (s *state) sendOrder(t *tracked, target membership.Target, request *wire.OrderRequest) {
 	ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
 	defer cancel()
 	code := result.TargetUnreachable
+	var response *wire.OrderResponse
 	client, err := s.options.Agent(target.Address)
 	if err == nil {
-		var response *wire.OrderResponse
 		if response, err = client.Order(ctx, request); err == nil {
 			code = result.Code(response.GetCode())
 		}
@@ -392,7 +438,20 @@
 	s.manager.metrics.orders.WithLabelValues(code.String()).Inc()
 	if code != result.OK {
 		s.options.Logger.Warn().Err(err).Str("target", target.Name).Str("version", request.GetVersion()).
-			Str("code", code.String()).Msg("order failed")
+			Str("code", code.String()).Str("answer", response.GetMessage()).Msg("order failed")
+	}
+	s.manager.deliver(func(*state) { t.answered(target.Name, request.GetFence(), code) })
+}
+
+// answered takes in the outcome of an order. An order that was refused for a reason that
+// passes is repeated without waiting for the time of a load.
+func (t *tracked) answered(target string, fence uint64, code result.Code) {
+	switch code {
+	case result.FenceTooOld:
+		t.refused = max(t.refused, fence)
+		delete(t.ordered, target)
+	case result.NotReady:
+		delete(t.ordered, target)
 	}
 }
 
