Make the times of rollouts settings of the entry

End-to-end tests need rollouts that take seconds. The defaults are unchanged; the lease margin, the renewal and the age of a row follow from the lease. A file whose times cannot work together is refused.

--- a/internal/core/rollout/bench_test.go
+++ b/internal/core/rollout/bench_test.go
@@ -16,7 +16,7 @@
 		now := time.Unix(1_800_000_000, 0)
 		row := Row{
 			Service: "s", Version: "v2", Previous: "v1", State: Running, Step: 2, Started: now.UnixMilli(), StepSince: now.UnixMilli(),
-			Deadline: now.Add(time.Hour).UnixMilli(), Owner: "self", Incarnation: 1, LeaseUntil: now.Add(LeaseTime).UnixMilli(),
+			Deadline: now.Add(time.Hour).UnixMilli(), Owner: "self", Incarnation: 1, LeaseUntil: now.Add(DefaultTimes().Lease).UnixMilli(),
 		}
 		targets := make([]membership.Target, size.Agents/size.Services)
 		for i := range targets {
@@ -25,7 +25,8 @@
 		for b.Loop() {
 			NextLoads(&row, targets, nil, now)
 			Decide(&Input{
-				Now: now, Row: row, ReadAt: now, Self: Owner{"self", 1}, Loaded: Loaded(&row, targets), Turn: true,
+				Times: DefaultTimes(),
+				Now:   now, Row: row, ReadAt: now, Self: Owner{"self", 1}, Loaded: Loaded(&row, targets), Turn: true,
 				Verdict: evidence.Verdict{StepPassed: true, Requests: 1000},
 			})
 		}
--- a/internal/core/rollout/decide.go
+++ b/internal/core/rollout/decide.go
@@ -7,27 +7,8 @@
 )
 
 const (
-	// LeaseTime is how long an owner may act after a write. It bounds how long a rollout
-	// rests when its owner crashes.
-	LeaseTime = 10 * time.Second
-	// renewAfter leaves several attempts to renew before the lease ends.
-	renewAfter = 3 * time.Second
-	// leaseMargin is kept from the end of the lease, for clocks that differ.
-	leaseMargin = 1 * time.Second
-	// maxRowAge is the age from which a row is too old to advance from.
-	maxRowAge = 3 * time.Second
-	// minStepTime lets results of a step arrive before the next one.
-	minStepTime = 10 * time.Second
-	// maxStepTime bounds the observation of a step that passes.
-	maxStepTime = 5 * time.Minute
 	// stepPart is the part of the time per step that a passing step is observed for.
 	stepPart = 0.25
-	// decideBefore is how long before the deadline the owner decides: a takeover of the
-	// lease and a few polls of the row fit between.
-	decideBefore = 20 * time.Second
-	// finishMargin is the time before the deadline from which a rollout is not completed
-	// any more: entries that have not read "done" by the deadline withdraw the version.
-	finishMargin = 3 * time.Second
 	// maxUnjudgedStep is the highest step (20%) that is reached by pace alone, to gather
 	// evidence where traffic is low.
 	maxUnjudgedStep = 3
@@ -41,8 +22,9 @@
 
 // Input is what an entry knows about one rollout.
 type Input struct {
-	Now time.Time
-	Row Row
+	Times Times
+	Now   time.Time
+	Row   Row
 	// ReadAt is when the row was read from the table.
 	ReadAt time.Time
 	Self   Owner
@@ -98,14 +80,14 @@
 		const reason = "not complete at the deadline"
 		return Output{Withdraw: reason, Put: ended(in, Withdrawn, reason)}
 	}
-	if !in.Turn || in.Now.Sub(in.ReadAt) > maxRowAge {
+	if !in.Turn || in.Now.Sub(in.ReadAt) > in.Times.maxRowAge() {
 		return Output{}
 	}
 	if !in.holdsLease() {
 		return in.acquire()
 	}
 	if row := in.advance(); row != nil {
-		row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+		row.LeaseUntil = in.Now.Add(in.Times.Lease).UnixMilli()
 		return Output{Put: row}
 	}
 	return Output{Put: in.renew()}
@@ -118,7 +100,7 @@
 	if in.Verdict.Withdraw && in.Now.Before(KeepsPreviousUntil(&in.Row)) {
 		return Output{Withdraw: in.Verdict.Reason, Put: ended(in, Withdrawn, in.Verdict.Reason)}
 	}
-	if !Retiring(&in.Row, in.Now) || !in.Turn || in.Now.Sub(in.ReadAt) > maxRowAge {
+	if !Retiring(&in.Row, in.Now) || !in.Turn || in.Now.Sub(in.ReadAt) > in.Times.maxRowAge() {
 		return Output{}
 	}
 	if !in.holdsLease() {
@@ -140,11 +122,11 @@
 
 // renew returns the row with a new lease, or nil while the lease is young.
 func (in *Input) renew() *Row {
-	if at(in.Row.LeaseUntil).Sub(in.Now) >= LeaseTime-renewAfter {
+	if at(in.Row.LeaseUntil).Sub(in.Now) >= in.Times.Lease-in.Times.renewAfter() {
 		return nil
 	}
 	row := in.Row
-	row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+	row.LeaseUntil = in.Now.Add(in.Times.Lease).UnixMilli()
 	return &row
 }
 
@@ -160,22 +142,18 @@
 	return &row
 }
 
-// HoldsLease reports whether the owner may act on the row at the given time.
-func HoldsLease(r *Row, self Owner, now time.Time) bool {
-	return r.Owner == self.Name && r.Incarnation == self.Incarnation &&
-		now.Before(at(r.LeaseUntil).Add(-leaseMargin))
+func (in *Input) holdsLease() bool {
+	return !in.Refused && in.Times.HoldsLease(&in.Row, in.Self, in.Now)
 }
 
-func (in *Input) holdsLease() bool { return !in.Refused && HoldsLease(&in.Row, in.Self, in.Now) }
-
 // acquire takes a lease that has ended, or a new one in place of the own lease.
 func (in *Input) acquire() Output {
-	if in.Now.Before(at(in.Row.LeaseUntil).Add(leaseMargin)) && in.Row.Owner != in.Self.Name {
+	if in.Now.Before(at(in.Row.LeaseUntil).Add(in.Times.leaseMargin())) && in.Row.Owner != in.Self.Name {
 		return Output{}
 	}
 	row := in.Row
 	row.Owner, row.Incarnation = in.Self.Name, in.Self.Incarnation
-	row.LeaseUntil = in.Now.Add(LeaseTime).UnixMilli()
+	row.LeaseUntil = in.Now.Add(in.Times.Lease).UnixMilli()
 	return Output{Put: &row, Acquire: true}
 }
 
@@ -183,7 +161,7 @@
 func (in *Input) advance() *Row {
 	last := len(steps) - 1
 	left := at(in.Row.Deadline).Sub(in.Now)
-	if left <= decideBefore {
+	if left <= in.Times.DecideBefore {
 		return in.decideAtDeadline(left)
 	}
 	if !in.Loaded {
@@ -193,8 +171,8 @@
 		return in.step()
 	}
 	onStep := in.Now.Sub(at(in.Row.StepSince))
-	perStep := max(minStepTime, (left+onStep-decideBefore)/time.Duration(last-in.Row.Step+1))
-	observe := min(maxStepTime, max(minStepTime, time.Duration(stepPart*float64(perStep))))
+	perStep := max(in.Times.MinStep, (left+onStep-in.Times.DecideBefore)/time.Duration(last-in.Row.Step+1))
+	observe := min(in.Times.MaxStep, max(in.Times.MinStep, time.Duration(stepPart*float64(perStep))))
 	switch {
 	case in.Row.Step == last && in.Verdict.StepPassed && in.Verdict.Passed && onStep >= observe:
 		return ended(in, Done, "")
@@ -211,7 +189,7 @@
 // decideAtDeadline completes a version shown to be good. Others are left to be withdrawn
 // at the deadline, unless the operator wants an unjudged version to finish.
 func (in *Input) decideAtDeadline(left time.Duration) *Row {
-	if left <= finishMargin || !in.Loaded {
+	if left <= in.Times.FinishMargin || !in.Loaded {
 		return nil
 	}
 	if in.Verdict.Passed {
--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -27,6 +27,8 @@
 
 func good(time.Duration, int, int, byte) (float64, float64) { return 0.005, 0.03 }
 
+var times = DefaultTimes()
+
 // scenario is one case of the report.
 type scenario struct {
 	name     string
@@ -101,7 +103,7 @@
 		r.broken = "the fencing number fell"
 	case advances && (r.row.Owner != m.owner.Name || put.Fence != r.row.Fence):
 		r.broken = "advanced without the lease"
-	case advances && !HoldsLease(&r.row, m.owner, r.now):
+	case advances && !times.HoldsLease(&r.row, m.owner, r.now):
 		r.broken = "advanced with a lease that had ended"
 	case advances && m.held != nil:
 		r.broken = "a paused owner advanced"
@@ -145,7 +147,8 @@
 
 func (r *run) decide(m *member) Output {
 	return Decide(&Input{
-		Now: r.now, Row: m.row, ReadAt: m.readAt, Self: m.owner, Withdrawn: m.withdrawn, Loaded: true, Turn: true,
+		Times: times,
+		Now:   r.now, Row: m.row, ReadAt: m.readAt, Self: m.owner, Withdrawn: m.withdrawn, Loaded: true, Turn: true,
 		Verdict: m.evaluator.Evaluate(r.now, m.counters),
 	})
 }
@@ -333,7 +336,7 @@
 	if m == nil || r.elapsed()%(2*time.Minute) != 0 || r.row.State != Running {
 		return
 	}
-	in := Input{Now: r.now, Row: r.row, ReadAt: r.now, Self: m.owner}
+	in := Input{Times: times, Now: r.now, Row: r.row, ReadAt: r.now, Self: m.owner}
 	m.held, m.heldRev = &Output{Put: in.step()}, r.revision
 }
 
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -41,11 +41,12 @@
 	self := Owner{"e1", 1}
 	passed := evidence.Verdict{StepPassed: true, Passed: true}
 	base := Input{
-		Now: now, ReadAt: now, Self: self, Loaded: true, Turn: true, Verdict: passed,
+		Times: DefaultTimes(),
+		Now:   now, ReadAt: now, Self: self, Loaded: true, Turn: true, Verdict: passed,
 		Row: Row{
 			State: Running, Step: 4, Owner: "e1", Incarnation: 1, Fence: 3,
 			StepSince: now.Add(-time.Hour).UnixMilli(), Deadline: now.Add(time.Hour).UnixMilli(),
-			LeaseUntil: now.Add(LeaseTime).UnixMilli(),
+			LeaseUntil: now.Add(DefaultTimes().Lease).UnixMilli(),
 		},
 	}
 	decide := func(change func(*Input)) Output {
@@ -76,7 +77,7 @@
 	c.Check(decide(late).Withdraw, qt.Not(qt.Equals), "")
 	c.Check(decide(func(in *Input) { late(in); in.Row.State = Done }).Withdraw, qt.Equals, "")
 	unjudged := func(in *Input) {
-		in.Verdict, in.Row.Deadline = evidence.Verdict{}, now.Add(decideBefore-time.Second).UnixMilli()
+		in.Verdict, in.Row.Deadline = evidence.Verdict{}, now.Add(DefaultTimes().DecideBefore-time.Second).UnixMilli()
 	}
 	c.Check(decide(unjudged).Put, qt.IsNil)
 	c.Check(decide(func(in *Input) { unjudged(in); in.Row.OnTooLittle = Finish }).Put.State, qt.Equals, Done)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,18 +97,22 @@
 
 func (e *entry) buildDecisions(client *platform.Client) {
 	s := e.options.Settings
+	poll, evaluate := s.Rollout.Intervals()
 	e.rollouts = rollouts.New(rollouts.Options{
-		EntryName:   s.Name,
-		Zone:        s.Zone,
-		Incarnation: e.incarnation,
-		Config:      e.config,
-		Snapshot:    e.snapshot,
-		Table:       client,
-		Agent:       e.agent,
-		Withdraw:    e.withdraw,
-		Withdrawn:   e.withdrawn,
-		Registerer:  e.options.Registry,
-		Logger:      e.options.Logger,
+		EntryName:        s.Name,
+		Zone:             s.Zone,
+		Incarnation:      e.incarnation,
+		Config:           e.config,
+		Snapshot:         e.snapshot,
+		Table:            client,
+		Times:            s.Rollout.Times(),
+		PollInterval:     poll,
+		EvaluateInterval: evaluate,
+		Agent:            e.agent,
+		Withdraw:         e.withdraw,
+		Withdrawn:        e.withdrawn,
+		Registerer:       e.options.Registry,
+		Logger:           e.options.Logger,
 	})
 	e.router = router.New(router.Options{
 		EntryName:   s.Name,
--- a/internal/entry/rollouts/manager.go
+++ b/internal/entry/rollouts/manager.go
@@ -20,12 +20,11 @@
 	"bramleygap/internal/opconfig"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/result"
+	"bramleygap/internal/settings"
 	"bramleygap/internal/wire"
 )
 
 const (
-	pollInterval = time.Second
-	tickInterval = 500 * time.Millisecond
 	// storeTimeout bounds one operation of the table service.
 	storeTimeout = 3 * time.Second
 	// orderTimeout bounds one order; loading a version takes tens of seconds.
@@ -44,6 +43,11 @@
 	// Snapshot returns the current membership view; nil means none yet.
 	Snapshot func() *membership.Snapshot
 	Table    platform.Table
+	// Times of the rollouts; the zero value means the defaults.
+	Times rollout.Times
+	// PollInterval is the time between two reads of the rows, EvaluateInterval that between
+	// two decisions; 0 means the defaults.
+	PollInterval, EvaluateInterval time.Duration
 	// Agent returns a client of the agent at host:port.
 	Agent func(address string) (wire.AgentClient, error)
 	// Withdraw adds a version to the set of withdrawn versions and tells the other
@@ -71,6 +75,15 @@
 
 // New returns a Manager; its Run must be called once.
 func New(options Options) *Manager {
+	if options.Times == (rollout.Times{}) {
+		options.Times = rollout.DefaultTimes()
+	}
+	if options.PollInterval == 0 {
+		options.PollInterval = settings.DefaultPollInterval
+	}
+	if options.EvaluateInterval == 0 {
+		options.EvaluateInterval = settings.DefaultEvaluateInterval
+	}
 	return &Manager{
 		options: options,
 		mailbox: make(chan func(*state), mailboxSize),
@@ -83,7 +96,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	defer close(m.done)
 	s := newState(m, ctx)
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(m.options.EvaluateInterval)
 	defer ticker.Stop()
 	s.tick(time.Now())
 	for {
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -79,8 +79,8 @@
 		return
 	}
 	s.polling = true
-	jitter := time.Duration(rand.Int64N(int64(pollInterval / 5)))
-	s.nextPoll = now.Add(pollInterval - pollInterval/10 + jitter)
+	jitter := time.Duration(rand.Int64N(int64(s.options.PollInterval / 5)))
+	s.nextPoll = now.Add(s.options.PollInterval - s.options.PollInterval/10 + jitter)
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 		defer cancel()
@@ -271,7 +271,8 @@
 	targets := s.targets()
 	active := s.active(service)
 	out := rollout.Decide(&rollout.Input{
-		Now: now, Row: t.row, ReadAt: t.readAt, Self: s.self, Withdrawn: withdrawn, Verdict: t.verdict,
+		Times: s.options.Times,
+		Now:   now, Row: t.row, ReadAt: t.readAt, Self: s.self, Withdrawn: withdrawn, Verdict: t.verdict,
 		Loaded:         active == t && rollout.Loaded(&t.row, targets),
 		Turn:           s.hasTurn(now, t),
 		Refused:        t.refused > 0 && t.refused >= t.row.Fence,
@@ -287,7 +288,7 @@
 	if out.Put != nil {
 		s.put(now, t, *out.Put, out.Acquire)
 	}
-	if withdrawn || !rollout.HoldsLease(&t.row, s.self, now) {
+	if withdrawn || !s.options.Times.HoldsLease(&t.row, s.self, now) {
 		return
 	}
 	switch {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -63,6 +63,7 @@
 		d.Add("max_body_bytes", "is negative; write a number of bytes, or 0 for 4 MiB")
 	}
 	checkSeeds(d, s.Seeds)
+	checkRollout(d, s.Rollout)
 	checkLog(d, s.Log)
 	if err := d.Err(); err != nil {
 		return Entry{}, err
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -32,10 +32,15 @@
 role = "router"
 [log]
 level = "loud"
+[rollout]
+lease_time = "2s"
+decide_before = "5s"
+min_step_time = "-1s"
 `)
 	c.Assert(err, qt.ErrorMatches, `(?s)e.toml:1: name: .*e.toml:3: caller_listen: .*e.toml:4: peer_listen: .*`+
 		`e.toml:5: admin_listen: .*e.toml:6: platform_url: .*e.toml:7: max_body_bytes: .*e.toml:8: typo: unknown key.*`+
-		`e.toml:10: seed\[0\].address: .*e.toml:11: seed\[0\].role: .*e.toml:13: log.level: .*`)
+		`e.toml:10: seed\[0\].address: .*e.toml:11: seed\[0\].role: .*e.toml:13: log.level: .*`+
+		`e.toml:15: rollout.lease_time: .*e.toml:16: rollout.decide_before: .*e.toml:17: rollout.min_step_time: .*`)
 	_, err = ParseAgent("a.toml", "target_kind = \"application\"\nversions = [\"v1\"]\nlisten = \"10.0.0.1:1\"\nadmin_listen = \"10.0.0.1:1\"\n")
 	c.Assert(err, qt.ErrorMatches, `(?s).*a.toml: name: is missing.*a.toml:2: versions: .*a.toml:4: admin_listen: .*is also the address of listen.*`)
 	_, err = ParseAgent("a.toml", "name = \n")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,8 +23,9 @@
 	// Seeds are host:port of processes to ask while the VM list is unreachable.
 	Seeds []Seed `toml:"seed"`
 	// MaxBodyBytes bounds a caller's request body; 0 means 4 MiB.
-	MaxBodyBytes int64 `toml:"max_body_bytes"`
-	Log          Log   `toml:"log"`
+	MaxBodyBytes int64   `toml:"max_body_bytes"`
+	Log          Log     `toml:"log"`
+	Rollout      Rollout `toml:"rollout"`
 	// DisableResume turns off the resumption of generations; for measurements and tests only.
 	DisableResume bool `toml:"disable_resume"`
 }
