Let the fencing test wait for the number that an entry states after a restart

Cause: since entries state a fencing number only after reading the table once the agent has restarted, the third message need not carry one; the test asserted that it does. It now waits for the number and also checks that no message states a lower one, which is stricter.

--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -396,7 +396,9 @@
 		setFence(2, 0)
 		until(func() bool { return agent.seen(func(*wire.EntryState) bool { return true }) })
 	}
-	c.Assert(told(), qt.IsTrue)
+	// The entry states no number until it has read the table after the restart.
+	until(told)
+	c.Assert(agent.seen(func(s *wire.EntryState) bool { return s.HighestFence != nil && s.GetHighestFence() < 7 }), qt.IsFalse)
 }
 
 // Guards against a fencing number that is stated to a restarted agent before the table
