--- a/internal/agent/calls/calls_test.go
+++ b/internal/agent/calls/calls_test.go
@@ -70,6 +70,28 @@
 	}
 }
 
+// Guards against "not run" when the agent's deadline ends an exchange with an engine that
+// is silent before or after the run. The deadline grows until the call is dispatched, so
+// that a slow machine does not decide.
+func TestSilentAtDeadline(t *testing.T) {
+	for _, control := range []app.Control{{HangAfterRun: new(1)}, {Freeze: new(true)}} {
+		c := qt.New(t)
+		engine, handler := startApp(t)
+		engine.Control(control)
+		for wait := 100 * time.Millisecond; ; wait *= 2 {
+			call := order(wait.String())
+			call.DeadlineUnixMs = time.Now().Add(wait).UnixMilli()
+			answer := handler.Call(context.Background(), call)
+			if answer.Dispatched {
+				c.Assert(result.Code(answer.Code), qt.Equals, result.TargetSilent)
+				break
+			}
+			c.Assert(engine.Runs().Total, qt.Equals, 0)
+		}
+		c.Assert(engine.Runs().Total <= 1, qt.IsTrue)
+	}
+}
+
 // Guards against a refused connection that is reported as dispatched, and against the
 // call of another service.
 func TestNotDispatched(t *testing.T) {
