--- a/internal/entry/calls/options.go
+++ b/internal/entry/calls/options.go
@@ -71,6 +71,8 @@
 	lapse, followFor, storePatience, storeTimeout, settleFor, poll time.Duration
 }
 
+var defaultTiming = timing{lapse: claimLapse, followFor: followFor, storePatience: storePatience, storeTimeout: storeTimeout, settleFor: settleFor, poll: pollInterval}
+
 // Handler serves /{service}/... for services of kind application.
 type Handler struct {
 	options Options
@@ -96,7 +98,7 @@
 		options: options,
 		metrics: newMetrics(options.Registerer),
 		known:   newKeySet(rememberedKeys),
-		timing:  timing{lapse: claimLapse, followFor: followFor, storePatience: storePatience, storeTimeout: storeTimeout, settleFor: settleFor, poll: pollInterval},
+		timing:  defaultTiming,
 		idle:    make(chan struct{}),
 	}
 }
