Choose test ports outside the ephemeral range

An entry failed to start because the port that the harness had found free was the local port of a connection by then: bind: address already in use, in one of two whole runs of internal/e2e.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -7,11 +7,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -109,15 +112,31 @@
 	return text
 }
 
+// Processes listen on ports below the usual ephemeral range: a free port of that range
+// can become the local port of some connection before the process listens on it.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
 func (in *installation) freeAddress(name string) string {
-	if address, ok := in.address[name]; ok {
-		return address
+	in.t.Helper()
+	for range lastPort - firstPort {
+		if address, ok := in.address[name]; ok {
+			return address
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		if !slices.Contains(slices.Collect(maps.Values(in.address)), address) {
+			in.address[name] = address
+		}
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(in.t, err, qt.IsNil)
-	defer listener.Close()
-	in.address[name] = listener.Addr().String()
-	return in.address[name]
+	in.t.Fatalf("no free port for %s", name)
+	return ""
 }
 
 func (in *installation) start(name string, arguments ...string) *process {
