State the checksum of the whole text in the final chunk

A caller without token ids can check that it has the whole text, also over several connections: text_checksum is the CRC-32C over the UTF-8 text from the first token on. A resumed connection computes the part before it from the log. Completion.Whole compares it unless the text began in another Completion.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"net/http"
 	"strconv"
@@ -66,6 +67,8 @@
 	Tokens     int    `json:"tokens"`
 	// Checksum is the CRC-32C over all token ids, 4 bytes big endian each.
 	Checksum uint32 `json:"checksum"`
+	// TextChecksum is the CRC-32C over the UTF-8 text of the whole generation.
+	TextChecksum uint32 `json:"text_checksum"`
 }
 
 // Completion is what has been received of one generation, over one or more connections.
@@ -85,10 +88,21 @@
 	LongestGap time.Duration
 
 	lastText time.Time
+	// partial is set if an earlier part of the text was received elsewhere.
+	partial bool
 }
 
-// Whole reports whether the generation ended with its terminal event.
-func (c *Completion) Whole() bool { return c.Done && c.FinishReason != "" }
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Whole reports whether the generation ended with its terminal event and the text has
+// the stated checksum. A Completion that began with a LastID and no text lacks an
+// earlier part, so that its text cannot be checked.
+func (c *Completion) Whole() bool {
+	if !c.Done || c.FinishReason == "" {
+		return false
+	}
+	return c.partial || crc32.Checksum([]byte(c.Text.String()), castagnoli) == c.Summary.TextChecksum
+}
 
 // Tokens returns the number of tokens received, from the index in the last event id.
 func (c *Completion) Tokens() int {
@@ -128,6 +142,9 @@
 
 func (c *Client) receive(ctx context.Context, method, path string, body []byte, got *Completion, onChunk func(*Completion) bool) error {
 	started := time.Now()
+	if got.LastID != "" && got.Text.Len() == 0 {
+		got.partial = true
+	}
 	response, err := c.do(ctx, method, path, body, http.Header{"Last-Event-Id": optional(got.LastID)})
 	if err != nil {
 		return err
--- a/internal/core/stream/codec.go
+++ b/internal/core/stream/codec.go
@@ -103,6 +103,12 @@
 	return before
 }
 
+// TextChecksum returns the CRC-32C over UTF-8 text, continued from the checksum of the
+// text before it (0 at the start).
+func TextChecksum(before uint32, text string) uint32 {
+	return crc32.Update(before, castagnoli, []byte(text))
+}
+
 // Joiner joins token bytes to text that ends on UTF-8 boundaries.
 type Joiner struct{ held []byte }
 
--- a/internal/entry/generations/generations_test.go
+++ b/internal/entry/generations/generations_test.go
@@ -93,6 +93,7 @@
 	c.Assert(got.final, qt.IsNotNil)
 	c.Assert(got.final.Tokens, qt.Equals, uint64(12))
 	c.Assert(got.final.Checksum, qt.Equals, stream.Checksum(0, ids))
+	c.Assert(got.final.TextChecksum, qt.Equals, stream.TextChecksum(0, text))
 }
 
 // Guards against missing, repeated or foreign tokens after a loss (I1, I2).
--- a/internal/entry/generations/output.go
+++ b/internal/entry/generations/output.go
@@ -30,6 +30,8 @@
 	Generation string `json:"generation"`
 	Tokens     uint64 `json:"tokens"`
 	Checksum   uint32 `json:"checksum"`
+	// TextChecksum is the CRC-32C over the UTF-8 text of the whole generation, over all connections.
+	TextChecksum uint32 `json:"text_checksum"`
 }
 
 type usage struct {
@@ -76,6 +78,7 @@
 	aborted   atomic.Bool
 
 	joiner  stream.Joiner
+	textSum uint32          // TextChecksum of the text so far
 	text    strings.Builder // whole response only
 	started bool            // response headers were sent
 	first   bool            // the next chunk is the generation's first one
@@ -97,10 +100,17 @@
 }
 
 // continueAfter makes the position that the caller already has the current event id.
-func (o *output) continueAfter(id stream.EventID) {
+// before are the bytes of the tokens up to it.
+func (o *output) continueAfter(id stream.EventID, before [][]byte) {
 	o.id = id
 	o.hasID = true
 	o.resumable.Store(true)
+	for _, token := range before {
+		text, _ := o.joiner.Add(token)
+		o.textSum = stream.TextChecksum(o.textSum, text)
+	}
+	// Only the id of a final chunk lies inside a character; its text was flushed there.
+	o.textSum = stream.TextChecksum(o.textSum, o.joiner.Flush())
 }
 
 // run writes effects until the queue is closed. taken is called after each Deliver;
@@ -150,6 +160,7 @@
 			}
 		}
 	}
+	o.textSum = stream.TextChecksum(o.textSum, text.String())
 	if !o.streamed {
 		o.text.WriteString(text.String())
 		return nil
@@ -165,11 +176,12 @@
 		return o.fail(result.New(f.Code, "the generation ended after %d tokens", f.Tokens))
 	}
 	rest := o.joiner.Flush()
+	o.textSum = stream.TextChecksum(o.textSum, rest)
 	if !o.streamed {
 		return o.whole(rest, f)
 	}
 	final := o.chunk(rest, &f.Reason)
-	final.Bramleygap = &extension{Generation: o.spec.GetGeneration(), Tokens: f.Tokens, Checksum: f.Checksum}
+	final.Bramleygap = o.extension(f)
 	if o.hasID && f.Tokens > 0 {
 		o.id.Index = f.Tokens - 1
 	}
@@ -179,6 +191,10 @@
 	return o.send([]byte("data: [DONE]\n\n"))
 }
 
+func (o *output) extension(f stream.Finish) *extension {
+	return &extension{Generation: o.spec.GetGeneration(), Tokens: f.Tokens, Checksum: f.Checksum, TextChecksum: o.textSum}
+}
+
 func (o *output) fail(err *result.Error) error {
 	if !o.started {
 		o.started = true
@@ -263,7 +279,7 @@
 		c.Choices[0].Delta = nil
 		c.Choices[0].Message = &chatText{Role: "assistant", Content: text}
 	}
-	c.Bramleygap = &extension{Generation: o.spec.GetGeneration(), Tokens: f.Tokens, Checksum: f.Checksum}
+	c.Bramleygap = o.extension(f)
 	c.Usage = &usage{
 		PromptTokens:     len(o.spec.GetPromptTokenIds()),
 		CompletionTokens: f.Tokens,
--- a/internal/entry/generations/resume.go
+++ b/internal/entry/generations/resume.go
@@ -53,7 +53,7 @@
 	}
 	s := h.newSession(r, spec, true)
 	s.output = h.newOutput(w, spec, true, log.From)
-	s.output.continueAfter(id)
+	s.output.continueAfter(id, log.Bytes[:log.From])
 	s.log.Info().Uint64("from_index", log.From).Bool("live", log.Live).Msg("caller resumes a generation")
 	log.Since = since
 	s.serve(*log, live)
