Let agents hand the configuration to entries that stay behind

When all entries are replaced during a store outage, nobody provided the configuration although the agents hold it. An agent now adds text, operator, change id and withdrawn versions to AgentState once for each stream and revision, after the entry has reported a lower revision twice. Agents validate a text as entries do. The agent tests therefore use valid texts, and an invalid one is added as a case.

EntryState.leaving_vms_known tells whether the entry has read the drain rows; an entry that has not takes no drain back, and the marks of entries that are gone stay until another entry knows better.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -302,6 +302,9 @@
 	c.Assert(state.GetLeaving(), qt.IsTrue)
 	a.learn(time.Now(), &wire.EntryState{Entry: "e1"})
 	state, _ = a.nextState()
+	c.Assert(state.GetLeaving(), qt.IsTrue, qt.Commentf("the restarted entry has not read the drains yet"))
+	a.learn(time.Now(), &wire.EntryState{Entry: "e1", LeavingVmsKnown: true})
+	state, _ = a.nextState()
 	c.Assert(state.GetLeaving(), qt.IsFalse)
 }
 
@@ -350,19 +353,25 @@
 		revision uint64
 		text     string
 		adopted  uint64
-	}{{8, "note = \"eight\"", 8}, {7, "note = \"seven\"", 8}, {9, "note = ", 8}, {9, "", 8}, {10, "note = \"ten\"", 10}} {
+	}{
+		{8, "note = \"eight\"" + serviceText, 8}, {7, "note = \"seven\"" + serviceText, 8}, {9, "note = ", 8},
+		{9, "note = \"no service\"", 8}, {9, "", 8}, {10, "note = \"ten\"" + serviceText, 10},
+	} {
 		a.learn(time.Now(), &wire.EntryState{ConfigRevision: step.revision, ConfigText: step.text})
 		c.Assert(a.adopted.Revision, qt.Equals, step.adopted)
 	}
 	c.Assert(a.adopted.Config.Note, qt.Equals, "ten")
 }
 
+// serviceText completes an operator configuration, since agents adopt only valid ones.
+const serviceText = "\n[[service]]\nname=\"letters\"\nkind=\"model\"\nmodel=\"letters\"\n[[service.version]]\nname=\"v1\"\nshare=100\n"
+
 // Guards against new work on a withdrawn version (I3), and against an agent that does not
 // report what it adopted.
 func TestWatchCollectsWithdrawnVersions(t *testing.T) {
 	c := qt.New(t)
 	r := startRig(c, engine.Options{}, nil)
-	watch := r.watch(&wire.EntryState{Entry: "e7", ConfigRevision: 8, ConfigText: "note = \"eight\"",
+	watch := r.watch(&wire.EntryState{Entry: "e7", ConfigRevision: 8, ConfigText: "note = \"eight\"" + serviceText,
 		Withdrawn: []*wire.WithdrawnVersion{{Service: "letters", Version: "v1"}}})
 	state := await(c, watch, func(s *wire.AgentState) bool { return s.GetConfigRevision() == 8 })
 	c.Assert(state.GetEntries(), qt.Contains, "e7")
@@ -496,7 +505,7 @@
 	c := qt.New(t)
 	r := startRig(c, engine.Options{Slots: 2}, nil)
 	watch := r.watch(&wire.EntryState{Entry: "e1", ConfigRevision: 1,
-		ConfigText: "[[member]]\nname=\"otaru\"\nshare=50\n[[member]]\nname=\"vatelin\"\nshare=50\n"})
+		ConfigText: "[[member]]\nname=\"otaru\"\nshare=50\n[[member]]\nname=\"vatelin\"\nshare=50\n" + serviceText})
 	await(c, watch, func(s *wire.AgentState) bool { return s.GetConfigRevision() == 1 })
 	older := r.generate(r.context(), &wire.GenerateRequest{Spec: generationSpec("old", 1_000_000)})
 	new(transcript).read(c, older, 0, 2)
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -8,12 +8,10 @@
 	"slices"
 	"time"
 
-	"github.com/BurntSushi/toml"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"bramleygap/internal/core/adoption"
-	"bramleygap/internal/opconfig"
 	"bramleygap/internal/wire"
 )
 
@@ -27,6 +25,7 @@
 	defer heartbeat.Stop()
 	for {
 		state, changed := a.nextState()
+		watcher.handOver(state)
 		if err := stream.Send(state); err != nil {
 			return err
 		}
@@ -49,8 +48,17 @@
 	// entry is the name in the first message; agent.mu guards it.
 	entry  string
 	closed bool
+	// lowerReports counts the entry's consecutive messages with a revision below the
+	// adopted one; handedOver is the revision last sent to it. agent.mu guards both.
+	lowerReports int
+	handedOver   uint64
 }
 
+// handOverAfter is the number of consecutive lower reports after which an entry gets the
+// configuration from the agent. The first report is left to the table and the other
+// entries, so that not all agents send the text to an entry that just started.
+const handOverAfter = 2
+
 func (w *watcher) receive(stream grpc.BidiStreamingServer[wire.EntryState, wire.AgentState]) error {
 	for {
 		state, err := stream.Recv()
@@ -62,9 +70,41 @@
 		}
 		w.register(state.GetEntry())
 		w.agent.learn(time.Now(), state)
+		w.compare(state.GetConfigRevision())
+	}
+}
+
+// compare notes whether the entry is behind the agent.
+func (w *watcher) compare(revision uint64) {
+	w.agent.mu.Lock()
+	defer w.agent.mu.Unlock()
+	if revision >= w.agent.adopted.Revision {
+		w.lowerReports = 0
+		return
+	}
+	w.lowerReports++
+	if w.lowerReports == handOverAfter && w.handedOver < w.agent.adopted.Revision {
+		w.agent.notify()
 	}
 }
 
+// handOver adds the configuration and the withdrawn versions to a message for an entry
+// that stays behind. It serves entries that were all replaced during a store outage.
+func (w *watcher) handOver(state *wire.AgentState) {
+	a := w.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.lowerReports < handOverAfter || w.handedOver >= a.adopted.Revision || state.GetConfigRevision() != a.adopted.Revision {
+		return
+	}
+	w.handedOver = a.adopted.Revision
+	state.ConfigText = a.adopted.Text
+	state.ConfigOperator = a.adopted.Operator
+	state.ConfigChangeId = a.adopted.ChangeID
+	state.Withdrawn = slices.Collect(maps.Values(a.withdrawn))
+	a.logger.Info().Uint64("revision", w.handedOver).Str("entry", w.entry).Msg("operator configuration handed to an entry")
+}
+
 func (w *watcher) register(entry string) {
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
@@ -84,8 +124,8 @@
 	}
 	w.agent.entries[w.entry]--
 	if w.agent.entries[w.entry] <= 0 {
+		// The entry's drain mark stays until another entry knows better.
 		delete(w.agent.entries, w.entry)
-		delete(w.agent.drainedBy, w.entry)
 	}
 }
 
@@ -117,20 +157,28 @@
 		a.notify()
 		return
 	}
-	a.adopt(now, state.GetConfigRevision(), state.GetConfigText())
+	a.adopt(adoption.Candidate{
+		Revision: state.GetConfigRevision(),
+		Text:     state.GetConfigText(),
+		Operator: state.GetConfigOperator(),
+		ChangeID: state.GetConfigChangeId(),
+	})
 }
 
 // refusesWork requires a.mu. It reports whether the process stops or its VM is drained.
 func (a *Agent) refusesWork() bool { return a.leaving || len(a.drainedBy) > 0 }
 
-// learnDrain requires a.mu. The VM is drained while any watching entry says so, since an
-// entry that just started may not have read the list yet.
+// learnDrain requires a.mu. The VM is drained while any watching entry says so, since
+// entries read the list at different times. An entry that does not know the list takes
+// nothing back; one that does also takes back the marks of entries that are gone.
 func (a *Agent) learnDrain(state *wire.EntryState) {
 	before := a.refusesWork()
 	if slices.Contains(state.GetLeavingVms(), a.options.Settings.VM) {
 		a.drainedBy[state.GetEntry()] = true
-	} else {
-		delete(a.drainedBy, state.GetEntry())
+	} else if state.GetLeavingVmsKnown() {
+		maps.DeleteFunc(a.drainedBy, func(entry string, _ bool) bool {
+			return entry == state.GetEntry() || a.entries[entry] == 0
+		})
 	}
 	if before != a.refusesWork() {
 		a.logger.Info().Bool("drained", !before).Msg("drain changed")
@@ -149,21 +197,21 @@
 	}
 }
 
-// adopt requires a.mu and a revision above the adopted one.
-func (a *Agent) adopt(now time.Time, revision uint64, text string) {
-	var config opconfig.Config
-	if _, err := toml.Decode(text, &config); err != nil {
+// adopt requires a.mu. An invalid text changes nothing.
+func (a *Agent) adopt(candidate adoption.Candidate) {
+	next, err := adoption.Decide(&a.adopted, candidate)
+	if err != nil {
 		a.metrics.badConfigs.Inc()
-		a.logger.Error().Err(err).Uint64("revision", revision).Msg("operator configuration cannot be parsed")
+		a.logger.Error().Err(err).Uint64("revision", candidate.Revision).Msg("operator configuration rejected, the previous one stays in force")
 		return
 	}
-	a.adopted = adoption.Adopted{Revision: revision, Text: text, Config: &config}
-	weights := make(map[string]float64, len(config.Members))
-	for _, member := range config.Members {
+	a.adopted = *next
+	weights := make(map[string]float64, len(next.Config.Members))
+	for _, member := range next.Config.Members {
 		weights[member.Name] = member.Share
 	}
 	a.shares.SetWeights(weights)
-	a.logger.Info().Uint64("revision", revision).Msg("operator configuration adopted")
+	a.logger.Info().Uint64("revision", next.Revision).Msg("operator configuration adopted")
 	a.notify()
 }
 
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -157,6 +157,7 @@
 // observeAgent takes in a heartbeat and reports whether it was news.
 func (s *state) observeAgent(report membership.Report) bool {
 	now := time.Now()
+	s.takeHandedOver(report.State)
 	before := s.view.State(report.State.GetTarget())
 	if !s.view.Heartbeat(now, report) {
 		s.manager.metrics.heartbeats.WithLabelValues("stale").Inc()
@@ -180,6 +181,22 @@
 	return true
 }
 
+// takeHandedOver adopts the configuration that an agent hands over and removes it from
+// the report, which the view keeps.
+func (s *state) takeHandedOver(report *wire.AgentState) {
+	if report.GetConfigText() == "" {
+		return
+	}
+	s.adopt(adoption.Candidate{
+		Revision: report.GetConfigRevision(),
+		Text:     report.GetConfigText(),
+		Operator: report.GetConfigOperator(),
+		ChangeID: report.GetConfigChangeId(),
+	})
+	s.manager.mergeWithdrawn(report.GetWithdrawn())
+	report.ConfigText, report.ConfigOperator, report.ConfigChangeId, report.Withdrawn = "", "", "", nil
+}
+
 // routability is what decides whether a target gets new work, apart from its versions.
 type routability struct {
 	incarnation    uint64
@@ -403,13 +420,17 @@
 		Incarnation: m.options.Incarnation,
 		Sequence:    m.sequence.Add(1),
 		Withdrawn:   m.withdrawn.list(),
-		LeavingVms:  s.drained,
 		Agents:      s.agents,
+		LeavingVms:  s.drained,
+
+		LeavingVmsKnown: s.drainedKnown,
 	}
 	if config := m.Config(); config != nil {
 		message.ConfigRevision = config.Revision
 		if last != nil && last.GetConfigRevision() < config.Revision {
 			message.ConfigText = config.Text
+			message.ConfigOperator = config.Operator
+			message.ConfigChangeId = config.ChangeID
 		}
 	}
 	elsewhere := maps.Clone(s.use)
