--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,8 +70,13 @@
 	if options.Settings.MaxBodyBytes == 0 {
 		options.Settings.MaxBodyBytes = settings.DefaultMaxBodyBytes
 	}
+	peerListen := options.Settings.PeerListen
+	if options.Settings.PeerAddress != "" {
+		// The parts use the setting only as the address that others dial.
+		options.Settings.PeerListen = options.Settings.PeerAddress
+	}
 	e := build(options)
-	peerListener, err := net.Listen("tcp", options.Settings.PeerListen)
+	peerListener, err := net.Listen("tcp", peerListen)
 	if err != nil {
 		return eris.Wrap(err, "peer_listen")
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -55,6 +55,9 @@
 	d.Name("zone", s.Zone)
 	d.Address("caller_listen", s.CallerListen, true)
 	d.Address("peer_listen", s.PeerListen, false)
+	if s.PeerAddress != "" {
+		d.Address("peer_address", s.PeerAddress, false)
+	}
 	d.Address("admin_listen", s.AdminListen, true)
 	checkDistinct(d, []string{"caller_listen", "peer_listen", "admin_listen"},
 		[]string{s.CallerListen, s.PeerListen, s.AdminListen})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,8 @@
 	CallerListen string `toml:"caller_listen"`
 	// PeerListen is host:port for gRPC from entries and operators; peers dial it.
 	PeerListen string `toml:"peer_listen"`
+	// PeerAddress is the host:port at which others reach PeerListen; empty means PeerListen.
+	PeerAddress string `toml:"peer_address"`
 	// AdminListen is host:port for metrics, health and readiness.
 	AdminListen string `toml:"admin_listen"`
 	// PlatformURL is the base URL of the table service, object store and VM list.
