--- a/internal/opconfig/parse.go
+++ b/internal/opconfig/parse.go
@@ -101,7 +101,7 @@
 		total += m.Share
 	}
 	if total > 100+shareTolerance {
-		v.Add("member", "the shares of all members add up to %v percent; lower them to at most 100", total)
+		v.Add(fmt.Sprintf("member[%d].share", len(v.config.Members)-1), "the shares of all members add up to %v percent; lower them to at most 100", total)
 	}
 }
 
--- a/internal/opconfig/parse_test.go
+++ b/internal/opconfig/parse_test.go
@@ -42,7 +42,7 @@
 		"unknown key":          {"colour = 1\n" + valid, "colour"},
 		"unknown nested key":   {service + "[[service.version]]\nname = \"v\"\nshare = 100\nshard = 1\n", "service[0].version[0].shard"},
 		"wrong type":           {"note = 5\n" + valid, "note"},
-		"member over 100":      {valid + "[[member]]\nname = \"n\"\nshare = 50\n", "member"},
+		"member over 100":      {valid + "[[member]]\nname = \"n\"\nshare = 50\n", "member[1].share"},
 		"member share zero":    {valid + "[[member]]\nname = \"n\"\nshare = 0\n", "member[1].share"},
 		"member share NaN":     {valid + "[[member]]\nname = \"n\"\nshare = nan\n", "member[1].share"},
 		"duplicate member":     {valid + "[[member]]\nname = \"m\"\nshare = 1\n", "member[1].name"},
