--- a/internal/entry/cluster/manager.go
+++ b/internal/entry/cluster/manager.go
@@ -74,6 +74,9 @@
 	storeReachable atomic.Bool
 	sequence       atomic.Uint64
 	streams        atomic.Uint64
+	// lostRevision is the last table revision below the one in force that was logged; it
+	// belongs to the task that polls the table.
+	lostRevision uint64
 	// partsMu serialises the calls to the parts.
 	partsMu sync.Mutex
 
--- a/internal/entry/cluster/store.go
+++ b/internal/entry/cluster/store.go
@@ -94,6 +94,11 @@
 		m.options.Logger.Debug().Err(err).Msg("operator configuration not read from the table")
 		return
 	}
+	if own := adoption.RevisionOf(m.Config()); revision < own && revision != m.lostRevision {
+		m.lostRevision = revision
+		m.options.Logger.Error().Uint64("revision", own).Uint64("table_revision", revision).
+			Msg("the table lost the revision in force, which stays in force")
+	}
 	if revision > adoption.RevisionOf(m.Config()) {
 		_ = m.do(ctx, func(s *state) { s.adopt(row.candidate(revision)) })
 	}
