--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -40,10 +40,9 @@
 	dispatched bool
 	life       uint64
 
-	// replica is empty if there is none.
 	replica string
-	// replicaFrom is the version of the list of agents that it was chosen from.
-	replicaFrom uint64
+	// replicaList is the version of the list of agents that replica was chosen from.
+	replicaList uint64
 	replicated  uint64
 	// endReplicated is set when the replica acknowledged the end.
 	endReplicated bool
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -64,14 +64,19 @@
 func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	var candidates []stream.Agent
 	batches := make(map[*replicaLink][]pendingRecord)
 	for generation, t := range a.attempts {
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
 		}
-		a.chooseReplica(t)
+		if t.replicaList != a.lists.used {
+			if candidates == nil {
+				candidates = a.replicaCandidates()
+			}
+			a.chooseReplica(t, candidates)
+		}
 		if t.replica == "" {
-			t.held.release()
 			continue
 		}
 		link := a.link(t.replica)
@@ -88,14 +93,11 @@
 	return batches
 }
 
-// chooseReplica requires a.mu. It chooses again only when the list of agents changed: the
-// choice takes time in proportion to the number of agents.
-func (a *Agent) chooseReplica(t *attempt) {
-	if t.replicaFrom == a.lists.used {
-		return
-	}
-	t.replicaFrom = a.lists.used
-	replica, _ := stream.ReplicaFor(t.log.Generation, a.options.Settings.Zone, a.replicaCandidates())
+// chooseReplica requires a.mu. A new replica gets the whole log.
+func (a *Agent) chooseReplica(t *attempt, candidates []stream.Agent) {
+	t.replicaList = a.lists.used
+	// Without a candidate the address is empty and nothing is replicated.
+	replica, _ := stream.ReplicaFor(t.log.Generation, a.options.Settings.Zone, candidates)
 	if replica.Address != t.replica {
 		t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
 		t.held.release()
