Correct the members' weights by their deficit in the pool, not by all of it at each agent

Each agent gave a member the whole of what its share lacked in the pool. N agents did so at once, so the correction was N times too strong: members swung around their shares, and the swings were paid for with preemptions. A weight now follows the member's relative deficit in the whole pool and keeps half of the agent's present division, which serves prompts that are cached on few engines.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -47,6 +47,10 @@
 	// minCorrection is the least part of its weight that a member keeps however much
 	// it uses elsewhere, so that it never starves here.
 	minCorrection = 0.05
+	// keptDivision is the part of an agent's present division of work that its weights
+	// keep. At 0 members with cached prompts on few engines get too little there; at 1
+	// an uneven division stays for good.
+	keptDivision = 0.5
 )
 
 // Job is one attempt that needs a slot.
@@ -455,27 +459,32 @@
 }
 
 // corrected returns the weight of each member here. A member's part of the whole pool's
-// work, here and elsewhere, is to equal its share, so its weight here is what is left
-// of its share after its work elsewhere.
+// work, here and elsewhere, is to equal its share. All agents correct at once, so each
+// adds only the member's relative deficit in the pool, and keeps part of the division
+// that it has: if each made up for the whole deficit, the members' parts would swing.
 func (s *Scheduler) corrected(now time.Time) map[string]float64 {
 	weights := make(map[string]float64, len(s.members))
-	total, totalWeight := 0.0, 0.0
+	used := make(map[string]float64, len(s.members))
+	here, total, totalWeight := 0.0, 0.0, 0.0
 	for name, m := range s.members {
 		weights[name] = s.weight(name)
 		if m.competes() {
 			totalWeight += weights[name]
-			total += m.use.rate(now, s.params.Window) + s.elsewhere[name]
+			used[name] = m.use.rate(now, s.params.Window)
+			here += used[name]
+			total += used[name] + s.elsewhere[name]
 		}
 	}
 	if s.elsewhere == nil || now.Sub(s.elsewhereAt) > s.params.ElsewhereMaxAge || total == 0 {
 		return weights
 	}
-	for name, m := range s.members {
-		if !m.competes() {
-			continue
+	for name, work := range used {
+		part := weights[name] / totalWeight
+		factor := 2 - (work+s.elsewhere[name])/total/part
+		if here > 0 {
+			factor += keptDivision * (work/here/part - 1)
 		}
-		due := weights[name] / totalWeight * total
-		weights[name] *= max(minCorrection, (due-s.elsewhere[name])/due)
+		weights[name] *= max(minCorrection, factor)
 	}
 	return weights
 }
