Treat an attempt after a preemption as neither retry nor over-share work

A generation that was preempted before its first token asked for a target as a retry: it drew from the retry budget, waited a backoff, and was refused as OVERLOADED after 2 s if its member was over its share, which it is when it is preempted. With tokens delivered it drew from the reserve that resumes after failures need. RequestTarget and placement.Request now carry Preempted; such attempts queue as resumes and draw from no budget. The agents bound their number (at most one in 5 s for a generation).

The test fails without the change of the router.

--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -22,6 +22,10 @@
 	Resume bool
 	// Retry marks any attempt but the first.
 	Retry bool
+	// Preempted marks an attempt after one that an agent preempted. It costs no retry
+	// budget and is never refused as over-share work, whether or not a token was
+	// delivered: the system interrupted it, and the agents bound how often.
+	Preempted bool
 	// Exclude lists names of targets that must not be chosen.
 	Exclude []string
 	// Started is when the generation's first attempt began; older resumes go first.
--- a/internal/core/stream/messages.go
+++ b/internal/core/stream/messages.go
@@ -124,6 +124,8 @@
 	Resume      bool
 	Retry       bool
 	Speculative bool
+	// Preempted is set if an agent preempted the last attempt.
+	Preempted bool
 }
 
 // CancelRequest withdraws a RequestTarget. An Assigned that still arrives is
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -105,6 +105,7 @@
 	lastAttempt uint32
 	lastRequest uint32
 	retryAt     time.Time // next RequestTarget while there is neither attempt nor request
+	preempted   bool      // the last attempt was preempted
 	exclude     []string  // targets that failed since the last accepted token
 
 	ran       bool // an attempt may have run
@@ -218,6 +219,7 @@
 		Resume:      len(m.ids) > 0,
 		Retry:       m.lastAttempt > 0,
 		Speculative: speculative,
+		Preempted:   m.preempted && !speculative,
 	}
 	if len(m.ids) > 0 {
 		r.Version = m.version
@@ -549,6 +551,7 @@
 		return
 	}
 	m.lost(a, reason)
+	m.preempted = code == result.Preempted
 	if code != result.Preempted && a.tokens == 0 {
 		m.barren++
 	}
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -168,6 +168,18 @@
 	b.c.Assert(finishes[0].Code, qt.Equals, result.Overloaded)
 }
 
+// Guards against a preemption that is taken for a failure, which would cost retry budget,
+// and against a later failure that is taken for a preemption.
+func TestPreemptedAttempt(t *testing.T) {
+	b := newBench(t, Options{})
+	b.assign(1, "a", "v1")
+	request := effectsOf[RequestTarget](b.step(Failed{Attempt: 1, Code: result.Preempted}))[0]
+	b.c.Assert(request.Preempted && request.Retry && !request.Resume, qt.IsTrue)
+	b.assign(2, "b", "v1")
+	request = effectsOf[RequestTarget](b.step(Failed{Attempt: 2, Code: result.TargetDied}))[0]
+	b.c.Assert(request.Preempted, qt.IsFalse)
+}
+
 // Guards against a generation that ends because the short wait for a speculative
 // target expired just after the only attempt failed.
 func TestSpeculativeRequestOutlivesFailedAttempt(t *testing.T) {
--- a/internal/entry/generations/session.go
+++ b/internal/entry/generations/session.go
@@ -240,6 +240,7 @@
 		Fingerprint: s.spec.GetFingerprint(),
 		Resume:      e.Resume,
 		Retry:       e.Retry,
+		Preempted:   e.Preempted,
 		Exclude:     e.Exclude,
 		Started:     unixMilli(s.spec.GetStartedUnixMs()),
 		Deadline:    unixMilli(s.spec.GetDeadlineUnixMs()),
--- a/internal/entry/router/pool_test.go
+++ b/internal/entry/router/pool_test.go
@@ -31,6 +31,9 @@
 	callerPause     = time.Second // before a caller sends a refused request again
 )
 
+// preemptedBefore marks a refusal of a generation that was preempted.
+const preemptedBefore = " after a preemption"
+
 // policy is the admission at the agents.
 type policy string
 
@@ -280,7 +283,7 @@
 	default:
 		name := r.err.Code.String()
 		if g.preempted > 0 {
-			name += " after a preemption"
+			name += preemptedBefore
 		}
 		d.refuse(g, name)
 	}
@@ -321,6 +324,7 @@
 			d.tally.repeats++
 		}
 		g.lastVictim = d.now
+		g.request.Preempted = true
 		d.lose(g, placement.Outcome{Cancelled: true})
 	}
 	for _, id := range effects.Shed {
@@ -373,7 +377,7 @@
 		if !g.lostAt.IsZero() {
 			d.tally.resumes = append(d.tally.resumes, d.now.Sub(g.lostAt))
 			g.lostAt = time.Time{}
-			g.request.Exclude = nil
+			g.request.Exclude, g.request.Preempted = nil, false
 		}
 		d.charge(a, g, 1)
 		if g.delivered >= g.length {
--- a/internal/entry/router/shares_test.go
+++ b/internal/entry/router/shares_test.go
@@ -250,6 +250,11 @@
 				if test.alone && len(o.tally.refused) > 0 {
 					t.Errorf("refused %v though no other member competes", o.tally.refused)
 				}
+				for reason, n := range o.tally.refused {
+					if strings.Contains(reason, preemptedBefore) {
+						t.Errorf("%d generations refused: %s", n, reason)
+					}
+				}
 				if o.over > overBound {
 					t.Errorf("a member was over its share for %v while another one waited, bound %v", o.over, overBound)
 				}
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -144,7 +144,7 @@
 	s.refreshSnapshot(now, false)
 	clear(s.full)
 	delay := time.Duration(0)
-	if request.Retry && !request.Resume {
+	if request.Retry && !request.Resume && !request.Preempted {
 		delay = retry.Backoff(max(1, len(request.Exclude)), s.rng)
 	}
 	if delay == 0 && s.tryPlace(now, p) {
@@ -171,6 +171,8 @@
 		return result.New(result.DeadlineTooShort, "less than the expected time to first token (%v) remains", v.firstToken.Mean())
 	}
 	switch {
+	case r.Preempted:
+		s.manager.metrics.retries.WithLabelValues("preempted").Inc()
 	case r.Resume:
 		s.manager.metrics.retries.WithLabelValues("resume").Inc()
 		if !v.budget.TakeResume() {
@@ -188,7 +190,7 @@
 }
 
 func (s *state) class(config *opconfig.Config, r *placement.Request) placement.Class {
-	if r.Resume {
+	if r.Resume || r.Preempted {
 		return placement.ClassResume
 	}
 	if config.Member(r.Member) != nil && s.usage.OverShare(r.Member, shareOf(config)) {
