--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -40,10 +40,13 @@
 	dispatched bool
 	life       uint64
 
-	replica    string
-	replicated uint64
+	replica string
+	// replicaList is the version of the list of agents that replica was chosen from.
+	replicaList uint64
+	replicated  uint64
 	// endReplicated is set when the replica acknowledged the end.
 	endReplicated bool
+	held          hold
 }
 
 func (t *attempt) wake() {
@@ -222,6 +225,7 @@
 	a.target.seen(now)
 	a.shares.Charge(now, t.id(), 1)
 	a.metrics.tokens.Inc()
+	t.held.appended(now, t.log.Next())
 	t.wake()
 	return nil
 }
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -64,20 +64,22 @@
 func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	candidates := a.replicaCandidates()
+	var candidates []stream.Agent
 	batches := make(map[*replicaLink][]pendingRecord)
 	for generation, t := range a.attempts {
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
 		}
-		replica, found := stream.ReplicaFor(generation, a.options.Settings.Zone, candidates)
-		if !found {
-			continue
+		if t.replicaList != a.lists.used {
+			if candidates == nil {
+				candidates = a.replicaCandidates()
+			}
+			a.chooseReplica(t, candidates)
 		}
-		if replica.Address != t.replica {
-			t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
+		if t.replica == "" {
+			continue
 		}
-		link := a.link(replica.Address)
+		link := a.link(t.replica)
 		if link.busy || now.Before(link.notUntil) {
 			continue
 		}
@@ -91,6 +93,17 @@
 	return batches
 }
 
+// chooseReplica requires a.mu. A new replica gets the whole log.
+func (a *Agent) chooseReplica(t *attempt, candidates []stream.Agent) {
+	t.replicaList = a.lists.used
+	// Without a candidate the address is empty and nothing is replicated.
+	replica, _ := stream.ReplicaFor(t.log.Generation, a.options.Settings.Zone, candidates)
+	if replica.Address != t.replica {
+		t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
+		t.held.release()
+	}
+}
+
 // generationStart returns when the generation began, on any agent; a resumed one is
 // replicated at once.
 func generationStart(t *attempt) time.Time {
@@ -102,8 +115,9 @@
 
 // replicaCandidates requires a.mu.
 func (a *Agent) replicaCandidates() []stream.Agent {
-	candidates := make([]stream.Agent, 0, len(a.agents))
-	for _, agent := range a.agents {
+	agents := a.lists.agents()
+	candidates := make([]stream.Agent, 0, len(agents))
+	for _, agent := range agents {
 		if agent.GetAddress() != a.address {
 			candidates = append(candidates, stream.Agent{Address: agent.GetAddress(), Zone: agent.GetZone()})
 		}
@@ -154,12 +168,18 @@
 	defer a.mu.Unlock()
 	link.busy = false
 	for i, ack := range acks {
-		acknowledge(link.address, batch[i], ack)
+		acknowledge(time.Now(), link.address, batch[i], ack)
 	}
 	a.metrics.replicated.Add(float64(len(acks)))
 	if err == nil {
 		return
 	}
+	for _, t := range a.attempts {
+		if t.replica == link.address {
+			t.held.release()
+			t.wake()
+		}
+	}
 	a.metrics.replicaFailures.Inc()
 	link.cancel()
 	link.stream, link.cancel = nil, nil
@@ -167,7 +187,7 @@
 	a.logger.Debug().Err(err).Str("replica", link.address).Msg("replication failed")
 }
 
-func acknowledge(address string, sent pendingRecord, ack *wire.LogAck) {
+func acknowledge(now time.Time, address string, sent pendingRecord, ack *wire.LogAck) {
 	t := sent.attempt
 	if t.replica != address {
 		return
@@ -175,6 +195,10 @@
 	t.replicated = ack.GetNextIndex()
 	full := sent.record.GetTokens().GetFirstIndex() + uint64(len(sent.record.GetTokens().GetIds()))
 	t.endReplicated = sent.record.GetFinished() != nil && ack.GetNextIndex() >= full
+	if ack.GetNextIndex() >= full {
+		t.held.acknowledged(now, full, t.log.Next())
+		t.wake()
+	}
 }
 
 func (a *Agent) exchangeBatch(link *replicaLink, batch []pendingRecord) ([]*wire.LogAck, error) {
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -1,11 +1,13 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -13,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/delta"
 	"bramleygap/internal/opconfig"
 	"bramleygap/internal/wire"
 )
@@ -26,8 +29,8 @@
 	heartbeat := time.NewTicker(a.timing.Heartbeat)
 	defer heartbeat.Stop()
 	for {
-		state, changed := a.nextState()
-		if err := stream.Send(state); err != nil {
+		state, changed := a.nextState(watcher)
+		if err := stream.Send(watcher.outgoing(state)); err != nil {
 			return err
 		}
 		select {
@@ -49,6 +52,23 @@
 	// entry is the name in the first message; agent.mu guards it.
 	entry  string
 	closed bool
+	// agents is the version of the list that the entry named last, 0 if unknown here.
+	agents uint64
+	// linkMu guards link, which the sending and the receiving task use.
+	linkMu sync.Mutex
+	link   delta.Link[*wire.AgentState, *wire.EntryState]
+}
+
+func (w *watcher) outgoing(state *wire.AgentState) *wire.AgentState {
+	w.linkMu.Lock()
+	defer w.linkMu.Unlock()
+	return w.link.Outgoing(state)
+}
+
+func (w *watcher) incoming(state *wire.EntryState) (*wire.EntryState, error) {
+	w.linkMu.Lock()
+	defer w.linkMu.Unlock()
+	return w.link.Incoming(state)
 }
 
 func (w *watcher) receive(stream grpc.BidiStreamingServer[wire.EntryState, wire.AgentState]) error {
@@ -60,8 +80,12 @@
 		if err != nil {
 			return err
 		}
+		if state, err = w.incoming(state); err != nil {
+			return err
+		}
 		w.register(state.GetEntry())
 		w.agent.learn(time.Now(), state)
+		w.takeAgents(state)
 	}
 }
 
@@ -79,6 +103,7 @@
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
 	w.closed = true
+	w.agent.lists.hold(&w.agents, 0)
 	if w.entry == "" {
 		return
 	}
@@ -89,6 +114,20 @@
 	}
 }
 
+// takeAgents notes the list of agents that the entry names, if this agent has it.
+func (w *watcher) takeAgents(state *wire.EntryState) {
+	a := w.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	version := state.GetAgentsVersion()
+	if agents := state.GetAgents(); len(agents) > 0 {
+		version = a.lists.add(agents)
+	}
+	if !w.closed {
+		a.lists.hold(&w.agents, version)
+	}
+}
+
 // learn takes in what an entry knows.
 func (a *Agent) learn(now time.Time, state *wire.EntryState) {
 	a.mu.Lock()
@@ -99,9 +138,6 @@
 	a.fenceKnown = a.fenceKnown || state.HighestFence != nil
 	a.learnDrain(state)
 	a.mergeWithdrawn(state.GetWithdrawn())
-	if len(state.GetAgents()) > 0 {
-		a.agents = state.GetAgents()
-	}
 	if state.GetUseElsewhere() != nil {
 		elsewhere := make(map[string]float64)
 		for _, use := range state.GetUseElsewhere() {
@@ -168,7 +204,7 @@
 }
 
 // nextState returns the state to send and a channel that is closed at the next change.
-func (a *Agent) nextState() (*wire.AgentState, <-chan struct{}) {
+func (a *Agent) nextState(w *watcher) (*wire.AgentState, <-chan struct{}) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -187,6 +223,7 @@
 		ConfigRevision: a.adopted.Revision,
 		HighestFence:   a.fence,
 		Entries:        slices.Sorted(maps.Keys(a.entries)),
+		AgentsVersion:  cmp.Or(w.agents, a.lists.used),
 	}
 	if a.options.Settings.TargetKind == kindModel {
 		a.addModelState(now, state)
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -41,13 +41,13 @@
 			CallID: c.id, Key: key, RequestHash: oncecall.RequestHash(c.method, c.path, c.body),
 			Owner: h.options.EntryName, Incarnation: h.options.Incarnation,
 			Deadline: c.deadline.Add(-c.reserve()),
-			Lapse:    h.timing.lapse, FollowFor: h.timing.followFor, Poll: pollInterval,
-			StorePatience: h.timing.storePatience, SettleFor: settleFor, KnownKey: h.known.has(rowKey),
+			Lapse:    h.timing.lapse, FollowFor: h.timing.followFor, Poll: h.timing.poll,
+			StorePatience: h.timing.storePatience, SettleFor: h.timing.settleFor, KnownKey: h.known.has(rowKey),
 		}),
 	}
 	if !h.enterBackground() {
 		cancel()
-		return answer{outcome: oncecall.Outcome{Code: result.Leaving, Message: "the entry is shutting down"}}
+		return answer{outcome: oncecall.Outcome{Code: result.ClaimUnavailable, Message: "the entry is shutting down; " + oncecall.NotSentNow}}
 	}
 	go func() {
 		defer h.leave()
@@ -178,6 +178,8 @@
 }
 
 func (t *onceTask) place(attempt int) oncecall.Event {
+	// A call whose dispatch write failed is placed again.
+	t.release()
 	if attempt > 1 {
 		t.handler.retried(t.call, t.lastCode)
 	}
--- a/internal/entry/cluster/watch.go
+++ b/internal/entry/cluster/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleygap/internal/core/adoption"
+	"bramleygap/internal/core/delta"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/wire"
 )
@@ -88,15 +89,25 @@
 	defer silence.Stop()
 	var last *wire.AgentState
 	var sent uint64
+	// agentsNamed and agentsSent are the versions of the list of agents in the last
+	// message and in the last one with the list. The agent lacks a list that it was told
+	// of and does not name: it may have it from another entry.
+	var agentsNamed, agentsSent uint64
+	lacksAgents := false
+	var link delta.Link[*wire.EntryState, *wire.AgentState]
 	send := func() error {
 		var message *wire.EntryState
-		if err := m.do(ctx, func(s *state) { message = s.entryState(last) }); err != nil {
+		if err := m.do(ctx, func(s *state) { message = s.entryState(last, lacksAgents) }); err != nil {
 			return err
 		}
+		agentsNamed, lacksAgents = message.AgentsVersion, false
+		if len(message.Agents) > 0 {
+			agentsSent = message.AgentsVersion
+		}
 		if message.ConfigText != "" {
 			sent = message.ConfigRevision
 		}
-		return stream.Send(message)
+		return stream.Send(link.Outgoing(message))
 	}
 	if err := send(); err != nil {
 		return err
@@ -115,9 +126,18 @@
 			err = send()
 		case message := <-received:
 			silence.Reset(watchSilence)
+			if message, err = link.Incoming(message); err != nil {
+				return err
+			}
 			report := membership.Report{Stream: number, State: message}
-			err = m.do(ctx, func(s *state) { s.observeAgent(report) })
+			err = m.do(ctx, func(s *state) {
+				s.observeAgent(report)
+				lacksAgents = agentsNamed == s.agentsVersion && message.GetAgentsVersion() != s.agentsVersion
+			})
 			last = message
+			if lacksAgents && agentsSent != agentsNamed {
+				signal(w.wake)
+			}
 			// Bring an agent up to date at once, but send the text only once between heartbeats.
 			if own := adoption.RevisionOf(m.Config()); last.GetConfigRevision() < own && sent < own {
 				signal(w.wake)
