--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -107,6 +108,8 @@
 	instance string
 	router   chi.Router
 	crashed  chan struct{}
+	// generated counts the tokens of all requests.
+	generated atomic.Uint64
 
 	mu        sync.Mutex
 	faults    Faults
@@ -167,6 +170,7 @@
 func (e *Engine) routes() chi.Router {
 	router := chi.NewRouter()
 	router.Post("/control", e.handleControl)
+	router.Get("/generated", e.handleGenerated)
 	router.Group(func(router chi.Router) {
 		router.Use(e.whileAlive)
 		router.Post("/generate", e.handleGenerate)
@@ -308,6 +312,13 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// handleGenerated answers with the number of tokens generated since the start, for
+// measurements of tokens that nobody received.
+func (e *Engine) handleGenerated(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.generated.Load())
+}
+
 func (e *Engine) handleCancel(w http.ResponseWriter, r *http.Request) {
 	var request engineapi.CancelRequest
 	if !readJSON(w, r, &request) {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -127,6 +127,7 @@
 			return err
 		}
 		token := tokenAt(key, index)
+		e.generated.Add(1)
 		text.Write(token.Bytes)
 		event := tokenEvent{Index: index, ID: token.ID, Bytes: token.Bytes}
 		if err := writeEvent(w, event); err != nil {
