Try another target after 400 ms of silence instead of 600 ms

Cause: the resume latency of a silent agent is the time to the speculative attempt plus about 40 ms; placement and prefill are not the larger part. Agents send Progress every 150 ms instead of 250 ms, so that two are still missing before an attempt counts as silent. The attempt fails after 1 s as before.

The machine tests that had the literal times 550 ms and 500 ms now state them as one and two ticks before the speculative attempt, which is what they were.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -37,7 +37,7 @@
 
 // Timing holds the intervals of an agent. Zero values select the defaults.
 type Timing struct {
-	// Progress is the longest time without an event on a stream; default 250 ms.
+	// Progress is the longest time without an event on a stream; default 150 ms.
 	Progress time.Duration
 	// OrphanGrace is how long an attempt runs without a follower; default 10 s, enough
 	// for a caller to reconnect through another entry.
@@ -47,7 +47,7 @@
 	// HealthTimeout bounds one probe; default 400 ms.
 	HealthTimeout time.Duration
 	// FrozenAfter is the time without health answer or token after which the engine
-	// counts as frozen; default 600 ms, the entries' time to a speculative attempt.
+	// counts as frozen, so that Progress stops; default 600 ms, three health probes.
 	FrozenAfter time.Duration
 	// LoadInterval is the time between polls of load and cache events; default 500 ms.
 	LoadInterval time.Duration
@@ -69,7 +69,7 @@
 			*value = standard
 		}
 	}
-	set(&t.Progress, 250*time.Millisecond)
+	set(&t.Progress, 150*time.Millisecond)
 	set(&t.OrphanGrace, 10*time.Second)
 	set(&t.HealthInterval, 200*time.Millisecond)
 	set(&t.HealthTimeout, 400*time.Millisecond)
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -15,8 +15,8 @@
 	// TickInterval is how often the owner sends Tick.
 	TickInterval = 50 * time.Millisecond
 	// speculateAfter is the inactivity after which another target is tried. Agents
-	// send Progress every 250 ms, so that two of them are missing by then.
-	speculateAfter = 600 * time.Millisecond
+	// send Progress every 150 ms, so that two of them are missing by then.
+	speculateAfter = 400 * time.Millisecond
 	// failAfter is the inactivity after which an attempt has failed; it leaves 2 s
 	// of the 3 s resume target for placement and prefill.
 	failAfter = time.Second
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -67,7 +67,7 @@
 	for name, winner := range map[string]uint32{"first wins": 1, "speculative wins": 2} {
 		t.Run(name, func(t *testing.T) {
 			b := started(t, Options{})
-			b.c.Assert(effectsOf[RequestTarget](b.pass(550*time.Millisecond)), qt.HasLen, 0)
+			b.c.Assert(effectsOf[RequestTarget](b.pass(speculateAfter-TickInterval)), qt.HasLen, 0)
 			requests := effectsOf[RequestTarget](b.pass(TickInterval))
 			b.c.Assert(requests, qt.HasLen, 1)
 			b.c.Assert(requests[0].Speculative, qt.IsTrue)
@@ -108,7 +108,7 @@
 	effects := b.step(Tick{})
 	b.c.Assert(effectsOf[Distrust](effects), qt.HasLen, 1)
 	b.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
-	b.c.Assert(effectsOf[RequestTarget](b.pass(500*time.Millisecond)), qt.HasLen, 0)
+	b.c.Assert(effectsOf[RequestTarget](b.pass(speculateAfter-2*TickInterval)), qt.HasLen, 0)
 }
 
 // Guards against inactivity that is counted while a slow caller stops the reading,
@@ -120,7 +120,7 @@
 	}
 	b.c.Assert(b.pass(30*time.Second), qt.HasLen, 0)
 	b.step(Taken{Events: 1})
-	b.c.Assert(b.pass(500*time.Millisecond), qt.HasLen, 0)
+	b.c.Assert(b.pass(speculateAfter-2*TickInterval), qt.HasLen, 0)
 	b.tokens(1, 65, 65)
 	b.c.Assert(b.m.Blocked(), qt.IsTrue)
 	finishes := effectsOf[Finish](b.pass(61 * time.Second))
