--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,8 @@
 	ReplicateInterval time.Duration
 	// LeaveDelay is how long a leaving agent waits for entries to notice; default 1 s.
 	LeaveDelay time.Duration
+	// FlushTimeout bounds the replication of the last log records at exit; default 3 s.
+	FlushTimeout time.Duration
 }
 
 func (t Timing) withDefaults() Timing {
@@ -79,6 +81,7 @@
 	set(&t.ReplicateAfter, 2*time.Second)
 	set(&t.ReplicateInterval, 10*time.Millisecond)
 	set(&t.LeaveDelay, time.Second)
+	set(&t.FlushTimeout, 3*time.Second)
 	return t
 }
 
@@ -136,9 +139,11 @@
 	leaving   bool
 	adopted   adoption.Adopted
 	// entries maps each watching entry to the number of its streams.
-	entries    map[string]int
+	entries map[string]int
+	// drainedBy are the watching entries that list this VM as drained.
+	drainedBy  map[string]bool
 	withdrawn  map[versionKey]*wire.WithdrawnVersion
-	agents     []*wire.AgentAddress
+	lists      agentLists
 	fence      uint64
 	fenceKnown bool
 	links      map[string]*replicaLink
@@ -226,6 +231,7 @@
 		shares:      share.New(share.DefaultParams, defaultSlots),
 		changed:     make(chan struct{}),
 		entries:     make(map[string]int),
+		drainedBy:   make(map[string]bool),
 		withdrawn:   make(map[versionKey]*wire.WithdrawnVersion),
 		links:       make(map[string]*replicaLink),
 	}
--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -11,8 +11,9 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
-	"bramleygap/internal/core/rendezvous"
+	"bramleygap/internal/core/stream"
 	"bramleygap/internal/core/tokenlog"
+	"bramleygap/internal/result"
 	"bramleygap/internal/wire"
 )
 
@@ -21,7 +22,6 @@
 	replicaTimeout = time.Second
 	// replicaBackoff is the pause after a failed batch.
 	replicaBackoff = 500 * time.Millisecond
-	flushTimeout   = 3 * time.Second
 )
 
 // replicaLink is the stream of log records to one other agent. Agent.mu guards it,
@@ -64,22 +64,22 @@
 func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	candidates := a.replicaCandidates()
+	var candidates []stream.Agent
 	batches := make(map[*replicaLink][]pendingRecord)
 	for generation, t := range a.attempts {
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
 		}
-		replica, found := rendezvous.Choose(generation, candidates, a.options.Settings.Zone)
-		if !found {
-			t.held.release()
-			continue
+		if t.replicaList != a.lists.used {
+			if candidates == nil {
+				candidates = a.replicaCandidates()
+			}
+			a.chooseReplica(t, candidates)
 		}
-		if replica.Address != t.replica {
-			t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
-			t.held.release()
+		if t.replica == "" {
+			continue
 		}
-		link := a.link(replica.Address)
+		link := a.link(t.replica)
 		if link.busy || now.Before(link.notUntil) {
 			continue
 		}
@@ -93,6 +93,17 @@
 	return batches
 }
 
+// chooseReplica requires a.mu. A new replica gets the whole log.
+func (a *Agent) chooseReplica(t *attempt, candidates []stream.Agent) {
+	t.replicaList = a.lists.used
+	// Without a candidate the address is empty and nothing is replicated.
+	replica, _ := stream.ReplicaFor(t.log.Generation, a.options.Settings.Zone, candidates)
+	if replica.Address != t.replica {
+		t.replica, t.replicated, t.endReplicated = replica.Address, 0, false
+		t.held.release()
+	}
+}
+
 // generationStart returns when the generation began, on any agent; a resumed one is
 // replicated at once.
 func generationStart(t *attempt) time.Time {
@@ -103,11 +114,12 @@
 }
 
 // replicaCandidates requires a.mu.
-func (a *Agent) replicaCandidates() []rendezvous.Candidate {
-	candidates := make([]rendezvous.Candidate, 0, len(a.agents))
-	for _, agent := range a.agents {
+func (a *Agent) replicaCandidates() []stream.Agent {
+	agents := a.lists.agents()
+	candidates := make([]stream.Agent, 0, len(agents))
+	for _, agent := range agents {
 		if agent.GetAddress() != a.address {
-			candidates = append(candidates, rendezvous.Candidate{Address: agent.GetAddress(), Zone: agent.GetZone()})
+			candidates = append(candidates, stream.Agent{Address: agent.GetAddress(), Zone: agent.GetZone()})
 		}
 	}
 	return candidates
@@ -127,6 +139,10 @@
 func replicaRecord(t *attempt) *wire.LogRecord {
 	tokens := t.log.Read(t.replicated)
 	end := t.log.End()
+	if end != nil && end.Code != 0 && end.Code != uint32(result.TargetDied) && end.Code != uint32(result.GenerationFailed) {
+		// An entry ended the attempt and goes on with another one.
+		return nil
+	}
 	finished := end != nil && end.Code == 0 && !t.endReplicated
 	if len(tokens) == 0 && !finished {
 		return nil
@@ -229,7 +245,7 @@
 // flushReplicas replicates all finished logs before the agent exits, so that callers
 // that lost their connection can still read the end.
 func (a *Agent) flushReplicas() {
-	deadline := time.Now().Add(flushTimeout)
+	deadline := time.Now().Add(a.timing.FlushTimeout)
 	for time.Now().Before(deadline) {
 		batches := a.dueBatches(time.Now(), 0)
 		if len(batches) == 0 && !a.linksBusy() {
@@ -303,7 +319,7 @@
 	defer a.mu.Unlock()
 	next, err := a.store.Replicate(time.Now(), record)
 	switch {
-	case errors.Is(err, tokenlog.ErrSuperseded), errors.Is(err, tokenlog.ErrEnded):
+	case errors.Is(err, tokenlog.ErrEnded):
 		// Nothing of this attempt is wanted any more.
 		return record.First + uint64(len(record.Tokens)), nil
 	case err != nil:
@@ -312,15 +328,12 @@
 	return next, nil
 }
 
-// FetchLog implements wire.AgentServer. Of an own log and a copy, the one of the later
-// attempt counts, then the longer one.
+// FetchLog implements wire.AgentServer. The own log or the copy of the wanted attempt
+// counts; without one, the log that changed last.
 func (a *Agent) FetchLog(_ context.Context, request *wire.FetchLogRequest) (*wire.FetchLogResponse, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	log, second := a.store.Own(request.GetGeneration()), a.store.Copy(request.GetGeneration())
-	if log == nil || (second != nil && newer(second, log)) {
-		log = second
-	}
+	log := a.store.Find(request.GetGeneration(), request.GetAttempt())
 	if log == nil {
 		return &wire.FetchLogResponse{}, nil
 	}
@@ -333,10 +346,3 @@
 	}
 	return response, nil
 }
-
-func newer(a, b *tokenlog.Log[spec]) bool {
-	if a.Attempt != b.Attempt {
-		return a.Attempt > b.Attempt
-	}
-	return a.Next() > b.Next()
-}
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -47,6 +47,10 @@
 	// minCorrection is the least part of its weight that a member keeps however much
 	// it uses elsewhere, so that it never starves here.
 	minCorrection = 0.05
+	// keptDivision is the part of an agent's present division of work that its weights
+	// keep. At 0 members with cached prompts on few engines get too little there; at 1
+	// an uneven division stays for good.
+	keptDivision = 0.5
 )
 
 // Job is one attempt that needs a slot.
@@ -79,6 +83,8 @@
 	admitted   time.Time
 	running    bool
 	preempting bool
+	// beneficiary is the member that the job is preempted for.
+	beneficiary *member
 	// advance is the part of the work charged at admission that is not yet used.
 	advance float64
 	// weight is the member's weight when the advance was charged.
@@ -90,7 +96,10 @@
 	virtual float64 // charged work divided by weight
 	waiting []*job  // best first
 	running int
-	use     window
+	// owed counts the slots freed for the member by preemption that it has not taken.
+	// Without it the fair queueing may return such a slot to the member that lost it.
+	owed int
+	use  window
 }
 
 func (m *member) competes() bool { return m.running > 0 || len(m.waiting) > 0 }
@@ -103,8 +112,11 @@
 	waiting int
 	order   uint64
 	// clock is the virtual time: the charged work for its weight at which the last job was admitted.
-	clock       float64
-	weights     map[string]float64
+	clock   float64
+	weights map[string]float64
+	// charging holds the corrected weights of the last tick; computing them for each
+	// token would cost more than the rest of its handling.
+	charging    map[string]float64
 	members     map[string]*member
 	jobs        map[string]*job
 	elsewhere   map[string]float64
@@ -229,6 +241,9 @@
 		m.running--
 		s.running--
 		m.virtual -= j.advance / j.weight
+		if j.beneficiary != nil {
+			j.beneficiary.owed++
+		}
 		return
 	}
 	m.waiting = slices.DeleteFunc(m.waiting, func(other *job) bool { return other == j })
@@ -245,11 +260,16 @@
 	m.use.add(now, s.params.Window, work)
 	paid := min(j.advance, work)
 	j.advance -= paid
-	m.virtual += (work - paid) / s.corrected(now)[m.name]
+	weight := s.charging[m.name]
+	if weight == 0 {
+		weight = s.weight(m.name)
+	}
+	m.virtual += (work - paid) / weight
 }
 
 // Tick admits, and preempts for members that waited below their share.
 func (s *Scheduler) Tick(now time.Time) Effects {
+	s.charging = s.corrected(now)
 	effects := s.admit(now)
 	effects.Preempt = s.preempt(now)
 	s.forget(now)
@@ -266,6 +286,7 @@
 	weights := s.corrected(now)
 	for s.running < s.slots && s.waiting > 0 {
 		m := s.nextMember(weights)
+		m.owed = max(0, m.owed-1)
 		j := m.waiting[0]
 		m.waiting = m.waiting[1:]
 		s.waiting--
@@ -284,8 +305,12 @@
 	var best *member
 	for _, m := range s.sorted() {
 		if len(m.waiting) == 0 {
+			m.owed = 0
 			continue
 		}
+		if m.owed > 0 {
+			return m
+		}
 		if best == nil || m.virtual < best.virtual ||
 			(m.virtual == best.virtual && float64(m.running)*weights[best.name] < float64(best.running)*weights[m.name]) {
 			best = m
@@ -298,25 +323,23 @@
 // that waits below its share.
 func (s *Scheduler) preempt(now time.Time) []string {
 	shares := s.standing(now)
-	wanted := 0
+	var victims []string
 	for _, m := range s.sorted() {
-		if shares[m.name].below() {
-			wanted += s.longWaits(now, m, shares[m.name])
+		if !shares[m.name].below() {
+			continue
 		}
-	}
-	wanted -= s.preempting()
-	var victims []string
-	for ; wanted > 0; wanted-- {
-		victim := s.victim(now, shares)
-		if victim == nil {
-			break
+		for range s.longWaits(now, m, shares[m.name]) - s.preemptingFor(m) {
+			victim := s.victim(now, shares)
+			if victim == nil {
+				return victims
+			}
+			victim.preempting, victim.beneficiary = true, m
+			s.preempted[victim.Generation] = now
+			standing := shares[victim.Member]
+			standing.slots -= 1 / float64(max(s.slots, 1))
+			shares[victim.Member] = standing
+			victims = append(victims, victim.ID)
 		}
-		victim.preempting = true
-		s.preempted[victim.Generation] = now
-		standing := shares[victim.Member]
-		standing.slots -= 1 / float64(max(s.slots, 1))
-		shares[victim.Member] = standing
-		victims = append(victims, victim.ID)
 	}
 	return victims
 }
@@ -337,10 +360,20 @@
 	return min(waits, due)
 }
 
-func (s *Scheduler) preempting() int {
+func (s *Scheduler) preemptingFor(m *member) int {
+	count := 0
+	for _, j := range s.jobs {
+		if j.beneficiary == m {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *Scheduler) preemptingOf(m *member) int {
 	count := 0
 	for _, j := range s.jobs {
-		if j.preempting {
+		if j.preempting && j.Member == m.name {
 			count++
 		}
 	}
@@ -415,7 +448,8 @@
 		if !m.competes() {
 			continue
 		}
-		current := standing{share: weights[name] / totalWeight, slots: float64(m.running) / float64(max(s.slots, 1)), work: -1}
+		held := m.running - s.preemptingOf(m)
+		current := standing{share: weights[name] / totalWeight, slots: float64(held) / float64(max(s.slots, 1)), work: -1}
 		if totalWork > 0 {
 			current.work = m.use.rate(now, s.params.Window) / totalWork
 		}
@@ -425,27 +459,32 @@
 }
 
 // corrected returns the weight of each member here. A member's part of the whole pool's
-// work, here and elsewhere, is to equal its share, so its weight here is what is left
-// of its share after its work elsewhere.
+// work, here and elsewhere, is to equal its share. All agents correct at once, so each
+// adds only the member's relative deficit in the pool, and keeps part of the division
+// that it has: if each made up for the whole deficit, the members' parts would swing.
 func (s *Scheduler) corrected(now time.Time) map[string]float64 {
 	weights := make(map[string]float64, len(s.members))
-	total, totalWeight := 0.0, 0.0
+	used := make(map[string]float64, len(s.members))
+	here, total, totalWeight := 0.0, 0.0, 0.0
 	for name, m := range s.members {
 		weights[name] = s.weight(name)
 		if m.competes() {
 			totalWeight += weights[name]
-			total += m.use.rate(now, s.params.Window) + s.elsewhere[name]
+			used[name] = m.use.rate(now, s.params.Window)
+			here += used[name]
+			total += used[name] + s.elsewhere[name]
 		}
 	}
 	if s.elsewhere == nil || now.Sub(s.elsewhereAt) > s.params.ElsewhereMaxAge || total == 0 {
 		return weights
 	}
-	for name, m := range s.members {
-		if !m.competes() {
-			continue
+	for name, work := range used {
+		part := weights[name] / totalWeight
+		factor := 2 - (work+s.elsewhere[name])/total/part
+		if here > 0 {
+			factor += keptDivision * (work/here/part - 1)
 		}
-		due := weights[name] / totalWeight * total
-		weights[name] *= max(minCorrection, (due-s.elsewhere[name])/due)
+		weights[name] *= max(minCorrection, factor)
 	}
 	return weights
 }
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -17,6 +18,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -33,7 +35,11 @@
 // hangLimit ends a test that makes no progress; it decides no verdict otherwise.
 const hangLimit = 60 * time.Second
 
-var binary string
+var (
+	binary string
+	// installations counts the installations of this test process.
+	installations atomic.Uint32
+)
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "bramleygap-e2e")
@@ -51,6 +57,21 @@
 	os.Exit(code)
 }
 
+// trackSources reads the state of each source file. The go command records which files
+// a test looks at and reuses a cached result only while they are unchanged; the build
+// in TestMain is invisible to it, as is anything that happens before M.Run.
+var trackSources = sync.OnceFunc(func() {
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, ".go") {
+			_, err = os.Stat(path)
+		}
+		return err
+	})
+	if err != nil {
+		panic(err)
+	}
+})
+
 // process is one started process with its log.
 type process struct {
 	name    string
@@ -81,14 +102,25 @@
 
 // installation is a set of processes with the addresses they listen on.
 type installation struct {
-	t         *testing.T
+	t *testing.T
+	// host is a loopback address of this installation only. On a shared one, an outgoing
+	// connection or another test can take the port of a process that is being restarted.
+	host      string
 	folder    string
 	processes map[string]*process
 	address   map[string]string
 }
 
 func newInstallation(t *testing.T) *installation {
-	in := &installation{t: t, folder: t.TempDir(), processes: map[string]*process{}, address: map[string]string{}}
+	trackSources()
+	number := uint32(os.Getpid())<<8 + installations.Add(1)
+	in := &installation{
+		t:         t,
+		host:      fmt.Sprintf("127.%d.%d.%d", 1+number>>16%250, number>>8%256, 1+number%250),
+		folder:    t.TempDir(),
+		processes: map[string]*process{},
+		address:   map[string]string{},
+	}
 	t.Cleanup(in.stop)
 	return in
 }
@@ -125,7 +157,7 @@
 		if address, ok := in.address[name]; ok {
 			return address
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", in.host, firstPort+rand.IntN(lastPort-firstPort))
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -21,6 +21,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/http2"
+	"google.golang.org/grpc"
 
 	agentcalls "bramleygap/internal/agent/calls"
 	"bramleygap/internal/core/adoption"
@@ -38,8 +40,6 @@
 	"bramleygap/internal/wire"
 )
 
-func to[T any](v T) *T { return &v }
-
 // agentServer is the process beside one target, reduced to calls.
 type agentServer struct {
 	wire.UnimplementedAgentServer
@@ -53,15 +53,16 @@
 // targets is a router that takes the first target that is not excluded.
 type targets struct {
 	addresses []string
-	hold      chan struct{} // if set, Place waits until it is closed
+	hold      chan struct{} // if set, the first Place waits until it is closed
 	held      chan struct{}
 	open      atomic.Int64
 }
 
 func (r *targets) Place(_ context.Context, request placement.Request) (*router.Assignment, error) {
-	if r.hold != nil {
+	if hold := r.hold; hold != nil {
+		r.hold = nil
 		close(r.held)
-		<-r.hold
+		<-hold
 	}
 	for _, address := range r.addresses {
 		if !slices.Contains(request.Exclude, address) {
@@ -76,17 +77,18 @@
 func (r *targets) ReportProgress(uint64, bool)          {}
 
 type installation struct {
-	t        *testing.T
+	t        testing.TB
 	c        *qt.C
 	platform *standin.Platform
 	url      string
 	app      *app.App
 	timeout  time.Duration
 	pool     *rpc.Pool
+	agents   map[string]*grpc.Server
 }
 
-func newInstallation(t *testing.T) (*installation, string) {
-	in := &installation{t: t, c: qt.New(t), platform: standin.New(standin.Options{}), app: app.New(app.Options{}), timeout: time.Minute, pool: rpc.NewPool()}
+func newInstallation(t testing.TB) (*installation, string) {
+	in := &installation{t: t, c: qt.New(t), platform: standin.New(standin.Options{}), app: app.New(app.Options{}), timeout: time.Minute, pool: rpc.NewPool(), agents: map[string]*grpc.Server{}}
 	table := httptest.NewServer(in.platform.Handler())
 	engine := httptest.NewServer(in.app.Handler())
 	t.Cleanup(table.Close)
@@ -98,7 +100,7 @@
 
 // agent starts an agent beside the target and returns its address.
 func (in *installation) agent(target string) string {
-	handler, err := agentcalls.New(agentcalls.Options{TargetURL: target})
+	handler, err := agentcalls.New(agentcalls.Options{TargetURL: target, DialTimeout: time.Minute})
 	in.c.Assert(err, qt.IsNil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	in.c.Assert(err, qt.IsNil)
@@ -106,6 +108,7 @@
 	wire.RegisterAgentServer(server, agentServer{Handler: handler})
 	go func() { _ = server.Serve(listener) }()
 	in.t.Cleanup(server.Stop)
+	in.agents[listener.Addr().String()] = server
 	return listener.Addr().String()
 }
 
@@ -125,10 +128,13 @@
 			conn, err := in.pool.Conn(address)
 			return wire.NewAgentClient(conn), err
 		},
-		Table: platform.NewClient(platform.ClientOptions{BaseURL: in.url}), EntryName: "e", Registerer: registry,
+		Table: platform.NewClient(platform.ClientOptions{BaseURL: in.url, Timeout: time.Minute}), EntryName: "e", Registerer: registry,
 		Refusals: caller.NewRefusals(registry), Logger: zerolog.Nop(),
 	})
+	handler.timing = timing{lapse: claimLapse, followFor: time.Minute, storePatience: time.Minute, storeTimeout: time.Minute, settleFor: time.Minute, poll: time.Millisecond}
 	in.t.Cleanup(func() {
+		// A test that ended in an outage would wait until its calls stop settling.
+		in.platform.Control(standin.Control{Outage: new(false)})
 		in.c.Check(handler.Drain(context.Background()), qt.IsNil)
 		in.c.Check(r.open.Load(), qt.Equals, int64(0), qt.Commentf("assignments that were not ended"))
 	})
@@ -168,15 +174,10 @@
 		group.Go(func() { replies[i] = issue(entries[i%2], "k") })
 	}
 	group.Wait()
-	ran := 0
 	for _, r := range replies {
-		if r.status == 201 {
-			ran++
-			continue
-		}
-		in.c.Assert(r.code, qt.Equals, result.CallInProgress)
+		in.c.Assert(r.status, qt.Equals, 201, qt.Commentf("%s", r.body))
+		in.c.Assert(r.body, qt.Equals, replies[0].body)
 	}
-	in.c.Assert(ran > 0, qt.IsTrue)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 1)
 	in.c.Assert(request(entries[1], "POST", "/permits/permits", "k", "other family").code, qt.Equals, result.KeyReused)
 	in.c.Assert(issue(entries[0], "k2").repeated, qt.IsFalse)
@@ -187,16 +188,21 @@
 func TestStoreOutage(t *testing.T) {
 	in, address := newInstallation(t)
 	entry := in.entry(&targets{addresses: []string{address}})
-	in.platform.Control(standin.Control{Outage: to(true)})
-	in.c.Assert(issue(entry, "k").code, qt.Equals, result.StoreUnavailable)
+	entry.timing.storePatience = 0
+	in.platform.Control(standin.Control{Outage: new(true)})
+	// Another entry may have dispatched the key, so an entry that never saw it has no proof.
+	in.c.Assert(issue(entry, "k").code, qt.Equals, result.ClaimUnavailable)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 0)
 	in.c.Assert(request(entry, "GET", "/permits/status/1", "", "").status, qt.Equals, 200)
 	in.c.Assert(request(entry, "POST", "/permits/orders", "", "x").status, qt.Equals, 201)
-	in.platform.Control(standin.Control{Outage: to(false)})
+	in.platform.Control(standin.Control{Outage: new(false)})
 	in.c.Assert(issue(entry, "k").status, qt.Equals, 201)
-	in.platform.Control(standin.Control{Outage: to(true)})
+	in.platform.Control(standin.Control{Outage: new(true)})
 	// The entry knows that the key was dispatched, so the repeat is not "not run".
 	in.c.Assert(issue(entry, "k").code.Class(), qt.Equals, result.ClassUnknown)
+	in.platform.Control(standin.Control{Outage: new(false)})
+	in.c.Assert(issue(entry, "k").repeated, qt.IsTrue)
+	in.c.Assert(in.app.Runs().Total, qt.Equals, 2)
 }
 
 // Guards against a call that is lost or runs twice when the store's answers are lost
@@ -205,7 +211,7 @@
 	for drops := 1; drops <= 3; drops++ {
 		in, address := newInstallation(t)
 		entry := in.entry(&targets{addresses: []string{address}})
-		in.platform.Control(standin.Control{DropAnswers: to(drops)})
+		in.platform.Control(standin.Control{DropAnswers: new(drops)})
 		in.c.Assert(issue(entry, "k").status, qt.Equals, 201)
 		in.c.Assert(entry.Drain(context.Background()), qt.IsNil)
 		again := issue(in.entry(&targets{addresses: []string{address}}), "k")
@@ -218,21 +224,42 @@
 // Guards against a dispatch by an owner that paused after its claim and lost it.
 func TestPausedOwnerLosesItsClaim(t *testing.T) {
 	in, address := newInstallation(t)
-	paused := &targets{addresses: []string{address}, hold: make(chan struct{}), held: make(chan struct{})}
+	hold := make(chan struct{})
+	paused := &targets{addresses: []string{address}, hold: hold, held: make(chan struct{})}
 	first := in.entry(paused)
 	second := in.entry(&targets{addresses: []string{address}})
-	second.lapse = 0
+	second.timing.lapse = 0
 	replies := make(chan reply)
 	go func() { replies <- issue(first, "k") }()
 	<-paused.held
 	in.c.Assert(issue(second, "k").status, qt.Equals, 201)
-	close(paused.hold)
+	close(hold)
 	late := <-replies
 	in.c.Assert(late.status, qt.Equals, 201)
 	in.c.Assert(late.repeated, qt.IsTrue)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 1)
 }
 
+// Guards against a target that stays reserved when the dispatch write is refused and the
+// call is placed again; the entry's cleanup counts the reservations.
+func TestDispatchWriteRefused(t *testing.T) {
+	in, address := newInstallation(t)
+	hold := make(chan struct{})
+	router := &targets{addresses: []string{address}, hold: hold, held: make(chan struct{})}
+	entry := in.entry(router)
+	replies := make(chan reply)
+	go func() { replies <- issue(entry, "k") }()
+	<-router.held
+	refused := in.platform.Counters().Refused
+	in.platform.Control(standin.Control{Outage: new(true)})
+	close(hold)
+	for in.platform.Counters().Refused == refused {
+		time.Sleep(time.Millisecond)
+	}
+	in.platform.Control(standin.Control{Outage: new(false)})
+	in.c.Assert((<-replies).status, qt.Equals, 201)
+}
+
 // Guards against a run by a repeat after the owner crashed between dispatch and sending:
 // the repeat cannot know whether the call was sent.
 func TestCrashAfterClaimWasDispatched(t *testing.T) {
@@ -241,7 +268,7 @@
 	entry.beforeSend = func(string) error { return errors.New("crash") }
 	in.c.Assert(issue(entry, "k").code.Class(), qt.Equals, result.ClassUnknown)
 	entry.beforeSend = nil
-	entry.lapse = 0
+	entry.timing.lapse, entry.timing.followFor = 0, 0
 	in.c.Assert(issue(entry, "k").code, qt.Equals, result.CallInProgress)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 0)
 }
@@ -250,18 +277,38 @@
 func TestEngineFaults(t *testing.T) {
 	in, address := newInstallation(t)
 	entry := in.entry(&targets{addresses: []string{address}})
-	in.app.Control(app.Control{CloseAfterRun: to(1)})
+	in.app.Control(app.Control{CloseAfterRun: new(1)})
 	in.c.Assert(issue(entry, "closed").code, qt.Equals, result.OutcomeUnknown)
 	in.c.Assert(issue(entry, "closed").code.Class(), qt.Equals, result.ClassUnknown)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 1)
-	in.app.Control(app.Control{Redirect: to(1)})
+	in.app.Control(app.Control{Redirect: new(1)})
 	in.c.Assert(issue(entry, "redirected").status, qt.Equals, http.StatusTemporaryRedirect)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 2)
-	in.app.Control(app.Control{ResponseBytes: to(oncecall.MaxStoredBody * 2)})
+	in.app.Control(app.Control{ResponseBytes: new(oncecall.MaxStoredBody * 2)})
 	in.c.Assert(issue(entry, "large").status, qt.Equals, 201)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 3)
 }
 
+// Guards against "not run", and a run at another target, when the agent dies after the
+// engine ran the call.
+func TestAgentDiesDuringCall(t *testing.T) {
+	for i, path := range []string{"/permits/permits", "/permits/orders"} {
+		in, address := newInstallation(t)
+		in.app.Control(app.Control{HangAfterRun: new(1)})
+		other := httptest.NewServer(in.app.Handler())
+		t.Cleanup(other.Close)
+		entry := in.entry(&targets{addresses: []string{address, in.agent(other.URL)}})
+		replies := make(chan reply)
+		go func() { replies <- request(entry, "POST", path, "k", "x") }()
+		for in.app.Runs().Total == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		in.agents[address].Stop()
+		in.c.Assert((<-replies).code, qt.Equals, result.OutcomeUnknown, qt.Commentf("call %d", i))
+		in.c.Assert(in.app.Runs().Total, qt.Equals, 1)
+	}
+}
+
 // refusing returns an address that refuses connections.
 func refusing(c *qt.C) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -355,6 +402,61 @@
 	}
 }
 
+// refusingStreams is a gRPC server that refuses each stream as not processed, by RST_STREAM
+// or by GOAWAY, which gRPC answers with a resend of its own. It counts the streams.
+func refusingStreams(t *testing.T, goAway bool) (string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	streams := new(atomic.Int64)
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		_, _ = io.CopyN(io.Discard, conn, int64(len(http2.ClientPreface)))
+		framer := http2.NewFramer(conn, conn)
+		_ = framer.WriteSettings()
+		for {
+			frame, err := framer.ReadFrame()
+			if err != nil {
+				return
+			}
+			switch frame := frame.(type) {
+			case *http2.SettingsFrame:
+				if !frame.IsAck() {
+					_ = framer.WriteSettingsAck()
+				}
+			case *http2.HeadersFrame:
+				streams.Add(1)
+				if goAway {
+					_ = framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+					return
+				}
+				_ = framer.WriteRSTStream(frame.StreamID, http2.ErrCodeRefusedStream)
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String(), streams
+}
+
+// Guards against gRPC's transparent retry, which disabled retries do not cover, and
+// against "not run" for a stream that was begun.
+func TestNoResendByGRPC(t *testing.T) {
+	for _, goAway := range []bool{false, true} {
+		in, _ := newInstallation(t)
+		agent, streams := refusingStreams(t, goAway)
+		in.c.Assert(issue(in.entry(&targets{addresses: []string{agent}}), "k").code.Class(), qt.Equals, result.ClassUnknown)
+		in.c.Assert(streams.Load(), qt.Equals, int64(1))
+	}
+}
+
 // Guards against requests that reach a route other than the one that was matched, and
 // against once-calls without a key.
 func TestRequestsRefusedBeforeDispatch(t *testing.T) {
@@ -369,7 +471,13 @@
 		in.c.Assert(request(entry, "POST", path, "", "x").code, qt.Equals, code, qt.Commentf("%s", path))
 	}
 	in.c.Assert(entry.Drain(context.Background()), qt.IsNil)
-	in.c.Assert(issue(entry, "k").code, qt.Equals, result.Leaving)
+	in.c.Assert(request(entry, "POST", "/permits/orders", "", "x").code, qt.Equals, result.Leaving)
+	// A key may have run through another entry, so the state of this one proves nothing.
+	in.c.Assert(issue(entry, "k").code, qt.Equals, result.ClaimUnavailable)
+	entry = in.entry(&targets{})
+	entry.options.Config = func() *adoption.Adopted { return nil }
+	in.c.Assert(issue(entry, "k").code, qt.Equals, result.ClaimUnavailable)
+	in.c.Assert(request(entry, "GET", "/permits/status", "", "").code, qt.Equals, result.NotReady)
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 0)
 }
 
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -41,13 +41,13 @@
 			CallID: c.id, Key: key, RequestHash: oncecall.RequestHash(c.method, c.path, c.body),
 			Owner: h.options.EntryName, Incarnation: h.options.Incarnation,
 			Deadline: c.deadline.Add(-c.reserve()),
-			Lapse:    h.lapse, FollowFor: followFor, Poll: pollInterval,
-			StorePatience: storePatience, SettleFor: settleFor, KnownKey: h.known.has(rowKey),
+			Lapse:    h.timing.lapse, FollowFor: h.timing.followFor, Poll: h.timing.poll,
+			StorePatience: h.timing.storePatience, SettleFor: h.timing.settleFor, KnownKey: h.known.has(rowKey),
 		}),
 	}
 	if !h.enterBackground() {
 		cancel()
-		return answer{outcome: oncecall.Outcome{Code: result.Leaving, Message: "the entry is shutting down"}}
+		return answer{outcome: oncecall.Outcome{Code: result.ClaimUnavailable, Message: "the entry is shutting down; " + oncecall.NotSentNow}}
 	}
 	go func() {
 		defer h.leave()
@@ -132,7 +132,7 @@
 
 func (t *onceTask) commit(effect oncecall.Effect, txn platform.Txn) oncecall.Event {
 	txn.Checks = []platform.Check{{Key: t.rowKey, Revision: effect.Revision}}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.target), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.target), t.handler.timing.storeTimeout)
 	defer cancel()
 	done, err := t.handler.options.Table.Commit(ctx, txn)
 	event := oncecall.StoreEvent{Revision: done.Revision}
@@ -151,7 +151,7 @@
 }
 
 func (t *onceTask) read(effect oncecall.Effect) oncecall.Event {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.target), storeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.target), t.handler.timing.storeTimeout)
 	defer cancel()
 	row, err := t.handler.options.Table.Get(ctx, t.rowKey)
 	event := oncecall.StoreEvent{Status: oncecall.StoreOK, Revision: row.Revision, Value: row.Value}
@@ -178,6 +178,8 @@
 }
 
 func (t *onceTask) place(attempt int) oncecall.Event {
+	// A call whose dispatch write failed is placed again.
+	t.release()
 	if attempt > 1 {
 		t.handler.retried(t.call, t.lastCode)
 	}
--- a/internal/entry/cluster/manager.go
+++ b/internal/entry/cluster/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -11,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/core/membership"
@@ -33,7 +34,8 @@
 	jitterFraction = 0.2
 )
 
-var errStopped = errors.New("cluster manager stopped")
+// errStopped makes operator commands ask the next entry.
+var errStopped = status.Error(codes.Unavailable, "the entry is stopping")
 
 // VersionReporter reports the rollouts for Status; the rollout logic implements it.
 type VersionReporter interface {
@@ -62,6 +64,7 @@
 	pool      *rpc.Pool
 	metrics   *metrics
 	withdrawn *withdrawnSet
+	changes   *changes
 
 	adopted  atomic.Pointer[adoption.Adopted]
 	snapshot atomic.Pointer[membership.Snapshot]
@@ -72,6 +75,9 @@
 	storeReachable atomic.Bool
 	sequence       atomic.Uint64
 	streams        atomic.Uint64
+	// lostRevision is the last table revision below the one in force that was logged; it
+	// belongs to the task that polls the table.
+	lostRevision uint64
 	// partsMu serialises the calls to the parts.
 	partsMu sync.Mutex
 
@@ -79,8 +85,10 @@
 	pushAll   chan struct{}
 	pushSome  chan struct{}
 	writeRows chan struct{}
-	stopped   chan struct{}
-	tasks     sync.WaitGroup
+	// wakeAgents makes the watch tasks send their state at once.
+	wakeAgents chan struct{}
+	stopped    chan struct{}
+	tasks      sync.WaitGroup
 }
 
 // New returns a Manager; Run starts its tasks.
@@ -89,15 +97,17 @@
 		options.Readiness = obs.NewReadiness("")
 	}
 	m := &Manager{
-		options:   options,
-		pool:      rpc.NewPool(),
-		metrics:   newMetrics(options.Registerer),
-		withdrawn: newWithdrawnSet(),
-		requests:  make(chan func(*state)),
-		pushAll:   make(chan struct{}, 1),
-		pushSome:  make(chan struct{}, 1),
-		writeRows: make(chan struct{}, 1),
-		stopped:   make(chan struct{}),
+		options:    options,
+		pool:       rpc.NewPool(),
+		metrics:    newMetrics(options.Registerer),
+		withdrawn:  newWithdrawnSet(),
+		changes:    newChanges(options.Incarnation),
+		requests:   make(chan func(*state)),
+		pushAll:    make(chan struct{}, 1),
+		pushSome:   make(chan struct{}, 1),
+		writeRows:  make(chan struct{}, 1),
+		wakeAgents: make(chan struct{}, 1),
+		stopped:    make(chan struct{}),
 	}
 	m.snapshot.Store(&membership.Snapshot{})
 	m.nodes.Store(&[]Node{})
@@ -130,6 +140,8 @@
 			return
 		case request := <-m.requests:
 			request(s)
+		case <-m.wakeAgents:
+			s.notifyWatchers()
 		case <-ticker.C:
 			s.tick(time.Now())
 		}
@@ -201,7 +213,7 @@
 	m.metrics.withdrawn.Set(float64(m.withdrawn.size()))
 	signal(m.pushAll)
 	signal(m.writeRows)
-	m.notifyAgents()
+	signal(m.wakeAgents)
 }
 
 // Withdrawn reports whether a version is withdrawn.
@@ -217,13 +229,7 @@
 	m.metrics.withdrawn.Set(float64(m.withdrawn.size()))
 	signal(m.pushSome)
 	signal(m.writeRows)
-	m.notifyAgents()
-}
-
-// notifyAgents makes the watch tasks send their state at once. It does not wait for
-// the owner task, so that parts may call Withdraw.
-func (m *Manager) notifyAgents() {
-	go func() { _ = m.do(context.Background(), func(s *state) { s.notifyWatchers() }) }()
+	signal(m.wakeAgents)
 }
 
 // signal wakes the reader of a channel with capacity 1; pending signals coalesce.
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bramleygap/internal/core/adoption"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/platform"
@@ -62,23 +64,36 @@
 	// drainChanges counts local changes of drained, so that a list that was read
 	// before a change does not undo it.
 	drainChanges uint64
+	// fences has the highest fencing number that each target reported, over all
+	// incarnations of its agent.
+	fences map[string]uint64
+	// fenceRows has the highest fencing number drawn for each service, as last read from
+	// the table.
+	fenceRows map[string]uint64
+	// fenceRead has the incarnation of each target's agent for which the rows were read
+	// after the first report of that incarnation.
+	fenceRead map[string]uint64
 	// agents and use are rebuilt by publish for the messages to agents.
-	agents []*wire.AgentAddress
-	use    map[string]float64
+	agents        []*wire.AgentAddress
+	agentsVersion uint64
+	use           map[string]float64
 	// rejectedRevision is the last revision whose rejection was logged.
 	rejectedRevision uint64
 }
 
 func newState(m *Manager, ctx context.Context, now time.Time) *state {
 	return &state{
-		manager:  m,
-		ctx:      ctx,
-		view:     membership.New(now),
-		acks:     adoption.NewAcks(),
-		heardVMs: make(map[string]bool),
-		entries:  make(map[string]*entryInfo),
-		peers:    make(map[string]bool),
-		watchers: make(map[string]*watcher),
+		manager:   m,
+		ctx:       ctx,
+		view:      membership.New(now),
+		acks:      adoption.NewAcks(),
+		heardVMs:  make(map[string]bool),
+		entries:   make(map[string]*entryInfo),
+		peers:     make(map[string]bool),
+		watchers:  make(map[string]*watcher),
+		fences:    make(map[string]uint64),
+		fenceRows: make(map[string]uint64),
+		fenceRead: make(map[string]uint64),
 	}
 }
 
@@ -157,6 +172,7 @@
 // observeAgent takes in a heartbeat and reports whether it was news.
 func (s *state) observeAgent(report membership.Report) bool {
 	now := time.Now()
+	s.takeHandedOver(report.State)
 	before := s.view.State(report.State.GetTarget())
 	if !s.view.Heartbeat(now, report) {
 		s.manager.metrics.heartbeats.WithLabelValues("stale").Inc()
@@ -164,6 +180,8 @@
 	}
 	s.manager.metrics.heartbeats.WithLabelValues("ok").Inc()
 	s.heardVMs[report.State.GetVm()] = true
+	target := report.State.GetTarget()
+	s.fences[target] = max(s.fences[target], report.State.GetHighestFence())
 	s.acks.Observe(adoption.Ack{
 		Node:        roleAgent + "/" + report.State.GetTarget(),
 		Incarnation: report.State.GetIncarnation(),
@@ -180,6 +198,22 @@
 	return true
 }
 
+// takeHandedOver adopts the configuration that an agent hands over and removes it from
+// the report, which the view keeps.
+func (s *state) takeHandedOver(report *wire.AgentState) {
+	if report.GetConfigText() == "" {
+		return
+	}
+	s.adopt(adoption.Candidate{
+		Revision: report.GetConfigRevision(),
+		Text:     report.GetConfigText(),
+		Operator: report.GetConfigOperator(),
+		ChangeID: report.GetConfigChangeId(),
+	})
+	s.manager.mergeWithdrawn(report.GetWithdrawn())
+	report.ConfigText, report.ConfigOperator, report.ConfigChangeId, report.Withdrawn = "", "", "", nil
+}
+
 // routability is what decides whether a target gets new work, apart from its versions.
 type routability struct {
 	incarnation    uint64
@@ -392,11 +426,12 @@
 			s.use[use.GetMember()] += use.GetTokensPerSecond()
 		}
 	}
+	s.agentsVersion = membership.AgentsVersion(s.agents)
 }
 
 // entryState builds the message for an agent from its last report, which is nil
-// before its first one.
-func (s *state) entryState(last *wire.AgentState) *wire.EntryState {
+// before its first one. lacksAgents adds the list of agents.
+func (s *state) entryState(last *wire.AgentState, lacksAgents bool) *wire.EntryState {
 	m := s.manager
 	message := &wire.EntryState{
 		Entry:       m.options.Settings.PeerListen,
@@ -404,14 +439,27 @@
 		Sequence:    m.sequence.Add(1),
 		Withdrawn:   m.withdrawn.list(),
 		LeavingVms:  s.drained,
-		Agents:      s.agents,
+
+		LeavingVmsKnown: s.drainedKnown,
+		AgentsVersion:   s.agentsVersion,
+	}
+	// An agent that names no version holds no list, or is older than this field.
+	if lacksAgents || (last != nil && last.GetAgentsVersion() == 0) {
+		message.Agents = s.agents
 	}
 	if config := m.Config(); config != nil {
 		message.ConfigRevision = config.Revision
 		if last != nil && last.GetConfigRevision() < config.Revision {
 			message.ConfigText = config.Text
+			message.ConfigOperator = config.Operator
+			message.ConfigChangeId = config.ChangeID
 		}
 	}
+	// What an entry heard from the agent's predecessor may lack its last order, so the
+	// number counts only once the table was read after the agent's start.
+	if last != nil && s.fenceRead[last.GetTarget()] == last.GetIncarnation() {
+		message.HighestFence = proto.Uint64(max(s.fences[last.GetTarget()], s.fenceRows[last.GetService()]))
+	}
 	elsewhere := maps.Clone(s.use)
 	if current := s.view.State(last.GetTarget()); current != nil {
 		for _, use := range current.GetUseHere() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,10 +16,12 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"bramleygap/internal/engineapi"
 	"bramleygap/internal/entry/caller"
 	"bramleygap/internal/entry/calls"
 	"bramleygap/internal/entry/cluster"
 	"bramleygap/internal/entry/generations"
+	"bramleygap/internal/entry/rollouts"
 	"bramleygap/internal/entry/router"
 	"bramleygap/internal/obs"
 	"bramleygap/internal/platform"
@@ -52,6 +54,7 @@
 	readiness   *obs.Readiness
 	cluster     *cluster.Manager
 	router      *router.Manager
+	rollouts    *rollouts.Manager
 	generations *generations.Handler
 	calls       *calls.Handler
 	peers       *grpc.Server
@@ -67,8 +70,13 @@
 	if options.Settings.MaxBodyBytes == 0 {
 		options.Settings.MaxBodyBytes = settings.DefaultMaxBodyBytes
 	}
+	peerListen := options.Settings.PeerListen
+	if options.Settings.PeerAddress != "" {
+		// The parts use the setting only as the address that others dial.
+		options.Settings.PeerListen = options.Settings.PeerAddress
+	}
 	e := build(options)
-	peerListener, err := net.Listen("tcp", options.Settings.PeerListen)
+	peerListener, err := net.Listen("tcp", peerListen)
 	if err != nil {
 		return eris.Wrap(err, "peer_listen")
 	}
@@ -94,13 +102,32 @@
 
 func (e *entry) buildDecisions(client *platform.Client) {
 	s := e.options.Settings
+	poll, evaluate := s.Rollout.Intervals()
+	e.rollouts = rollouts.New(rollouts.Options{
+		EntryName:        s.Name,
+		Zone:             s.Zone,
+		Incarnation:      e.incarnation,
+		Config:           e.config,
+		Snapshot:         e.snapshot,
+		Table:            client,
+		Times:            s.Rollout.Times(),
+		PollInterval:     poll,
+		EvaluateInterval: evaluate,
+		Agent:            e.agent,
+		Withdraw:         e.withdraw,
+		Withdrawn:        e.withdrawn,
+		Registerer:       e.options.Registry,
+		Logger:           e.options.Logger,
+	})
 	e.router = router.New(router.Options{
 		EntryName:   s.Name,
 		Zone:        s.Zone,
 		Incarnation: e.incarnation,
 		Snapshot:    e.snapshot,
 		Config:      e.config,
+		Split:       e.rollouts.Split,
 		Withdrawn:   e.withdrawn,
+		Observe:     e.rollouts.Observe,
 		Registerer:  e.options.Registry,
 		Logger:      e.options.Logger,
 	})
@@ -109,8 +136,9 @@
 		Incarnation:    e.incarnation,
 		Table:          client,
 		VMs:            client,
-		Parts:          []cluster.Part{e.router},
+		Parts:          []cluster.Part{e.router, e.rollouts},
 		AgentObservers: []cluster.AgentObserver{e.router},
+		Versions:       e.rollouts,
 		Readiness:      e.readiness,
 		Registerer:     e.options.Registry,
 		Logger:         e.options.Logger,
@@ -127,6 +155,7 @@
 		Snapshot:      e.snapshot,
 		Router:        e.router,
 		Agent:         e.agent,
+		PromptBlocks:  engineapi.PromptBlocks,
 		EntryName:     s.Name,
 		Refusals:      refusals,
 		Registerer:    e.options.Registry,
@@ -167,6 +196,8 @@
 	group, tasks := errgroup.WithContext(tasks)
 	group.Go(func() error { return ignoreCancel(e.cluster.Run(tasks)) })
 	group.Go(func() error { return ignoreCancel(e.router.Run(tasks)) })
+	group.Go(func() error { return ignoreCancel(e.rollouts.Run(tasks)) })
+	group.Go(func() error { e.calls.RunSweep(tasks); return nil })
 	group.Go(func() error {
 		return obs.ServeAdmin(tasks, e.options.Settings.AdminListen, obs.AdminHandler(e.options.Registry, e.readiness))
 	})
@@ -204,6 +235,10 @@
 		e.options.Logger.Error().Err(err).Msg("graceful shutdown cut off requests")
 		return
 	}
+	if err := errors.Join(e.generations.Drain(limit), e.calls.Drain(limit)); err != nil {
+		e.options.Logger.Error().Err(err).Msg("graceful shutdown left work unfinished")
+		return
+	}
 	e.options.Logger.Info().Msg("graceful shutdown finished")
 }
 
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -20,13 +21,21 @@
 	maxWaiting = 10000
 	// overShareWait is how long over-share work may wait for a free slot.
 	overShareWait = 2 * time.Second
+	// unknownShare is the share, in percent, of a member that the operator configuration
+	// does not list; the agents use the same.
+	unknownShare = 1
 	// entryMaxAge is how long an entry counts as watching the targets after an agent named it.
 	entryMaxAge = 10 * time.Second
+	// upkeepInterval is the time between passes over all suspects, running attempts and
+	// usage reports, whose cost grows with the installation.
+	upkeepInterval = 500 * time.Millisecond
 	// deathWindow is the time within which failures on one target are one crash.
 	deathWindow = 2 * time.Second
-	// maxMisses ends a pass over the queue after that many attempts that found no target,
-	// so that a full pool costs a bounded amount of work each tick.
-	maxMisses = 64
+	// maxSearches ends a pass over the queue after that many searches that found no
+	// target, so that a full pool costs a bounded amount of work each pass. Attempts of a
+	// kind that found no room before are not searched for, so that they cannot keep
+	// attempts for other targets from their turn.
+	maxSearches = 256
 )
 
 type pending struct {
@@ -50,10 +59,12 @@
 	inflight   int
 }
 
-// fullKey names the targets and the class of work that found no room.
+// fullKey names a kind of work that found no target.
 type fullKey struct {
 	service, version string
 	class            placement.Class
+	suspect          bool
+	member           string
 }
 
 // state is owned by the task of Run.
@@ -73,7 +84,10 @@
 	lastDeath map[string]time.Time // targets, by name
 	// full holds what found no room in the current pass over the queue, so that
 	// further attempts of the kind skip the search.
-	full       map[fullKey]bool
+	full       map[fullKey]placement.Verdict
+	searches   int
+	entries    []string
+	upkeepAt   time.Time
 	snapshot   *membership.Snapshot
 	snapshotAt time.Time
 	exported   uint64
@@ -94,7 +108,7 @@
 		byPrint:   map[uint64][]uint64{},
 		lastSeen:  map[string]time.Time{},
 		lastDeath: map[string]time.Time{},
-		full:      map[fullKey]bool{},
+		full:      map[fullKey]placement.Verdict{},
 	}
 }
 
@@ -136,7 +150,7 @@
 	s.refreshSnapshot(now, false)
 	clear(s.full)
 	delay := time.Duration(0)
-	if request.Retry && !request.Resume {
+	if request.Retry && !request.Resume && !request.Preempted {
 		delay = retry.Backoff(max(1, len(request.Exclude)), s.rng)
 	}
 	if delay == 0 && s.tryPlace(now, p) {
@@ -163,6 +177,8 @@
 		return result.New(result.DeadlineTooShort, "less than the expected time to first token (%v) remains", v.firstToken.Mean())
 	}
 	switch {
+	case r.Preempted:
+		s.manager.metrics.retries.WithLabelValues("preempted").Inc()
 	case r.Resume:
 		s.manager.metrics.retries.WithLabelValues("resume").Inc()
 		if !v.budget.TakeResume() {
@@ -180,16 +196,24 @@
 }
 
 func (s *state) class(config *opconfig.Config, r *placement.Request) placement.Class {
-	if r.Resume {
+	if r.Resume || r.Preempted {
 		return placement.ClassResume
 	}
-	member := config.Member(r.Member)
-	if member != nil && s.usage.OverShare(r.Member, member.Share) {
+	if config.Member(r.Member) != nil && s.usage.OverShare(r.Member, shareOf(config)) {
 		return placement.ClassOverShare
 	}
 	return placement.ClassInShare
 }
 
+func shareOf(config *opconfig.Config) func(string) float64 {
+	return func(name string) float64 {
+		if member := config.Member(name); member != nil {
+			return member.Share
+		}
+		return unknownShare
+	}
+}
+
 // enqueue makes the attempt wait, or sheds work if the queue is full. Resumes are never shed.
 func (s *state) enqueue(now time.Time, p *pending, notBefore time.Time) {
 	limit := min(maxWaiting, max(16, s.pool.Slots(p.request.Service)))
@@ -237,13 +261,13 @@
 	if version == "" {
 		version = s.version(r, p.id)
 	}
-	key := fullKey{r.Service, version, p.class}
-	if s.full[key] {
-		p.verdict = placement.AllFull
+	key := fullKey{r.Service, version, p.class, crashes > 0, r.Member}
+	if verdict, ok := s.full[key]; ok {
+		p.verdict = verdict
 		return false
 	}
 	query := placement.Query{
-		Service: r.Service, Version: version, Class: p.class, Blocks: r.Blocks,
+		Service: r.Service, Member: r.Member, Version: version, Class: p.class, Blocks: r.Blocks,
 		Exclude: r.Exclude, Suspect: crashes > 0, Now: now,
 	}
 	if crashes > 0 {
@@ -252,7 +276,10 @@
 	target, verdict := s.pool.Choose(query, s.rng)
 	p.verdict = verdict
 	if verdict != placement.Chosen {
-		s.full[key] = verdict == placement.AllFull && !query.Suspect && len(r.Exclude) == 0
+		s.searches++
+		if len(r.Exclude) == 0 {
+			s.full[key] = verdict
+		}
 		return false
 	}
 	if version == "" && len(target.Versions) > 0 {
@@ -266,7 +293,7 @@
 	r := p.request
 	id := p.id
 	level := s.pool.LoadLevel(target.Name, now)
-	s.pool.Reserve(target.Name, suspected)
+	s.pool.Reserve(target.Name, r.Member, suspected)
 	s.service(r.Service, now).inflight++
 	if r.Fingerprint != 0 {
 		s.running[id] = running{r.Fingerprint, now, target.Name}
@@ -298,6 +325,11 @@
 	if seed == 0 {
 		seed = id
 	}
+	if r.Retry {
+		// Nothing was delivered, so the version may change. Another point of the split
+		// keeps a request from spending all its attempts on a new version that is bad.
+		seed = ^seed
+	}
 	if s.options.Split != nil {
 		v := s.options.Split(r.Service, r.Route, seed)
 		if v != "" && !s.withdrawn(r.Service, v) && s.pool.Count(r.Service, v) > 0 {
@@ -344,7 +376,7 @@
 // release ends an attempt: it frees the reservation and learns from the outcome.
 func (s *state) release(now time.Time, id uint64, r placement.Request, d placement.Decision, level int, o placement.Outcome) {
 	aboard := s.pool.Suspects(d.Target.Name) > 0
-	s.pool.Release(d.Target.Name, d.Suspect)
+	s.pool.Release(d.Target.Name, r.Member, d.Suspect)
 	v := s.service(r.Service, now)
 	v.inflight--
 	v.firstToken.Observe(o.FirstToken)
@@ -405,7 +437,7 @@
 	if s.queue.Len() == 0 {
 		return
 	}
-	misses := 0
+	s.searches = 0
 	clear(s.full)
 	s.queue.Drain(now, func(id uint64) (bool, bool) {
 		p := s.pending[id]
@@ -418,8 +450,7 @@
 			delete(s.pending, id)
 			return true, true
 		}
-		misses++
-		return false, misses < maxMisses
+		return false, s.searches < maxSearches
 	})
 	s.manager.metrics.waiting.Set(float64(s.queue.Len()))
 }
@@ -481,6 +512,16 @@
 
 func (s *state) tick(now time.Time) {
 	s.refreshSnapshot(now, true)
+	if now.Sub(s.upkeepAt) >= upkeepInterval {
+		s.upkeepAt = now
+		s.upkeep(now)
+	}
+	s.drain(now)
+	s.export(now)
+}
+
+// upkeep drops what is too old and clears suspects that have run long enough.
+func (s *state) upkeep(now time.Time) {
 	s.usage.Refresh(now)
 	s.tracker.Expire(now)
 	s.refreshEntries(now)
@@ -492,9 +533,7 @@
 			delete(s.lastDeath, target)
 		}
 	}
-	s.drain(now)
 	s.manager.metrics.suspects.Set(float64(s.tracker.Len()))
-	s.export(now)
 }
 
 func (s *state) refreshSnapshot(now time.Time, force bool) {
@@ -545,7 +584,10 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	s.pool.SetEntries(names)
+	if !slices.Equal(names, s.entries) {
+		s.entries = names
+		s.pool.SetEntries(names)
+	}
 }
 
 func (s *state) observeAgent(now time.Time, agent *wire.AgentState) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -55,6 +55,9 @@
 	d.Name("zone", s.Zone)
 	d.Address("caller_listen", s.CallerListen, true)
 	d.Address("peer_listen", s.PeerListen, false)
+	if s.PeerAddress != "" {
+		d.Address("peer_address", s.PeerAddress, false)
+	}
 	d.Address("admin_listen", s.AdminListen, true)
 	checkDistinct(d, []string{"caller_listen", "peer_listen", "admin_listen"},
 		[]string{s.CallerListen, s.PeerListen, s.AdminListen})
@@ -63,6 +66,7 @@
 		d.Add("max_body_bytes", "is negative; write a number of bytes, or 0 for 4 MiB")
 	}
 	checkSeeds(d, s.Seeds)
+	checkRollout(d, s.Rollout)
 	checkLog(d, s.Log)
 	if err := d.Err(); err != nil {
 		return Entry{}, err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,6 +16,8 @@
 	CallerListen string `toml:"caller_listen"`
 	// PeerListen is host:port for gRPC from entries and operators; peers dial it.
 	PeerListen string `toml:"peer_listen"`
+	// PeerAddress is the host:port at which others reach PeerListen; empty means PeerListen.
+	PeerAddress string `toml:"peer_address"`
 	// AdminListen is host:port for metrics, health and readiness.
 	AdminListen string `toml:"admin_listen"`
 	// PlatformURL is the base URL of the table service, object store and VM list.
@@ -23,8 +25,9 @@
 	// Seeds are host:port of processes to ask while the VM list is unreachable.
 	Seeds []Seed `toml:"seed"`
 	// MaxBodyBytes bounds a caller's request body; 0 means 4 MiB.
-	MaxBodyBytes int64 `toml:"max_body_bytes"`
-	Log          Log   `toml:"log"`
+	MaxBodyBytes int64   `toml:"max_body_bytes"`
+	Log          Log     `toml:"log"`
+	Rollout      Rollout `toml:"rollout"`
 	// DisableResume turns off the resumption of generations; for measurements and tests only.
 	DisableResume bool `toml:"disable_resume"`
 }
