Let leaving agents refuse calls and wait for running ones

An agent of an application engine took calls while its VM was drained, and its graceful shutdown waited only for attempts. Calls are now counted, refused with LEAVING and reported as running. retire_vms counts as leaving at the agent too, so that an entry with an older configuration sends no work there.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"bramleygap/internal/core/tokenlog"
 	"bramleygap/internal/engineapi"
 	"bramleygap/internal/obs"
+	"bramleygap/internal/result"
 	"bramleygap/internal/rpc"
 	"bramleygap/internal/settings"
 	"bramleygap/internal/wire"
@@ -269,7 +270,7 @@
 	a.logger.Info().Msg("left")
 }
 
-// drain waits until no attempt runs and no follower still reads.
+// drain waits until no attempt or call runs and no follower still reads.
 func (a *Agent) drain() {
 	for {
 		a.mu.Lock()
@@ -331,5 +332,28 @@
 	if a.options.Calls == nil {
 		return noCallHandler(), nil
 	}
+	if !a.beginCall() {
+		return &wire.CallResponse{Code: uint32(result.Leaving), Message: "the agent is leaving"}, nil
+	}
+	defer a.endCall()
 	return a.options.Calls.Call(ctx, request), nil
 }
+
+// beginCall counts a call, so that a graceful shutdown waits for it. It returns false if
+// the agent takes no new work.
+func (a *Agent) beginCall() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.refusesWork() {
+		a.metrics.refused.WithLabelValues(result.Leaving.String()).Inc()
+		return false
+	}
+	a.count(1, 0)
+	return true
+}
+
+func (a *Agent) endCall() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count(-1, 0)
+}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -35,7 +35,7 @@
 		})
 	}
 	gauge("log_bytes", "Estimated memory of the token logs.", func() float64 { return float64(a.store.Bytes()) })
-	gauge("running_attempts", "Attempts that run or wait.", func() float64 { return float64(a.running) })
+	gauge("running_attempts", "Attempts and calls that run or wait.", func() float64 { return float64(a.running) })
 	gauge("waiting_attempts", "Attempts that wait for admission.", func() float64 { return float64(a.shares.Waiting()) })
 	gauge("config_revision", "Adopted revision of the operator configuration.", func() float64 { return float64(a.adopted.Revision) })
 	gauge("target_ready", "1 while the target runs and answers.", func() float64 {
@@ -46,7 +46,7 @@
 	})
 	return &metrics{
 		attempts:        vector("attempts_total", "code", "Ended attempts by result code."),
-		refused:         vector("refused_total", "code", "Refused Generate and Attach calls by result code."),
+		refused:         vector("refused_total", "code", "Refused Generate, Attach and Call requests by result code."),
 		orders:          vector("orders_total", "code", "Orders by result code."),
 		preempted:       vector("preempted_total", "member", "Attempts preempted by member."),
 		tokens:          counter("tokens_total", "Tokens received from the engine."),
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -165,8 +165,13 @@
 	})
 }
 
-// refusesWork requires a.mu. It reports whether the process stops or its VM is drained.
-func (a *Agent) refusesWork() bool { return a.leaving || len(a.drainedBy) > 0 }
+// refusesWork requires a.mu. It reports whether the process stops or its VM is drained or
+// retired; an entry with an older configuration may still send work.
+func (a *Agent) refusesWork() bool {
+	config := a.adopted.Config
+	return a.leaving || len(a.drainedBy) > 0 ||
+		(config != nil && slices.Contains(config.RetireVMs, a.options.Settings.VM))
+}
 
 // learnDrain requires a.mu. The VM is drained while any watching entry says so, since
 // entries read the list at different times. An entry that does not know the list takes
@@ -232,6 +237,7 @@
 		Service:        a.options.Settings.Service,
 		Ready:          a.target.ready() && !a.refusesWork(),
 		Leaving:        a.refusesWork(),
+		Running:        uint32(a.running),
 		ConfigRevision: a.adopted.Revision,
 		HighestFence:   a.fence,
 		Entries:        slices.Sorted(maps.Keys(a.entries)),
