--- a/cmd/bramleygap/main.go
+++ b/cmd/bramleygap/main.go
@@ -17,9 +17,9 @@
 	Entry   entryCommand   `cmd:"" help:"Run an entry: terminate callers' HTTP and route requests to agents."`
 	Agent   agentCommand   `cmd:"" help:"Run an agent beside one target."`
 	Check   checkCommand   `cmd:"" help:"Validate settings files and operator configurations."`
-	Apply   applyCommand   `cmd:"" help:"Submit an operator configuration and wait until it is in force."`
-	Status  statusCommand  `cmd:"" help:"Show services, versions, members and targets."`
-	Drain   drainCommand   `cmd:"" help:"Stop new work on a VM."`
+	Apply   applyCommand   `cmd:"" help:"Submit an operator configuration and wait until it is in force on all live nodes."`
+	Status  statusCommand  `cmd:"" help:"Show the configuration revision, nodes, targets, leaving VMs, versions and members."`
+	Drain   drainCommand   `cmd:"" help:"Give the targets of a VM no new work; running requests finish."`
 	Version versionCommand `cmd:"" help:"Start, withdraw or show versions."`
 	Load    load.Command   `cmd:"" help:"Replay a trace against running entries and report the measures."`
 	Demo    demo.Command   `cmd:"" help:"Run all roles and stand-ins on loopback and kill an engine during a generation."`
--- a/internal/entry/cluster/operator.go
+++ b/internal/entry/cluster/operator.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -44,6 +46,12 @@
 	m := s.manager
 	response.Missing = s.missing(adoption.RevisionOf(m.Config()))
 	response.Targets = s.targetStates()
+	for _, target := range m.Snapshot().Targets {
+		if target.Suspected {
+			response.Suspected = append(response.Suspected, target.Name)
+		}
+	}
+	response.LeavingVms = s.leavingVMs()
 	for _, node := range m.Nodes() {
 		response.Nodes = append(response.Nodes, ackOf(node, 0))
 	}
@@ -68,6 +76,35 @@
 	}
 }
 
+// leavingVMs returns the VMs that get no new work, with the reasons, sorted by id.
+func (s *state) leavingVMs() []*wire.LeavingVm {
+	reasons := make(map[string][]string)
+	add := func(vm, reason string) { reasons[vm] = append(reasons[vm], reason) }
+	for _, vm := range s.drained {
+		add(vm, "drained")
+	}
+	if config := s.manager.Config(); config != nil {
+		for _, vm := range config.Config.RetireVMs {
+			add(vm, "retire_vms")
+		}
+	}
+	for _, vm := range s.vms {
+		if vm.State == platform.VMLeaving {
+			add(vm.ID, "VM list")
+		}
+	}
+	for _, agent := range s.view.States() {
+		if agent.GetLeaving() && reasons[agent.GetVm()] == nil {
+			add(agent.GetVm(), "agent")
+		}
+	}
+	var vms []*wire.LeavingVm
+	for _, vm := range slices.Sorted(maps.Keys(reasons)) {
+		vms = append(vms, &wire.LeavingVm{Vm: vm, Reasons: reasons[vm]})
+	}
+	return vms
+}
+
 // targetStates returns the agents' reports with the leaving flag as this entry's
 // placement sees it, which includes retired and drained VMs.
 func (s *state) targetStates() []*wire.AgentState {
@@ -111,7 +148,7 @@
 		return 0, err
 	}
 	if !known && !(undo && drained) {
-		return 0, result.New(result.UnknownVM, "no live VM has the id %q", vm)
+		return 0, result.New(result.UnknownVM, "no live VM has the id %q; bramleygap status lists the VM of each target", vm)
 	}
 	if m.options.Table == nil {
 		return running, result.New(result.StoreUnavailable, "this entry has no table service")
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -56,7 +56,7 @@
 type DrainCommand struct {
 	Connection
 	VM   string `arg:"" name:"vm" help:"Id of the VM whose targets get no new work."`
-	Undo bool   `help:"Let the VM accept new work again."`
+	Undo bool   `help:"Let the VM get new work again."`
 }
 
 // Run drains the VM.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -24,15 +24,16 @@
 		return printJSON(w, status)
 	}
 	printSummary(w, status)
+	printUnavailable(w, status)
 	printNodes(w, status)
-	printTargets(w, status.GetTargets())
+	printTargets(w, status)
 	printVersions(w, status.GetVersions())
 	printMembers(w, status.GetMembers())
 	return nil
 }
 
 func printJSON(w io.Writer, status *wire.StatusResponse) error {
-	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true}.Marshal(status)
+	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(status)
 	if err != nil {
 		return err
 	}
@@ -79,13 +80,29 @@
 	printTable(w, []string{"NODE", "ADDRESS", "REVISION"}, rows)
 }
 
-func printTargets(w io.Writer, targets []*wire.AgentState) {
+// printUnavailable names the targets and VMs that get no new work.
+func printUnavailable(w io.Writer, status *wire.StatusResponse) {
+	if suspected := status.GetSuspected(); len(suspected) > 0 {
+		_, _ = fmt.Fprintf(w, "suspected targets (no heartbeat, no new work): %s\n", strings.Join(suspected, ", "))
+	}
+	var vms []string
+	for _, vm := range status.GetLeavingVms() {
+		vms = append(vms, fmt.Sprintf("%s (%s)", vm.GetVm(), strings.Join(vm.GetReasons(), ", ")))
+	}
+	if len(vms) > 0 {
+		_, _ = fmt.Fprintf(w, "leaving VMs (no new work): %s\n", strings.Join(vms, ", "))
+	}
+}
+
+func printTargets(w io.Writer, status *wire.StatusResponse) {
 	var rows [][]string
-	for _, t := range targets {
+	for _, t := range status.GetTargets() {
 		state := "ready"
 		switch {
 		case t.GetLeaving():
 			state = "leaving"
+		case slices.Contains(status.GetSuspected(), t.GetTarget()):
+			state = "suspected"
 		case !t.GetReady():
 			state = "not ready"
 		}
--- a/internal/operator/targets.go
+++ b/internal/operator/targets.go
@@ -21,10 +21,10 @@
 		return err
 	}
 	if undo {
-		_, _ = fmt.Fprintf(w, "VM %s accepts new work again\n", vm)
+		_, _ = fmt.Fprintf(w, "VM %s gets new work again\n", vm)
 		return nil
 	}
-	_, _ = fmt.Fprintf(w, "VM %s gets no new work; %d requests are running there\n", vm, response.GetRunning())
+	_, _ = fmt.Fprintf(w, "VM %s gets no new work; requests running there now: %d (bramleygap status shows when they have finished)\n", vm, response.GetRunning())
 	return nil
 }
 
