Say in plain words that an entry cannot be reached

The message showed the gRPC error. The status test now covers leaving VMs and the JSON output of empty fields; it fails if leavingVMs returns nothing or if EmitUnpopulated is off.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -48,7 +49,7 @@
 		if err == nil {
 			return answer, nil
 		}
-		failures = append(failures, fmt.Errorf("entry %s: %w", address, err))
+		failures = append(failures, describe(address, err))
 		if code := status.Code(err); code != codes.Unavailable && code != codes.DeadlineExceeded {
 			break
 		}
@@ -56,6 +57,21 @@
 	return none, errors.Join(failures...)
 }
 
+// describe turns a gRPC error into a message for operators.
+func describe(address string, err error) error {
+	reason := status.Convert(err).Message()
+	if _, cause, ok := strings.Cut(reason, "Error while dialing: "); ok {
+		reason = strings.TrimSuffix(cause, `"`)
+	}
+	switch status.Code(err) {
+	case codes.Unavailable:
+		return fmt.Errorf("entry %s cannot be reached: %s; --entry names the address of its peer_listen", address, reason)
+	case codes.DeadlineExceeded:
+		return fmt.Errorf("entry %s did not answer within %s", address, callTimeout)
+	}
+	return fmt.Errorf("entry %s: %s", address, reason)
+}
+
 func askOne[T any](ctx context.Context, address string, f func(context.Context, wire.OperatorClient) (T, error)) (T, error) {
 	conn, err := rpc.Dial(address)
 	if err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -109,13 +109,22 @@
 	var missing *NotAcknowledgedError
 	c.Assert(errors.As(err, &missing), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(missing.Missing, qt.DeepEquals, []string{"vm/vm-9"})
+	c.Assert(Drain(ctx, options, "vm-9", false, io.Discard), qt.IsNil)
 	var out bytes.Buffer
 	c.Assert(Status(ctx, options, &out), qt.IsNil)
+	c.Assert(out.String(), qt.Matches, `(?s).*\nleaving VMs \(no new work\): vm-9 \(drained\)\n.*`)
 	c.Assert(out.String(), qt.Matches, `(?s)table service: reachable\noperator configuration: revision 1 by ann .*not yet in force on: vm/vm-9\n.*NODE +ADDRESS +REVISION\nentry/e1 .*MEMBER +SHARE +USE\nm +50% +0.0%\n`)
 	out.Reset()
 	options.JSON = true
 	c.Assert(Status(ctx, options, &out), qt.IsNil)
 	c.Assert(out.String(), qt.Matches, `(?s)\{.*"config_operator": *"ann".*`)
+	c.Assert(out.String(), qt.Matches, `(?s).*"suspected": *\[\].*`)
+}
+
+// Guards against a message from which an operator cannot tell what to correct.
+func TestUnreachableEntryIsNamed(t *testing.T) {
+	err := Status(context.Background(), Options{Entries: []string{"127.0.0.1:1"}}, io.Discard)
+	qt.Assert(t, err, qt.ErrorMatches, `entry 127.0.0.1:1 cannot be reached: dial tcp 127.0.0.1:1: connect: connection refused; .*peer_listen`)
 }
 
 // Guards against commands that lose the result code of a rejected request.
