--- a/internal/entry/cluster/control_bench_test.go
+++ b/internal/entry/cluster/control_bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -141,5 +142,9 @@
 	b.ReportMetric(float64(watchBytes.Load()-watched)/seconds/float64(entries*agents), "watch-B/s/pair")
 	b.ReportMetric(float64(watchBytes.Load()-watched)/seconds/float64(agents), "watch-B/s/agent")
 	b.ReportMetric(float64(watchBytes.Load()-watched+2*(peerBytes.Load()-exchanged))/seconds/float64(entries), "control-B/s/entry")
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/1024, "memory-KiB/all")
 	b.ReportMetric(1000*(processorTime()-used).Seconds()/seconds, "cpu-ms/s/all")
 }
