End a generation that the router rejects after three crashes

The router refuses such a resume as CRASHED_MIDWAY. The state machine knew only CRASHES_TARGETS and asked for a target again every 200 ms, so a caller without a deadline waited without end (60 s in the end-to-end test, until the test gave up). TestRejectedMidway fails without the change.

--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -306,7 +306,7 @@
 	if r.speculative {
 		return
 	}
-	if msg.Code == result.CrashesTargets || msg.Code == result.DeadlineTooShort {
+	if msg.Code == result.CrashesTargets || msg.Code == result.CrashedMidway || msg.Code == result.DeadlineTooShort {
 		m.finish(msg.Code)
 		return
 	}
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -168,6 +168,16 @@
 	b.c.Assert(finishes[0].Code, qt.Equals, result.Overloaded)
 }
 
+// Guards against a caller that waits without end for a generation that the router rejects
+// because it crashed too many targets.
+func TestRejectedMidway(t *testing.T) {
+	b := started(t, Options{})
+	b.step(Failed{Attempt: 1, Code: result.TargetDied, TargetDied: true})
+	finishes := effectsOf[Finish](b.step(PlaceFailed{Request: 2, Code: result.CrashedMidway}))
+	b.c.Assert(finishes, qt.HasLen, 1)
+	b.c.Assert(finishes[0].Code, qt.Equals, result.CrashedMidway)
+}
+
 // Guards against a preemption that is taken for a failure, which would cost retry budget,
 // and against a later failure that is taken for a preemption.
 func TestPreemptedAttempt(t *testing.T) {
