Let one suspect at a time use an engine

Entries keep their own suspects apart, but do not see those of other entries. A request that crashes engines met innocent suspects of other entries on its next targets, and one of them was charged with three crashes and ended with CRASHED_MIDWAY after 17 tokens. The agent now holds a suspect while another one runs, for 10 s at most, the time after which a suspect is cleared. Ruled out: refusing the second suspect, since a request without delivered tokens would end as OVERLOADED.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -128,6 +128,7 @@
 	store    *tokenlog.Store[spec]
 	attempts map[string]*attempt // latest of each generation
 	jobs     map[string]*attempt // by request id, until they left the scheduler
+	suspects suspects
 	running  int
 	// followers is the number of streams that read a log.
 	followers int
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -325,8 +325,15 @@
 
 // arrive requires a.mu.
 func (a *Agent) arrive(now time.Time, t *attempt) {
-	s := t.request.GetSpec()
 	a.jobs[t.id()] = t
+	if !t.request.GetSuspect() || a.suspects.enter(now, t) {
+		a.schedule(now, t)
+	}
+}
+
+// schedule requires a.mu.
+func (a *Agent) schedule(now time.Time, t *attempt) {
+	s := t.request.GetSpec()
 	a.apply(a.shares.Arrive(now, share.Job{
 		ID:         t.id(),
 		Generation: s.GetGeneration(),
@@ -341,6 +348,9 @@
 func (a *Agent) depart(now time.Time, t *attempt) {
 	delete(a.jobs, t.id())
 	a.apply(a.shares.Depart(now, t.id()))
+	if next := a.suspects.leave(now, t); next != nil {
+		a.schedule(now, next)
+	}
 }
 
 func (a *Agent) chargePrefill(t *attempt) {
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -236,7 +236,7 @@
 	state.Kind = wire.TargetKind_TARGET_KIND_MODEL
 	state.Versions = a.target.versions
 	state.Running = a.target.load.Running
-	state.Waiting = a.target.load.Waiting + uint32(a.shares.Waiting())
+	state.Waiting = a.target.load.Waiting + uint32(a.shares.Waiting()+len(a.suspects.held))
 	state.Slots = a.target.load.Slots
 	if a.target.load.MeasuredUnixMS > 0 {
 		state.LoadAgeMs = uint32(max(0, now.UnixMilli()-a.target.load.MeasuredUnixMS))
@@ -259,5 +259,8 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.apply(a.shares.Tick(now))
+		if next := a.suspects.expire(now); next != nil {
+			a.schedule(now, next)
+		}
 	})
 }
