--- a/internal/e2e/resume_test.go
+++ b/internal/e2e/resume_test.go
@@ -23,11 +23,16 @@
 // startSmall starts the platform, one application engine, the given number of model
 // engines spread over zones, an agent beside each, and one entry for each name.
 func startSmall(t *testing.T, engines int, entryExtra string, entries ...string) *installation {
+	return startWith(t, engineOptions{version: "v1"}, engines, entryExtra, entries...)
+}
+
+// startWith is startSmall with other options of the model engines.
+func startWith(t *testing.T, options engineOptions, engines int, entryExtra string, entries ...string) *installation {
 	in := newInstallation(t)
 	in.startPlatform()
 	for i := range engines {
 		name := fmt.Sprintf("engine%d", i)
-		in.startEngine(name, engineOptions{version: "v1"})
+		in.startEngine(name, options)
 		in.startAgent("agent-"+name, name, fmt.Sprintf("zone%d", i%3), "model", "letters", "v1")
 	}
 	in.startApp("app0")
