Compare a version's latencies with the version it starts from

Once a rollout was complete, requests of its version were compared with the latencies of the version before it, and its own were not collected. Now the latencies of all versions are collected, and the old version of a running rollout is compared with itself.

The engine stand-in reports the requests it received per version and can limit its fail rate to prompts with a marker.

--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -240,12 +240,10 @@
 		return
 	}
 	slow := false
-	if reference := s.previousOf(key.Service, key.Version); reference != "" {
-		b := s.baseline(now, key, reference)
-		if !o.Failed && key.Version == reference {
-			b.Observe(now, o.FirstToken, o.TokenInterval)
-		}
-		slow = !o.Failed && b.Slow(now, o.FirstToken, o.TokenInterval)
+	if !o.Failed {
+		// Any version may be the old one of the next rollout.
+		s.baseline(now, key, key.Version).Observe(now, o.FirstToken, o.TokenInterval)
+		slow = s.baseline(now, key, s.referenceOf(key.Service, key.Version)).Slow(now, o.FirstToken, o.TokenInterval)
 	}
 	s.counters.Add(key, o.Failed, slow, suspectAboard)
 	outcome := "ok"
@@ -260,8 +258,13 @@
 	s.manager.metrics.requests.WithLabelValues(key.Service, key.Version, outcome).Inc()
 }
 
-// previousOf returns the version whose latencies a version's requests are compared with.
-func (s *state) previousOf(service, version string) string {
+// referenceOf returns the version whose latencies a version's requests are compared with:
+// its own while a rollout starts from it, since that needs the old version's own rate of
+// slow requests, else those of the version that it followed.
+func (s *state) referenceOf(service, version string) string {
+	if active := s.active(service); active != nil && active.row.Previous == version {
+		return version
+	}
 	if t := s.rollouts[versionKey{service, version}]; t != nil && t.row.State != rollout.Withdrawn {
 		return t.row.Previous
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -77,6 +77,8 @@
 	Crash bool `json:"crash"`
 	// FailRate is the part of requests that break after their first token, per version.
 	FailRate map[string]float64 `json:"fail_rate"`
+	// FailMarker limits FailRate to prompts that contain it.
+	FailMarker string `json:"fail_marker"`
 	// SlowFactor multiplies the token interval, per version.
 	SlowFactor map[string]float64 `json:"slow_factor"`
 	// SlowLoad limits SlowFactor to batches that fill at least this part of the slots.
@@ -116,6 +118,7 @@
 	waiters   []*waiter
 	arrivals  uint64
 	active    map[string]context.CancelFunc
+	received  map[string]int // requests per version since the start
 	fence     uint64
 	load      engineapi.Load // reported
 	nextLoad  engineapi.Load // measured, reported at the next measurement
@@ -150,6 +153,7 @@
 		thawed:   make(chan struct{}),
 		versions: make(map[string]bool),
 		active:   make(map[string]context.CancelFunc),
+		received: make(map[string]int),
 		cache:    make(map[uint64]uint64),
 	}
 	if !e.faults.Freeze {
@@ -167,6 +171,7 @@
 func (e *Engine) routes() chi.Router {
 	router := chi.NewRouter()
 	router.Post("/control", e.handleControl)
+	router.Get("/received", e.handleReceived)
 	router.Group(func(router chi.Router) {
 		router.Use(e.whileAlive)
 		router.Post("/generate", e.handleGenerate)
@@ -329,6 +334,14 @@
 	writeJSON(w, load)
 }
 
+// handleReceived returns how many requests for each version came since the start, also
+// those of versions that are not loaded.
+func (e *Engine) handleReceived(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, e.received)
+}
+
 func (e *Engine) handleHealth(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, engineapi.Health{Instance: e.instance, Versions: e.loadedVersions()})
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -19,6 +19,9 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
+	e.mu.Lock()
+	e.received[request.Version]++
+	e.mu.Unlock()
 	if request.Model != e.options.Model || !e.hasVersion(request.Version) {
 		http.Error(w, "model or version is not loaded", http.StatusNotFound)
 		return
@@ -176,7 +179,8 @@
 	if faults.CutAfter > 0 && n >= faults.CutAfter {
 		return io.ErrClosedPipe
 	}
-	if n >= 1 && e.drawsFailure(request.RequestID, faults.FailRate[request.Version]) {
+	marked := faults.FailMarker == "" || hasMarker(request.Prompt, faults.FailMarker)
+	if n >= 1 && marked && e.drawsFailure(request.RequestID, faults.FailRate[request.Version]) {
 		return io.ErrClosedPipe
 	}
 	return nil
