--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -130,8 +130,12 @@
 	c.Assert(VersionWithdraw(ctx, options, "chat", "v9", "", io.Discard), qt.ErrorMatches, `UNKNOWN_VERSION .*`)
 	c.Assert(VersionWithdraw(ctx, options, "chat", "v1", "slow", io.Discard), qt.IsNil)
 	var out bytes.Buffer
-	c.Assert(VersionStatus(ctx, options, "chat", &out), qt.IsNil)
+	c.Assert(VersionStatus(ctx, options, "other", &out), qt.IsNil)
 	c.Assert(out.String(), qt.Equals, "no version to report\n")
+	out.Reset()
+	c.Assert(VersionStatus(ctx, options, "chat", &out), qt.IsNil)
+	c.Assert(out.String(), qt.Matches, `(?s).*chat +v1 +withdrawn +0% +- +0 +0 +0 +- +withdrawn by operator ann: slow\n`)
+	c.Assert(Follow(ctx, options, "chat", "v1", time.Now().Add(time.Hour), io.Discard), qt.ErrorMatches, `chat v1 is taken back: .*ann: slow`)
 }
 
 // Guards against files that pass although one of them has a problem.
