--- a/internal/agent/replicate.go
+++ b/internal/agent/replicate.go
@@ -22,6 +22,9 @@
 	replicaTimeout = time.Second
 	// replicaBackoff is the pause after a failed batch.
 	replicaBackoff = 500 * time.Millisecond
+	// idleReplicateInterval is the longest delay of a generation's first record beyond
+	// ReplicateAfter.
+	idleReplicateInterval = 100 * time.Millisecond
 )
 
 // replicaLink is the stream of log records to one other agent. Agent.mu guards it,
@@ -43,11 +46,29 @@
 // replicateLogs sends the growth of logs to second agents.
 func (a *Agent) replicateLogs(ctx context.Context) {
 	defer a.closeLinks()
-	every(ctx, a.timing.ReplicateInterval, func(now time.Time) {
-		for link, batch := range a.dueBatches(now, a.timing.ReplicateAfter) {
-			go a.sendBatch(link, batch)
+	timer := time.NewTimer(a.timing.ReplicateInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			batches, replicating := a.dueBatches(now, a.timing.ReplicateAfter)
+			for link, batch := range batches {
+				go a.sendBatch(link, batch)
+			}
+			timer.Reset(a.replicationPause(replicating))
 		}
-	})
+	}
+}
+
+// replicationPause is longer while no log is replicated: 100 wake-ups a second are a
+// large part of an idle agent's processor time.
+func (a *Agent) replicationPause(replicating bool) time.Duration {
+	if replicating {
+		return a.timing.ReplicateInterval
+	}
+	return max(idleReplicateInterval, a.timing.ReplicateInterval)
 }
 
 func (a *Agent) closeLinks() {
@@ -61,11 +82,12 @@
 }
 
 // dueBatches collects the records due for each replica and marks their links busy.
-func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) map[*replicaLink][]pendingRecord {
+// replicating tells whether a log that may still grow has a replica.
+func (a *Agent) dueBatches(now time.Time, minimumAge time.Duration) (batches map[*replicaLink][]pendingRecord, replicating bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var candidates []stream.Agent
-	batches := make(map[*replicaLink][]pendingRecord)
+	batches = make(map[*replicaLink][]pendingRecord)
 	for generation, t := range a.attempts {
 		if now.Sub(generationStart(t)) < minimumAge || a.store.Own(generation) != t.log {
 			continue
@@ -79,18 +101,20 @@
 		if t.replica == "" {
 			continue
 		}
+		replicating = replicating || t.log.End() == nil
 		link := a.link(t.replica)
 		if link.busy || now.Before(link.notUntil) {
 			continue
 		}
 		if record := replicaRecord(t); record != nil {
 			batches[link] = append(batches[link], pendingRecord{attempt: t, record: record})
+			replicating = true
 		}
 	}
 	for link := range batches {
 		link.busy = true
 	}
-	return batches
+	return batches, replicating
 }
 
 // chooseReplica requires a.mu. A new replica gets the whole log.
@@ -247,7 +271,7 @@
 func (a *Agent) flushReplicas() {
 	deadline := time.Now().Add(a.timing.FlushTimeout)
 	for time.Now().Before(deadline) {
-		batches := a.dueBatches(time.Now(), 0)
+		batches, _ := a.dueBatches(time.Now(), 0)
 		if len(batches) == 0 && !a.linksBusy() {
 			return
 		}
