--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -67,7 +67,7 @@
 	for name, winner := range map[string]uint32{"first wins": 1, "speculative wins": 2} {
 		t.Run(name, func(t *testing.T) {
 			b := started(t, Options{})
-			b.c.Assert(effectsOf[RequestTarget](b.pass(550*time.Millisecond)), qt.HasLen, 0)
+			b.c.Assert(effectsOf[RequestTarget](b.pass(speculateAfter-TickInterval)), qt.HasLen, 0)
 			requests := effectsOf[RequestTarget](b.pass(TickInterval))
 			b.c.Assert(requests, qt.HasLen, 1)
 			b.c.Assert(requests[0].Speculative, qt.IsTrue)
@@ -108,7 +108,7 @@
 	effects := b.step(Tick{})
 	b.c.Assert(effectsOf[Distrust](effects), qt.HasLen, 1)
 	b.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
-	b.c.Assert(effectsOf[RequestTarget](b.pass(500*time.Millisecond)), qt.HasLen, 0)
+	b.c.Assert(effectsOf[RequestTarget](b.pass(speculateAfter-2*TickInterval)), qt.HasLen, 0)
 }
 
 // Guards against inactivity that is counted while a slow caller stops the reading,
@@ -120,7 +120,7 @@
 	}
 	b.c.Assert(b.pass(30*time.Second), qt.HasLen, 0)
 	b.step(Taken{Events: 1})
-	b.c.Assert(b.pass(500*time.Millisecond), qt.HasLen, 0)
+	b.c.Assert(b.pass(speculateAfter-2*TickInterval), qt.HasLen, 0)
 	b.tokens(1, 65, 65)
 	b.c.Assert(b.m.Blocked(), qt.IsTrue)
 	finishes := effectsOf[Finish](b.pass(61 * time.Second))
@@ -168,6 +168,16 @@
 	b.c.Assert(finishes[0].Code, qt.Equals, result.Overloaded)
 }
 
+// Guards against a caller that waits without end for a generation that the router rejects
+// because it crashed too many targets.
+func TestRejectedMidway(t *testing.T) {
+	b := started(t, Options{})
+	b.step(Failed{Attempt: 1, Code: result.TargetDied, TargetDied: true})
+	finishes := effectsOf[Finish](b.step(PlaceFailed{Request: 2, Code: result.CrashedMidway}))
+	b.c.Assert(finishes, qt.HasLen, 1)
+	b.c.Assert(finishes[0].Code, qt.Equals, result.CrashedMidway)
+}
+
 // Guards against a preemption that is taken for a failure, which would cost retry budget,
 // and against a later failure that is taken for a preemption.
 func TestPreemptedAttempt(t *testing.T) {
