--- a/internal/entry/router/pool_test.go
+++ b/internal/entry/router/pool_test.go
@@ -82,6 +82,7 @@
 type fakeAgent struct {
 	name    string
 	lost    bool
+	noticed bool                        // the entries know of the loss
 	byName  map[string]*share.Scheduler // by member, one under the key "" unless the policy is fixed
 	jobs    map[string]*generation
 	report  *wire.AgentState
@@ -89,7 +90,7 @@
 	partial []int // entries that cannot reach the agent
 }
 
-func (a *fakeAgent) cut(entry int) bool { return a.lost || slices.Contains(a.partial, entry) }
+func (a *fakeAgent) cut(entry int) bool { return a.noticed || slices.Contains(a.partial, entry) }
 
 // tally is what the driver measured.
 type tally struct {
@@ -104,6 +105,7 @@
 	retried     map[string]int             // refused placements of started generations
 	finished    int
 	attempts    int
+	retries     int // attempts after a failure with nothing delivered
 }
 
 type driver struct {
@@ -263,6 +265,9 @@
 	if r.err == nil {
 		g.assignment, g.admitted = r.assignment, false
 		d.tally.attempts++
+		if g.request.Retry && !g.request.Resume && !g.request.Preempted {
+			d.tally.retries++
+		}
 		a := d.agentOf(g)
 		id := fmt.Sprint(g.attempt)
 		a.jobs[id] = g
@@ -375,7 +380,9 @@
 			d.tally.starts[g.member] = append(d.tally.starts[g.member], d.now.Sub(g.arrived))
 		}
 		if !g.lostAt.IsZero() {
-			d.tally.resumes = append(d.tally.resumes, d.now.Sub(g.lostAt))
+			if g.request.Resume {
+				d.tally.resumes = append(d.tally.resumes, d.now.Sub(g.lostAt))
+			}
 			g.lostAt = time.Time{}
 			g.request.Exclude, g.request.Preempted = nil, false
 		}
@@ -443,6 +450,7 @@
 	}
 	d.arrivals()
 	d.answers()
+	d.failLost()
 	for _, a := range d.agents {
 		if !a.lost {
 			d.run(a)
@@ -450,6 +458,15 @@
 	}
 }
 
+// failLost fails the attempts on lost agents, also those that an entry placed there since.
+func (d *driver) failLost() {
+	for _, g := range slices.Clone(d.live) {
+		if g.assignment != nil && d.agentOf(g).lost {
+			d.lose(g, placement.Outcome{Failed: true})
+		}
+	}
+}
+
 // held returns the slots of each member.
 func (d *driver) held() map[string]int {
 	held := map[string]int{}
