Report a sample of cached blocks that covers long prompts

An agent reported the 128 blocks stored last, and placement counted a block only if all before it were reported. A prompt above 8 KB never matched, and one lost cache event cut off the rest of a prompt. The report now has the 64 newest blocks and each eighth of older ones by hash. Hashes are chained, so placement takes the last block that matches; an evicted earlier block makes a hint too good, which costs prefill and no correctness.

--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -14,6 +14,9 @@
 	// maxReportedBlocks bounds the sample in AgentState to 1 KB, since it is sent each
 	// second to each entry.
 	maxReportedBlocks = 128
+	// sparseBlocks is the spacing of older blocks in the sample: with 64 of them it
+	// reaches back 512 blocks (32 KB of prompts).
+	sparseBlocks = 8
 )
 
 // cacheSummary is the set of prefix blocks in the engine's cache as far as its events tell.
@@ -60,8 +63,17 @@
 	}
 }
 
+// sample returns the newest blocks and, from older ones, those that sparseBlocks selects
+// by their hash, so that it covers long prompts too.
 func (c *cacheSummary) sample() []uint64 {
-	return slices.Clone(c.recent[max(0, len(c.recent)-maxReportedBlocks):])
+	split := max(0, len(c.recent)-maxReportedBlocks/2)
+	blocks := slices.Clone(c.recent[split:])
+	for i := split - 1; i >= 0 && len(blocks) < maxReportedBlocks; i-- {
+		if c.recent[i]%sparseBlocks == 0 {
+			blocks = append(blocks, c.recent[i])
+		}
+	}
+	return blocks
 }
 
 // pollLoad reads the engine's load and cache events.
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -337,20 +337,16 @@
 	return (float64(s.inflight) + weight*float64(elsewhere)) / float64(s.capacity())
 }
 
-// matched returns the part of the leading blocks that is in the cache; a block counts
-// only if all blocks before it are cached, as in a prefix cache.
+// matched returns the part of the blocks up to the last one that is in the cache. The
+// hashes are chained: a block's hash stands for all blocks before it too, which need not
+// be in the sample that an agent reports.
 func matched(blocks []uint64, cached map[uint64]struct{}) float64 {
-	n := 0
-	for _, b := range blocks {
-		if _, ok := cached[b]; !ok {
-			break
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if _, ok := cached[blocks[i]]; ok {
+			return float64(i+1) / float64(len(blocks))
 		}
-		n++
 	}
-	if n == 0 {
-		return 0
-	}
-	return float64(n) / float64(len(blocks))
+	return 0
 }
 
 func excluded(names []string, name string) bool {
