--- a/internal/entry/cluster/manager.go
+++ b/internal/entry/cluster/manager.go
@@ -64,6 +64,7 @@
 	pool      *rpc.Pool
 	metrics   *metrics
 	withdrawn *withdrawnSet
+	changes   *changes
 
 	adopted  atomic.Pointer[adoption.Adopted]
 	snapshot atomic.Pointer[membership.Snapshot]
@@ -74,6 +75,9 @@
 	storeReachable atomic.Bool
 	sequence       atomic.Uint64
 	streams        atomic.Uint64
+	// lostRevision is the last table revision below the one in force that was logged; it
+	// belongs to the task that polls the table.
+	lostRevision uint64
 	// partsMu serialises the calls to the parts.
 	partsMu sync.Mutex
 
@@ -97,6 +101,7 @@
 		pool:       rpc.NewPool(),
 		metrics:    newMetrics(options.Registerer),
 		withdrawn:  newWithdrawnSet(),
+		changes:    newChanges(options.Incarnation),
 		requests:   make(chan func(*state)),
 		pushAll:    make(chan struct{}, 1),
 		pushSome:   make(chan struct{}, 1),
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -172,6 +172,7 @@
 // observeAgent takes in a heartbeat and reports whether it was news.
 func (s *state) observeAgent(report membership.Report) bool {
 	now := time.Now()
+	s.takeHandedOver(report.State)
 	before := s.view.State(report.State.GetTarget())
 	if !s.view.Heartbeat(now, report) {
 		s.manager.metrics.heartbeats.WithLabelValues("stale").Inc()
@@ -197,6 +198,22 @@
 	return true
 }
 
+// takeHandedOver adopts the configuration that an agent hands over and removes it from
+// the report, which the view keeps.
+func (s *state) takeHandedOver(report *wire.AgentState) {
+	if report.GetConfigText() == "" {
+		return
+	}
+	s.adopt(adoption.Candidate{
+		Revision: report.GetConfigRevision(),
+		Text:     report.GetConfigText(),
+		Operator: report.GetConfigOperator(),
+		ChangeID: report.GetConfigChangeId(),
+	})
+	s.manager.mergeWithdrawn(report.GetWithdrawn())
+	report.ConfigText, report.ConfigOperator, report.ConfigChangeId, report.Withdrawn = "", "", "", nil
+}
+
 // routability is what decides whether a target gets new work, apart from its versions.
 type routability struct {
 	incarnation    uint64
@@ -423,7 +440,8 @@
 		Withdrawn:   m.withdrawn.list(),
 		LeavingVms:  s.drained,
 
-		AgentsVersion: s.agentsVersion,
+		LeavingVmsKnown: s.drainedKnown,
+		AgentsVersion:   s.agentsVersion,
 	}
 	// An agent that names no version holds no list, or is older than this field.
 	if lacksAgents || (last != nil && last.GetAgentsVersion() == 0) {
@@ -433,6 +451,8 @@
 		message.ConfigRevision = config.Revision
 		if last != nil && last.GetConfigRevision() < config.Revision {
 			message.ConfigText = config.Text
+			message.ConfigOperator = config.Operator
+			message.ConfigChangeId = config.ChangeID
 		}
 	}
 	// What an entry heard from the agent's predecessor may lack its last order, so the
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -109,13 +109,22 @@
 	var missing *NotAcknowledgedError
 	c.Assert(errors.As(err, &missing), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(missing.Missing, qt.DeepEquals, []string{"vm/vm-9"})
+	c.Assert(Drain(ctx, options, "vm-9", false, io.Discard), qt.IsNil)
 	var out bytes.Buffer
 	c.Assert(Status(ctx, options, &out), qt.IsNil)
+	c.Assert(out.String(), qt.Matches, `(?s).*\nleaving VMs \(no new work\): vm-9 \(drained\)\n.*`)
 	c.Assert(out.String(), qt.Matches, `(?s)table service: reachable\noperator configuration: revision 1 by ann .*not yet in force on: vm/vm-9\n.*NODE +ADDRESS +REVISION\nentry/e1 .*MEMBER +SHARE +USE\nm +50% +0.0%\n`)
 	out.Reset()
 	options.JSON = true
 	c.Assert(Status(ctx, options, &out), qt.IsNil)
 	c.Assert(out.String(), qt.Matches, `(?s)\{.*"config_operator": *"ann".*`)
+	c.Assert(out.String(), qt.Matches, `(?s).*"suspected": *\[\].*`)
+}
+
+// Guards against a message from which an operator cannot tell what to correct.
+func TestUnreachableEntryIsNamed(t *testing.T) {
+	err := Status(context.Background(), Options{Entries: []string{"127.0.0.1:1"}}, io.Discard)
+	qt.Assert(t, err, qt.ErrorMatches, `entry 127.0.0.1:1 cannot be reached: dial tcp 127.0.0.1:1: connect: connection refused; .*peer_listen`)
 }
 
 // Guards against commands that lose the result code of a rejected request.
@@ -130,8 +139,12 @@
 	c.Assert(VersionWithdraw(ctx, options, "chat", "v9", "", io.Discard), qt.ErrorMatches, `UNKNOWN_VERSION .*`)
 	c.Assert(VersionWithdraw(ctx, options, "chat", "v1", "slow", io.Discard), qt.IsNil)
 	var out bytes.Buffer
-	c.Assert(VersionStatus(ctx, options, "chat", &out), qt.IsNil)
+	c.Assert(VersionStatus(ctx, options, "other", &out), qt.IsNil)
 	c.Assert(out.String(), qt.Equals, "no version to report\n")
+	out.Reset()
+	c.Assert(VersionStatus(ctx, options, "chat", &out), qt.IsNil)
+	c.Assert(out.String(), qt.Matches, `(?s).*chat +v1 +withdrawn +0% +- +0 +0 +0 +- +withdrawn by operator ann: slow\n`)
+	c.Assert(Follow(ctx, options, "chat", "v1", time.Now().Add(time.Hour), io.Discard), qt.ErrorMatches, `chat v1 is taken back: .*ann: slow`)
 }
 
 // Guards against files that pass although one of them has a problem.
