--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -201,8 +201,13 @@
 	})
 }
 
-// refusesWork requires a.mu. It reports whether the process stops or its VM is drained.
-func (a *Agent) refusesWork() bool { return a.leaving || len(a.drainedBy) > 0 }
+// refusesWork requires a.mu. It reports whether the process stops or its VM is drained or
+// retired; an entry with an older configuration may still send work.
+func (a *Agent) refusesWork() bool {
+	config := a.adopted.Config
+	return a.leaving || len(a.drainedBy) > 0 ||
+		(config != nil && slices.Contains(config.RetireVMs, a.options.Settings.VM))
+}
 
 // learnDrain requires a.mu. The VM is drained while any watching entry says so, since
 // entries read the list at different times. An entry that does not know the list takes
@@ -268,6 +273,7 @@
 		Service:        a.options.Settings.Service,
 		Ready:          a.target.ready() && !a.refusesWork(),
 		Leaving:        a.refusesWork(),
+		Running:        uint32(a.running),
 		ConfigRevision: a.adopted.Revision,
 		HighestFence:   a.fence,
 		Entries:        slices.Sorted(maps.Keys(a.entries)),
@@ -284,7 +290,7 @@
 	state.Kind = wire.TargetKind_TARGET_KIND_MODEL
 	state.Versions = a.target.versions
 	state.Running = a.target.load.Running
-	state.Waiting = a.target.load.Waiting + uint32(a.shares.Waiting())
+	state.Waiting = a.target.load.Waiting + uint32(a.shares.Waiting()+len(a.suspects.held))
 	state.Slots = a.target.load.Slots
 	if a.target.load.MeasuredUnixMS > 0 {
 		state.LoadAgeMs = uint32(max(0, now.UnixMilli()-a.target.load.MeasuredUnixMS))
@@ -307,5 +313,8 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.apply(a.shares.Tick(now))
+		if next := a.suspects.expire(now); next != nil {
+			a.schedule(now, next)
+		}
 	})
 }
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -126,10 +127,29 @@
 	} else if t.row.Step != row.Step {
 		t.evaluator.StartStep()
 	}
+	s.noteTransition(t, &row)
 	t.row, t.revision, t.readAt = row, revision, at
 	s.manager.metrics.share.WithLabelValues(row.Service, row.Version).Set(row.Share())
 }
 
+// noteTransition logs and counts a change of state, step or owner that this entry learns.
+func (s *state) noteTransition(t *tracked, row *rollout.Row) {
+	if t.row.State == row.State && t.row.Step == row.Step && t.row.Owner == row.Owner {
+		return
+	}
+	if t.row.State != row.State || t.row.Step != row.Step {
+		to := string(row.State)
+		if row.State == rollout.Running {
+			to = fmt.Sprintf("%g%%", row.Share())
+		}
+		s.manager.metrics.transitions.WithLabelValues(row.Service, row.Version, to).Inc()
+	}
+	s.options.Logger.Info().Str("service", row.Service).Str("version", row.Version).Str("state", string(row.State)).
+		Float64("share", row.Share()).Str("owner", row.Owner).Str("reason", row.Reason).Time("deadline", time.UnixMilli(row.Deadline)).
+		Uint64("requests", t.verdict.Requests).Uint64("failures", t.verdict.Failures).Uint64("slow", t.verdict.Slow).
+		Msg("rollout changed")
+}
+
 // rebuild publishes the rows for Split and keeps evidence only for services whose
 // rollouts still need it. Rows of versions that are no longer configured are ignored.
 func (s *state) rebuild() {
@@ -220,12 +240,10 @@
 		return
 	}
 	slow := false
-	if reference := s.previousOf(key.Service, key.Version); reference != "" {
-		b := s.baseline(now, key, reference)
-		if !o.Failed && key.Version == reference {
-			b.Observe(now, o.FirstToken, o.TokenInterval)
-		}
-		slow = !o.Failed && b.Slow(now, o.FirstToken, o.TokenInterval)
+	if !o.Failed {
+		// Any version may be the old one of the next rollout.
+		s.baseline(now, key, key.Version).Observe(now, o.FirstToken, o.TokenInterval)
+		slow = s.baseline(now, key, s.referenceOf(key.Service, key.Version)).Slow(now, o.FirstToken, o.TokenInterval)
 	}
 	s.counters.Add(key, o.Failed, slow, suspectAboard)
 	outcome := "ok"
@@ -240,8 +258,13 @@
 	s.manager.metrics.requests.WithLabelValues(key.Service, key.Version, outcome).Inc()
 }
 
-// previousOf returns the version whose latencies a version's requests are compared with.
-func (s *state) previousOf(service, version string) string {
+// referenceOf returns the version whose latencies a version's requests are compared with:
+// its own while a rollout starts from it, since that needs the old version's own rate of
+// slow requests, else those of the version that it followed.
+func (s *state) referenceOf(service, version string) string {
+	if active := s.active(service); active != nil && active.row.Previous == version {
+		return version
+	}
 	if t := s.rollouts[versionKey{service, version}]; t != nil && t.row.State != rollout.Withdrawn {
 		return t.row.Previous
 	}
