Let suspects with one crash share a target

Cause: the crash of an engine makes suspects of its whole batch, and a target took one suspect at a time, at the entry and at the agent. If the batch was larger than the number of other targets, innocent generations waited for runs of 10 s and more. Only the last crash before rejection decides about a request, so only a request with two crashes has to run apart from other suspects.

Ruled out: one suspect at a target after a pause of 1 s, which still delays each loss of a batch; no isolation at all, since a poison request would take an innocent one along to its third crash.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -348,7 +348,7 @@
 func (a *Agent) depart(now time.Time, t *attempt) {
 	delete(a.jobs, t.id())
 	a.apply(a.shares.Depart(now, t.id()))
-	if next := a.suspects.leave(now, t); next != nil {
+	for _, next := range a.suspects.leave(now, t) {
 		a.schedule(now, next)
 	}
 }
--- a/internal/agent/suspect.go
+++ b/internal/agent/suspect.go
@@ -9,45 +9,73 @@
 // run without a crash after which the entries clear a suspect.
 const suspectTurn = 10 * time.Second
 
-// suspects lets one suspect at a time use the engine. Entries do not see each other's
-// suspects; two on one engine would both be charged with a crash that one of them caused.
+// suspects keeps other suspects from the engine while an isolated one runs. Entries do not
+// see each other's suspects; a crash beside an isolated one would be charged to both and
+// lead to the rejection of an innocent request.
 type suspects struct {
-	current *attempt
-	since   time.Time
-	held    []*attempt // oldest first
+	isolated *attempt
+	since    time.Time
+	// shared holds the other suspects that run, with their starts.
+	shared map[*attempt]time.Time
+	held   []*attempt // oldest first
 }
 
-// enter reports whether the attempt may use the engine now; if not, it is held.
+// enter reports whether the attempt may use the engine now; if not, it is held. Nothing
+// overtakes a held attempt, so that an isolated one gets its turn.
 func (s *suspects) enter(now time.Time, t *attempt) bool {
-	if s.current != nil {
+	if len(s.held) > 0 || !s.admits(t) {
 		s.held = append(s.held, t)
 		return false
 	}
-	s.current, s.since = t, now
+	s.start(now, t)
 	return true
 }
 
-// leave removes an attempt and returns the one whose turn begins, or nil.
-func (s *suspects) leave(now time.Time, t *attempt) *attempt {
+func (s *suspects) admits(t *attempt) bool {
+	return s.isolated == nil && (!t.request.GetIsolated() || len(s.shared) == 0)
+}
+
+func (s *suspects) start(now time.Time, t *attempt) {
+	if t.request.GetIsolated() {
+		s.isolated, s.since = t, now
+		return
+	}
+	if s.shared == nil {
+		s.shared = make(map[*attempt]time.Time)
+	}
+	s.shared[t] = now
+}
+
+// leave removes an attempt and returns those that may use the engine now.
+func (s *suspects) leave(now time.Time, t *attempt) []*attempt {
 	s.held = slices.DeleteFunc(s.held, func(other *attempt) bool { return other == t })
-	if s.current != t {
-		return nil
+	delete(s.shared, t)
+	if s.isolated == t {
+		s.isolated = nil
 	}
 	return s.advance(now)
 }
 
-// expire returns the attempt whose turn begins because the current one had its time.
-func (s *suspects) expire(now time.Time) *attempt {
-	if s.current == nil || now.Sub(s.since) < suspectTurn {
-		return nil
+// expire ends the turns of suspects that had their time and returns the attempts that may
+// use the engine now.
+func (s *suspects) expire(now time.Time) []*attempt {
+	if s.isolated != nil && now.Sub(s.since) >= suspectTurn {
+		s.isolated = nil
+	}
+	for t, start := range s.shared {
+		if now.Sub(start) >= suspectTurn {
+			delete(s.shared, t)
+		}
 	}
 	return s.advance(now)
 }
 
-func (s *suspects) advance(now time.Time) *attempt {
-	s.current, s.since = nil, now
-	if len(s.held) > 0 {
-		s.current, s.held = s.held[0], s.held[1:]
+func (s *suspects) advance(now time.Time) []*attempt {
+	var started []*attempt
+	for len(s.held) > 0 && s.admits(s.held[0]) {
+		s.start(now, s.held[0])
+		started = append(started, s.held[0])
+		s.held = s.held[1:]
 	}
-	return s.current
+	return started
 }
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -313,7 +313,7 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.apply(a.shares.Tick(now))
-		if next := a.suspects.expire(now); next != nil {
+		for _, next := range a.suspects.expire(now) {
 			a.schedule(now, next)
 		}
 	})
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -20,8 +20,9 @@
 	// cacheBenefit is subtracted for a prompt whose blocks are all cached. It is larger
 	// than zonePenalty: prefill of a long prompt costs more than a change of zone.
 	cacheBenefit = 0.3
-	// sharedSuspectPenalty keeps a suspect off targets that another entry prefers for
-	// its own suspects, since entries do not see each other's reservations.
+	// sharedSuspectPenalty keeps a suspect off targets with another suspect, and off those
+	// that another entry prefers for its own, since entries do not see each other's
+	// reservations.
 	sharedSuspectPenalty = 0.5
 	// crashZonePenalty sends a suspect to another zone than that of its last crash, so
 	// that a failing zone does not add crashes to requests that it merely interrupted.
@@ -79,8 +80,8 @@
 	Class   Class
 	Blocks  []uint64
 	Exclude []string
-	// Suspect requires a target without another suspect.
-	Suspect bool
+	// Suspicion of the request: an isolated one requires a target without another suspect.
+	Suspicion Suspicion
 	// CrashZone is the zone of the suspect's last crash, if known.
 	CrashZone string
 	// Now is the time against which the age of load reports is measured.
@@ -111,7 +112,8 @@
 	inflightAtReport int
 	// members counts the reservations of each member.
 	members   map[string]int
-	suspects  int
+	suspects  int // attempts of suspected or isolated requests
+	isolated  int
 	preferred bool
 	present   bool
 }
@@ -299,7 +301,7 @@
 	if excluded(q.Exclude, s.target.Name) {
 		return 0, false
 	}
-	if q.Suspect && s.suspects > 0 {
+	if !s.admits(q.Suspicion) {
 		return 0, false
 	}
 	load := s.load(q.Now)
@@ -310,15 +312,29 @@
 	if s.target.Zone != p.zone {
 		score += zonePenalty
 	}
-	if q.Suspect && !s.preferred {
+	if q.Suspicion != NotSuspected && !s.preferred {
 		score += sharedSuspectPenalty
 	}
-	if q.Suspect && q.CrashZone != "" && q.CrashZone == s.target.Zone {
+	if q.Suspicion != NotSuspected && s.suspects > 0 {
+		score += sharedSuspectPenalty
+	}
+	if q.Suspicion != NotSuspected && q.CrashZone != "" && q.CrashZone == s.target.Zone {
 		score += crashZonePenalty
 	}
 	return score, true
 }
 
+// admits reports whether a request may run beside the suspects on the target.
+func (s *slot) admits(suspicion Suspicion) bool {
+	switch suspicion {
+	case Suspected:
+		return s.isolated == 0
+	case Isolated:
+		return s.suspects == 0
+	}
+	return true
+}
+
 // hasOwnRoom reports whether in-share work may queue at a target that is full: the agent
 // takes slots back for a waiting member only if that member waits there. Without such
 // room a member that filled all queues would keep the others from every agent.
@@ -399,20 +415,18 @@
 }
 
 // Reserve counts one attempt of a member on a target.
-func (p *Pool) Reserve(target, member string, suspect bool) {
+func (p *Pool) Reserve(target, member string, suspicion Suspicion) {
 	s := p.slots[target]
 	if s == nil {
 		return
 	}
 	s.inflight++
 	s.members[member]++
-	if suspect {
-		s.suspects++
-	}
+	s.addSuspect(suspicion, 1)
 }
 
 // Release ends one attempt of a member on a target.
-func (p *Pool) Release(target, member string, suspect bool) {
+func (p *Pool) Release(target, member string, suspicion Suspicion) {
 	s := p.slots[target]
 	if s == nil {
 		return
@@ -421,8 +435,15 @@
 		delete(s.members, member)
 	}
 	s.inflight = max(0, s.inflight-1)
-	if suspect {
-		s.suspects = max(0, s.suspects-1)
+	s.addSuspect(suspicion, -1)
+}
+
+func (s *slot) addSuspect(suspicion Suspicion, n int) {
+	if suspicion != NotSuspected {
+		s.suspects = max(0, s.suspects+n)
+	}
+	if suspicion == Isolated {
+		s.isolated = max(0, s.isolated+n)
 	}
 }
 
--- a/internal/core/placement/types.go
+++ b/internal/core/placement/types.go
@@ -34,13 +34,27 @@
 	Deadline time.Time
 }
 
+// Suspicion is how strongly a request is suspected of crashing its targets.
+type Suspicion int
+
+const (
+	// NotSuspected requests ran on no target that crashed.
+	NotSuspected Suspicion = iota
+	// Suspected requests ran on one when it crashed, as their batch-mates did. They avoid
+	// each other but need not: after the crash of an engine its whole batch is suspected,
+	// and waiting for an engine each would delay the resumes of innocent requests.
+	Suspected
+	// Isolated requests are rejected at the next crash. No other suspect runs beside
+	// them, so that the crash is not charged to an innocent request.
+	Isolated
+)
+
 // Decision is the chosen target and version.
 type Decision struct {
 	Target  membership.Target
 	Version string
-	// Suspect says that the request ran on a target when it crashed, so that it
-	// must not share a target with another suspect.
-	Suspect bool
+	// Suspicion says what is known of the request's crashes.
+	Suspicion Suspicion
 }
 
 // Outcome reports how an attempt went.
--- a/internal/entry/generations/session.go
+++ b/internal/entry/generations/session.go
@@ -344,7 +344,8 @@
 		PrefixTokenIds: e.PrefixIDs,
 		PrefixBytes:    e.PrefixBytes,
 		Resume:         e.Resume,
-		Suspect:        assignment.Suspect,
+		Suspect:        assignment.Suspicion != placement.NotSuspected,
+		Isolated:       assignment.Suspicion == placement.Isolated,
 	}
 	go func() {
 		events, err := client.Generate(ctx, request)
--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -63,7 +63,7 @@
 type fullKey struct {
 	service, version string
 	class            placement.Class
-	suspect          bool
+	suspicion        placement.Suspicion
 	member           string
 }
 
@@ -261,14 +261,15 @@
 	if version == "" {
 		version = s.version(r, p.id)
 	}
-	key := fullKey{r.Service, version, p.class, crashes > 0, r.Member}
+	suspicion := suspicionOf(crashes)
+	key := fullKey{r.Service, version, p.class, suspicion, r.Member}
 	if verdict, ok := s.full[key]; ok {
 		p.verdict = verdict
 		return false
 	}
 	query := placement.Query{
 		Service: r.Service, Member: r.Member, Version: version, Class: p.class, Blocks: r.Blocks,
-		Exclude: r.Exclude, Suspect: crashes > 0, Now: now,
+		Exclude: r.Exclude, Suspicion: suspicion, Now: now,
 	}
 	if crashes > 0 {
 		query.CrashZone = s.tracker.CrashZone(r.Fingerprint)
@@ -285,15 +286,26 @@
 	if version == "" && len(target.Versions) > 0 {
 		version = target.Versions[0]
 	}
-	s.assign(now, p, target, version, crashes > 0)
+	s.assign(now, p, target, version, suspicion)
 	return true
 }
 
-func (s *state) assign(now time.Time, p *pending, target membership.Target, version string, suspected bool) {
+// suspicionOf isolates a request whose next crash leads to rejection.
+func suspicionOf(crashes int) placement.Suspicion {
+	switch {
+	case crashes >= suspect.CrashLimit-1:
+		return placement.Isolated
+	case crashes > 0:
+		return placement.Suspected
+	}
+	return placement.NotSuspected
+}
+
+func (s *state) assign(now time.Time, p *pending, target membership.Target, version string, suspicion placement.Suspicion) {
 	r := p.request
 	id := p.id
 	level := s.pool.LoadLevel(target.Name, now)
-	s.pool.Reserve(target.Name, r.Member, suspected)
+	s.pool.Reserve(target.Name, r.Member, suspicion)
 	s.service(r.Service, now).inflight++
 	if r.Fingerprint != 0 {
 		s.running[id] = running{r.Fingerprint, now, target.Name}
@@ -301,7 +313,7 @@
 	}
 	s.manager.metrics.placed.WithLabelValues(p.class.String()).Inc()
 	s.manager.metrics.wait.Observe(now.Sub(p.since).Seconds())
-	decision := placement.Decision{Target: target, Version: version, Suspect: suspected}
+	decision := placement.Decision{Target: target, Version: version, Suspicion: suspicion}
 	release := func(outcome placement.Outcome) {
 		s.manager.send(context.Background(), func(s *state) {
 			s.release(time.Now(), id, r, decision, level, outcome)
@@ -376,7 +388,7 @@
 // release ends an attempt: it frees the reservation and learns from the outcome.
 func (s *state) release(now time.Time, id uint64, r placement.Request, d placement.Decision, level int, o placement.Outcome) {
 	aboard := s.pool.Suspects(d.Target.Name) > 0
-	s.pool.Release(d.Target.Name, r.Member, d.Suspect)
+	s.pool.Release(d.Target.Name, r.Member, d.Suspicion)
 	v := s.service(r.Service, now)
 	v.inflight--
 	v.firstToken.Observe(o.FirstToken)
