Pace the claim writes of an entry to what the table takes

Cause: above the table's 400 writes/s each refused claim write was followed by a read and another write 100 ms later, whatever the number of calls that did the same. At 300 calls/s the refused requests outnumbered the accepted writes seven to one, and calls failed with codes of class unknown after seconds.

Each entry now has a write queue (internal/core/storelimit): additive increase, cut to 80% on a refusal with a jittered pause, writes of calls further along first. A new call whose claim cannot be written within 300 ms gets OVERLOADED.

Ruled out: OVERLOADED without a look at the table. The call reads the row first, and only an absent row gives OVERLOADED.

--- a/internal/core/oncecall/machine.go
+++ b/internal/core/oncecall/machine.go
@@ -98,6 +98,9 @@
 	StoreRefused
 	// StoreLost means that no answer came; a write may have taken effect or may still do so.
 	StoreLost
+	// StoreOverloaded means that a new claim was not sent to the store, since it could not
+	// be written in time.
+	StoreOverloaded
 )
 
 // Event is an input of the machine.
@@ -233,6 +236,8 @@
 		return m.read("conflict")
 	case StoreRefused:
 		return m.storeFailed(now, "refused")
+	case StoreOverloaded:
+		return m.overloaded(now)
 	}
 	m.wrote = true
 	if m.phase == phaseDeleting {
@@ -242,6 +247,16 @@
 	return m.storeFailed(now, "lost")
 }
 
+// overloaded gives up a claim that was not sent. The row is read first: another entry
+// may have dispatched an earlier request with the key, and only its absence is proof.
+func (m *Machine) overloaded(now time.Time) []Effect {
+	if m.phase != phaseClaiming || m.revision != 0 {
+		return m.storeFailed(now, "refused")
+	}
+	m.giveUp = &Outcome{Code: result.Overloaded, Message: "the claim cannot be written in time: too many calls wait for the table service"}
+	return m.read("overloaded")
+}
+
 // onApplied continues after a write of this machine that certainly took effect.
 func (m *Machine) onApplied(now time.Time) []Effect {
 	switch m.phase {
--- a/internal/core/oncecall/machine_test.go
+++ b/internal/core/oncecall/machine_test.go
@@ -132,6 +132,8 @@
 	effect := n.pending
 	read := effect.Kind == EffectRead
 	switch {
+	case fault == "overloaded" && !read:
+		m.deliver(n, StoreEvent{Status: StoreOverloaded})
 	case fault == "refused" && !read:
 		m.deliver(n, StoreEvent{Status: StoreRefused})
 	case fault == "refused" || fault == "lost before" || (read && fault != "none"):
@@ -198,7 +200,7 @@
 	case EffectSend:
 		m.exchange(n)
 	default:
-		faults := []string{"none", "none", "none", "lost before", "lost after", "delayed", "refused"}
+		faults := []string{"none", "none", "none", "lost before", "lost after", "delayed", "refused", "overloaded"}
 		m.store(n, rapid.SampledFrom(faults).Draw(m.t, "fault"))
 	}
 }
--- a/internal/entry/calls/bench_test.go
+++ b/internal/entry/calls/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,7 +16,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
 
+	"bramleygap/internal/entry/caller"
 	"bramleygap/internal/platform"
+	"bramleygap/internal/result"
 )
 
 const (
@@ -76,12 +79,12 @@
 	}
 }
 
-// BenchmarkCalls offers calls at a fixed rate to one entry whose table takes 400 writes/s
+// BenchmarkCalls offers calls at a fixed rate to one entry, or alternately to two, whose table takes 400 writes/s
 // and 2,000 reads/s, and reports the calls answered by the application per second and
 // the time to their answer. Calls of an idempotent route make no claim and are the baseline.
 func BenchmarkCalls(b *testing.B) {
 	for _, rate := range []int{50, 125, 150, 300} {
-		for _, kind := range []string{"unclaimed", "claimed", "grouped"} {
+		for _, kind := range []string{"unclaimed", "claimed", "two-entries", "grouped"} {
 			b.Run(fmt.Sprintf("%s/%d", kind, rate), func(b *testing.B) {
 				for range b.N {
 					offer(b, kind, rate)
@@ -101,32 +104,45 @@
 	route := map[bool]string{true: "orders", false: "permits"}[kind == "unclaimed"]
 	entry := httptest.NewServer(handler)
 	defer entry.Close()
+	urls := []string{entry.URL}
+	if kind == "two-entries" {
+		second := in.entry(&targets{addresses: []string{address}})
+		second.timing = defaultTiming
+		server := httptest.NewServer(second)
+		defer server.Close()
+		urls = append(urls, server.URL)
+	}
+	answered := make([]int, len(urls))
 	in.spendBurst()
 	before := in.platform.Counters()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	histogram := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	var mu sync.Mutex
-	var failed atomic.Int64
+	var failed, unknown atomic.Int64
 	var group sync.WaitGroup
 	began := time.Now()
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
-	for range rate * benchSeconds {
+	for i := range rate * benchSeconds {
 		<-ticker.C
 		group.Go(func() {
 			started := time.Now()
-			r, _ := http.NewRequest("POST", entry.URL+"/permits/"+route, strings.NewReader("family"))
+			r, _ := http.NewRequest("POST", urls[i%len(urls)]+"/permits/"+route, strings.NewReader("family"))
 			r.Header.Set("Authorization", "Bearer secret")
 			r.Header.Set(KeyHeader, uuid.NewString())
 			response, err := client.Do(r)
 			if err != nil || response.StatusCode != http.StatusCreated {
 				failed.Add(1)
+				if err != nil || codeOf(response).Class() != result.ClassNotRun {
+					unknown.Add(1)
+				}
 				return
 			}
 			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
 			mu.Lock()
 			defer mu.Unlock()
+			answered[i%len(urls)]++
 			_ = histogram.RecordValue(time.Since(started).Microseconds())
 		})
 	}
@@ -138,11 +154,20 @@
 	}
 	b.ReportMetric(float64(histogram.TotalCount())/seconds, "calls/s")
 	b.ReportMetric(float64(failed.Load())/float64(rate*benchSeconds)*100, "%failed")
+	b.ReportMetric(float64(unknown.Load())/float64(rate*benchSeconds)*100, "%unknown")
 	b.ReportMetric(float64(after.Writes-before.Writes)/seconds, "writes/s")
 	b.ReportMetric(float64(after.RateLimited-before.RateLimited)/seconds, "limited/s")
+	if len(urls) > 1 {
+		b.ReportMetric(float64(answered[0])/float64(answered[0]+answered[1])*100, "%first-entry")
+	}
 	b.ReportMetric(0, "ns/op")
 }
 
+func codeOf(response *http.Response) result.Code {
+	code, _ := strconv.Atoi(response.Header.Get(caller.CodeHeader))
+	return result.Code(code)
+}
+
 // spendBurst uses up the burst of one second that the stand-in's write limit allows.
 func (in *installation) spendBurst() {
 	table := platform.NewClient(platform.ClientOptions{BaseURL: in.url})
--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -131,7 +131,7 @@
 		Table: platform.NewClient(platform.ClientOptions{BaseURL: in.url, Timeout: time.Minute}), EntryName: "e", Registerer: registry,
 		Refusals: caller.NewRefusals(registry), Logger: zerolog.Nop(),
 	})
-	handler.timing = timing{lapse: claimLapse, followFor: time.Minute, storePatience: time.Minute, storeTimeout: time.Minute, settleFor: time.Minute, poll: time.Millisecond}
+	handler.timing = timing{lapse: claimLapse, followFor: time.Minute, storePatience: time.Minute, claimPatience: time.Minute, storeTimeout: time.Minute, settleFor: time.Minute, poll: time.Millisecond}
 	in.t.Cleanup(func() {
 		// A test that ended in an outage would wait until its calls stop settling.
 		in.platform.Control(standin.Control{Outage: new(false)})
@@ -184,6 +184,19 @@
 	in.c.Assert(in.app.Runs().Total, qt.Equals, 2)
 }
 
+// Guards against OVERLOADED, which is of class not-run, for a key that ran at another
+// entry, and against a claim or a run that a refused call leaves behind.
+func TestOverloaded(t *testing.T) {
+	in, address := newInstallation(t)
+	entry, other := in.entry(&targets{addresses: []string{address}}), in.entry(&targets{addresses: []string{address}})
+	entry.timing.claimPatience = -1 // no claim is written in time
+	in.c.Assert(issue(other, "ran").status, qt.Equals, 201)
+	in.c.Assert(issue(entry, "ran").repeated, qt.IsTrue)
+	in.c.Assert(issue(entry, "new").code, qt.Equals, result.Overloaded)
+	in.c.Assert(in.platform.Rows("claim/", 0), qt.HasLen, 1)
+	in.c.Assert(in.app.Runs().Total, qt.Equals, 1)
+}
+
 // Guards against calls without a claim in a store outage, and against an outage that stops reads.
 func TestStoreOutage(t *testing.T) {
 	in, address := newInstallation(t)
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"bramleygap/internal/core/oncecall"
+	"bramleygap/internal/core/storelimit"
 	"bramleygap/internal/entry/router"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/result"
@@ -121,7 +123,7 @@
 	case oncecall.EffectRead:
 		return t.read(effect)
 	case oncecall.EffectWait:
-		return t.wait(effect.Delay)
+		return t.wait(effect)
 	case oncecall.EffectPlace:
 		return t.place(effect.Attempt)
 	case oncecall.EffectSend:
@@ -131,10 +133,14 @@
 }
 
 func (t *onceTask) commit(effect oncecall.Effect, txn platform.Txn) oncecall.Event {
+	if status := t.admit(effect); status != oncecall.StoreOK {
+		return oncecall.StoreEvent{Status: status}
+	}
 	txn.Checks = []platform.Check{{Key: t.rowKey, Revision: effect.Revision}}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.target), t.handler.timing.storeTimeout)
 	defer cancel()
 	done, err := t.handler.options.Table.Commit(ctx, txn)
+	t.handler.pacer.report(errors.Is(err, platform.ErrRefused))
 	event := oncecall.StoreEvent{Revision: done.Revision}
 	switch {
 	case errors.Is(err, platform.ErrRefused):
@@ -150,6 +156,26 @@
 	return event
 }
 
+// admit waits for the turn of a write. A status other than StoreOK means that nothing was sent.
+func (t *onceTask) admit(effect oncecall.Effect) oncecall.StoreStatus {
+	class, patience := storelimit.ClassOutcome, t.handler.timing.storeTimeout
+	switch effect.Reason {
+	case "claim", "takeover":
+		class, patience = storelimit.ClassClaim, min(t.handler.timing.claimPatience, time.Until(t.call.deadline))
+	case "dispatch":
+		class = storelimit.ClassDispatch
+	}
+	reason := t.handler.pacer.acquire(class, patience)
+	if reason == "" {
+		return oncecall.StoreOK
+	}
+	t.handler.metrics.notSent.WithLabelValues(effect.Reason, reason).Inc()
+	if effect.Reason == "claim" {
+		return oncecall.StoreOverloaded
+	}
+	return oncecall.StoreRefused
+}
+
 func (t *onceTask) read(effect oncecall.Effect) oncecall.Event {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.target), t.handler.timing.storeTimeout)
 	defer cancel()
@@ -172,7 +198,13 @@
 	}
 }
 
-func (t *onceTask) wait(delay time.Duration) oncecall.Event {
+func (t *onceTask) wait(effect oncecall.Effect) oncecall.Event {
+	delay := effect.Delay
+	if effect.Reason != "follow" {
+		t.handler.metrics.storeRetries.WithLabelValues(effect.Reason).Inc()
+		// Calls that failed together must not return together.
+		delay = delay/2 + rand.N(delay+1)
+	}
 	time.Sleep(delay)
 	return oncecall.TickEvent{}
 }
--- a/internal/entry/calls/options.go
+++ b/internal/entry/calls/options.go
@@ -37,6 +37,9 @@
 	// followFor and storePatience keep a clerk's wait within a few seconds.
 	followFor     = 2 * time.Second
 	storePatience = time.Second
+	// claimPatience bridges a cut of the write rate; a longer queue would only delay the
+	// calls that are answered.
+	claimPatience = 300 * time.Millisecond
 	pollInterval  = 100 * time.Millisecond
 	settleFor     = 30 * time.Second
 	storeTimeout  = time.Second
@@ -68,16 +71,17 @@
 
 // timing holds the waits that tests change, so that no verdict depends on the machine's speed.
 type timing struct {
-	lapse, followFor, storePatience, storeTimeout, settleFor, poll time.Duration
+	lapse, followFor, storePatience, claimPatience, storeTimeout, settleFor, poll time.Duration
 }
 
-var defaultTiming = timing{lapse: claimLapse, followFor: followFor, storePatience: storePatience, storeTimeout: storeTimeout, settleFor: settleFor, poll: pollInterval}
+var defaultTiming = timing{lapse: claimLapse, followFor: followFor, storePatience: storePatience, claimPatience: claimPatience, storeTimeout: storeTimeout, settleFor: settleFor, poll: pollInterval}
 
 // Handler serves /{service}/... for services of kind application.
 type Handler struct {
 	options Options
 	metrics *metrics
 	known   *keySet
+	pacer   *pacer
 	timing  timing
 	// beforeSend is called after the claim was dispatched and before anything is sent;
 	// tests set it to simulate a crash at that point.
@@ -94,9 +98,11 @@
 	if options.MaxBodyBytes == 0 {
 		options.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	pacer := newPacer()
 	return &Handler{
 		options: options,
-		metrics: newMetrics(options.Registerer),
+		metrics: newMetrics(options.Registerer, pacer),
+		pacer:   pacer,
 		known:   newKeySet(rememberedKeys),
 		timing:  defaultTiming,
 		idle:    make(chan struct{}),
@@ -179,11 +185,14 @@
 	calls   *prometheus.CounterVec
 	retries *prometheus.CounterVec
 	store   *prometheus.CounterVec
-	swept   prometheus.Counter
-	seconds *prometheus.HistogramVec
+	// notSent and storeRetries count what the write limit and the store's failures cost.
+	notSent      *prometheus.CounterVec
+	storeRetries *prometheus.CounterVec
+	swept        prometheus.Counter
+	seconds      *prometheus.HistogramVec
 }
 
-func newMetrics(registerer prometheus.Registerer) *metrics {
+func newMetrics(registerer prometheus.Registerer, pacer *pacer) *metrics {
 	m := &metrics{
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bramleygap_entry_calls_total",
@@ -197,6 +206,14 @@
 			Name: "bramleygap_entry_claim_requests_total",
 			Help: "Store requests for claims by purpose and fate (ok, conflict, refused, lost).",
 		}, []string{"purpose", "fate"}),
+		notSent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleygap_entry_claim_writes_not_sent_total",
+			Help: "Claim writes that were not sent to the store by purpose and reason (queue, patience).",
+		}, []string{"purpose", "reason"}),
+		storeRetries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bramleygap_entry_claim_retries_total",
+			Help: "Waits before claims are read and written again by reason (refused, lost, read failed).",
+		}, []string{"reason"}),
 		swept: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bramleygap_entry_claims_swept_total",
 			Help: "Expired claims deleted.",
@@ -208,7 +225,11 @@
 		}, []string{"kind"}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.calls, m.retries, m.store, m.swept, m.seconds)
+		rate := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleygap_entry_claim_writes_per_second",
+			Help: "Rate to which the entry holds its claim writes.",
+		}, pacer.rate)
+		registerer.MustRegister(m.calls, m.retries, m.store, m.notSent, m.storeRetries, m.swept, m.seconds, rate)
 	}
 	return m
 }
