--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -6,13 +6,17 @@
 	"math"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
 	"bramleygap/internal/core/evidence"
 )
 
-var reportSeeds = flag.Int("rollout.seeds", 1, "seeds per case of TestRolloutReport")
+var (
+	reportSeeds = flag.Int("rollout.seeds", 1, "seeds per case of TestRolloutReport")
+	reportCase  = flag.String("rollout.case", "", "only the cases of TestRolloutReport whose name contains this")
+)
 
 const (
 	deadlineAfter = 30 * time.Minute
@@ -38,6 +42,9 @@
 	crashing bool                                           // failures beside a suspect, on both versions
 	rate     float64                                        // requests per second
 	faults   func(*run)
+	// after is how long the run goes on after the deadline, with the new version only; the
+	// condition that new sees then starts at the deadline.
+	after time.Duration
 	// minimum share of runs that end right: done in time, or taken back.
 	minimum float64
 }
@@ -77,9 +84,12 @@
 	r := &run{scenario: s, rng: rand.New(rand.NewPCG(seed, 7)), start: start, now: start, storeUp: true, revision: 1}
 	r.row = Row{
 		Service: "s", Version: "v2", Previous: "v1", State: Running, Started: start.UnixMilli(),
-		StepSince: start.UnixMilli(), Deadline: start.Add(deadlineAfter).UnixMilli(), KeepPrevious: time.Hour.Milliseconds(),
+		StepSince: start.UnixMilli(), Deadline: start.Add(deadlineAfter).UnixMilli(), KeepPrevious: (2 * time.Hour).Milliseconds(),
 	}
 	r.isBad = time.Duration(300+r.rng.IntN(900)) * time.Second
+	if s.after > 0 {
+		r.isBad += deadlineAfter
+	}
 	for i := range 3 {
 		name := fmt.Sprintf("e%d", i)
 		r.members = append(r.members, &member{
@@ -226,8 +236,8 @@
 	var sum summary
 	for seed := range seeds {
 		r := newRun(s, uint64(seed+1))
-		end := deadlineAfter + time.Minute
-		for r.elapsed() < end && (s.name == "bad later" || !r.settled()) {
+		end := deadlineAfter + time.Minute + s.after
+		for r.elapsed() < end && (s.name == "bad later" || s.after > 0 && r.row.State != Withdrawn || !r.settled()) {
 			r.tick()
 		}
 		sum.add(r, s.good)
@@ -238,7 +248,7 @@
 // settled reports whether every entry knows the end of the rollout.
 func (r *run) settled() bool {
 	for _, m := range r.members {
-		if !m.dead && !m.withdrawn && m.row.State != Done {
+		if !m.dead && !m.withdrawn && (m.row.State != Done || r.row.State == Withdrawn) {
 			return false
 		}
 	}
@@ -362,6 +372,26 @@
 		}
 		return 0
 	}
+	// drift is a worsening of the surroundings that the new version has no part in: 3%
+	// failures on both versions from the middle of the run on.
+	drift := func(elapsed time.Duration, _ byte) float64 {
+		if elapsed > deadlineAfter+20*time.Minute {
+			return 0.03
+		}
+		return 0
+	}
+	tenth := func(since time.Duration, _, _ int, _ byte) (float64, float64) {
+		if since > 0 {
+			return 0.1, 0.03
+		}
+		return 0.005, 0.03
+	}
+	slowLater := func(since time.Duration, _, _ int, _ byte) (float64, float64) {
+		if since > 0 {
+			return 0.005, 0.2
+		}
+		return 0.005, 0.03
+	}
 	return []*scenario{
 		{name: "good", good: true, new: good, rate: 20, minimum: 0.9},
 		{name: "bad at once", new: badBy(0.3, 0.03), rate: 20, minimum: 1},
@@ -378,6 +408,12 @@
 		{name: "good, racing operators", good: true, new: good, faults: raceOperators, rate: 20, minimum: 0.9},
 		{name: "good, store down 8 min", good: true, new: good, faults: storeDown(2*time.Minute, 10*time.Minute), rate: 20, minimum: 0.9},
 		{name: "bad later, store down", new: where(func(d time.Duration, _, _ int) bool { return d > -4*time.Minute }), faults: storeDown(time.Minute, time.Hour), rate: 20, minimum: 1},
+		{name: "good, 1 h after completion", good: true, new: good, rate: 20, after: time.Hour, minimum: 0.9},
+		{name: "worse both, 1 h after", good: true, new: good, noise: drift, rate: 20, after: time.Hour},
+		{name: "bad after completion", new: where(func(d time.Duration, _, _ int) bool { return d > 0 }), rate: 20, after: time.Hour, minimum: 0.9},
+		{name: "10% failures after completion", new: tenth, rate: 20, after: time.Hour},
+		{name: "slow after completion", new: slowLater, rate: 20, after: time.Hour},
+		{name: "one route after completion", new: where(func(d time.Duration, r, _ int) bool { return d > 0 && r == 3 }), rate: 20, after: time.Hour, minimum: 0.9},
 		{name: "good, store down at deadline", good: true, new: good, faults: storeDown(time.Minute, time.Hour), rate: 20},
 	}
 }
@@ -390,6 +426,9 @@
 	t.Logf("%-30s %5s %5s %9s | %s", "case", "done", "taken", "undecided",
 		"requests on new version p50 (fixed steps), of these in a bad condition p50/max, s from first evidence to none p50/max")
 	for _, s := range scenarios() {
+		if !strings.Contains(s.name, *reportCase) {
+			continue
+		}
 		sum := play(s, seeds)
 		t.Logf("%-30s %5d %5d %9d | %6.0f (%5.0f) %6.0f /%6.0f %6.0f /%6.0f", s.name, sum.done, sum.withdrawn, sum.undecided,
 			quantile(sum.received, 0.5), fixedSteps(s.rate), quantile(sum.bad, 0.5), quantile(sum.bad, 1), quantile(sum.spent, 0.5), quantile(sum.spent, 1))
