--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"bramleygap/internal/core/tokenlog"
 	"bramleygap/internal/engineapi"
 	"bramleygap/internal/obs"
+	"bramleygap/internal/result"
 	"bramleygap/internal/rpc"
 	"bramleygap/internal/settings"
 	"bramleygap/internal/wire"
@@ -37,7 +38,7 @@
 
 // Timing holds the intervals of an agent. Zero values select the defaults.
 type Timing struct {
-	// Progress is the longest time without an event on a stream; default 250 ms.
+	// Progress is the longest time without an event on a stream; default 150 ms.
 	Progress time.Duration
 	// OrphanGrace is how long an attempt runs without a follower; default 10 s, enough
 	// for a caller to reconnect through another entry.
@@ -47,7 +48,7 @@
 	// HealthTimeout bounds one probe; default 400 ms.
 	HealthTimeout time.Duration
 	// FrozenAfter is the time without health answer or token after which the engine
-	// counts as frozen; default 600 ms, the entries' time to a speculative attempt.
+	// counts as frozen, so that Progress stops; default 600 ms, three health probes.
 	FrozenAfter time.Duration
 	// LoadInterval is the time between polls of load and cache events; default 500 ms.
 	LoadInterval time.Duration
@@ -71,7 +72,7 @@
 			*value = standard
 		}
 	}
-	set(&t.Progress, 250*time.Millisecond)
+	set(&t.Progress, 150*time.Millisecond)
 	set(&t.OrphanGrace, 10*time.Second)
 	set(&t.HealthInterval, 200*time.Millisecond)
 	set(&t.HealthTimeout, 400*time.Millisecond)
@@ -128,6 +129,7 @@
 	store    *tokenlog.Store[spec]
 	attempts map[string]*attempt // latest of each generation
 	jobs     map[string]*attempt // by request id, until they left the scheduler
+	suspects suspects
 	running  int
 	// followers is the number of streams that read a log.
 	followers int
@@ -143,7 +145,7 @@
 	// drainedBy are the watching entries that list this VM as drained.
 	drainedBy  map[string]bool
 	withdrawn  map[versionKey]*wire.WithdrawnVersion
-	agents     []*wire.AgentAddress
+	lists      agentLists
 	fence      uint64
 	fenceKnown bool
 	links      map[string]*replicaLink
@@ -274,7 +276,7 @@
 	a.logger.Info().Msg("left")
 }
 
-// drain waits until no attempt runs and no follower still reads.
+// drain waits until no attempt or call runs and no follower still reads.
 func (a *Agent) drain() {
 	for {
 		a.mu.Lock()
@@ -336,5 +338,28 @@
 	if a.options.Calls == nil {
 		return noCallHandler(), nil
 	}
+	if !a.beginCall() {
+		return &wire.CallResponse{Code: uint32(result.Leaving), Message: "the agent is leaving"}, nil
+	}
+	defer a.endCall()
 	return a.options.Calls.Call(ctx, request), nil
 }
+
+// beginCall counts a call, so that a graceful shutdown waits for it. It returns false if
+// the agent takes no new work.
+func (a *Agent) beginCall() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.refusesWork() {
+		a.metrics.refused.WithLabelValues(result.Leaving.String()).Inc()
+		return false
+	}
+	a.count(1, 0)
+	return true
+}
+
+func (a *Agent) endCall() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count(-1, 0)
+}
--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -15,8 +15,8 @@
 	// TickInterval is how often the owner sends Tick.
 	TickInterval = 50 * time.Millisecond
 	// speculateAfter is the inactivity after which another target is tried. Agents
-	// send Progress every 250 ms, so that two of them are missing by then.
-	speculateAfter = 600 * time.Millisecond
+	// send Progress every 150 ms, so that two of them are missing by then.
+	speculateAfter = 400 * time.Millisecond
 	// failAfter is the inactivity after which an attempt has failed; it leaves 2 s
 	// of the 3 s resume target for placement and prefill.
 	failAfter = time.Second
@@ -72,6 +72,7 @@
 	version      string
 	adapter      string
 	accepted     bool
+	attached     bool // started by another connection
 	speculated   bool
 	startedAt    time.Time
 	lastActivity time.Time
@@ -105,6 +106,7 @@
 	lastAttempt uint32
 	lastRequest uint32
 	retryAt     time.Time // next RequestTarget while there is neither attempt nor request
+	preempted   bool      // the last attempt was preempted
 	exclude     []string  // targets that failed since the last accepted token
 
 	ran       bool // an attempt may have run
@@ -218,6 +220,7 @@
 		Resume:      len(m.ids) > 0,
 		Retry:       m.lastAttempt > 0,
 		Speculative: speculative,
+		Preempted:   m.preempted && !speculative,
 	}
 	if len(m.ids) > 0 {
 		r.Version = m.version
@@ -303,7 +306,7 @@
 	if r.speculative {
 		return
 	}
-	if msg.Code == result.CrashesTargets || msg.Code == result.DeadlineTooShort {
+	if msg.Code == result.CrashesTargets || msg.Code == result.CrashedMidway || msg.Code == result.DeadlineTooShort {
 		m.finish(msg.Code)
 		return
 	}
@@ -487,7 +490,10 @@
 	if refused(msg.Code) {
 		outcome = placement.Outcome{Cancelled: true}
 	}
-	if endsGeneration(msg.Code) {
+	// An attached attempt was cancelled before this caller came back for it; cancels of
+	// earlier epochs are rejected since.
+	cancelledBefore := a.attached && msg.Code == result.Cancelled
+	if endsGeneration(msg.Code) && !cancelledBefore {
 		m.remove(a)
 		m.end(a, placement.Outcome{Cancelled: true}, CancelNone)
 		m.finish(msg.Code)
@@ -549,6 +555,7 @@
 		return
 	}
 	m.lost(a, reason)
+	m.preempted = code == result.Preempted
 	if code != result.Preempted && a.tokens == 0 {
 		m.barren++
 	}
@@ -714,6 +721,7 @@
 			version:      msg.Version,
 			adapter:      msg.Adapter,
 			accepted:     true,
+			attached:     true,
 			startedAt:    m.now,
 			lastActivity: m.now,
 		}
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -67,7 +67,7 @@
 	for name, winner := range map[string]uint32{"first wins": 1, "speculative wins": 2} {
 		t.Run(name, func(t *testing.T) {
 			b := started(t, Options{})
-			b.c.Assert(effectsOf[RequestTarget](b.pass(550*time.Millisecond)), qt.HasLen, 0)
+			b.c.Assert(effectsOf[RequestTarget](b.pass(speculateAfter-TickInterval)), qt.HasLen, 0)
 			requests := effectsOf[RequestTarget](b.pass(TickInterval))
 			b.c.Assert(requests, qt.HasLen, 1)
 			b.c.Assert(requests[0].Speculative, qt.IsTrue)
@@ -108,7 +108,7 @@
 	effects := b.step(Tick{})
 	b.c.Assert(effectsOf[Distrust](effects), qt.HasLen, 1)
 	b.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
-	b.c.Assert(effectsOf[RequestTarget](b.pass(500*time.Millisecond)), qt.HasLen, 0)
+	b.c.Assert(effectsOf[RequestTarget](b.pass(speculateAfter-2*TickInterval)), qt.HasLen, 0)
 }
 
 // Guards against inactivity that is counted while a slow caller stops the reading,
@@ -120,7 +120,7 @@
 	}
 	b.c.Assert(b.pass(30*time.Second), qt.HasLen, 0)
 	b.step(Taken{Events: 1})
-	b.c.Assert(b.pass(500*time.Millisecond), qt.HasLen, 0)
+	b.c.Assert(b.pass(speculateAfter-2*TickInterval), qt.HasLen, 0)
 	b.tokens(1, 65, 65)
 	b.c.Assert(b.m.Blocked(), qt.IsTrue)
 	finishes := effectsOf[Finish](b.pass(61 * time.Second))
@@ -168,6 +168,28 @@
 	b.c.Assert(finishes[0].Code, qt.Equals, result.Overloaded)
 }
 
+// Guards against a caller that waits without end for a generation that the router rejects
+// because it crashed too many targets.
+func TestRejectedMidway(t *testing.T) {
+	b := started(t, Options{})
+	b.step(Failed{Attempt: 1, Code: result.TargetDied, TargetDied: true})
+	finishes := effectsOf[Finish](b.step(PlaceFailed{Request: 2, Code: result.CrashedMidway}))
+	b.c.Assert(finishes, qt.HasLen, 1)
+	b.c.Assert(finishes[0].Code, qt.Equals, result.CrashedMidway)
+}
+
+// Guards against a preemption that is taken for a failure, which would cost retry budget,
+// and against a later failure that is taken for a preemption.
+func TestPreemptedAttempt(t *testing.T) {
+	b := newBench(t, Options{})
+	b.assign(1, "a", "v1")
+	request := effectsOf[RequestTarget](b.step(Failed{Attempt: 1, Code: result.Preempted}))[0]
+	b.c.Assert(request.Preempted && request.Retry && !request.Resume, qt.IsTrue)
+	b.assign(2, "b", "v1")
+	request = effectsOf[RequestTarget](b.step(Failed{Attempt: 2, Code: result.TargetDied}))[0]
+	b.c.Assert(request.Preempted, qt.IsFalse)
+}
+
 // Guards against a generation that ends because the short wait for a speculative
 // target expired just after the only attempt failed.
 func TestSpeculativeRequestOutlivesFailedAttempt(t *testing.T) {
@@ -215,6 +237,17 @@
 	c.Assert(effectsOf[Finish](effects)[0].Code, qt.Equals, result.ResumeLost)
 }
 
+// Guards against a caller that returns after its attempt was cancelled for want of a
+// caller, and gets CANCELLED instead of the rest.
+func TestAttachedLogOfCancelledAttemptContinues(t *testing.T) {
+	c := qt.New(t)
+	m := New(Options{})
+	m.Step(epochStart, AttachedLog{Attempt: 2, Epoch: 3, Version: "v1", IDs: []uint32{1}, Bytes: make([][]byte, 1), From: 1, Live: true})
+	effects := m.Step(epochStart, Failed{Attempt: 2, Code: result.Cancelled})
+	c.Assert(effectsOf[Finish](effects), qt.HasLen, 0)
+	c.Assert(effectsOf[RequestTarget](effects)[0].Version, qt.Equals, "v1")
+}
+
 const worldTokens = 8 // length of every generation in the property test
 
 // world is a network that loses, repeats and reorders the messages of all attempts.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -8,24 +8,38 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	// The started binary is not an import, so that go test would report cached results
+	// of an earlier one. These packages import all of its code.
+	_ "bramleygap/internal/demo"
+	_ "bramleygap/internal/operator"
+	_ "bramleygap/internal/standin"
 )
 
 // hangLimit ends a test that makes no progress; it decides no verdict otherwise.
 const hangLimit = 60 * time.Second
 
-var binary string
+var (
+	binary string
+	// installations counts the installations of this test process.
+	installations atomic.Uint32
+)
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "bramleygap-e2e")
@@ -88,7 +102,10 @@
 
 // installation is a set of processes with the addresses they listen on.
 type installation struct {
-	t         *testing.T
+	t *testing.T
+	// host is a loopback address of this installation only. On a shared one, an outgoing
+	// connection or another test can take the port of a process that is being restarted.
+	host      string
 	folder    string
 	processes map[string]*process
 	address   map[string]string
@@ -96,7 +113,14 @@
 
 func newInstallation(t *testing.T) *installation {
 	trackSources()
-	in := &installation{t: t, folder: t.TempDir(), processes: map[string]*process{}, address: map[string]string{}}
+	number := uint32(os.Getpid())<<8 + installations.Add(1)
+	in := &installation{
+		t:         t,
+		host:      fmt.Sprintf("127.%d.%d.%d", 1+number>>16%250, number>>8%256, 1+number%250),
+		folder:    t.TempDir(),
+		processes: map[string]*process{},
+		address:   map[string]string{},
+	}
 	t.Cleanup(in.stop)
 	return in
 }
@@ -120,15 +144,31 @@
 	return text
 }
 
+// Processes listen on ports below the usual ephemeral range: a free port of that range
+// can become the local port of some connection before the process listens on it.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
 func (in *installation) freeAddress(name string) string {
-	if address, ok := in.address[name]; ok {
-		return address
+	in.t.Helper()
+	for range lastPort - firstPort {
+		if address, ok := in.address[name]; ok {
+			return address
+		}
+		address := fmt.Sprintf("%s:%d", in.host, firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		if !slices.Contains(slices.Collect(maps.Values(in.address)), address) {
+			in.address[name] = address
+		}
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(in.t, err, qt.IsNil)
-	defer listener.Close()
-	in.address[name] = listener.Addr().String()
-	return in.address[name]
+	in.t.Fatalf("no free port for %s", name)
+	return ""
 }
 
 func (in *installation) start(name string, arguments ...string) *process {
@@ -235,6 +275,13 @@
 	in.t.Fatalf("condition did not hold within %s: %s", hangLimit, what)
 }
 
+// context ends a call of the test after the hang limit.
+func (in *installation) context() context.Context {
+	ctx, cancel := context.WithTimeout(in.t.Context(), hangLimit)
+	in.t.Cleanup(cancel)
+	return ctx
+}
+
 // run executes an operator command and returns its output.
 func (in *installation) run(arguments ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
--- a/internal/e2e/resume_test.go
+++ b/internal/e2e/resume_test.go
@@ -23,11 +23,16 @@
 // startSmall starts the platform, one application engine, the given number of model
 // engines spread over zones, an agent beside each, and one entry for each name.
 func startSmall(t *testing.T, engines int, entryExtra string, entries ...string) *installation {
+	return startWith(t, engineOptions{version: "v1"}, engines, entryExtra, entries...)
+}
+
+// startWith is startSmall with other options of the model engines.
+func startWith(t *testing.T, options engineOptions, engines int, entryExtra string, entries ...string) *installation {
 	in := newInstallation(t)
 	in.startPlatform()
 	for i := range engines {
 		name := fmt.Sprintf("engine%d", i)
-		in.startEngine(name, engineOptions{version: "v1"})
+		in.startEngine(name, options)
 		in.startAgent("agent-"+name, name, fmt.Sprintf("zone%d", i%3), "model", "letters", "v1")
 	}
 	in.startApp("app0")
@@ -39,11 +44,17 @@
 	for _, name := range entries {
 		in.waitFor(name, "http://"+in.address[name+"-admin"]+"/readyz")
 	}
+	in.awaitReady(entries[0], engines+1)
+	return in
+}
+
+// awaitReady waits until an entry sees the given number of ready targets.
+func (in *installation) awaitReady(entry string, targets int) {
+	in.t.Helper()
 	in.eventually("every target is ready", func() bool {
-		output, err := in.run("status", "--entry", in.address[entries[0]+"-peer"], "--json")
-		return err == nil && strings.Count(strings.ReplaceAll(output, " ", ""), `"ready":true`) >= engines+1
+		output, err := in.run("status", "--entry", in.address[entry+"-peer"], "--json")
+		return err == nil && strings.Count(strings.ReplaceAll(output, " ", ""), `"ready":true`) >= targets
 	})
-	return in
 }
 
 func (in *installation) operatorsText() string {
@@ -84,7 +95,7 @@
 	request := completion(readPrompt(t))
 	var got client.Completion
 	killed := false
-	err := in.caller("entry0").Complete(t.Context(), request, &got, func(received *client.Completion) bool {
+	err := in.caller("entry0").Complete(in.context(), request, &got, func(received *client.Completion) bool {
 		if !killed && received.Tokens() >= maxTokens/2 {
 			killed = true
 			in.processes[strings.TrimPrefix(in.servingAgent(received.LastID), "agent-")].kill()
--- a/internal/entry/calls/once.go
+++ b/internal/entry/calls/once.go
@@ -47,7 +47,7 @@
 	}
 	if !h.enterBackground() {
 		cancel()
-		return answer{outcome: oncecall.Outcome{Code: result.Leaving, Message: "the entry is shutting down"}}
+		return answer{outcome: oncecall.Outcome{Code: result.ClaimUnavailable, Message: "the entry is shutting down; " + oncecall.NotSentNow}}
 	}
 	go func() {
 		defer h.leave()
@@ -178,6 +178,8 @@
 }
 
 func (t *onceTask) place(attempt int) oncecall.Event {
+	// A call whose dispatch write failed is placed again.
+	t.release()
 	if attempt > 1 {
 		t.handler.retried(t.call, t.lastCode)
 	}
--- a/internal/entry/cluster/cluster_test.go
+++ b/internal/entry/cluster/cluster_test.go
@@ -396,7 +396,9 @@
 		setFence(2, 0)
 		until(func() bool { return agent.seen(func(*wire.EntryState) bool { return true }) })
 	}
-	c.Assert(told(), qt.IsTrue)
+	// The entry states no number until it has read the table after the restart.
+	until(told)
+	c.Assert(agent.seen(func(s *wire.EntryState) bool { return s.HighestFence != nil && s.GetHighestFence() < 7 }), qt.IsFalse)
 }
 
 // Guards against a fencing number that is stated to a restarted agent before the table
@@ -458,12 +460,12 @@
 		}})
 	}
 	s.adopt(adoption.Candidate{Revision: 2, Text: configText})
-	message := s.entryState(s.view.State("t1"))
+	message := s.entryState(s.view.State("t1"), false)
 	c.Assert(message.UseElsewhere[0].TokensPerSecond, qt.Equals, 50.0)
 	c.Assert(message.Agents, qt.HasLen, 3)
 	c.Assert(message.ConfigText, qt.Equals, configText)
-	c.Assert(s.entryState(s.view.State("t3")).ConfigText, qt.Equals, "")
-	c.Assert(s.entryState(nil).ConfigText, qt.Equals, "")
+	c.Assert(s.entryState(s.view.State("t3"), false).ConfigText, qt.Equals, "")
+	c.Assert(s.entryState(nil, false).ConfigText, qt.Equals, "")
 }
 
 // countingPart is a Part that keeps the highest sequence number it has merged.
--- a/internal/entry/cluster/state.go
+++ b/internal/entry/cluster/state.go
@@ -74,8 +74,9 @@
 	// after the first report of that incarnation.
 	fenceRead map[string]uint64
 	// agents and use are rebuilt by publish for the messages to agents.
-	agents []*wire.AgentAddress
-	use    map[string]float64
+	agents        []*wire.AgentAddress
+	agentsVersion uint64
+	use           map[string]float64
 	// rejectedRevision is the last revision whose rejection was logged.
 	rejectedRevision uint64
 }
@@ -171,6 +172,7 @@
 // observeAgent takes in a heartbeat and reports whether it was news.
 func (s *state) observeAgent(report membership.Report) bool {
 	now := time.Now()
+	s.takeHandedOver(report.State)
 	before := s.view.State(report.State.GetTarget())
 	if !s.view.Heartbeat(now, report) {
 		s.manager.metrics.heartbeats.WithLabelValues("stale").Inc()
@@ -196,6 +198,22 @@
 	return true
 }
 
+// takeHandedOver adopts the configuration that an agent hands over and removes it from
+// the report, which the view keeps.
+func (s *state) takeHandedOver(report *wire.AgentState) {
+	if report.GetConfigText() == "" {
+		return
+	}
+	s.adopt(adoption.Candidate{
+		Revision: report.GetConfigRevision(),
+		Text:     report.GetConfigText(),
+		Operator: report.GetConfigOperator(),
+		ChangeID: report.GetConfigChangeId(),
+	})
+	s.manager.mergeWithdrawn(report.GetWithdrawn())
+	report.ConfigText, report.ConfigOperator, report.ConfigChangeId, report.Withdrawn = "", "", "", nil
+}
+
 // routability is what decides whether a target gets new work, apart from its versions.
 type routability struct {
 	incarnation    uint64
@@ -408,11 +426,12 @@
 			s.use[use.GetMember()] += use.GetTokensPerSecond()
 		}
 	}
+	s.agentsVersion = membership.AgentsVersion(s.agents)
 }
 
 // entryState builds the message for an agent from its last report, which is nil
-// before its first one.
-func (s *state) entryState(last *wire.AgentState) *wire.EntryState {
+// before its first one. lacksAgents adds the list of agents.
+func (s *state) entryState(last *wire.AgentState, lacksAgents bool) *wire.EntryState {
 	m := s.manager
 	message := &wire.EntryState{
 		Entry:       m.options.Settings.PeerListen,
@@ -420,12 +439,20 @@
 		Sequence:    m.sequence.Add(1),
 		Withdrawn:   m.withdrawn.list(),
 		LeavingVms:  s.drained,
-		Agents:      s.agents,
+
+		LeavingVmsKnown: s.drainedKnown,
+		AgentsVersion:   s.agentsVersion,
+	}
+	// An agent that names no version holds no list, or is older than this field.
+	if lacksAgents || (last != nil && last.GetAgentsVersion() == 0) {
+		message.Agents = s.agents
 	}
 	if config := m.Config(); config != nil {
 		message.ConfigRevision = config.Revision
 		if last != nil && last.GetConfigRevision() < config.Revision {
 			message.ConfigText = config.Text
+			message.ConfigOperator = config.Operator
+			message.ConfigChangeId = config.ChangeID
 		}
 	}
 	// What an entry heard from the agent's predecessor may lack its last order, so the
