--- a/internal/e2e/calls_random_test.go
+++ b/internal/e2e/calls_random_test.go
@@ -70,6 +70,7 @@
 // Guards against a second run and a false "not run" under combinations of kills, pauses,
 // outages, lost answers and repeats that the single faults do not reach.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3, 4} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/e2e/calls_test.go
+++ b/internal/e2e/calls_test.go
@@ -251,6 +251,7 @@
 // Guards against a second run, a false "not run" and a key that stays blocked, for each
 // fault at each point of a call, with repeats through another entry during and after it.
 func TestCallSurvivesFaultAtEachPoint(t *testing.T) {
+	t.Parallel()
 	for _, f := range faults {
 		for _, p := range points {
 			if strings.Contains(" "+f.points+" ", " "+p.name+" ") {
@@ -299,6 +300,7 @@
 // Guards against a second run when many repeats of a key arrive at several entries at
 // once, and against a key that is bound to another body or loses its outcome.
 func TestConcurrentRepeats(t *testing.T) {
+	t.Parallel()
 	j := startCalls(t, "entry0", "entry1", "entry2")
 	var group sync.WaitGroup
 	for i := range 48 {
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -103,6 +103,7 @@
 // Guards I9: an entry that was paused during a change serves no older revision after
 // its first newer one, and an operator is told by name that it is missing.
 func TestPausedEntryIsNamedAndCatchesUp(t *testing.T) {
+	t.Parallel()
 	in := startMembers(t, "")
 	in.processes["entry2"].signal(syscall.SIGSTOP)
 	path := in.writeFile("paused.toml", in.noted("paused"))
@@ -127,6 +128,7 @@
 // Guards against an accepted change that is reported as failed since its answer was
 // lost, and against two operators who both win.
 func TestLostAnswerAndRacingOperators(t *testing.T) {
+	t.Parallel()
 	in := startMembers(t, "")
 	in.control("platform", map[string]any{"drop_answers": 1})
 	base := in.accept("entry0", "lost-answer")
@@ -158,6 +160,7 @@
 // then although others have the configuration, and against an entry that claims to be
 // ready without one.
 func TestNodesStartDuringStoreOutage(t *testing.T) {
+	t.Parallel()
 	in := startMembers(t, "")
 	c := qt.New(t)
 	revision := in.accept("entry0", "before-outage")
@@ -196,6 +199,7 @@
 // Guards against an installation without configuration when all entries are replaced
 // during a store outage, although the agents hold it.
 func TestAgentsHandConfigurationToFreshEntries(t *testing.T) {
+	t.Parallel()
 	in := startMembers(t, "")
 	c := qt.New(t)
 	revision := in.accept("entry0", "held-by-agents")
@@ -246,6 +250,7 @@
 // Guards I9 when the store lost rows: no node takes an older text, also not one that
 // starts afterwards beside the others.
 func TestRestoredStoreRevertsNoNode(t *testing.T) {
+	t.Parallel()
 	in := startMembers(t, "")
 	c := qt.New(t)
 	in.accept("entry0", "older")
@@ -283,6 +288,7 @@
 // change through the agents, the unreachable ones are named, and the end of the
 // partition takes no node back.
 func TestPartitionBetweenEntries(t *testing.T) {
+	t.Parallel()
 	in := newInstallation(t)
 	in.startPlatform()
 	platform := in.address["platform"]
@@ -331,6 +337,7 @@
 // Guards against an invalid configuration that changes anything and against a message
 // that does not lead to the fault.
 func TestInvalidConfigurationChangesNothing(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 1, "", "entry0")
 	revision := in.status("entry0").GetConfigRevision()
 	for _, step := range []struct{ old, new, message string }{
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"io/fs"
@@ -52,6 +53,11 @@
 	if err := build.Run(); err != nil {
 		panic(err)
 	}
+	// Each test starts a dozen processes; more tests at once would slow each other down.
+	// A -parallel flag on the command line overrides the number.
+	if err := flag.Set("test.parallel", "4"); err != nil {
+		panic(err)
+	}
 	code := m.Run()
 	_ = os.RemoveAll(folder)
 	os.Exit(code)
--- a/internal/e2e/library_test.go
+++ b/internal/e2e/library_test.go
@@ -14,6 +14,7 @@
 // Guards against a stream that an ordinary client library of the format cannot read to
 // its end across a loss. The library knows nothing of event ids.
 func TestOrdinaryClientLibraryAcrossEngineKill(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 2, "", "entry0")
 	request := completion(readPrompt(t))
 	library := openai.NewClient(option.WithBaseURL("http://"+in.address["entry0"]+"/v1"),
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -19,6 +19,7 @@
 // Guards against a load tool that reports success although a stated outcome is breached,
 // or reports no resume for a generation that lost its engine.
 func TestLoadCommandChecksOutcomes(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 3, "", "entry0")
 	arguments := []string{"load", in.writeFile("small.jsonl", smallTrace), "--json",
 		"--url", "http://" + in.address["entry0"], "--key", "clerks=clerk-key",
--- a/internal/e2e/replay_test.go
+++ b/internal/e2e/replay_test.go
@@ -51,6 +51,7 @@
 // Guards against a change that loses, repeats or cuts an answer of a recorded workload
 // under the failures of its trace.
 func TestTracesKeepTheirStatedOutcomes(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"otaru", "vatelin"} {
 		t.Run(name, func(t *testing.T) {
 			events, outcomes, err := load.ReadFiles("../../traces/"+name+".jsonl", "../../traces/"+name+".outcomes.jsonl")
--- a/internal/e2e/resume_test.go
+++ b/internal/e2e/resume_test.go
@@ -91,6 +91,7 @@
 
 // Guards against a lost, repeated or mixed token when the serving engine dies halfway.
 func TestGenerationSurvivesEngineKill(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 2, "", "entry0")
 	request := completion(readPrompt(t))
 	var got client.Completion
@@ -118,6 +119,7 @@
 
 // Guards against unclear refusals: each wrong request gets its numbered code.
 func TestRefusals(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 1, "max_body_bytes = 4096", "entry0")
 	cases := []struct {
 		name, path, key, body, code string
--- a/internal/e2e/shares_test.go
+++ b/internal/e2e/shares_test.go
@@ -113,6 +113,7 @@
 // another one within its share from its slots; and against a preempted generation that is
 // not resumed or not whole.
 func TestFloodLeavesOtherMemberItsShare(t *testing.T) {
+	t.Parallel()
 	const engines, slots = 3, 4
 	in := startWith(t, engineOptions{version: "v1", extra: []string{"--slots", fmt.Sprint(slots)}}, engines, "", "entry0", "entry1")
 	serial := &atomic.Int64{}
@@ -183,6 +184,7 @@
 // Guards against a request that crashes more than three engines by way of several entries,
 // and against generations beside it that are lost or refused.
 func TestCrashingRequestThroughEachEntry(t *testing.T) {
+	t.Parallel()
 	const engines = 6
 	in := startCrashable(t, engines)
 	beside := newCallers(200, &atomic.Int64{})
@@ -223,6 +225,7 @@
 
 // Guards against the loss of a zone that turns the requests it interrupted into suspects.
 func TestLostZoneMakesNoSuspects(t *testing.T) {
+	t.Parallel()
 	const engines = 6
 	in := startCrashable(t, engines)
 	beside := newCallers(300, &atomic.Int64{})
--- a/internal/e2e/shutdown_test.go
+++ b/internal/e2e/shutdown_test.go
@@ -192,6 +192,7 @@
 // or whose agent stops, gets no new work, and its running generations finish. A drain
 // outlives the agent's process and an entry's.
 func TestLeavingTargetsGetNoNewWork(t *testing.T) {
+	t.Parallel()
 	in := startMembers(t, "")
 	in.control("platform", map[string]any{"vm_lag_ms": 3600_000})
 	load := in.startLoad(6, 0, threeEntries...)
@@ -264,6 +265,7 @@
 // Guards I6 and I8: the agent of an application engine stops while a non-idempotent call
 // runs; the call is answered, runs once, and no later call reaches the agent.
 func TestAgentStopsDuringCall(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 1, "", "entry0")
 	in.control("app0", map[string]any{"freeze": true})
 	status := make(chan int, 1)
@@ -309,6 +311,7 @@
 // Guards I8: each entry and each agent of the installation is stopped and started again,
 // one after the other under steady load, and no request is interrupted.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	entries := []string{"entry0", "entry1"}
 	in := startSmall(t, 3, "", entries...)
 	in.startApp("app1")
--- a/internal/e2e/streams_test.go
+++ b/internal/e2e/streams_test.go
@@ -70,6 +70,7 @@
 // Guards against a lost, repeated or mixed token when a target or its agent fails
 // halfway, also again while the output is being resumed (I1, I2).
 func TestGenerationSurvivesTargetFailure(t *testing.T) {
+	t.Parallel()
 	signal := func(process func(agent string) string, s syscall.Signal) func(*installation, string) {
 		return func(in *installation, agent string) { in.processes[process(agent)].signal(s) }
 	}
@@ -105,6 +106,7 @@
 
 // Guards against tokens lost or repeated over two losses one after the other, each with output between.
 func TestGenerationSurvivesTwoEngineKills(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 3, "", "entry0")
 	request := completion(readPrompt(t))
 	killed := map[string]bool{}
@@ -125,6 +127,7 @@
 // Guards against lost or repeated tokens when an entry dies and the caller returns
 // through another one, by either of the two ways to resume.
 func TestCallerReturnsThroughAnotherEntry(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{client.PathResume, client.PathCompletions} {
 		t.Run(path, func(t *testing.T) {
 			in := startSmall(t, 2, "", "entry0", "entry1")
@@ -150,6 +153,7 @@
 // Guards against a paused entry that goes on and cancels, repeats or mixes a generation
 // that another entry has taken over; its own caller must see SUPERSEDED, not an end.
 func TestPausedEntryDoesNotDisturb(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 2, "", "entry0", "entry1")
 	request := completion(readPrompt(t))
 	request.MaxTokens = 3 * maxTokens
@@ -181,6 +185,7 @@
 // Guards against a lost generation older than 2 s, and against a mixed answer of a
 // younger one, when its entry and its agent die together.
 func TestEntryAndAgentKilledTogether(t *testing.T) {
+	t.Parallel()
 	for name, age := range map[string]time.Duration{"second copy": 3 * time.Second, "young": 0} {
 		t.Run(name, func(t *testing.T) {
 			in := startSmall(t, 3, "", "entry0", "entry1")
@@ -241,6 +246,7 @@
 
 // Guards against mixed or lost answers of concurrent generations while engines die.
 func TestConcurrentGenerationsSurviveEngineKills(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 4, "", "entry0", "entry1")
 	in.several(8, []string{"entry0", "entry1"}, func(agents []string) {
 		in.processes[engineOf(agents[0])].kill()
@@ -250,6 +256,7 @@
 
 // Guards against lost generations and suspects when a whole availability zone dies at once.
 func TestGenerationsSurviveZoneLoss(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 6, "", "entry0", "entry1")
 	in.several(18, []string{"entry0", "entry1"}, func([]string) {
 		for _, name := range []string{"agent-engine0", "engine0", "agent-engine3", "engine3"} {
@@ -261,6 +268,7 @@
 // Guards against output that continues on another version (I2): with targets of another
 // version free, the generation waits until its own version is back.
 func TestGenerationStaysOnItsVersion(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 1, "", "entry0")
 	v1 := "[[service.version]]\nname = \"v1\"\nshare = 100\n"
 	in.apply("entry0", strings.Replace(in.operatorsText(), v1, v1+strings.NewReplacer("v1", "v2", "100", "0").Replace(v1), 1))
@@ -287,6 +295,7 @@
 // Guards against tokens lost or repeated when the agent dies and the caller stops reading
 // meanwhile, so that the resumed output waits in the entry's buffer.
 func TestSlowCallerGetsWholeAnswer(t *testing.T) {
+	t.Parallel()
 	in := startSmall(t, 0, "", "entry0")
 	for i := range 2 {
 		name := fmt.Sprintf("engine%d", i)
--- a/internal/e2e/versions_test.go
+++ b/internal/e2e/versions_test.go
@@ -347,6 +347,7 @@
 // Guards against a good version that does not take over, against cut or mixed
 // generations meanwhile, and against a bad version that keeps or regains traffic.
 func TestVersionsByEvidence(t *testing.T) {
+	t.Parallel()
 	v := startVersions(t, []string{"entry0", "entry1"}, "v2", "v2b", "v2c", "v3", "v4", "v5", "v6")
 	good := v.completes(12*time.Second, v.crashEngines, "v2", "v2b", "v2c")
 	v.passes(afterEnd)
@@ -381,6 +382,7 @@
 // Guards against a rollout that stalls, or ends differently on two entries, when its
 // owner is lost, operators race or the store is down.
 func TestVersionsWithFailures(t *testing.T) {
+	t.Parallel()
 	v := startVersions(t, []string{"entry0", "entry1", "entry2"}, "v2", "v3", "v4", "v5", "v6", "v6b", "v6c")
 	withdraw := func(entry, version string) {
 		output, err := v.run("version", "withdraw", "--entry", v.address[entry+"-peer"], "letters", version)
