--- a/internal/entry/router/state.go
+++ b/internal/entry/router/state.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
-	"sort"
 	"time"
 
 	"bramleygap/internal/core/membership"
@@ -13,7 +11,6 @@
 	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/opconfig"
 	"bramleygap/internal/result"
-	"bramleygap/internal/wire"
 )
 
 const (
@@ -290,17 +287,6 @@
 	return true
 }
 
-// suspicionOf isolates a request whose next crash leads to rejection.
-func suspicionOf(crashes int) placement.Suspicion {
-	switch {
-	case crashes >= suspect.CrashLimit-1:
-		return placement.Isolated
-	case crashes > 0:
-		return placement.Suspected
-	}
-	return placement.NotSuspected
-}
-
 func (s *state) assign(now time.Time, p *pending, target membership.Target, version string, suspicion placement.Suspicion) {
 	r := p.request
 	id := p.id
@@ -426,13 +412,6 @@
 	}
 }
 
-func (s *state) clearSuspect(fingerprint uint64, run time.Duration, completed bool) {
-	if s.tracker.Ran(fingerprint, run, completed) {
-		s.manager.metrics.cleared.Inc()
-		s.export(time.Now())
-	}
-}
-
 // repeatedDeath reports whether the outcome belongs to a crash that was reported as
 // evidence already: one crash fails a whole batch, which is one event and not many.
 func (s *state) repeatedDeath(now time.Time, target string, o placement.Outcome) bool {
@@ -566,89 +545,3 @@
 		}
 	}
 }
-
-func hasVM(snapshot *membership.Snapshot, vm string) bool {
-	for i := range snapshot.Targets {
-		if snapshot.Targets[i].VM == vm {
-			return true
-		}
-	}
-	return false
-}
-
-// answers reports whether a target of the VM sends heartbeats in time.
-func answers(snapshot *membership.Snapshot, vm string) bool {
-	for i := range snapshot.Targets {
-		if t := &snapshot.Targets[i]; t.VM == vm && !t.Suspected {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *state) refreshEntries(now time.Time) {
-	names := []string{s.options.EntryName}
-	for name, at := range s.lastSeen {
-		if now.Sub(at) > entryMaxAge {
-			delete(s.lastSeen, name)
-			continue
-		}
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	if !slices.Equal(names, s.entries) {
-		s.entries = names
-		s.pool.SetEntries(names)
-	}
-}
-
-func (s *state) observeAgent(now time.Time, agent *wire.AgentState) {
-	for _, name := range agent.GetEntries() {
-		if name != s.options.EntryName {
-			s.lastSeen[name] = now
-		}
-	}
-	use := make(map[string]float64, len(agent.GetUseHere()))
-	for _, u := range agent.GetUseHere() {
-		use[u.GetMember()] = u.GetTokensPerSecond()
-	}
-	s.usage.Observe(agent.GetTarget(), now, use)
-	for _, d := range agent.GetDeaths() {
-		s.death(suspect.Death{
-			ID: d.GetDeathId(), Target: agent.GetTarget(), VM: agent.GetVm(), Zone: agent.GetZone(),
-			At: time.UnixMilli(d.GetUnixMs()), Fingerprints: d.GetRunningFingerprints(),
-		}, now)
-	}
-}
-
-func (s *state) death(d suspect.Death, now time.Time) {
-	if !s.tracker.Report(d, now) {
-		return
-	}
-	s.manager.metrics.deaths.Inc()
-	s.options.Logger.Info().Str("death", d.ID).Str("target", d.Target).Int("running", len(d.Fingerprints)).Msg("target crashed")
-	s.export(now)
-}
-
-func (s *state) progress(now time.Time, fingerprint uint64, completed bool) {
-	longest := time.Duration(0)
-	for _, id := range s.byPrint[fingerprint] {
-		longest = max(longest, now.Sub(s.running[id].since))
-	}
-	s.clearSuspect(fingerprint, longest, completed)
-}
-
-func (s *state) mergeSuspects(records []suspect.Record, now time.Time) {
-	s.tracker.Merge(records, now)
-	s.export(now)
-}
-
-// export publishes the suspects for Contribute if they changed.
-func (s *state) export(now time.Time) {
-	if s.tracker.Generation() == s.exported {
-		return
-	}
-	s.exported = s.tracker.Generation()
-	out := toWire(s.tracker.Export(now))
-	s.manager.exported.Store(&out)
-}
