--- a/cmd/bramleygap/main.go
+++ b/cmd/bramleygap/main.go
@@ -16,6 +16,7 @@
 
 type commandLine struct {
 	Entry   entryCommand   `cmd:"" help:"Run an entry: terminate callers' HTTP and route requests to agents."`
+	Gateway gatewayCommand `cmd:"" help:"Run a gateway: send clients' requests to targets directly, on a platform with a load balancer and a store."`
 	Agent   agentCommand   `cmd:"" help:"Run an agent beside one target."`
 	Check   checkCommand   `cmd:"" help:"Validate settings files and operator configurations."`
 	Apply   applyCommand   `cmd:"" help:"Submit an operator configuration and wait until it is in force on all live nodes."`
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -254,7 +254,7 @@
 	if !ok || a.options.Settings.AdminListen == "" {
 		return
 	}
-	handler := obs.AdminHandler(registry, a.options.Readiness)
+	handler := obs.AdminHandler(registry, a.options.Readiness.Reason)
 	if err := obs.ServeAdmin(ctx, a.options.Settings.AdminListen, handler); err != nil {
 		a.logger.Error().Err(err).Msg("admin server failed")
 	}
--- /dev/null
+++ b/internal/core/placement/fleet.go
@@ -0,0 +1,494 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"bramleygap/internal/core/membership"
+)
+
+const (
+	// defaultReadRate is the prompt reading speed of an engine in tokens per ms until one
+	// has been observed; it is the speed that the users state for their engines.
+	defaultReadRate = 5.0
+	// firstTokenOverhead is the time to a first event beyond reading the prompt: admission
+	// and the first event's tokens.
+	firstTokenOverhead = 60 * time.Millisecond
+	// choiceNoise keeps gateways with the same view from choosing the same target.
+	choiceNoise = 60 * time.Millisecond
+	// streamCrowding is the cost of each running stream at a candidate: reading a prompt
+	// delays the events of all of them.
+	streamCrowding = 25 * time.Millisecond
+	// copyCrowding is the cost of each second copy at a candidate: the loss of another
+	// target sends the streams of its copies there.
+	copyCrowding = 10 * time.Millisecond
+	// memoryCost is added for a candidate whose memory would be full, which preempts.
+	memoryCost = 20 * time.Second
+	// otherZoneCost prefers the gateway's own zone for short calls: traffic between zones
+	// is paid for and takes 1 ms more.
+	otherZoneCost = 2 * time.Millisecond
+	// downFor is how long a target is avoided after it was found unreachable, unless a
+	// probe finds it alive.
+	downFor = 3 * time.Second
+	// peerLoadMaxAge is the age from which another gateway's load has no influence.
+	peerLoadMaxAge = 2 * time.Second
+	// failureWeight is the weight of a new sample of a target's failure rate.
+	failureWeight = 0.15
+	// failureLimit is the failure rate from which a target is a last resort. It is well
+	// above the share of requests that healthy applications fail.
+	failureLimit = 0.4
+	// failureDecay is the time in which half of a failure rate is forgotten without samples.
+	failureDecay = 2 * time.Second
+	// latencyWeight is the weight of a new sample of a target's call latency.
+	latencyWeight = 0.2
+	// slownessWeight is the weight of a new sample of a target's slowness.
+	slownessWeight = 0.5
+	// maxSlowness bounds the slowness of a target, so that it recovers within a few samples.
+	maxSlowness = 10.0
+	// slownessDecay is the time in which half of the slowness is forgotten without samples.
+	slownessDecay = 5 * time.Second
+)
+
+// Prompt is the size of one generation.
+type Prompt struct {
+	// Tokens of the prompt that must be read, without those that the target may keep.
+	Tokens int
+	// Output is the expected number of output tokens.
+	Output int
+}
+
+// memory returns the tokens that the generation occupies at its end.
+func (p Prompt) memory() int { return p.Tokens + p.Output }
+
+// PeerLoad is the load that another gateway has put on one target.
+type PeerLoad struct {
+	// Backlog is the time that the target needs for prompts not yet read.
+	Backlog time.Duration
+	// Memory is the number of tokens reserved, Streams the number of generations.
+	Memory, Streams, Copies int
+}
+
+type peerReport struct {
+	at    time.Time
+	loads map[string]PeerLoad
+}
+
+// member is the state kept for one registered target.
+type member struct {
+	reg       membership.Registration
+	capacity  int
+	downUntil time.Time
+	// gone is set when another instance answered at the address.
+	gone     bool
+	calls    int
+	streams  map[uint64]*run
+	copies   int
+	copyMem  int
+	readBy   time.Time
+	slowness decaying
+	failures decaying
+	latency  time.Duration
+}
+
+// run is one generation of this gateway at a target.
+type run struct {
+	prompt   Prompt
+	started  time.Time
+	expected time.Duration
+	reading  bool
+}
+
+// decaying is an average that falls to its resting value without samples.
+type decaying struct {
+	value, rest float64
+	half        time.Duration
+	at          time.Time
+}
+
+func (d *decaying) get(now time.Time) float64 {
+	if d.at.IsZero() {
+		return d.rest
+	}
+	halves := float64(now.Sub(d.at)) / float64(d.half)
+	if halves > 30 {
+		return d.rest
+	}
+	return d.rest + (d.value-d.rest)/math.Exp2(halves)
+}
+
+func (d *decaying) add(now time.Time, sample, weight float64) {
+	current := d.get(now)
+	d.value, d.at = current+weight*(sample-current), now
+}
+
+// Fleet chooses among targets that gateways reach directly. It knows what this gateway
+// runs on each and what the others reported. It is not safe for concurrent use.
+type Fleet struct {
+	zone    string
+	rng     *rand.Rand
+	members map[string]*member
+	peers   map[string]peerReport
+	nextRun uint64
+}
+
+// NewFleet returns an empty fleet for a gateway in a zone.
+func NewFleet(zone string, rng *rand.Rand) *Fleet {
+	return &Fleet{zone: zone, rng: rng, members: map[string]*member{}, peers: map[string]peerReport{}}
+}
+
+// Update replaces the registered targets. The state of targets that stay is kept, unless
+// they started again. Capacity returns the memory of a service's engines in tokens.
+func (f *Fleet) Update(list []membership.Registration, capacity func(service string) int) {
+	next := make(map[string]*member, len(list))
+	for _, reg := range list {
+		m := f.members[reg.ID]
+		if m == nil || !m.reg.Same(&reg) {
+			m = &member{
+				streams:  map[uint64]*run{},
+				slowness: decaying{rest: 1, half: slownessDecay},
+				failures: decaying{half: failureDecay},
+			}
+		}
+		m.reg, m.capacity = reg, capacity(reg.Service)
+		next[reg.ID] = m
+	}
+	f.members = next
+}
+
+// Observe replaces the load reported by another gateway.
+func (f *Fleet) Observe(peer string, at time.Time, loads map[string]PeerLoad) {
+	f.peers[peer] = peerReport{at: at, loads: loads}
+}
+
+// Targets returns the number of targets of a service that may get work.
+func (f *Fleet) Targets(now time.Time, service string) int {
+	n := 0
+	for _, m := range f.members {
+		if m.reg.Service == service && m.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Target returns the registration of a target.
+func (f *Fleet) Target(id string) (membership.Registration, bool) {
+	m := f.members[id]
+	if m == nil {
+		return membership.Registration{}, false
+	}
+	return m.reg, true
+}
+
+// Usable reports whether a target may get work.
+func (f *Fleet) Usable(now time.Time, id string) bool {
+	m := f.members[id]
+	return m != nil && m.usable(now)
+}
+
+func (m *member) usable(now time.Time) bool {
+	return !m.reg.Leaving && !m.gone && !now.Before(m.downUntil)
+}
+
+// FleetQuery restricts a choice.
+type FleetQuery struct {
+	Service string
+	// Version restricts the choice to targets of a version; empty accepts any.
+	Version string
+	// Exclude holds ids that must not be chosen.
+	Exclude []string
+	// AvoidZone is a zone to leave out while another has a usable target.
+	AvoidZone string
+}
+
+func (q *FleetQuery) admits(m *member, now time.Time) bool {
+	if m.reg.Service != q.Service || q.Version != "" && m.reg.Version != q.Version || !m.usable(now) {
+		return false
+	}
+	for _, id := range q.Exclude {
+		if id == m.reg.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// best returns the admitted member with the lowest cost.
+func (f *Fleet) best(now time.Time, q *FleetQuery, cost func(*member) time.Duration) *member {
+	var chosen, other *member
+	var chosenCost, otherCost time.Duration
+	for _, m := range f.members {
+		if !q.admits(m, now) {
+			continue
+		}
+		c := cost(m)
+		if q.AvoidZone != "" && m.reg.Zone == q.AvoidZone {
+			if other == nil || c < otherCost {
+				other, otherCost = m, c
+			}
+			continue
+		}
+		if chosen == nil || c < chosenCost {
+			chosen, chosenCost = m, c
+		}
+	}
+	if chosen == nil {
+		return other
+	}
+	return chosen
+}
+
+// ChooseCall returns the target for a short call: the one with the lowest expected
+// latency, from the calls in flight and the latency and failures seen.
+func (f *Fleet) ChooseCall(now time.Time, q FleetQuery) (membership.Registration, bool) {
+	m := f.best(now, &q, func(m *member) time.Duration { return f.callCost(now, m) })
+	if m == nil {
+		return membership.Registration{}, false
+	}
+	return m.reg, true
+}
+
+func (f *Fleet) callCost(now time.Time, m *member) time.Duration {
+	slots := max(1, m.reg.Slots)
+	latency := max(m.latency, time.Millisecond)
+	cost := latency + latency*time.Duration(m.calls)/time.Duration(slots)*2
+	if m.reg.Zone != f.zone {
+		cost += otherZoneCost
+	}
+	if rate := m.failures.get(now); rate > failureLimit {
+		cost += time.Duration(rate * float64(time.Second))
+	}
+	return cost + time.Duration(f.rng.Int64N(int64(2*time.Millisecond)))
+}
+
+// BeginCall counts a short call at a target.
+func (f *Fleet) BeginCall(id string) {
+	if m := f.members[id]; m != nil {
+		m.calls++
+	}
+}
+
+// EndCall ends a short call. Latency is 0 if the call says nothing about the target's speed.
+func (f *Fleet) EndCall(now time.Time, id string, latency time.Duration, failed bool) {
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	m.calls = max(0, m.calls-1)
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	m.failures.add(now, sample, failureWeight)
+	if latency > 0 {
+		m.latency += time.Duration(latencyWeight * float64(latency-m.latency))
+	}
+}
+
+// FirstEvent returns the expected time to the first event of a prompt at the best target,
+// and false if there is none.
+func (f *Fleet) FirstEvent(now time.Time, q FleetQuery, p Prompt) (time.Duration, bool) {
+	m := f.best(now, &q, func(m *member) time.Duration { return f.firstEvent(now, m, p) })
+	if m == nil {
+		return 0, false
+	}
+	return f.firstEvent(now, m, p), true
+}
+
+func (f *Fleet) firstEvent(now time.Time, m *member, p Prompt) time.Duration {
+	return f.backlog(now, m) + readTime(p.Tokens, m.slowness.get(now)) + firstTokenOverhead
+}
+
+func readTime(tokens int, slowness float64) time.Duration {
+	return time.Duration(float64(tokens) / defaultReadRate * slowness * float64(time.Millisecond))
+}
+
+// backlog is the time until the prompts that a target has been given are read.
+func (f *Fleet) backlog(now time.Time, m *member) time.Duration {
+	total := f.ownBacklog(now, m)
+	for _, p := range f.peers {
+		age := now.Sub(p.at)
+		if age > peerLoadMaxAge {
+			continue
+		}
+		if load, ok := p.loads[m.reg.ID]; ok {
+			total += max(0, load.Backlog-age)
+		}
+	}
+	return total
+}
+
+// ownBacklog is the part of this gateway. A prompt that is overdue counts as long again
+// as it is late, since whatever holds it up holds up its successors.
+func (f *Fleet) ownBacklog(now time.Time, m *member) time.Duration {
+	left := max(0, m.readBy.Sub(now))
+	for _, r := range m.streams {
+		if r.reading {
+			left = max(left, now.Sub(r.started)-r.expected)
+		}
+	}
+	return left
+}
+
+// load sums what is known of a target's memory, streams and copies.
+func (f *Fleet) load(now time.Time, m *member) (memory, streams, copies int) {
+	memory, streams, copies = m.copyMem, len(m.streams), m.copies
+	for _, r := range m.streams {
+		memory += r.prompt.memory()
+	}
+	for _, p := range f.peers {
+		if now.Sub(p.at) > peerLoadMaxAge {
+			continue
+		}
+		load := p.loads[m.reg.ID]
+		memory, streams, copies = memory+load.Memory, streams+load.Streams, copies+load.Copies
+	}
+	return memory, streams, copies
+}
+
+// ChooseEngine returns the engine for a generation: the one that is expected to produce
+// the first event soonest and disturbs the fewest running streams.
+func (f *Fleet) ChooseEngine(now time.Time, q FleetQuery, p Prompt) (membership.Registration, bool) {
+	m := f.best(now, &q, func(m *member) time.Duration {
+		memory, streams, copies := f.load(now, m)
+		cost := f.firstEvent(now, m, p) + time.Duration(streams)*streamCrowding + time.Duration(copies)*copyCrowding
+		if m.capacity > 0 && memory+p.memory() > m.capacity {
+			cost += memoryCost
+		}
+		if rate := m.failures.get(now); rate > failureLimit {
+			cost += memoryCost
+		}
+		return cost + time.Duration(f.rng.Int64N(int64(choiceNoise)))
+	})
+	if m == nil {
+		return membership.Registration{}, false
+	}
+	return m.reg, true
+}
+
+// ChooseCopy returns the engine for the second copy of a generation's memory, outside the
+// zone of the engine that runs it if possible. It returns false if none has room.
+func (f *Fleet) ChooseCopy(now time.Time, q FleetQuery, p Prompt) (membership.Registration, bool) {
+	m := f.best(now, &q, func(m *member) time.Duration {
+		memory, streams, copies := f.load(now, m)
+		cost := f.backlog(now, m) + time.Duration(streams)*streamCrowding + time.Duration(copies)*streamCrowding
+		if m.capacity > 0 && memory+p.memory() > m.capacity {
+			cost += memoryCost
+		}
+		return cost + time.Duration(f.rng.Int64N(int64(choiceNoise)))
+	})
+	if m == nil {
+		return membership.Registration{}, false
+	}
+	if memory, _, _ := f.load(now, m); m.capacity > 0 && memory+p.memory() > m.capacity {
+		return membership.Registration{}, false
+	}
+	return m.reg, true
+}
+
+// BeginStream counts a generation at a target and its copy at another; the copy's id may
+// be empty. It returns the id for EndStream.
+func (f *Fleet) BeginStream(now time.Time, id, copyAt string, p Prompt) uint64 {
+	f.nextRun++
+	if m := f.members[id]; m != nil {
+		expected := f.firstEvent(now, m, p)
+		m.streams[f.nextRun] = &run{prompt: p, started: now, expected: expected, reading: true}
+		start := m.readBy
+		if start.Before(now) {
+			start = now
+		}
+		m.readBy = start.Add(readTime(p.Tokens, m.slowness.get(now)))
+	}
+	if m := f.members[copyAt]; m != nil {
+		m.copies++
+		m.copyMem += p.memory()
+	}
+	return f.nextRun
+}
+
+// StreamRead tells that a generation produced its first event.
+func (f *Fleet) StreamRead(now time.Time, id string, runID uint64) {
+	m := f.members[id]
+	if m == nil || m.streams[runID] == nil {
+		return
+	}
+	r := m.streams[runID]
+	r.reading = false
+	if r.prompt.Tokens > 0 {
+		ratio := float64(now.Sub(r.started)) / float64(max(r.expected, time.Millisecond))
+		m.slowness.add(now, min(maxSlowness, max(1, m.slowness.get(now)*ratio)), slownessWeight)
+	}
+	for _, other := range m.streams {
+		if other.reading {
+			return
+		}
+	}
+	m.readBy = now
+}
+
+// EndStream ends a generation at its target and frees its copy.
+func (f *Fleet) EndStream(now time.Time, id, copyAt string, runID uint64, p Prompt, failed bool) {
+	if m := f.members[id]; m != nil && m.streams[runID] != nil {
+		delete(m.streams, runID)
+		sample := 0.0
+		if failed {
+			sample = 1
+		}
+		m.failures.add(now, sample, failureWeight)
+		if len(m.streams) == 0 {
+			m.readBy = now
+		}
+	}
+	if m := f.members[copyAt]; m != nil && m.copies > 0 {
+		m.copies--
+		m.copyMem = max(0, m.copyMem-p.memory())
+	}
+}
+
+// Down marks a target unreachable.
+func (f *Fleet) Down(now time.Time, id string) {
+	if m := f.members[id]; m != nil {
+		m.downUntil = now.Add(downFor)
+	}
+}
+
+// Up tells that a target answered.
+func (f *Fleet) Up(id string) {
+	if m := f.members[id]; m != nil {
+		m.downUntil = time.Time{}
+	}
+}
+
+// Gone marks a target whose address answered as another instance.
+func (f *Fleet) Gone(id string) {
+	if m := f.members[id]; m != nil {
+		m.gone = true
+	}
+}
+
+// DownTargets returns the targets that are avoided because they were unreachable.
+func (f *Fleet) DownTargets(now time.Time) []membership.Registration {
+	var list []membership.Registration
+	for _, m := range f.members {
+		if now.Before(m.downUntil) && !m.gone && !m.reg.Leaving {
+			list = append(list, m.reg)
+		}
+	}
+	return list
+}
+
+// OwnLoads returns what this gateway has put on each target, for the other gateways.
+func (f *Fleet) OwnLoads(now time.Time) map[string]PeerLoad {
+	loads := map[string]PeerLoad{}
+	for id, m := range f.members {
+		load := PeerLoad{Backlog: f.ownBacklog(now, m), Memory: m.copyMem, Streams: len(m.streams), Copies: m.copies}
+		for _, r := range m.streams {
+			load.Memory += r.prompt.memory()
+		}
+		if load != (PeerLoad{}) {
+			loads[id] = load
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/core/relay/relay.go
@@ -0,0 +1,352 @@
+// Package relay decides how one stream of numbered events is passed on from targets that
+// are reached without an agent: where it runs, when silence means that its target is lost,
+// and where it continues. Every event is passed on once and in order.
+//
+// Invariants:
+//   - an event is delivered only if its number is one above that of the event before;
+//   - at most one attempt is open at any time;
+//   - an attempt that follows another continues behind the last delivered event;
+//   - Finish is the last effect.
+package relay
+
+import "time"
+
+const (
+	// minSilence and maxSilence bound the pause after which a target is probed. Events of
+	// a target that also reads prompts come up to 200 ms apart; the users' pauses of
+	// 700 ms must still hold after a probe and a resumption.
+	minSilence = 160 * time.Millisecond
+	maxSilence = 300 * time.Millisecond
+	// silenceFactor is the multiple of the usual gap that counts as silence.
+	silenceFactor = 3
+	// gapWeight is the weight of a new sample of the usual gap.
+	gapWeight = 0.2
+	// firstProbe and nextProbe are the pauses before the first event after which a target
+	// is probed: reading a prompt takes about a second.
+	firstProbe = 600 * time.Millisecond
+	nextProbe  = 900 * time.Millisecond
+	// stuckShare is the share of the permitted pause after which a stream that makes no
+	// progress at a live target moves to its copy.
+	stuckShare = 0.62
+	// stuckWithoutCopy is the pause after which a stream without a copy moves: reading the
+	// prompt again costs more than a second, and target and caller may both recover.
+	stuckWithoutCopy = 4 * time.Second
+)
+
+// Options are the fixed properties of a stream.
+type Options struct {
+	// Resumable is set if the stream may continue on another target.
+	Resumable bool
+	// MaxAttempts bounds the targets that the request may be sent to.
+	MaxAttempts int
+	// Deadline ends the stream.
+	Deadline time.Time
+	// EventGap is the longest pause between events that is still on time.
+	EventGap time.Duration
+	// After is the number of the last event that the caller has.
+	After uint64
+}
+
+// Place is a chosen target with the engine that keeps the copy of the run's memory.
+type Place struct {
+	Target string
+	// Copy is the target of the second copy, empty for none.
+	Copy string
+	// Resume is set if the target holds the copy made by the previous attempt.
+	Resume bool
+}
+
+// Loss says how an attempt ended without completing.
+type Loss int
+
+// Losses.
+const (
+	// Unsent means that no byte of the request left.
+	Unsent Loss = iota + 1
+	// Refused means that the target states that it did not run the request.
+	Refused
+	// Replaced means that another instance answered at the address.
+	Replaced
+	// Interrupted means that the connection broke or the answer was invalid.
+	Interrupted
+	// TargetDown means that the target was found unreachable.
+	TargetDown
+	// Failed means that the target answered with a failure of its own.
+	Failed
+)
+
+// String returns the loss as a metric label.
+func (l Loss) String() string {
+	switch l {
+	case Unsent:
+		return "unsent"
+	case Refused:
+		return "refused"
+	case Replaced:
+		return "replaced"
+	case Interrupted:
+		return "interrupted"
+	case TargetDown:
+		return "target_down"
+	case Failed:
+		return "failed"
+	}
+	return "none"
+}
+
+// Outcome is the end of a stream.
+type Outcome int
+
+// Outcomes.
+const (
+	// Complete means that the target's stream ended regularly.
+	Complete Outcome = iota + 1
+	// CallerLeft means that the caller closed its connection.
+	CallerLeft
+	// NoTarget means that nothing ran and no target can be had.
+	NoTarget
+	// TargetFailed passes on the failure that the target answered.
+	TargetFailed
+	// Lost means that the stream ran and cannot be continued.
+	Lost
+	// TimedOut means that the deadline passed.
+	TimedOut
+)
+
+// Effect is an output of a Machine, to be applied in order.
+type Effect interface{ effect() }
+
+// Choose asks for a target; it is answered by Placed or Unplaced.
+type Choose struct {
+	// Exclude holds targets that failed this stream.
+	Exclude []string
+	// Copy is the target that may hold a copy of the run's memory, empty for none.
+	Copy string
+}
+
+// Open starts an attempt at a place, continuing behind an event.
+type Open struct {
+	Place Place
+	After uint64
+	// Holder is the target that holds the copy to continue from, empty for none.
+	Holder string
+}
+
+// Close ends the open attempt.
+type Close struct{ Loss Loss }
+
+// Probe asks whether the target of the open attempt answers.
+type Probe struct{ Target string }
+
+// Deliver passes the last event on.
+type Deliver struct{}
+
+// Finish ends the stream.
+type Finish struct{ Outcome Outcome }
+
+func (Choose) effect()  {}
+func (Open) effect()    {}
+func (Close) effect()   {}
+func (Probe) effect()   {}
+func (Deliver) effect() {}
+func (Finish) effect()  {}
+
+// Machine is the state of one stream. It is not safe for concurrent use.
+type Machine struct {
+	options  Options
+	attempts int
+	excluded []string
+	place    Place
+	open     bool
+	done     bool
+	// ran is set once a target may have begun to run the request.
+	ran      bool
+	last     uint64
+	events   int
+	fresh    int
+	lastSeen time.Time
+	checked  time.Time
+	gap      time.Duration
+}
+
+// New returns a machine that waits for Start.
+func New(options Options) *Machine {
+	return &Machine{options: options, last: options.After}
+}
+
+// Start begins the stream.
+func (m *Machine) Start() []Effect { return []Effect{Choose{}} }
+
+// Delivered returns the number of events passed on.
+func (m *Machine) Delivered() int { return m.events }
+
+// Last returns the number of the last event that the caller has.
+func (m *Machine) Last() uint64 { return m.last }
+
+// Attempts returns the number of targets that the request was sent to.
+func (m *Machine) Attempts() int { return m.attempts }
+
+// Ran reports whether a target may have begun to run the request.
+func (m *Machine) Ran() bool { return m.ran }
+
+// Done reports that Finish was emitted.
+func (m *Machine) Done() bool { return m.done }
+
+func (m *Machine) finish(o Outcome) []Effect {
+	m.done = true
+	if m.open {
+		m.open = false
+		return []Effect{Close{}, Finish{o}}
+	}
+	return []Effect{Finish{o}}
+}
+
+// Placed answers a Choose.
+func (m *Machine) Placed(now time.Time, place Place) []Effect {
+	holder := ""
+	if place.Resume {
+		holder = place.Target
+	}
+	m.place, m.open = place, true
+	m.attempts++
+	m.fresh = 0
+	m.lastSeen, m.checked = now, now
+	return []Effect{Open{Place: place, After: m.last, Holder: holder}}
+}
+
+// Unplaced reports that no target can be had.
+func (m *Machine) Unplaced() []Effect {
+	if m.ran {
+		return m.finish(Lost)
+	}
+	return m.finish(NoTarget)
+}
+
+// Event reports an event of the open attempt.
+func (m *Machine) Event(now time.Time, number uint64) []Effect {
+	if !m.open {
+		return nil
+	}
+	m.ran = true
+	if number <= m.last {
+		return nil
+	}
+	if number != m.last+1 && (m.events > 0 || m.options.After > 0) {
+		return m.Broken(now, Interrupted)
+	}
+	if m.fresh > 0 {
+		m.observeGap(now.Sub(m.lastSeen))
+	}
+	m.last = number
+	m.events++
+	m.fresh++
+	m.lastSeen, m.checked = now, now
+	return []Effect{Deliver{}}
+}
+
+func (m *Machine) observeGap(gap time.Duration) {
+	if m.gap == 0 {
+		m.gap = gap
+		return
+	}
+	m.gap += time.Duration(gapWeight * float64(gap-m.gap))
+}
+
+// Ended reports the regular end of the open attempt's stream.
+func (m *Machine) Ended() []Effect {
+	if !m.open {
+		return nil
+	}
+	m.open = false
+	return m.finish(Complete)
+}
+
+// Broken reports that the open attempt ended otherwise.
+func (m *Machine) Broken(now time.Time, loss Loss) []Effect {
+	if !m.open {
+		return nil
+	}
+	m.open = false
+	if loss != Unsent && loss != Refused && loss != Replaced {
+		m.ran = true
+	}
+	effects := []Effect{Close{loss}}
+	m.excluded = append(m.excluded, m.place.Target)
+	switch {
+	case !now.Before(m.options.Deadline):
+		return append(effects, m.finish(TimedOut)...)
+	case m.attempts >= m.options.MaxAttempts, m.ran && !m.options.Resumable:
+		if loss == Failed && m.events == 0 {
+			return append(effects, m.finish(TargetFailed)...)
+		}
+		return append(effects, m.Unplaced()...)
+	}
+	holder := m.place.Copy
+	if loss == Unsent || loss == Refused && m.place.Resume {
+		holder = ""
+	}
+	return append(effects, Choose{Exclude: m.excluded, Copy: holder})
+}
+
+// CallerGone reports that the caller closed its connection.
+func (m *Machine) CallerGone() []Effect { return m.finish(CallerLeft) }
+
+// NextCheck returns when Check must be called unless an event comes before.
+func (m *Machine) NextCheck() time.Time {
+	next := m.checked.Add(m.patience())
+	if m.options.Deadline.Before(next) {
+		return m.options.Deadline
+	}
+	return next
+}
+
+// patience is the pause after the last event or probe until the next probe.
+func (m *Machine) patience() time.Duration {
+	switch {
+	case m.fresh > 0:
+		return min(maxSilence, max(minSilence, silenceFactor*m.gap))
+	case m.place.Resume:
+		return maxSilence
+	case m.checked.Equal(m.lastSeen):
+		return firstProbe
+	}
+	return nextProbe
+}
+
+// Check is called at NextCheck.
+func (m *Machine) Check(now time.Time) []Effect {
+	if !m.open || m.done {
+		return nil
+	}
+	if !now.Before(m.options.Deadline) {
+		return m.finish(TimedOut)
+	}
+	if now.Before(m.NextCheck()) {
+		return nil
+	}
+	m.checked = now
+	return []Effect{Probe{m.place.Target}}
+}
+
+// Probed answers a Probe. A live target whose stream makes no progress is left for the
+// copy before the permitted pause is over.
+func (m *Machine) Probed(now time.Time, alive bool) []Effect {
+	if !m.open || m.done {
+		return nil
+	}
+	m.checked = now
+	if !alive {
+		return m.Broken(now, TargetDown)
+	}
+	if m.fresh == 0 {
+		return nil
+	}
+	limit := stuckWithoutCopy
+	if m.place.Copy != "" {
+		limit = time.Duration(stuckShare * float64(m.options.EventGap))
+	}
+	if m.options.Resumable && now.Sub(m.lastSeen) >= limit {
+		return m.Broken(now, Interrupted)
+	}
+	return nil
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -29,15 +29,42 @@
 // Resumes draw from a reserve first, sized so that each generation in flight may be
 // resumed once: that is the demand when a zone is lost.
 type Budget struct {
+	rates   Rates
 	tokens  float64
 	reserve float64
 	limit   float64
 	last    time.Time
 }
 
-// NewBudget returns a full budget.
-func NewBudget(now time.Time) *Budget {
-	return &Budget{tokens: burst, reserve: reserveMinimum, limit: reserveMinimum, last: now}
+// Rates set how a budget fills.
+type Rates struct {
+	// PerRequest is the part of a retry that each request pays for.
+	PerRequest float64
+	// PerSecond lets a service with little traffic retry at all.
+	PerSecond float64
+	// Burst bounds the tokens saved up in quiet times.
+	Burst float64
+	// Reserve is the smallest reserve for resumes.
+	Reserve float64
+}
+
+// DefaultRates are the rates of one entry.
+func DefaultRates() Rates {
+	return Rates{PerRequest: tokensPerRequest, PerSecond: tokensPerSecond, Burst: burst, Reserve: reserveMinimum}
+}
+
+// NewBudget returns a full budget with the default rates.
+func NewBudget(now time.Time) *Budget { return NewBudgetWith(now, DefaultRates()) }
+
+// NewBudgetWith returns a full budget.
+func NewBudgetWith(now time.Time, rates Rates) *Budget {
+	return &Budget{rates: rates, tokens: rates.Burst, reserve: rates.Reserve, limit: rates.Reserve, last: now}
+}
+
+// SetRates replaces the rates; saved tokens beyond the new burst are lost.
+func (b *Budget) SetRates(rates Rates) {
+	b.rates = rates
+	b.tokens = min(b.tokens, rates.Burst)
 }
 
 // Refill adds the tokens earned since the last call. The reserve's limit follows the
@@ -45,8 +72,8 @@
 func (b *Budget) Refill(now time.Time, inflight int) {
 	elapsed := max(0, now.Sub(b.last))
 	b.last = now
-	b.tokens = min(burst, b.tokens+tokensPerSecond*elapsed.Seconds())
-	limit := reserveMinimum + float64(inflight)
+	b.tokens = min(b.rates.Burst, b.tokens+b.rates.PerSecond*elapsed.Seconds())
+	limit := b.rates.Reserve + float64(inflight)
 	b.reserve += max(0, limit-b.limit)
 	b.reserve += limit * float64(elapsed) / float64(reserveRefill)
 	b.reserve = min(limit, b.reserve)
@@ -54,7 +81,7 @@
 }
 
 // OnRequest adds the share of a token that a first attempt earns.
-func (b *Budget) OnRequest() { b.tokens = min(burst, b.tokens+tokensPerRequest) }
+func (b *Budget) OnRequest() { b.tokens = min(b.rates.Burst, b.tokens+b.rates.PerRequest) }
 
 // TakeRetry takes a token for a retry and reports whether there was one.
 func (b *Budget) TakeRetry() bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -199,7 +199,7 @@
 	group.Go(func() error { return ignoreCancel(e.rollouts.Run(tasks)) })
 	group.Go(func() error { e.calls.RunSweep(tasks); return nil })
 	group.Go(func() error {
-		return obs.ServeAdmin(tasks, e.options.Settings.AdminListen, obs.AdminHandler(e.options.Registry, e.readiness))
+		return obs.ServeAdmin(tasks, e.options.Settings.AdminListen, obs.AdminHandler(e.options.Registry, e.readiness.Reason))
 	})
 	group.Go(func() error { return e.peers.Serve(peerListener) })
 	group.Go(func() error {
--- /dev/null
+++ b/internal/gateway/director.go
@@ -0,0 +1,356 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/replica"
+	"bramleygap/internal/core/retry"
+	"bramleygap/internal/core/suspect"
+)
+
+const (
+	// directorQueue is the number of messages that wait for the director.
+	directorQueue = 256
+	// tickInterval is the interval of the director's housekeeping.
+	tickInterval = 100 * time.Millisecond
+	// lateTick is the lateness of a tick from which the process distrusts what it believed
+	// of others: it was stopped, and their silence says nothing.
+	lateTick = 300 * time.Millisecond
+	// lapseWindow is how long after a failure of the store vanished registrations are
+	// taken for lapsed rather than gone.
+	lapseWindow = 3 * time.Second
+	// budgetShare is the part of the operators' retry budget that gateways use together;
+	// the rest is left for gateways that do not know of each other.
+	budgetShare = 0.6
+	// resumeReserve is the smallest reserve of resumes of one gateway and service. It is
+	// small beside the shared budget; the reserve grows with the streams in flight.
+	resumeReserve = 6
+)
+
+// state is what the director owns. Only functions that run on the director touch it.
+type state struct {
+	tables        [followed]*replica.Table
+	registrations map[string]membership.Registration
+	desired       Desired
+	registry      *membership.Registry
+	fleet         *placement.Fleet
+	budgets       map[string]*retry.Budget
+	inflight      map[string]int
+	latencies     map[string]*retry.Estimate
+	suspects      *suspect.Tracker
+	streams       map[string]map[*streamHandle]struct{}
+	storeFailed   [followed]time.Time
+	storeWorked   [followed]time.Time
+	gateways      int
+	lastTick      time.Time
+	rng           *rand.Rand
+	recentDown    map[string]time.Time
+}
+
+// director owns the gateway's beliefs. Other tasks send it functions as messages.
+type director struct {
+	options  *Options
+	log      zerolog.Logger
+	metrics  *metrics
+	messages chan func(*state)
+	// published is the desired state in force; nil before the first one.
+	published atomic.Pointer[published]
+	// changed is signalled when targets or the desired state changed.
+	probe func(target membership.Registration)
+}
+
+// published is what request handlers read without asking the director.
+type published struct {
+	desired Desired
+	// stale is set while the store has not answered for longer than staleAfter.
+	stale bool
+}
+
+func newDirector(options *Options, m *metrics) *director {
+	return &director{options: options, log: options.Logger, metrics: m, messages: make(chan func(*state), directorQueue)}
+}
+
+func (d *director) newState(now time.Time) *state {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	s := &state{
+		registrations: map[string]membership.Registration{},
+		registry:      membership.NewRegistry(),
+		fleet:         placement.NewFleet(d.options.Settings.Zone, rng),
+		budgets:       map[string]*retry.Budget{},
+		inflight:      map[string]int{},
+		latencies:     map[string]*retry.Estimate{},
+		suspects:      suspect.NewTracker(),
+		streams:       map[string]map[*streamHandle]struct{}{},
+		recentDown:    map[string]time.Time{},
+		gateways:      1,
+		lastTick:      now,
+		rng:           rng,
+	}
+	for i := range s.tables {
+		s.tables[i] = replica.NewTable()
+	}
+	return s
+}
+
+// run handles messages until ctx ends.
+func (d *director) run(ctx context.Context) error {
+	s := d.newState(time.Now())
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-d.messages:
+			message(s)
+		case <-ticker.C:
+			d.tick(s, time.Now())
+		}
+	}
+}
+
+// tell sends a message without waiting for it to be handled.
+func (d *director) tell(ctx context.Context, message func(*state)) {
+	select {
+	case d.messages <- message:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs a function on the director and returns its result, or the zero value when ctx
+// has ended.
+func ask[T any](ctx context.Context, d *director, query func(*state) T) T {
+	result := make(chan T, 1)
+	d.tell(ctx, func(s *state) { result <- query(s) })
+	select {
+	case value := <-result:
+		return value
+	case <-ctx.Done():
+		var zero T
+		return zero
+	}
+}
+
+func (d *director) tick(s *state, now time.Time) {
+	if late := now.Sub(s.lastTick) - tickInterval; late > lateTick {
+		d.log.Warn().Dur("late", late).Msg("process was stopped; beliefs about others are distrusted")
+		d.metrics.lateTicks.Inc()
+	}
+	s.lastTick = now
+	if s.registry.Expire(now) {
+		d.updateFleet(s)
+	}
+	s.suspects.Expire(now)
+	for id, at := range s.recentDown {
+		if now.Sub(at) > time.Second {
+			delete(s.recentDown, id)
+		}
+	}
+	d.publishStaleness(s, now)
+}
+
+// staleAfter is the time without an answer of the store from which unknown routes and keys
+// may be newer than the desired state here.
+const staleAfter = 1500 * time.Millisecond
+
+func (s *state) stale(now time.Time) bool {
+	return now.Sub(s.storeWorked[TableConfig]) > staleAfter+pollWait
+}
+
+func (d *director) publishStaleness(s *state, now time.Time) {
+	current := d.published.Load()
+	if current == nil || current.stale == s.stale(now) {
+		return
+	}
+	d.published.Store(&published{desired: current.desired, stale: s.stale(now)})
+}
+
+// storeAnswered records that the store answered for a table.
+func (d *director) storeAnswered(s *state, now time.Time, table Table) {
+	if s.storeFailed[table].After(s.storeWorked[table]) {
+		d.log.Info().Stringer("table", table).Dur("after", now.Sub(s.storeWorked[table])).Msg("store answers again")
+	}
+	s.storeWorked[table] = now
+}
+
+// storeFailing reports whether the last call for a table failed.
+func (s *state) storeFailing(table Table) bool {
+	return s.storeFailed[table].After(s.storeWorked[table])
+}
+
+// snapshot installs a whole table, read from the store or handed over by a peer.
+func (d *director) snapshot(s *state, now time.Time, table Table, rows []replica.Row, revision uint64, source string) {
+	copyOf := s.tables[table]
+	before := copyOf.Revision()
+	changes := copyOf.Replace(rows, revision)
+	if !copyOf.Loaded() || revision < before {
+		return
+	}
+	d.log.Info().Stringer("table", table).Str("source", source).Uint64("revision", revision).
+		Int("rows", len(rows)).Int("changes", len(changes)).Msg("table read")
+	d.applied(s, now, table, changes)
+}
+
+// advance applies changes of a table and reports whether they continue the copy.
+func (d *director) advance(s *state, now time.Time, table Table, changes []replica.Change, after, to uint64) bool {
+	applied, ok := s.tables[table].Advance(changes, after, to)
+	if ok && len(applied) > 0 {
+		d.applied(s, now, table, applied)
+	}
+	return ok
+}
+
+func (d *director) applied(s *state, now time.Time, table Table, changes []replica.Change) {
+	switch table {
+	case TableConfig:
+		d.applyDesired(s, now)
+	case TableTargets:
+		d.applyRegistrations(s, now, changes)
+	}
+}
+
+func (d *director) applyDesired(s *state, now time.Time) {
+	desired, problems := d.options.Protocol.DecodeDesired(s.tables[TableConfig].Rows())
+	for _, problem := range problems {
+		d.log.Error().Err(problem).Msg("row of the desired state cannot be read")
+	}
+	if desired.Config == nil {
+		desired.Config = s.desired.Config
+	}
+	old := s.desired.Config
+	if old != nil && desired.Config != nil && desired.Config.Version < old.Version {
+		d.log.Warn().Uint64("version", desired.Config.Version).Uint64("in_force", old.Version).Msg("older desired state ignored")
+		desired.Config = old
+	}
+	s.desired = desired
+	if desired.Config == nil {
+		return
+	}
+	if old == nil || old.Version != desired.Config.Version {
+		d.log.Info().Uint64("version", desired.Config.Version).Uint64("revision", s.tables[TableConfig].Revision()).
+			Msg("desired state in force")
+		d.metrics.configVersion.Set(float64(desired.Config.Version))
+	}
+	d.published.Store(&published{desired: desired, stale: s.stale(now)})
+	d.updateFleet(s)
+}
+
+func (d *director) applyRegistrations(s *state, now time.Time, changes []replica.Change) {
+	for _, change := range changes {
+		if change.Deleted {
+			delete(s.registrations, change.Key)
+			continue
+		}
+		reg, err := d.options.Protocol.DecodeRegistration(change)
+		if err != nil {
+			d.log.Debug().Str("key", change.Key).Err(err).Msg("row names no target")
+			delete(s.registrations, change.Key)
+			continue
+		}
+		s.registrations[change.Key] = reg
+	}
+	list := make([]membership.Registration, 0, len(s.registrations))
+	for _, reg := range s.registrations {
+		list = append(list, reg)
+	}
+	lapsed := now.Sub(s.storeFailed[TableTargets]) < lapseWindow
+	before := s.registry.Targets()
+	s.registry.Replace(now, list, lapsed)
+	d.logTargets(before, s.registry.Targets())
+	d.updateFleet(s)
+}
+
+// logTargets writes a line for each target that came, went or announced to leave.
+func (d *director) logTargets(before, after []membership.Registration) {
+	old := make(map[string]membership.Registration, len(before))
+	for _, reg := range before {
+		old[reg.ID] = reg
+	}
+	for _, reg := range after {
+		was, known := old[reg.ID]
+		delete(old, reg.ID)
+		if known && was.Leaving == reg.Leaving && was.Same(&reg) {
+			continue
+		}
+		d.log.Info().Str("target", reg.ID).Str("address", reg.Address).Str("service", reg.Service).Str("zone", reg.Zone).
+			Str("version", reg.Version).Bool("leaving", reg.Leaving).Bool("new", !known).Msg("target registered")
+	}
+	for id, reg := range old {
+		d.log.Info().Str("target", id).Str("address", reg.Address).Msg("target removed")
+	}
+}
+
+func (d *director) updateFleet(s *state) {
+	s.fleet.Update(s.registry.Targets(), func(service string) int {
+		if s.desired.Config == nil {
+			return 0
+		}
+		if svc, ok := s.desired.Config.Service(service); ok && svc.Engine != nil {
+			return svc.Engine.MemoryTokens
+		}
+		return 0
+	})
+	d.metrics.targets.Set(float64(len(s.registrations)))
+}
+
+// budget returns the retry budget of a service, filled up to now.
+func (d *director) budget(s *state, now time.Time, service string) *retry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = retry.NewBudgetWith(now, d.rates(s))
+		s.budgets[service] = b
+	}
+	b.Refill(now, s.inflight[service])
+	return b
+}
+
+// rates are this gateway's part of the retry budget that all gateways share.
+func (d *director) rates(s *state) retry.Rates {
+	bounds := d.options.Settings.Bounds
+	return retry.Rates{
+		PerRequest: budgetShare * bounds.RetryRatio,
+		Burst:      max(2, budgetShare*bounds.RetrySlack/float64(max(1, s.gateways))),
+		Reserve:    resumeReserve,
+	}
+}
+
+// targetDown records that a target was found unreachable and ends its streams here.
+func (d *director) targetDown(s *state, now time.Time, id, reason string) {
+	reg, ok := s.fleet.Target(id)
+	if !ok {
+		return
+	}
+	if _, known := s.recentDown[id]; !known {
+		d.log.Warn().Str("target", id).Str("address", reg.Address).Str("zone", reg.Zone).Str("reason", reason).
+			Int("streams", len(s.streams[id])).Msg("target is down")
+		d.metrics.targetsDown.Inc()
+	}
+	s.recentDown[id] = now
+	s.fleet.Down(now, id)
+	for handle := range s.streams[id] {
+		handle.interrupt()
+	}
+	d.probeZone(s, reg)
+}
+
+// probeZone probes the targets with streams of this gateway in the zone of a lost target:
+// zones are lost as a whole, and a probe is cheaper than waiting for each stream's silence.
+func (d *director) probeZone(s *state, lost membership.Registration) {
+	for id, handles := range s.streams {
+		reg, ok := s.fleet.Target(id)
+		if !ok || len(handles) == 0 || id == lost.ID || reg.Zone != lost.Zone {
+			continue
+		}
+		if _, known := s.recentDown[id]; known {
+			continue
+		}
+		d.probe(reg)
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,68 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counters of one gateway.
+type metrics struct {
+	requests       *prometheus.CounterVec
+	duration       *prometheus.HistogramVec
+	firstEvent     prometheus.Histogram
+	refusals       *prometheus.CounterVec
+	attempts       *prometheus.CounterVec
+	losses         *prometheus.CounterVec
+	budgetSpent    *prometheus.CounterVec
+	storeCalls     *prometheus.CounterVec
+	peerCalls      *prometheus.CounterVec
+	probes         *prometheus.CounterVec
+	connections    prometheus.Counter
+	strayAnswers   prometheus.Counter
+	targetsDown    prometheus.Counter
+	lateTicks      prometheus.Counter
+	targets        prometheus.Gauge
+	configVersion  prometheus.Gauge
+	logLinesLost   prometheus.Counter
+	crashesCounted prometheus.Counter
+}
+
+// latencyBuckets reach from a local answer to the longest stream, in seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.5, 3, 4.5, 7, 12, 25}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleygap_gateway_" + name, Help: help})
+	}
+	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleygap_gateway_" + name, Help: help}, labels)
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: "bramleygap_gateway_" + name, Help: help})
+	}
+	m := &metrics{
+		requests: vec("requests_total", "Requests by kind of route and outcome.", "kind", "outcome"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bramleygap_gateway_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: latencyBuckets,
+		}, []string{"kind"}),
+		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "bramleygap_gateway_first_event_seconds", Help: "Time from a stream's arrival to its first event.", Buckets: latencyBuckets,
+		}),
+		refusals:       vec("refusals_total", "Requests answered with a failure of the gateway's own, by result code.", "code"),
+		attempts:       vec("call_attempts_total", "Attempts of short calls by result.", "result"),
+		losses:         vec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
+		budgetSpent:    vec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
+		storeCalls:     vec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
+		peerCalls:      vec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
+		probes:         vec("probes_total", "Probes of targets by outcome.", "outcome"),
+		connections:    counter("target_connections_total", "New connections to targets."),
+		strayAnswers:   counter("stray_answers_total", "Answers of targets that belong to another request."),
+		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
+		lateTicks:      counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
+		targets:        gauge("targets", "Registered targets."),
+		configVersion:  gauge("config_version", "Version of the desired state in force."),
+		logLinesLost:   counter("log_lines_lost_total", "Log lines dropped because the output was too slow."),
+		crashesCounted: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
+	}
+	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.budgetSpent, m.storeCalls,
+		m.peerCalls, m.probes, m.connections, m.strayAnswers, m.targetsDown, m.lateTicks, m.targets, m.configVersion,
+		m.logLinesLost, m.crashesCounted)
+	return m
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/replica"
+	"bramleygap/internal/core/suspect"
+	"bramleygap/internal/rpc"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// exchangeInterval is the pause between two rounds of exchanges.
+	exchangeInterval = 200 * time.Millisecond
+	// exchangeFanout is the number of other gateways asked in a round. Each exchange goes
+	// both ways, so that small installations are covered within a round.
+	exchangeFanout = 3
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 400 * time.Millisecond
+	// unreachablePause is the pause before a gateway that did not answer is asked again.
+	unreachablePause = 1500 * time.Millisecond
+	// forgetAfter is how long a gateway may be silent before it no longer counts as one
+	// that shares the retry budget.
+	forgetAfter = 10 * time.Second
+	// announceRetry is the pause before the own address is written to the store again.
+	announceRetry = 500 * time.Millisecond
+)
+
+// peers exchanges state with the other gateways.
+type peers struct {
+	wire.UnimplementedGatewayServer
+	g           *Gateway
+	conns       *rpc.Pool
+	incarnation uint64
+	known       map[string]*peer
+}
+
+// peer is another gateway as this one sees it. The peers task owns it.
+type peer struct {
+	address  string
+	answered time.Time
+	failed   time.Time
+}
+
+func newPeers(g *Gateway) *peers {
+	return &peers{g: g, conns: rpc.NewPool(), incarnation: rand.Uint64(), known: map[string]*peer{}}
+}
+
+// run serves and makes exchanges until ctx ends.
+func (p *peers) run(ctx context.Context) error {
+	address := p.g.options.Settings.PeerListen
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := rpc.NewServer()
+	wire.RegisterGatewayServer(server, p)
+	p.g.background(func() {
+		if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+			p.g.log.Error().Err(err).Msg("server for other gateways ended")
+		}
+	})
+	p.g.background(func() { p.announce(ctx) })
+	defer p.conns.Close()
+	defer server.Stop()
+	for ctx.Err() == nil {
+		p.refresh(ctx)
+		p.round(ctx)
+		sleep(ctx, exchangeInterval)
+	}
+	return nil
+}
+
+// announce writes the own address to the store until it is there.
+func (p *peers) announce(ctx context.Context) {
+	s := p.g.options.Settings
+	value, err := proto.Marshal(&wire.GatewayState{Name: s.Name, Incarnation: p.incarnation, Address: s.PeerListen, Zone: s.Zone})
+	if err != nil {
+		p.g.log.Error().Err(err).Msg("own address cannot be encoded")
+		return
+	}
+	write := Write{Table: TableGateways, Key: s.Name, Value: value, Unconditional: true}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		err := p.g.options.Store.Commit(callCtx, []Write{write})
+		cancel()
+		p.g.metrics.storeCalls.WithLabelValues(TableGateways.String(), outcome(err)).Inc()
+		if err == nil {
+			return
+		}
+		p.g.log.Warn().Err(err).Msg("own address not written yet")
+		sleep(ctx, announceRetry)
+	}
+}
+
+// refresh takes in the gateways that the store lists and the seeds of the settings.
+func (p *peers) refresh(ctx context.Context) {
+	rows := ask(ctx, p.g.director, func(st *state) []replica.Row { return st.tables[TableGateways].Rows() })
+	listed := map[string]bool{}
+	for _, row := range rows {
+		var state wire.GatewayState
+		if err := proto.Unmarshal(row.Value, &state); err != nil || state.Address == "" {
+			continue
+		}
+		listed[state.Address] = true
+	}
+	for _, seed := range p.g.options.Settings.Seeds {
+		listed[seed] = true
+	}
+	delete(listed, p.g.options.Settings.PeerListen)
+	for address := range listed {
+		if p.known[address] == nil {
+			p.known[address] = &peer{address: address}
+		}
+	}
+	for address := range p.known {
+		if !listed[address] {
+			p.conns.Forget(address)
+			delete(p.known, address)
+		}
+	}
+}
+
+// round exchanges state with a few other gateways at once.
+func (p *peers) round(ctx context.Context) {
+	now := time.Now()
+	var due []*peer
+	alive := 1
+	for _, other := range p.known {
+		if now.Sub(other.answered) < forgetAfter {
+			alive++
+		}
+		if now.Sub(other.failed) >= unreachablePause {
+			due = append(due, other)
+		}
+	}
+	p.g.director.tell(ctx, func(st *state) {
+		if st.gateways != alive {
+			st.gateways = alive
+			for _, b := range st.budgets {
+				b.SetRates(p.g.director.rates(st))
+			}
+		}
+	})
+	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	due = due[:min(len(due), exchangeFanout)]
+	type reply struct {
+		peer *peer
+		err  error
+	}
+	replies := make(chan reply, len(due))
+	for _, other := range due {
+		go func() { replies <- reply{other, p.exchange(ctx, other.address)} }()
+	}
+	for range due {
+		r := <-replies
+		if r.err == nil {
+			if r.peer.answered.IsZero() || r.peer.failed.After(r.peer.answered) {
+				p.g.log.Info().Str("peer", r.peer.address).Msg("other gateway answers")
+			}
+			r.peer.answered, r.peer.failed = time.Now(), time.Time{}
+			p.g.metrics.peerCalls.WithLabelValues("ok").Inc()
+			continue
+		}
+		if r.peer.failed.IsZero() && ctx.Err() == nil {
+			p.g.log.Info().Str("peer", r.peer.address).Err(r.err).Msg("other gateway does not answer")
+		}
+		r.peer.failed = time.Now()
+		p.g.metrics.peerCalls.WithLabelValues("failed").Inc()
+	}
+}
+
+func (p *peers) exchange(ctx context.Context, address string) error {
+	conn, err := p.conns.Conn(address)
+	if err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	mine := ask(ctx, p.g.director, func(st *state) *wire.GatewayState { return p.export(st, nil) })
+	if mine == nil {
+		return ctx.Err()
+	}
+	theirs, err := wire.NewGatewayClient(conn).Exchange(callCtx, mine, grpc.WaitForReady(false))
+	if err != nil {
+		return err
+	}
+	p.g.director.tell(ctx, func(st *state) { p.merge(st, theirs) })
+	return nil
+}
+
+// Exchange implements wire.GatewayServer.
+func (p *peers) Exchange(ctx context.Context, theirs *wire.GatewayState) (*wire.GatewayState, error) {
+	mine := ask(ctx, p.g.director, func(st *state) *wire.GatewayState {
+		p.merge(st, theirs)
+		return p.export(st, theirs)
+	})
+	return mine, ctx.Err()
+}
+
+// export returns the own state; asker is nil for a message that asks.
+func (p *peers) export(st *state, asker *wire.GatewayState) *wire.GatewayState {
+	now := time.Now()
+	s := p.g.options.Settings
+	m := &wire.GatewayState{
+		Name: s.Name, Incarnation: p.incarnation, Address: s.PeerListen, Zone: s.Zone, Leaving: p.g.stopping.Load(),
+	}
+	for id, load := range st.fleet.OwnLoads(now) {
+		m.Loads = append(m.Loads, &wire.TargetLoad{
+			Target: id, BacklogMs: uint32(load.Backlog.Milliseconds()), MemoryTokens: uint32(load.Memory),
+			Streams: uint32(load.Streams), Copies: uint32(load.Copies),
+		})
+	}
+	for _, r := range st.suspects.Export(now) {
+		m.Suspects = append(m.Suspects,
+			&wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExpiresUnixMs: r.Expires.Sub(now).Milliseconds()})
+		if len(r.Cleared) > 0 {
+			m.Suspects = append(m.Suspects, &wire.SuspectCount{
+				Fingerprint: r.Fingerprint, DeathIds: r.Cleared, ExpiresUnixMs: r.Expires.Sub(now).Milliseconds(), Cleared: true,
+			})
+		}
+	}
+	for id := range st.recentDown {
+		m.Unreachable = append(m.Unreachable, id)
+	}
+	for i, table := range st.tables {
+		t := &wire.TableCopy{Table: uint32(i), Revision: table.Revision(), Wanted: st.storeFailing(Table(i)) || !table.Loaded()}
+		if wantsTable(asker, i, table) {
+			t.Complete = true
+			for _, row := range table.Rows() {
+				t.Rows = append(t.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision})
+			}
+		}
+		m.Tables = append(m.Tables, t)
+	}
+	return m
+}
+
+// wantsTable reports whether the asking gateway lacks rows that this one has.
+func wantsTable(asker *wire.GatewayState, i int, table *replica.Table) bool {
+	if asker == nil || !table.Loaded() {
+		return false
+	}
+	return slices.ContainsFunc(asker.Tables, func(t *wire.TableCopy) bool {
+		return t.Table == uint32(i) && t.Wanted && t.Revision < table.Revision()
+	})
+}
+
+// merge takes in the state of another gateway.
+func (p *peers) merge(st *state, m *wire.GatewayState) {
+	now := time.Now()
+	loads := make(map[string]placement.PeerLoad, len(m.Loads))
+	for _, l := range m.Loads {
+		loads[l.Target] = placement.PeerLoad{
+			Backlog: time.Duration(l.BacklogMs) * time.Millisecond, Memory: int(l.MemoryTokens),
+			Streams: int(l.Streams), Copies: int(l.Copies),
+		}
+	}
+	st.fleet.Observe(m.Name, now, loads)
+	records := make([]suspect.Record, 0, len(m.Suspects))
+	for _, s := range m.Suspects {
+		r := suspect.Record{Fingerprint: s.Fingerprint, Expires: now.Add(time.Duration(s.ExpiresUnixMs) * time.Millisecond)}
+		if s.Cleared {
+			r.Cleared = s.DeathIds
+		} else {
+			r.Deaths = s.DeathIds
+		}
+		records = append(records, r)
+	}
+	st.suspects.Merge(records, now)
+	p.mergeDown(st, m.Unreachable)
+	for _, t := range m.Tables {
+		if !t.Complete || int(t.Table) >= followed {
+			continue
+		}
+		table := Table(t.Table)
+		if t.Revision <= st.tables[table].Revision() && st.tables[table].Loaded() {
+			continue
+		}
+		rows := make([]replica.Row, 0, len(t.Rows))
+		for _, row := range t.Rows {
+			rows = append(rows, replica.Row{Key: row.Key, Value: row.Value, Revision: row.Revision})
+		}
+		p.g.director.snapshot(st, now, table, rows, t.Revision, m.Name)
+	}
+}
+
+// mergeDown probes targets that another gateway did not reach and that run streams of
+// this one. They may be reachable from here.
+func (p *peers) mergeDown(st *state, ids []string) {
+	for _, id := range ids {
+		if _, known := st.recentDown[id]; known || len(st.streams[id]) == 0 {
+			continue
+		}
+		if reg, ok := st.fleet.Target(id); ok {
+			p.g.director.probe(reg)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"time"
+
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/suspect"
+)
+
+const (
+	// probeTimeout bounds one probe. Targets answer within a few ms.
+	probeTimeout = 110 * time.Millisecond
+	// probeTries is the number of probes without an answer after which a target is down; a
+	// single one may have lost its first packet.
+	probeTries = 2
+	// recheckInterval is the pause between probes of targets that are avoided.
+	recheckInterval = 700 * time.Millisecond
+)
+
+// alive probes a target and marks it down if it does not answer.
+func (g *Gateway) alive(reg membership.Registration) bool {
+	var err error
+	for range probeTries {
+		_, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
+		if err == nil {
+			g.metrics.probes.WithLabelValues("alive").Inc()
+			return true
+		}
+		if refused(err) {
+			break
+		}
+	}
+	g.metrics.probes.WithLabelValues("no_answer").Inc()
+	g.reportDown(reg, err)
+	return false
+}
+
+// reportDown tells the director that a target is unreachable. A target whose port is
+// closed has crashed; one that is silent may be cut off, so that no request is blamed.
+func (g *Gateway) reportDown(reg membership.Registration, err error) {
+	reason := "no answer"
+	if refused(err) {
+		reason = "connection refused"
+	}
+	g.director.tell(g.ctx, func(st *state) {
+		now := time.Now()
+		if refused(err) {
+			g.director.countCrash(st, now, reg)
+		}
+		g.director.targetDown(st, now, reg.ID, reason)
+	})
+}
+
+// countCrash blames the requests that ran on a crashed target.
+func (d *director) countCrash(st *state, now time.Time, reg membership.Registration) {
+	handles := st.streams[reg.ID]
+	if len(handles) == 0 {
+		return
+	}
+	death := suspect.Death{ID: reg.ID + "@" + reg.Address, Target: reg.ID, Zone: reg.Zone, At: now}
+	for handle := range handles {
+		death.Fingerprints = append(death.Fingerprints, handle.fingerprint)
+	}
+	if st.suspects.Report(death, now) {
+		d.metrics.crashesCounted.Inc()
+		d.log.Warn().Str("target", reg.ID).Str("zone", reg.Zone).Int("running", len(handles)).Msg("target crashed; running requests are suspected")
+	}
+}
+
+// unreachable handles a connection that could not be made.
+func (g *Gateway) unreachable(reg membership.Registration, err error, _ *streamHandle) {
+	switch {
+	case refused(err):
+		g.reportDown(reg, err)
+	case errors.Is(err, context.Canceled), g.ctx.Err() != nil:
+	default:
+		g.background(func() { g.alive(reg) })
+	}
+}
+
+// verify probes a target whose connection broke: a crash ends all its streams.
+func (g *Gateway) verify(reg membership.Registration, _ *streamHandle) { g.alive(reg) }
+
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// recheck probes avoided targets until ctx ends, so that they get work again soon.
+func (g *Gateway) recheck(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, recheckInterval)
+		down := ask(ctx, g.director, func(st *state) []membership.Registration {
+			return st.fleet.DownTargets(time.Now())
+		})
+		for _, reg := range down {
+			g.background(func() { g.recheckOne(reg) })
+		}
+		g.pool.Sweep()
+	}
+	return nil
+}
+
+func (g *Gateway) recheckOne(reg membership.Registration) {
+	if _, err := g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout); err != nil {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			g.log.Debug().Str("target", reg.ID).Err(err).Msg("avoided target does not answer")
+		}
+		return
+	}
+	g.log.Info().Str("target", reg.ID).Msg("avoided target answers again")
+	g.director.tell(g.ctx, func(st *state) { st.fleet.Up(reg.ID) })
+}
+
+// background runs a short task that ends with the gateway.
+func (g *Gateway) background(task func()) {
+	g.tasks.Go(task)
+}
+
+func (st *state) addHandle(id string, h *streamHandle) {
+	if st.streams[id] == nil {
+		st.streams[id] = map[*streamHandle]struct{}{}
+	}
+	st.streams[id][h] = struct{}{}
+}
+
+func (st *state) removeHandle(id string, h *streamHandle) {
+	delete(st.streams[id], h)
+	if len(st.streams[id]) == 0 {
+		delete(st.streams, id)
+	}
+}
--- /dev/null
+++ b/internal/gateway/target/events.go
@@ -0,0 +1,82 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEventBytes bounds one event; real ones have a few hundred bytes.
+const maxEventBytes = 1 << 20
+
+// ErrEventTooLong is returned for an event above the bound.
+var ErrEventTooLong = errors.New("event is longer than 1 MiB")
+
+// ErrCutEvent is returned for a stream that ends inside an event.
+var ErrCutEvent = errors.New("the stream ends inside an event")
+
+// Event is one whole event of a stream.
+type Event struct {
+	// Number is the event's id, 0 if it has none.
+	Number uint64
+	// Raw is the event with the empty line behind it, valid until the next Read.
+	Raw []byte
+}
+
+// EventReader splits a stream into events.
+type EventReader struct {
+	reader *bufio.Reader
+	raw    []byte
+}
+
+// NewEventReader returns a reader of the events in a body.
+func NewEventReader(body io.Reader) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, readBuffer)}
+}
+
+// Read returns the next event. It returns io.EOF if the stream ended regularly behind an
+// event.
+func (r *EventReader) Read() (Event, error) {
+	if n := len(r.raw); n > 0 && endsEvent(r.raw) {
+		r.raw = r.raw[:0]
+	}
+	for {
+		line, err := r.reader.ReadSlice('\n')
+		r.raw = append(r.raw, line...)
+		if len(r.raw) > maxEventBytes {
+			return Event{}, ErrEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(r.raw)) > 0 {
+				return Event{}, ErrCutEvent
+			}
+			return Event{}, err
+		}
+		if endsEvent(r.raw) {
+			return Event{Number: eventNumber(r.raw), Raw: r.raw}, nil
+		}
+	}
+}
+
+// endsEvent reports whether the text ends with an empty line.
+func endsEvent(raw []byte) bool {
+	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n"))
+}
+
+func eventNumber(raw []byte) uint64 {
+	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+			return n
+		}
+	}
+	return 0
+}
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -64,15 +64,16 @@
 	return ""
 }
 
-// AdminHandler serves /metrics, /healthz and /readyz.
-func AdminHandler(registry *prometheus.Registry, readiness *Readiness) http.Handler {
+// AdminHandler serves /metrics, /healthz and /readyz; unready returns the reason why the
+// process is not ready, empty if it is.
+func AdminHandler(registry *prometheus.Registry, unready func() string) http.Handler {
 	router := chi.NewRouter()
 	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
 	})
 	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if reason := readiness.Reason(); reason != "" {
+		if reason := unready(); reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"time"
+
+	"bramleygap/internal/opconfig"
+	"bramleygap/internal/tomlcheck"
+)
+
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	// Name identifies the VM; unique in the installation.
+	Name string `toml:"name"`
+	// Zone is the availability zone of the VM.
+	Zone string `toml:"zone"`
+	// ClientListen is host:port for clients' HTTP.
+	ClientListen string `toml:"client_listen"`
+	// ReadinessListen is host:port for the load balancer's questions.
+	ReadinessListen string `toml:"readiness_listen"`
+	// PeerListen is host:port for gRPC from other gateways; they dial it.
+	PeerListen string `toml:"peer_listen"`
+	// AdminListen is host:port for metrics; empty means none.
+	AdminListen string `toml:"admin_listen"`
+	// StoreAddress is host:port of the platform's store.
+	StoreAddress string `toml:"store_address"`
+	// Seeds are PeerListen addresses of some gateways. They may be stale.
+	Seeds []string `toml:"seeds"`
+	// MemoryLimitMB is the memory at which the platform ends the process, in MB; 0 means none.
+	MemoryLimitMB int64 `toml:"memory_limit_mb"`
+	// Grace is the time between the request to stop and the end of the process by force.
+	Grace  opconfig.Duration `toml:"grace"`
+	Bounds Bounds            `toml:"bounds"`
+	Log    Log               `toml:"log"`
+}
+
+// Bounds are promises towards the operators that the gateways keep together.
+type Bounds struct {
+	// RetryRatio is the part of a service's requests that may be sent once more.
+	RetryRatio float64 `toml:"retry_ratio"`
+	// RetrySlack is the number of retries that is permitted besides, in each RetryWindow.
+	RetrySlack float64 `toml:"retry_slack"`
+	// RetryWindow is the span over which retries are counted.
+	RetryWindow opconfig.Duration `toml:"retry_window"`
+	// DrainTimeout is the time after which a leaving target gets no request.
+	DrainTimeout opconfig.Duration `toml:"drain_timeout"`
+}
+
+// minGrace is the shortest grace: the load balancer needs 2 s to notice a stop.
+const minGrace = 3 * time.Second
+
+// LoadGateway reads and validates the settings file of a gateway. The error lists all
+// problems with file, line and key.
+func LoadGateway(path string) (Gateway, error) {
+	text, err := read(path)
+	if err != nil {
+		return Gateway{}, err
+	}
+	return ParseGateway(path, text)
+}
+
+// ParseGateway validates the settings of a gateway; file is named in errors and may be empty.
+func ParseGateway(file, text string) (Gateway, error) {
+	var s Gateway
+	d, ok := tomlcheck.Decode(file, text, maxFileBytes, &s)
+	if !ok {
+		return Gateway{}, d.Err()
+	}
+	d.Name("name", s.Name)
+	d.Name("zone", s.Zone)
+	d.Address("client_listen", s.ClientListen, true)
+	d.Address("readiness_listen", s.ReadinessListen, true)
+	d.Address("peer_listen", s.PeerListen, false)
+	if s.AdminListen != "" {
+		d.Address("admin_listen", s.AdminListen, true)
+	}
+	checkDistinct(d, []string{"client_listen", "readiness_listen", "peer_listen", "admin_listen"},
+		[]string{s.ClientListen, s.ReadinessListen, s.PeerListen, s.AdminListen})
+	d.Address("store_address", s.StoreAddress, false)
+	if s.MemoryLimitMB < 0 {
+		d.Add("memory_limit_mb", "is negative; write a number of MB, or 0 for no limit")
+	}
+	if s.Grace.Duration < minGrace {
+		d.Add("grace", "is shorter than 3 s; the load balancer would still send connections")
+	}
+	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
+		d.Add("bounds.retry_ratio", "and bounds.retry_slack must not be negative")
+	}
+	checkLog(d, s.Log)
+	if err := d.Err(); err != nil {
+		return Gateway{}, err
+	}
+	return s, nil
+}
