Count only attempts that ran against the limit of a request

A copy was also asked for after attempts that never began. The handles of short calls had no close function, and the process ended by a nil call when their target was found down. Change: relay counts targets that ran; maxTries bounds all. Calls can be interrupted.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -23,21 +23,24 @@
 	gapWeight = 0.2
 	// firstProbe and nextProbe are the pauses before the first event after which a target
 	// is probed: reading a prompt takes about a second.
-	firstProbe = 600 * time.Millisecond
-	nextProbe  = 900 * time.Millisecond
+	firstProbe = 900 * time.Millisecond
+	nextProbe  = 1200 * time.Millisecond
 	// stuckShare is the share of the permitted pause after which a stream that makes no
 	// progress at a live target moves to its copy.
 	stuckShare = 0.62
 	// stuckWithoutCopy is the pause after which a stream without a copy moves: reading the
 	// prompt again costs more than a second, and target and caller may both recover.
 	stuckWithoutCopy = 4 * time.Second
+	// maxTries bounds the attempts of one stream with those that did not run. Targets that
+	// restarted together refuse in turn until the gateway learns of their new ids.
+	maxTries = 16
 )
 
 // Options are the fixed properties of a stream.
 type Options struct {
 	// Resumable is set if the stream may continue on another target.
 	Resumable bool
-	// MaxAttempts bounds the targets that the request may be sent to.
+	// MaxAttempts bounds the targets that may run the request.
 	MaxAttempts int
 	// Deadline ends the stream.
 	Deadline time.Time
@@ -155,6 +158,8 @@
 type Machine struct {
 	options  Options
 	attempts int
+	// ranOn is the number of targets that may have begun to run the request.
+	ranOn    int
 	excluded []string
 	place    Place
 	open     bool
@@ -267,25 +272,26 @@
 		return nil
 	}
 	m.open = false
-	if loss != Unsent && loss != Refused && loss != Replaced {
+	began := loss != Unsent && loss != Refused && loss != Replaced
+	if began {
 		m.ran = true
+		m.ranOn++
 	}
 	effects := []Effect{Close{loss}}
 	m.excluded = append(m.excluded, m.place.Target)
 	switch {
 	case !now.Before(m.options.Deadline):
 		return append(effects, m.finish(TimedOut)...)
-	case m.attempts >= m.options.MaxAttempts, m.ran && !m.options.Resumable:
+	case m.ranOn >= m.options.MaxAttempts, m.attempts >= maxTries, m.ran && !m.options.Resumable:
 		if loss == Failed && m.events == 0 {
 			return append(effects, m.finish(TargetFailed)...)
 		}
 		return append(effects, m.Unplaced()...)
 	}
-	holder := m.place.Copy
-	if loss == Unsent || loss == Refused && m.place.Resume {
-		holder = ""
+	if !began {
+		return append(effects, Choose{Exclude: m.excluded})
 	}
-	return append(effects, Choose{Exclude: m.excluded, Copy: holder})
+	return append(effects, Choose{Exclude: m.excluded, Copy: m.place.Copy})
 }
 
 // CallerGone reports that the caller closed its connection.
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -107,24 +107,29 @@
 
 // send starts one attempt at the target that the director chooses.
 func (x *exchange) send(e forward.Send) []forward.Effect {
-	handle := &streamHandle{fingerprint: x.call.fingerprint}
+	ctx, cancel := context.WithCancel(x.attempts)
+	handle := &running{fingerprint: x.call.fingerprint, close: cancel}
 	until := time.Now().Add(time.Duration(patienceShare * float64(x.call.route.TargetLatency)))
 	for {
 		reg, ok := x.choose(e, handle)
 		if ok {
 			x.sends++
 			x.machine.Sent(reg.ID)
-			go x.attempt(e.Attempt, reg, handle)
+			go func() {
+				defer cancel()
+				x.attempt(ctx, e.Attempt, reg, handle)
+			}()
 			return nil
 		}
 		if e.Extra || !time.Now().Before(until) || x.call.ctx.Err() != nil {
+			cancel()
 			return x.machine.NoTarget(e.Attempt)
 		}
 		sleep(x.call.ctx, placeRetry/8)
 	}
 }
 
-func (x *exchange) choose(e forward.Send, handle *streamHandle) (membership.Registration, bool) {
+func (x *exchange) choose(e forward.Send, handle *running) (membership.Registration, bool) {
 	type choice struct {
 		reg membership.Registration
 		ok  bool
@@ -153,9 +158,9 @@
 }
 
 // attempt sends the request to one target and reports the end.
-func (x *exchange) attempt(n int, reg membership.Registration, handle *streamHandle) {
+func (x *exchange) attempt(ctx context.Context, n int, reg membership.Registration, handle *running) {
 	begun := time.Now()
-	end := x.once(reg, handle)
+	end := x.once(ctx, reg, handle)
 	end.attempt, end.target = n, reg.ID
 	latency := time.Since(begun)
 	failed := end.result == forward.TargetError || end.result == forward.Unknown || end.result == forward.Unsent
@@ -180,17 +185,17 @@
 }
 
 // once makes one exchange with a target.
-func (x *exchange) once(reg membership.Registration, handle *streamHandle) attemptEnd {
+func (x *exchange) once(ctx context.Context, reg membership.Registration, handle *running) attemptEnd {
 	idle := maxIdle
 	if !x.call.route.Repeatable() {
 		idle = maxIdleOnce
 	}
-	conn, err := x.g.pool.Get(x.attempts, reg.Address, idle)
+	conn, err := x.g.pool.Get(ctx, reg.Address, idle)
 	if err != nil {
-		x.g.unreachable(reg, err, handle)
+		x.g.unreachable(reg, err)
 		return attemptEnd{result: forward.Unsent}
 	}
-	stop := context.AfterFunc(x.attempts, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	message := x.call.message(x.g.options.Protocol.EncodeAttempt(&Attempt{
 		Request: &x.call.request, Target: reg, Account: x.call.account, Patience: time.Until(x.call.deadline), Urgency: -1,
@@ -201,12 +206,12 @@
 		if !sent {
 			return attemptEnd{result: forward.Unsent}
 		}
-		return x.lost(reg, handle, err)
+		return x.lost(ctx, reg, err)
 	}
 	end, reusable, err := x.receive(conn)
 	if err != nil {
 		_ = conn.Close()
-		return x.lost(reg, handle, err)
+		return x.lost(ctx, reg, err)
 	}
 	if reusable && stop() {
 		x.g.pool.Put(conn)
@@ -217,10 +222,10 @@
 }
 
 // lost handles a connection that broke after the request was sent.
-func (x *exchange) lost(reg membership.Registration, handle *streamHandle, err error) attemptEnd {
+func (x *exchange) lost(ctx context.Context, reg membership.Registration, err error) attemptEnd {
 	x.call.log.Info().Str("target", reg.ID).Err(err).Msg("connection to target broke")
-	if x.attempts.Err() == nil {
-		x.g.verify(reg, handle)
+	if ctx.Err() == nil {
+		x.g.alive(reg)
 	}
 	return attemptEnd{result: forward.Unknown}
 }
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -45,7 +45,7 @@
 	inflight      map[string]int
 	latencies     map[string]*retry.Estimate
 	suspects      *suspect.Tracker
-	streams       map[string]map[*streamHandle]struct{}
+	streams       map[string]map[*running]struct{}
 	storeFailed   [followed]time.Time
 	storeWorked   [followed]time.Time
 	gateways      int
@@ -87,7 +87,7 @@
 		inflight:      map[string]int{},
 		latencies:     map[string]*retry.Estimate{},
 		suspects:      suspect.NewTracker(),
-		streams:       map[string]map[*streamHandle]struct{}{},
+		streams:       map[string]map[*running]struct{}{},
 		recentDown:    map[string]time.Time{},
 		gateways:      1,
 		lastTick:      now,
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -72,7 +72,7 @@
 }
 
 // unreachable handles a connection that could not be made.
-func (g *Gateway) unreachable(reg membership.Registration, err error, _ *streamHandle) {
+func (g *Gateway) unreachable(reg membership.Registration, err error) {
 	switch {
 	case refused(err):
 		g.reportDown(reg, err)
@@ -82,9 +82,6 @@
 	}
 }
 
-// verify probes a target whose connection broke: a crash ends all its streams.
-func (g *Gateway) verify(reg membership.Registration, _ *streamHandle) { g.alive(reg) }
-
 func refused(err error) bool {
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
@@ -120,14 +117,14 @@
 	g.tasks.Go(task)
 }
 
-func (st *state) addHandle(id string, h *streamHandle) {
+func (st *state) addHandle(id string, h *running) {
 	if st.streams[id] == nil {
-		st.streams[id] = map[*streamHandle]struct{}{}
+		st.streams[id] = map[*running]struct{}{}
 	}
 	st.streams[id][h] = struct{}{}
 }
 
-func (st *state) removeHandle(id string, h *streamHandle) {
+func (st *state) removeHandle(id string, h *running) {
 	delete(st.streams[id], h)
 	if len(st.streams[id]) == 0 {
 		delete(st.streams, id)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -28,15 +28,15 @@
 // errMoved ends the reading of an attempt that the machine has left.
 var errMoved = errors.New("the attempt was left")
 
-// streamHandle is a running attempt as the director knows it.
-type streamHandle struct {
+// running is an attempt at a target as the director knows it.
+type running struct {
 	fingerprint uint64
 	interrupted atomic.Bool
-	close       func()
+	close       context.CancelFunc
 }
 
 // interrupt ends the attempt because its target is down.
-func (h *streamHandle) interrupt() {
+func (h *running) interrupt() {
 	h.interrupted.Store(true)
 	h.close()
 }
@@ -198,7 +198,7 @@
 	s.pending = nil
 	ctx, cancel := context.WithCancel(s.call.ctx)
 	defer cancel()
-	handle := &streamHandle{fingerprint: s.call.fingerprint, close: cancel}
+	handle := &running{fingerprint: s.call.fingerprint, close: cancel}
 	prompt := s.prompt
 	if e.Holder != "" {
 		// The copy has nearly everything that was read.
@@ -214,7 +214,7 @@
 	return effects
 }
 
-func (s *stream) begin(e relay.Open, handle *streamHandle, prompt placement.Prompt) started {
+func (s *stream) begin(e relay.Open, handle *running, prompt placement.Prompt) started {
 	return ask(s.g.ctx, s.g.director, func(st *state) started {
 		now := time.Now()
 		b := started{run: st.fleet.BeginStream(now, e.Place.Target, e.Place.Copy, prompt)}
@@ -229,13 +229,13 @@
 
 // exchange sends the request and passes the events on. Failed tells whether the target is
 // to blame for the end.
-func (s *stream) exchange(ctx context.Context, e relay.Open, handle *streamHandle, begin started) (effects []relay.Effect, failed bool) {
+func (s *stream) exchange(ctx context.Context, e relay.Open, handle *running, begin started) (effects []relay.Effect, failed bool) {
 	conn, err := s.g.pool.Dial(ctx, s.reg.Address)
 	if err != nil {
 		if s.call.ctx.Err() != nil {
 			return s.machine.CallerGone(), false
 		}
-		s.g.unreachable(s.reg, err, handle)
+		s.g.unreachable(s.reg, err)
 		return s.machine.Broken(time.Now(), relay.Unsent), true
 	}
 	defer func() { _ = conn.Close() }()
@@ -297,7 +297,7 @@
 }
 
 // relayEvents passes events on until the stream or the attempt ends.
-func (s *stream) relayEvents(e relay.Open, handle *streamHandle, body io.Reader, run uint64) ([]relay.Effect, bool) {
+func (s *stream) relayEvents(e relay.Open, handle *running, body io.Reader, run uint64) ([]relay.Effect, bool) {
 	reader := target.NewEventReader(body)
 	first := true
 	for {
@@ -330,7 +330,7 @@
 }
 
 // broken reports the end of an attempt by an error of its connection.
-func (s *stream) broken(handle *streamHandle, err error) ([]relay.Effect, bool) {
+func (s *stream) broken(handle *running, err error) ([]relay.Effect, bool) {
 	switch {
 	case s.call.ctx.Err() != nil:
 		return s.machine.CallerGone(), false
@@ -340,7 +340,7 @@
 		return s.machine.Broken(time.Now(), relay.TargetDown), true
 	}
 	s.call.log.Debug().Str("target", s.reg.ID).Err(err).Msg("connection to target broke")
-	s.g.verify(s.reg, handle)
+	s.g.alive(s.reg)
 	return s.machine.Broken(time.Now(), relay.Interrupted), true
 }
 
