Prefer own targets, spread copies by zone, ask targets while the store is silent

Change: rendezvous preference, cost of copies by the zone of their streams, a survey of health while the store does not answer, older starts of an address retired.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleygap/internal/core/membership"
 )
 
@@ -17,12 +19,23 @@
 	firstTokenOverhead = 60 * time.Millisecond
 	// choiceNoise keeps gateways with the same view from choosing the same target.
 	choiceNoise = 60 * time.Millisecond
+	// foreignCost is the cost of a target that another gateway prefers. Gateways see each
+	// other's choices late; each fills its own targets first, up to this much waiting.
+	foreignCost = 250 * time.Millisecond
+	// leavingCost keeps new work off targets that said they are leaving while the store
+	// could not say so. It is a cost and no bar, since such a word may be false.
+	leavingCost = 3 * time.Second
+	// leavingFor is how long the word of a target that it is leaving counts.
+	leavingFor = 4 * time.Second
 	// streamCrowding is the cost of each running stream at a candidate: reading a prompt
 	// delays the events of all of them.
 	streamCrowding = 25 * time.Millisecond
 	// copyCrowding is the cost of each second copy at a candidate: the loss of another
 	// target sends the streams of its copies there.
-	copyCrowding = 10 * time.Millisecond
+	copyCrowding = 15 * time.Millisecond
+	// sameZoneCopy is the cost of each copy at a candidate whose stream runs in the same
+	// zone as the one to be copied: a lost zone sends them all there at once.
+	sameZoneCopy = 120 * time.Millisecond
 	// memoryCost is added for a candidate whose memory would be full, which preempts.
 	memoryCost = 20 * time.Second
 	// otherZoneCost prefers the gateway's own zone for short calls: traffic between zones
@@ -80,15 +93,20 @@
 	capacity  int
 	downUntil time.Time
 	// gone is set when another instance answered at the address.
-	gone     bool
-	calls    int
-	streams  map[uint64]*run
-	copies   int
-	copyMem  int
-	readBy   time.Time
-	slowness decaying
-	failures decaying
-	latency  time.Duration
+	gone bool
+	// own is set if this gateway is the one that prefers the target.
+	own          bool
+	leavingUntil time.Time
+	calls        int
+	streams      map[uint64]*run
+	copies       int
+	// copiesFrom counts the copies by the zone of their streams.
+	copiesFrom map[string]int
+	copyMem    int
+	readBy     time.Time
+	slowness   decaying
+	failures   decaying
+	latency    time.Duration
 }
 
 // run is one generation of this gateway at a target.
@@ -125,7 +143,9 @@
 // Fleet chooses among targets that gateways reach directly. It knows what this gateway
 // runs on each and what the others reported. It is not safe for concurrent use.
 type Fleet struct {
+	name    string
 	zone    string
+	names   []string
 	rng     *rand.Rand
 	members map[string]*member
 	peers   map[string]peerReport
@@ -133,8 +153,8 @@
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
-func NewFleet(zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{zone: zone, rng: rng, members: map[string]*member{}, peers: map[string]peerReport{}}
+func NewFleet(name, zone string, rng *rand.Rand) *Fleet {
+	return &Fleet{name: name, zone: zone, names: []string{name}, rng: rng, members: map[string]*member{}, peers: map[string]peerReport{}}
 }
 
 // Update replaces the registered targets. The state of targets that stay is kept, unless
@@ -145,15 +165,87 @@
 		m := f.members[reg.ID]
 		if m == nil || !m.reg.Same(&reg) {
 			m = &member{
-				streams:  map[uint64]*run{},
-				slowness: decaying{rest: 1, half: slownessDecay},
-				failures: decaying{half: failureDecay},
+				streams:    map[uint64]*run{},
+				copiesFrom: map[string]int{},
+				slowness:   decaying{rest: 1, half: slownessDecay},
+				failures:   decaying{half: failureDecay},
 			}
 		}
 		m.reg, m.capacity = reg, capacity(reg.Service)
 		next[reg.ID] = m
 	}
 	f.members = next
+	f.retireReplaced()
+	f.assign()
+}
+
+// retireReplaced marks targets whose address another, younger start has registered.
+func (f *Fleet) retireReplaced() {
+	youngest := make(map[string]*member, len(f.members))
+	for _, m := range f.members {
+		other := youngest[m.reg.Address]
+		switch {
+		case other == nil:
+			youngest[m.reg.Address] = m
+		case other.reg.Born < m.reg.Born:
+			other.gone = true
+			youngest[m.reg.Address] = m
+		case m.reg.Born < other.reg.Born:
+			m.gone = true
+		}
+	}
+}
+
+// SetGateways tells which gateways share the targets; the own name is among them.
+func (f *Fleet) SetGateways(names []string) {
+	f.names = names
+	f.assign()
+}
+
+// assign gives each target to the gateway with the highest hash (rendezvous hashing), so
+// that few targets change hands when a gateway comes or goes.
+func (f *Fleet) assign() {
+	for id, m := range f.members {
+		m.own = f.Prefers(id)
+	}
+}
+
+// Prefers reports whether this gateway is the one that prefers a target.
+func (f *Fleet) Prefers(id string) bool {
+	var best uint64
+	owner := f.name
+	for _, name := range f.names {
+		if h := xxhash.Sum64String(name + "\x00" + id); h > best || best == 0 {
+			best, owner = h, name
+		}
+	}
+	return owner == f.name
+}
+
+// Leaving records a target's own word that it is leaving.
+func (f *Fleet) Leaving(now time.Time, id string) {
+	if m := f.members[id]; m != nil {
+		m.leavingUntil = now.Add(leavingFor)
+	}
+}
+
+// SaidLeaving returns the targets whose own word that they are leaving counts.
+func (f *Fleet) SaidLeaving(now time.Time) []string {
+	var ids []string
+	for id, m := range f.members {
+		if now.Before(m.leavingUntil) && !m.reg.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// extraCost is what speaks against a target for any kind of work.
+func (m *member) extraCost(now time.Time) time.Duration {
+	if now.Before(m.leavingUntil) {
+		return leavingCost
+	}
+	return 0
 }
 
 // Observe replaces the load reported by another gateway.
@@ -253,6 +345,7 @@
 	slots := max(1, m.reg.Slots)
 	latency := max(m.latency, time.Millisecond)
 	cost := latency + latency*time.Duration(m.calls)/time.Duration(slots)*2
+	cost += m.extraCost(now)
 	if m.reg.Zone != f.zone {
 		cost += otherZoneCost
 	}
@@ -359,7 +452,10 @@
 		if rate := m.failures.get(now); rate > failureLimit {
 			cost += memoryCost
 		}
-		return cost + time.Duration(f.rng.Int64N(int64(choiceNoise)))
+		if !m.own {
+			cost += foreignCost
+		}
+		return cost + m.extraCost(now) + time.Duration(f.rng.Int64N(int64(choiceNoise)))
 	})
 	if m == nil {
 		return membership.Registration{}, false
@@ -368,11 +464,13 @@
 }
 
 // ChooseCopy returns the engine for the second copy of a generation's memory, outside the
-// zone of the engine that runs it if possible. It returns false if none has room.
+// zone of the engine that runs it, which is q.AvoidZone, if possible. The streams of a lost
+// zone shall spread over many engines. It returns false if none has room.
 func (f *Fleet) ChooseCopy(now time.Time, q FleetQuery, p Prompt) (membership.Registration, bool) {
 	m := f.best(now, &q, func(m *member) time.Duration {
 		memory, streams, copies := f.load(now, m)
-		cost := f.backlog(now, m) + time.Duration(streams)*streamCrowding + time.Duration(copies)*streamCrowding
+		cost := f.backlog(now, m)/4 + time.Duration(streams)*streamCrowding + time.Duration(copies)*copyCrowding
+		cost += time.Duration(m.copiesFrom[q.AvoidZone])*sameZoneCopy + m.extraCost(now)
 		if m.capacity > 0 && memory+p.memory() > m.capacity {
 			cost += memoryCost
 		}
@@ -403,6 +501,7 @@
 	if m := f.members[copyAt]; m != nil {
 		m.copies++
 		m.copyMem += p.memory()
+		m.copiesFrom[f.zoneOf(id)]++
 	}
 	return f.nextRun
 }
@@ -443,7 +542,15 @@
 	if m := f.members[copyAt]; m != nil && m.copies > 0 {
 		m.copies--
 		m.copyMem = max(0, m.copyMem-p.memory())
+		m.copiesFrom[f.zoneOf(id)] = max(0, m.copiesFrom[f.zoneOf(id)]-1)
+	}
+}
+
+func (f *Fleet) zoneOf(id string) string {
+	if m := f.members[id]; m != nil {
+		return m.reg.Zone
 	}
+	return ""
 }
 
 // Down marks a target unreachable.
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -48,10 +48,11 @@
 	streams       map[string]map[*running]struct{}
 	storeFailed   [followed]time.Time
 	storeWorked   [followed]time.Time
-	gateways      int
-	lastTick      time.Time
-	rng           *rand.Rand
-	recentDown    map[string]time.Time
+	// gateways are the names of the gateways that answer, with this one, sorted.
+	gateways   []string
+	lastTick   time.Time
+	rng        *rand.Rand
+	recentDown map[string]time.Time
 }
 
 // director owns the gateway's beliefs. Other tasks send it functions as messages.
@@ -82,14 +83,14 @@
 	s := &state{
 		registrations: map[string]membership.Registration{},
 		registry:      membership.NewRegistry(),
-		fleet:         placement.NewFleet(d.options.Settings.Zone, rng),
+		fleet:         placement.NewFleet(d.options.Settings.Name, d.options.Settings.Zone, rng),
 		budgets:       map[string]*retry.Budget{},
 		inflight:      map[string]int{},
 		latencies:     map[string]*retry.Estimate{},
 		suspects:      suspect.NewTracker(),
 		streams:       map[string]map[*running]struct{}{},
 		recentDown:    map[string]time.Time{},
-		gateways:      1,
+		gateways:      []string{d.options.Settings.Name},
 		lastTick:      now,
 		rng:           rng,
 	}
@@ -316,7 +317,7 @@
 	bounds := d.options.Settings.Bounds
 	return retry.Rates{
 		PerRequest: budgetShare * bounds.RetryRatio,
-		Burst:      max(2, budgetShare*bounds.RetrySlack/float64(max(1, s.gateways))),
+		Burst:      max(2, budgetShare*bounds.RetrySlack/float64(max(1, len(s.gateways)))),
 		Reserve:    resumeReserve,
 	}
 }
@@ -340,17 +341,29 @@
 	d.probeZone(s, reg)
 }
 
-// probeZone probes the targets with streams of this gateway in the zone of a lost target:
-// zones are lost as a whole, and a probe is cheaper than waiting for each stream's silence.
+// zoneSuspicion is the number of targets of a zone found down within a second from which
+// all its targets are probed.
+const zoneSuspicion = 2
+
+// probeZone probes the other targets of a lost target's zone: zones are lost as a whole, and
+// a probe is cheaper than waiting for each stream's silence. After a single loss only those
+// with work of this gateway are probed.
 func (d *director) probeZone(s *state, lost membership.Registration) {
-	for id, handles := range s.streams {
-		reg, ok := s.fleet.Target(id)
-		if !ok || len(handles) == 0 || id == lost.ID || reg.Zone != lost.Zone {
+	down := 0
+	for id := range s.recentDown {
+		if reg, ok := s.fleet.Target(id); ok && reg.Zone == lost.Zone {
+			down++
+		}
+	}
+	for _, reg := range s.registry.Targets() {
+		if reg.ID == lost.ID || reg.Zone != lost.Zone || reg.Leaving || !s.fleet.Usable(s.lastTick, reg.ID) {
 			continue
 		}
-		if _, known := s.recentDown[id]; known {
+		if _, known := s.recentDown[reg.ID]; known {
 			continue
 		}
-		d.probe(reg)
+		if len(s.streams[reg.ID]) > 0 || down == zoneSuspicion {
+			d.probe(reg)
+		}
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -46,6 +46,7 @@
 // peer is another gateway as this one sees it. The peers task owns it.
 type peer struct {
 	address  string
+	name     string
 	answered time.Time
 	failed   time.Time
 }
@@ -133,18 +134,20 @@
 func (p *peers) round(ctx context.Context) {
 	now := time.Now()
 	var due []*peer
-	alive := 1
+	names := []string{p.g.options.Settings.Name}
 	for _, other := range p.known {
 		if now.Sub(other.answered) < forgetAfter {
-			alive++
+			names = append(names, other.name)
 		}
 		if now.Sub(other.failed) >= unreachablePause {
 			due = append(due, other)
 		}
 	}
+	slices.Sort(names)
 	p.g.director.tell(ctx, func(st *state) {
-		if st.gateways != alive {
-			st.gateways = alive
+		if !slices.Equal(st.gateways, names) {
+			st.gateways = names
+			st.fleet.SetGateways(names)
 			for _, b := range st.budgets {
 				b.SetRates(p.g.director.rates(st))
 			}
@@ -154,11 +157,15 @@
 	due = due[:min(len(due), exchangeFanout)]
 	type reply struct {
 		peer *peer
+		name string
 		err  error
 	}
 	replies := make(chan reply, len(due))
 	for _, other := range due {
-		go func() { replies <- reply{other, p.exchange(ctx, other.address)} }()
+		go func() {
+			name, err := p.exchange(ctx, other.address)
+			replies <- reply{other, name, err}
+		}()
 	}
 	for range due {
 		r := <-replies
@@ -166,6 +173,7 @@
 			if r.peer.answered.IsZero() || r.peer.failed.After(r.peer.answered) {
 				p.g.log.Info().Str("peer", r.peer.address).Msg("other gateway answers")
 			}
+			r.peer.name = r.name
 			r.peer.answered, r.peer.failed = time.Now(), time.Time{}
 			p.g.metrics.peerCalls.WithLabelValues("ok").Inc()
 			continue
@@ -178,23 +186,23 @@
 	}
 }
 
-func (p *peers) exchange(ctx context.Context, address string) error {
+func (p *peers) exchange(ctx context.Context, address string) (name string, err error) {
 	conn, err := p.conns.Conn(address)
 	if err != nil {
-		return err
+		return "", err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	mine := ask(ctx, p.g.director, func(st *state) *wire.GatewayState { return p.export(st, nil) })
 	if mine == nil {
-		return ctx.Err()
+		return "", ctx.Err()
 	}
 	theirs, err := wire.NewGatewayClient(conn).Exchange(callCtx, mine, grpc.WaitForReady(false))
 	if err != nil {
-		return err
+		return "", err
 	}
 	p.g.director.tell(ctx, func(st *state) { p.merge(st, theirs) })
-	return nil
+	return theirs.Name, nil
 }
 
 // Exchange implements wire.GatewayServer.
@@ -231,6 +239,7 @@
 	for id := range st.recentDown {
 		m.Unreachable = append(m.Unreachable, id)
 	}
+	m.LeavingTargets = st.fleet.SaidLeaving(now)
 	for i, table := range st.tables {
 		t := &wire.TableCopy{Table: uint32(i), Revision: table.Revision(), Wanted: st.storeFailing(Table(i)) || !table.Loaded()}
 		if wantsTable(asker, i, table) {
@@ -277,6 +286,11 @@
 	}
 	st.suspects.Merge(records, now)
 	p.mergeDown(st, m.Unreachable)
+	for _, id := range m.LeavingTargets {
+		if _, ok := st.fleet.Target(id); ok && !slices.Contains(st.fleet.SaidLeaving(now), id) {
+			st.fleet.Leaving(now, id)
+		}
+	}
 	for _, t := range m.Tables {
 		if !t.Complete || int(t.Table) >= followed {
 			continue
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"os"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -19,13 +19,16 @@
 	probeTries = 2
 	// recheckInterval is the pause between probes of targets that are avoided.
 	recheckInterval = 700 * time.Millisecond
+	// surveyAfter is the age of the store's last answer from which targets are asked
+	// whether they are leaving: the store can no longer say so.
+	surveyAfter = pollWait + pollSlack
 )
 
 // alive probes a target and marks it down if it does not answer.
 func (g *Gateway) alive(reg membership.Registration) bool {
 	var err error
 	for range probeTries {
-		_, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
+		_, _, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
 			g.metrics.probes.WithLabelValues("alive").Inc()
 			return true
@@ -78,7 +81,13 @@
 		g.reportDown(reg, err)
 	case errors.Is(err, context.Canceled), g.ctx.Err() != nil:
 	default:
-		g.background(func() { g.alive(reg) })
+		// The target is avoided at once; the probe takes that back if it answers.
+		g.director.tell(g.ctx, func(st *state) { st.fleet.Down(time.Now(), reg.ID) })
+		g.background(func() {
+			if g.alive(reg) {
+				g.director.tell(g.ctx, func(st *state) { st.fleet.Up(reg.ID) })
+			}
+		})
 	}
 }
 
@@ -86,30 +95,68 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
-// recheck probes avoided targets until ctx ends, so that they get work again soon.
+// recheck asks avoided targets for their health until ctx ends, so that they get work
+// again soon. While the store does not answer, it also asks the targets that this gateway
+// prefers whether they are leaving.
 func (g *Gateway) recheck(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, recheckInterval)
-		down := ask(ctx, g.director, func(st *state) []membership.Registration {
-			return st.fleet.DownTargets(time.Now())
+		asked := ask(ctx, g.director, func(st *state) []membership.Registration {
+			now := time.Now()
+			list := st.fleet.DownTargets(now)
+			if now.Sub(st.storeWorked[TableTargets]) < surveyAfter {
+				return list
+			}
+			for _, reg := range st.registry.Targets() {
+				if !reg.Leaving && st.fleet.Usable(now, reg.ID) && st.fleet.Prefers(reg.ID) {
+					list = append(list, reg)
+				}
+			}
+			return list
 		})
-		for _, reg := range down {
-			g.background(func() { g.recheckOne(reg) })
+		for _, reg := range asked {
+			g.background(func() { g.checkHealth(reg) })
 		}
 		g.pool.Sweep()
 	}
 	return nil
 }
 
-func (g *Gateway) recheckOne(reg membership.Registration) {
-	if _, err := g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout); err != nil {
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			g.log.Debug().Str("target", reg.ID).Err(err).Msg("avoided target does not answer")
-		}
+// checkHealth asks one target for its health.
+func (g *Gateway) checkHealth(reg membership.Registration) {
+	path := g.healthPath(reg.Service)
+	if path == "" {
 		return
 	}
-	g.log.Info().Str("target", reg.ID).Msg("avoided target answers again")
-	g.director.tell(g.ctx, func(st *state) { st.fleet.Up(reg.ID) })
+	status, header, err := g.pool.Probe(g.ctx, reg.Address, path, probeTimeout)
+	if err != nil {
+		g.metrics.probes.WithLabelValues("no_answer").Inc()
+		return
+	}
+	answer := g.options.Protocol.DecodeAnswer(status, header)
+	g.metrics.probes.WithLabelValues("health").Inc()
+	g.director.tell(g.ctx, func(st *state) {
+		switch {
+		case answer.Instance != "" && answer.Instance != reg.ID:
+			st.fleet.Gone(reg.ID)
+		case answer.Instance == reg.ID && status == http.StatusServiceUnavailable:
+			g.log.Info().Str("target", reg.ID).Msg("target says that it is leaving or unhealthy")
+			st.fleet.Leaving(time.Now(), reg.ID)
+			st.fleet.Up(reg.ID)
+		case answer.Instance == reg.ID && !st.fleet.Usable(time.Now(), reg.ID):
+			g.log.Info().Str("target", reg.ID).Msg("avoided target answers again")
+			st.fleet.Up(reg.ID)
+		}
+	})
+}
+
+func (g *Gateway) healthPath(service string) string {
+	p := g.director.published.Load()
+	if p == nil || p.desired.Config == nil {
+		return ""
+	}
+	s, _ := p.desired.Config.Service(service)
+	return s.HealthPath
 }
 
 // background runs a short task that ends with the gateway.
--- a/internal/gateway/provider.go
+++ b/internal/gateway/provider.go
@@ -147,6 +147,8 @@
 	NotRun bool
 	// OtherInstance is set if another instance than the expected one answered.
 	OtherInstance bool
+	// Instance is the id of the target's instance, empty if it did not say.
+	Instance string
 	// Header holds what is passed on to the client.
 	Header http.Header
 	// Close is set if the target closes the connection behind the answer.
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -287,25 +286,25 @@
 	}
 }
 
-// Probe asks a path over a new connection and returns the body of a 200 answer.
-func (p *Pool) Probe(ctx context.Context, address, path string, timeout time.Duration) ([]byte, error) {
+// Probe asks a path over a new connection and returns the answer's status and header.
+func (p *Pool) Probe(ctx context.Context, address, path string, timeout time.Duration) (int, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.Dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer func() { _ = conn.Close() }()
 	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	message := Message{Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}}
 	if _, err := conn.Send(&message); err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	response, err := conn.Receive(http.MethodGet)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
-	return io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	return response.StatusCode, response.Header, nil
 }
--- a/internal/gateway/target/dial.go
+++ b/internal/gateway/target/dial.go
@@ -12,7 +12,7 @@
 const (
 	// DialTimeout bounds a new connection: targets and gateways are within a few ms of each
 	// other, and a target that does not accept by then is avoided.
-	DialTimeout = 150 * time.Millisecond
+	DialTimeout = 100 * time.Millisecond
 	// unacknowledgedTimeout ends connections whose peer does not acknowledge data.
 	unacknowledgedTimeout = 1500 * time.Millisecond
 	// keepaliveInterval finds connections whose peer is silent while nothing is sent. 1 s is
