Meet restarted targets while the store is silent; order lost copies anew

Streams whose copy was in the zone lost first had none at the next loss and read 5,200 tokens again. Change: membership.Registry takes starts met at known addresses (models must match, store's word goes first, gossiped); copyKeeper orders and refreshes a copy in place of a lost one.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -3,6 +3,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -98,6 +99,8 @@
 	Slots int
 	// MemoryTokens is the capacity for prompts, output and copies, in tokens.
 	MemoryTokens int
+	// Models are the names of the models that the engines serve.
+	Models []string
 	// KeepsCopies is set if engines take second copies of the memory of running requests.
 	KeepsCopies bool
 	// CopyLifetime is how long an unused copy lasts after its last update.
@@ -173,6 +176,22 @@
 	return s, ok
 }
 
+// ModelService returns the only service whose engines serve all the models, or false if
+// there is none or more than one.
+func (c *Config) ModelService(models []string) (string, bool) {
+	found := ""
+	for name, s := range c.services {
+		if s.Engine == nil || !slices.Equal(s.Engine.Models, models) {
+			continue
+		}
+		if found != "" {
+			return "", false
+		}
+		found = name
+	}
+	return found, found != ""
+}
+
 // Services returns the number of services.
 func (c *Config) Services() int { return len(c.services) }
 
--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -27,17 +27,26 @@
 // Registry is a gateway's view of registered targets. It is not safe for concurrent use.
 type Registry struct {
 	targets map[string]Registration
+	// met are starts of targets that were met at the address of a registered one while the
+	// store could not tell of them, by id.
+	met map[string]metTarget
 	// missingSince holds targets whose registration vanished while the store was failing.
 	missingSince map[string]time.Time
 }
 
+// metTarget is a start that was met directly.
+type metTarget struct {
+	reg      Registration
+	replaces string
+}
+
 // lapseGrace is how long a registration that lapsed while the store was failing is kept
 // after the store's return: live targets register again within 2 s of it.
 const lapseGrace = 2 * time.Second
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{targets: map[string]Registration{}, missingSince: map[string]time.Time{}}
+	return &Registry{targets: map[string]Registration{}, met: map[string]metTarget{}, missingSince: map[string]time.Time{}}
 }
 
 // Replace takes in all current registrations. With lapsed set, the store has just come
@@ -48,6 +57,7 @@
 	for _, reg := range list {
 		present[reg.ID] = true
 		r.targets[reg.ID] = reg
+		r.forgetMet(reg)
 		delete(r.missingSince, reg.ID)
 	}
 	for id, reg := range r.targets {
@@ -65,6 +75,52 @@
 	}
 }
 
+// forgetMet drops what was met at the address of a registration that the store lists, if
+// the store tells of that start or of a younger one than the one it replaced.
+func (r *Registry) forgetMet(reg Registration) {
+	for id, m := range r.met {
+		if m.reg.Address == reg.Address && m.replaces != reg.ID {
+			delete(r.met, id)
+		}
+	}
+}
+
+// Meet takes in a start of a target that was met at the address of a registered one, which
+// it replaces, and reports whether it is new. The store's word goes first.
+func (r *Registry) Meet(id, replaces string) bool {
+	old, known := r.targets[replaces]
+	if _, listed := r.targets[id]; listed || !known || old.Leaving {
+		return false
+	}
+	if _, met := r.met[id]; met {
+		return false
+	}
+	for other, m := range r.met {
+		if m.replaces == replaces {
+			delete(r.met, other)
+		}
+	}
+	old.ID, old.Leaving, old.Born = id, false, old.Born+1
+	r.met[id] = metTarget{reg: old, replaces: replaces}
+	return true
+}
+
+// Met returns the ids of the starts that were met directly, with the ones they replace.
+func (r *Registry) Met() map[string]string {
+	met := make(map[string]string, len(r.met))
+	for id, m := range r.met {
+		met[id] = m.replaces
+	}
+	return met
+}
+
+// ForgetMet drops all starts that were met directly and reports whether there were any.
+func (r *Registry) ForgetMet() bool {
+	had := len(r.met) > 0
+	clear(r.met)
+	return had
+}
+
 // Expire drops targets whose grace after a store outage is over and reports whether any
 // was dropped.
 func (r *Registry) Expire(now time.Time) bool {
@@ -85,5 +141,8 @@
 	for _, reg := range r.targets {
 		list = append(list, reg)
 	}
+	for _, m := range r.met {
+		list = append(list, m.reg)
+	}
 	return list
 }
--- /dev/null
+++ b/internal/gateway/copies.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/relay"
+	"bramleygap/internal/gateway/target"
+)
+
+const (
+	// copyCheck is the interval at which a stream looks whether its copy is still there.
+	copyCheck = 200 * time.Millisecond
+	// copyOrderTimeout bounds one order to copy a run's memory: some hundred MB at the
+	// engines' links take well below a second.
+	copyOrderTimeout = 1500 * time.Millisecond
+	// copyRefreshShare is the part of a copy's lifetime after which an ordered copy is
+	// brought up to date, so that it does not expire.
+	copyRefreshShare = 0.4
+	// defaultCopyLifetime is used if the desired state does not state one.
+	defaultCopyLifetime = 4 * time.Second
+)
+
+// copyKeeper watches the copy of one attempt. When the engine that keeps it is lost, it
+// orders another one, since the next loss would cost reading the whole prompt again.
+type copyKeeper struct {
+	s      *stream
+	place  relay.Place
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	begun  chan struct{}
+	once   sync.Once
+	// copy and ordered belong to run; stop reads them after its end.
+	copy    *Copy
+	ordered bool
+}
+
+// keepCopy starts watching the copy of an attempt at a place.
+func (s *stream) keepCopy(place relay.Place, copyAddress string) *copyKeeper {
+	k := &copyKeeper{s: s, place: place, begun: make(chan struct{})}
+	if place.Copy != "" {
+		k.copy = &Copy{Holder: place.Copy, Address: copyAddress, Handle: s.call.request.ID}
+	}
+	k.ctx, k.cancel = context.WithCancel(s.call.ctx)
+	s.keeper = k
+	if s.call.route.Resumable {
+		k.done.Go(k.run)
+	}
+	return k
+}
+
+// delivering tells that the run has begun: before, there is no memory to copy.
+func (k *copyKeeper) delivering() { k.once.Do(func() { close(k.begun) }) }
+
+// stop ends the watch and leaves the copy for the next attempt.
+func (k *copyKeeper) stop() {
+	k.cancel()
+	k.done.Wait()
+	k.s.copy = k.copy
+}
+
+func (k *copyKeeper) run() {
+	select {
+	case <-k.begun:
+	case <-k.ctx.Done():
+		return
+	}
+	for {
+		k.check()
+		pause := copyCheck
+		if k.ordered {
+			pause = time.Duration(copyRefreshShare * float64(k.lifetime()))
+		}
+		sleep(k.ctx, pause)
+		if k.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+func (k *copyKeeper) lifetime() time.Duration {
+	p := k.s.g.director.published.Load()
+	if svc, ok := p.desired.Config.Service(k.s.call.service); ok && svc.Engine != nil && svc.Engine.CopyLifetime > 0 {
+		return svc.Engine.CopyLifetime
+	}
+	return defaultCopyLifetime
+}
+
+// check orders a copy if there is none, and refreshes one that was ordered.
+func (k *copyKeeper) check() {
+	type holder struct {
+		id, address string
+	}
+	h := ask(k.ctx, k.s.g.director, func(st *state) holder {
+		now := time.Now()
+		if k.copy != nil && st.fleet.Usable(now, k.copy.Holder) {
+			reg, _ := st.fleet.Target(k.copy.Holder)
+			return holder{reg.ID, reg.Address}
+		}
+		if !st.keepsCopies(k.s.call.service) {
+			return holder{}
+		}
+		source, _ := st.fleet.Target(k.place.Target)
+		q := placement.FleetQuery{Service: k.s.call.service, Exclude: []string{k.place.Target}, AvoidZone: source.Zone}
+		reg, ok := st.fleet.ChooseCopy(now, q, k.s.prompt)
+		if !ok {
+			return holder{}
+		}
+		return holder{reg.ID, reg.Address}
+	})
+	if h.id == "" || k.copy != nil && h.id == k.copy.Holder && !k.ordered {
+		return
+	}
+	k.order(h.id, h.address)
+}
+
+// order makes or refreshes a copy at a target.
+func (k *copyKeeper) order(id, address string) {
+	source := k.s.reg.Address
+	message := k.s.g.options.Protocol.EncodeCopyOrder(k.s.call.request.ID, address)
+	answer, err := k.s.g.pool.Do(k.ctx, source, &message, copyOrderTimeout)
+	if k.ctx.Err() != nil {
+		return
+	}
+	handle := ""
+	if err == nil && answer.Status == http.StatusOK {
+		handle, err = k.s.g.options.Protocol.DecodeCopyOrder(answer.Body)
+	}
+	k.s.g.metrics.copyOrders.WithLabelValues(copyOutcome(answer, err)).Inc()
+	if handle == "" {
+		k.s.call.log.Info().Str("target", id).Int("status", answer.Status).AnErr("error", err).Msg("copy not made")
+		k.copy, k.ordered = nil, false
+		return
+	}
+	if k.copy == nil || k.copy.Handle != handle {
+		k.s.call.log.Info().Str("target", id).Str("source", k.s.reg.ID).Msg("copy ordered in place of a lost one")
+	}
+	k.copy, k.ordered = &Copy{Holder: id, Address: source, Handle: handle}, true
+}
+
+func copyOutcome(a target.Answer, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case a.Status == http.StatusOK:
+		return "made"
+	}
+	return "refused"
+}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -145,7 +145,12 @@
 		d.metrics.lateTicks.Inc()
 	}
 	s.lastTick = now
-	if s.registry.Expire(now) {
+	expired := s.registry.Expire(now)
+	// Live targets register again within 2 s of the store's return.
+	if worked := s.storeWorked[TableTargets]; worked.Sub(s.storeFailed[TableTargets]) > lapseWindow {
+		expired = s.registry.ForgetMet() || expired
+	}
+	if expired {
 		d.updateFleet(s)
 	}
 	s.suspects.Expire(now)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -240,6 +240,9 @@
 		m.Unreachable = append(m.Unreachable, id)
 	}
 	m.LeavingTargets = st.fleet.SaidLeaving(now)
+	for id, replaces := range st.registry.Met() {
+		m.Met = append(m.Met, &wire.MetTarget{Id: id, Replaces: replaces})
+	}
 	for i, table := range st.tables {
 		t := &wire.TableCopy{Table: uint32(i), Revision: table.Revision(), Wanted: st.storeFailing(Table(i)) || !table.Loaded()}
 		if wantsTable(asker, i, table) {
@@ -291,6 +294,9 @@
 			st.fleet.Leaving(now, id)
 		}
 	}
+	for _, met := range m.Met {
+		p.g.director.meet(st, met.Id, met.Replaces)
+	}
 	for _, t := range m.Tables {
 		if !t.Complete || int(t.Table) >= followed {
 			continue
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -28,7 +28,7 @@
 func (g *Gateway) alive(reg membership.Registration) bool {
 	var err error
 	for range probeTries {
-		_, _, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
+		_, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
 			g.metrics.probes.WithLabelValues("alive").Inc()
 			return true
@@ -97,23 +97,11 @@
 
 // recheck asks avoided targets for their health until ctx ends, so that they get work
 // again soon. While the store does not answer, it also asks the targets that this gateway
-// prefers whether they are leaving.
+// prefers whether they are leaving, and meets targets that started again.
 func (g *Gateway) recheck(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, recheckInterval)
-		asked := ask(ctx, g.director, func(st *state) []membership.Registration {
-			now := time.Now()
-			list := st.fleet.DownTargets(now)
-			if now.Sub(st.storeWorked[TableTargets]) < surveyAfter {
-				return list
-			}
-			for _, reg := range st.registry.Targets() {
-				if !reg.Leaving && st.fleet.Usable(now, reg.ID) && st.fleet.Prefers(reg.ID) {
-					list = append(list, reg)
-				}
-			}
-			return list
-		})
+		asked := ask(ctx, g.director, func(st *state) []membership.Registration { return st.toAsk(time.Now()) })
 		for _, reg := range asked {
 			g.background(func() { g.checkHealth(reg) })
 		}
@@ -122,34 +110,94 @@
 	return nil
 }
 
+// storeSilent reports whether the store has not told of targets for so long that they
+// are asked themselves.
+func (st *state) storeSilent(now time.Time) bool {
+	return now.Sub(st.storeWorked[TableTargets]) >= surveyAfter
+}
+
+// toAsk returns the targets to be asked for their health.
+func (st *state) toAsk(now time.Time) []membership.Registration {
+	if !st.storeSilent(now) {
+		return st.fleet.DownTargets(now)
+	}
+	replaced := map[string]bool{}
+	for _, old := range st.registry.Met() {
+		replaced[old] = true
+	}
+	var list []membership.Registration
+	for _, reg := range st.registry.Targets() {
+		if !reg.Leaving && !replaced[reg.ID] && st.fleet.Prefers(reg.ID) {
+			list = append(list, reg)
+		}
+	}
+	return list
+}
+
 // checkHealth asks one target for its health.
 func (g *Gateway) checkHealth(reg membership.Registration) {
 	path := g.healthPath(reg.Service)
 	if path == "" {
 		return
 	}
-	status, header, err := g.pool.Probe(g.ctx, reg.Address, path, probeTimeout)
+	health, err := g.pool.Probe(g.ctx, reg.Address, path, probeTimeout)
 	if err != nil {
 		g.metrics.probes.WithLabelValues("no_answer").Inc()
 		return
 	}
-	answer := g.options.Protocol.DecodeAnswer(status, header)
+	answer := g.options.Protocol.DecodeAnswer(health.Status, health.Header)
 	g.metrics.probes.WithLabelValues("health").Inc()
+	if answer.Instance != "" && answer.Instance != reg.ID {
+		g.meet(reg, answer.Instance)
+		return
+	}
 	g.director.tell(g.ctx, func(st *state) {
+		now := time.Now()
 		switch {
-		case answer.Instance != "" && answer.Instance != reg.ID:
-			st.fleet.Gone(reg.ID)
-		case answer.Instance == reg.ID && status == http.StatusServiceUnavailable:
+		case answer.Instance == reg.ID && health.Status == http.StatusServiceUnavailable:
 			g.log.Info().Str("target", reg.ID).Msg("target says that it is leaving or unhealthy")
-			st.fleet.Leaving(time.Now(), reg.ID)
+			st.fleet.Leaving(now, reg.ID)
 			st.fleet.Up(reg.ID)
-		case answer.Instance == reg.ID && !st.fleet.Usable(time.Now(), reg.ID):
+		case answer.Instance == reg.ID && !st.fleet.Usable(now, reg.ID):
 			g.log.Info().Str("target", reg.ID).Msg("avoided target answers again")
 			st.fleet.Up(reg.ID)
 		}
 	})
 }
 
+// meet handles another start of a target than the registered one. Addresses are used again
+// by other services, so that only an engine whose models belong to the same service takes
+// the place of the old one, and only while the store cannot tell.
+func (g *Gateway) meet(reg membership.Registration, id string) {
+	g.director.tell(g.ctx, func(st *state) { st.fleet.Gone(reg.ID) })
+	if !reg.Model || !ask(g.ctx, g.director, func(st *state) bool { return st.storeSilent(time.Now()) }) {
+		return
+	}
+	p := g.director.published.Load()
+	body, err := g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
+	if err != nil || body.Status != http.StatusOK || p == nil || p.desired.Config == nil {
+		return
+	}
+	report, err := g.options.Protocol.DecodeReport(body.Body)
+	if err != nil {
+		g.log.Debug().Str("target", id).Err(err).Msg("report cannot be read")
+		return
+	}
+	if service, ok := p.desired.Config.ModelService(report.Models); !ok || service != reg.Service {
+		return
+	}
+	g.director.tell(g.ctx, func(st *state) { g.director.meet(st, id, reg.ID) })
+}
+
+// meet takes a start that was met directly into use.
+func (d *director) meet(st *state, id, replaces string) {
+	if !st.storeSilent(time.Now()) || !st.registry.Meet(id, replaces) {
+		return
+	}
+	d.log.Info().Str("target", id).Str("replaces", replaces).Msg("target met that started again while the store is silent")
+	d.updateFleet(st)
+}
+
 func (g *Gateway) healthPath(service string) string {
 	p := g.director.published.Load()
 	if p == nil || p.desired.Config == nil {
--- a/internal/gateway/provider.go
+++ b/internal/gateway/provider.go
@@ -13,6 +13,7 @@
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/replica"
+	"bramleygap/internal/gateway/target"
 )
 
 // Table names one of the tables that a gateway follows in the platform's store.
@@ -132,8 +133,17 @@
 	Urgency int
 	// CopyTo is the address of the engine that keeps a second copy of the run's memory.
 	CopyTo string
-	// CopyAt is the address of the engine that holds the copy to continue from.
-	CopyAt string
+	// From names the copy of the run's memory to continue from; nil for none.
+	From *Copy
+}
+
+// Copy names a second copy of a run's memory.
+type Copy struct {
+	// Holder is the target that has the copy.
+	Holder string
+	// Address and Handle are how the holder knows the copy. The address is that of the
+	// holder for copies made while the run goes on, and of the source for ordered ones.
+	Address, Handle string
 }
 
 // Answer is what a target's response header says.
@@ -159,6 +169,8 @@
 type EngineReport struct {
 	Queued, Running      int
 	MemoryUsed, Capacity int
+	// Models are the names of the models that the engine has loaded.
+	Models []string
 }
 
 // Protocol translates between the messages of clients and targets and the types above.
@@ -175,6 +187,11 @@
 	ReadinessPath() string
 	// ProbePath is the path of an engine's report, which needs no free slot.
 	ProbePath() string
+	// EncodeCopyOrder returns the request to a run's engine that copies the run's memory to
+	// the engine at an address. Made again, it copies what is new.
+	EncodeCopyOrder(requestID, to string) target.Message
+	// DecodeCopyOrder returns the handle of the copy from the answer to a copy order.
+	DecodeCopyOrder(body []byte) (handle string, err error)
 	// DecodeReport reads an engine's report.
 	DecodeReport(body []byte) (EngineReport, error)
 	// DecodeDesired reads the rows of TableConfig. Rows that cannot be read are reported
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -58,6 +58,11 @@
 	finished   bool
 	reg        membership.Registration
 	prompt     placement.Prompt
+	// copy is where the memory of the attempt that ended is kept; nil for none.
+	copy *Copy
+	// from is the copy that the current attempt continues from.
+	from   *Copy
+	keeper *copyKeeper
 }
 
 // serveStream relays a stream to its end.
@@ -131,6 +136,9 @@
 // the best one, with another engine for the next copy.
 func (s *stream) place(e relay.Choose) (relay.Place, bool) {
 	resume := len(e.Exclude) > 0
+	if e.Copy != "" && s.copy != nil {
+		e.Copy = s.copy.Holder
+	}
 	p := ask(s.call.ctx, s.g.director, func(st *state) placed {
 		now := time.Now()
 		if st.suspects.Rejected(s.call.fingerprint, now) {
@@ -148,6 +156,10 @@
 	}
 	if p.ok {
 		s.reg = p.reg
+		s.from = nil
+		if p.place.Resume {
+			s.from = s.copy
+		}
 		s.call.log.Info().Str("target", p.reg.ID).Str("zone", p.reg.Zone).Str("copy", p.place.Copy).Bool("from_copy", p.place.Resume).
 			Uint64("after", s.machine.Last()).Msg("stream placed")
 	}
@@ -248,8 +260,9 @@
 		After: e.After, Urgency: -1, CopyTo: begin.copyAddress,
 	}
 	if e.Holder != "" {
-		attempt.CopyAt = s.reg.Address
+		attempt.From = s.from
 	}
+	defer s.keepCopy(e.Place, begin.copyAddress).stop()
 	sent, err := conn.Send(s.call.message(s.g.options.Protocol.EncodeAttempt(&attempt)))
 	if err != nil && !sent {
 		return s.machine.Broken(time.Now(), relay.Unsent), true
@@ -313,6 +326,7 @@
 			first = false
 			s.g.director.tell(s.g.ctx, func(st *state) { st.fleet.StreamRead(now, e.Place.Target, run) })
 			s.call.observeFirstEvent(now)
+			s.keeper.delivering()
 		}
 		effects := s.machine.Event(now, event.Number)
 		if len(effects) == 1 {
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -286,25 +287,45 @@
 	}
 }
 
-// Probe asks a path over a new connection and returns the answer's status and header.
-func (p *Pool) Probe(ctx context.Context, address, path string, timeout time.Duration) (int, http.Header, error) {
+// Answer is a short answer that was read as a whole.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// maxShortAnswer bounds the body of a short answer.
+const maxShortAnswer = 1 << 20
+
+// Probe asks a path over a new connection.
+func (p *Pool) Probe(ctx context.Context, address, path string, timeout time.Duration) (Answer, error) {
+	return p.Do(ctx, address, &Message{Method: http.MethodGet, URI: path, Header: http.Header{}}, timeout)
+}
+
+// Do sends a message over a new connection and reads the answer.
+func (p *Pool) Do(ctx context.Context, address string, m *Message, timeout time.Duration) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.Dial(ctx, address)
 	if err != nil {
-		return 0, nil, err
+		return Answer{}, err
 	}
 	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(timeout)); err != nil {
-		return 0, nil, err
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if m.Host == "" {
+		m.Host = address
 	}
-	message := Message{Method: http.MethodGet, URI: path, Host: address, Header: http.Header{}}
-	if _, err := conn.Send(&message); err != nil {
-		return 0, nil, err
+	if _, err := conn.Send(m); err != nil {
+		return Answer{}, err
+	}
+	response, err := conn.Receive(m.Method)
+	if err != nil {
+		return Answer{}, err
 	}
-	response, err := conn.Receive(http.MethodGet)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxShortAnswer))
 	if err != nil {
-		return 0, nil, err
+		return Answer{}, err
 	}
-	return response.StatusCode, response.Header, nil
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
