--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -61,6 +61,23 @@
 	k.cancel()
 	k.done.Wait()
 	k.s.copy = k.copy
+	if k.ordered && k.s.machine.Done() {
+		k.s.g.background(k.release)
+	}
+}
+
+// release frees an ordered copy, which would occupy memory until it expires.
+func (k *copyKeeper) release() {
+	message := k.s.g.options.Protocol.EncodeCopyRelease(k.copy.Handle)
+	answer, err := k.s.g.pool.Do(k.s.g.ctx, k.copy.Address, &message, copyOrderTimeout)
+	if err != nil {
+		k.s.call.log.Debug().Str("target", k.copy.Holder).Err(err).Msg("copy not released; it expires")
+		return
+	}
+	k.s.g.metrics.copyOrders.WithLabelValues("released").Inc()
+	if answer.Status >= http.StatusMultipleChoices {
+		k.s.call.log.Debug().Str("target", k.copy.Holder).Int("status", answer.Status).Msg("copy was gone before its release")
+	}
 }
 
 func (k *copyKeeper) run() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	balancerNotice = 2500 * time.Millisecond
 	// exitMargin is left before the end of the grace for closing what still runs.
 	exitMargin = 400 * time.Millisecond
+	// stopPoll is the interval at which a stopping process looks whether requests run.
+	stopPoll = 50 * time.Millisecond
 )
 
 // Options configure a gateway.
@@ -55,6 +57,8 @@
 	ctx      context.Context
 	tasks    sync.WaitGroup
 	stopping atomic.Bool
+	// active is the number of requests of clients that are being handled.
+	active atomic.Int64
 	// stopEnd is when the grace of a requested stop ends, with its monotonic reading.
 	stopEnd  atomic.Pointer[time.Time]
 	shutdown func(context.Context) error
@@ -161,6 +165,8 @@
 }
 
 // stop lets the load balancer notice, then lets running requests end within the grace.
+// Until they have ended, new connections are still served: when several gateways stop at
+// the same time, the load balancer has no better one to send them to.
 func (g *Gateway) stop(cancel context.CancelFunc) {
 	begun := time.Now()
 	end := begun.Add(g.options.Settings.Grace.Duration)
@@ -169,8 +175,13 @@
 	ctx, done := context.WithDeadline(context.Background(), end.Add(-exitMargin))
 	defer done()
 	sleep(ctx, balancerNotice)
-	if err := g.shutdown(ctx); err != nil {
-		g.log.Warn().Err(err).Msg("requests were still running at the end of the grace")
+	for g.active.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, stopPoll)
+	}
+	last, release := context.WithDeadline(context.Background(), end.Add(-exitMargin/2))
+	defer release()
+	if err := g.shutdown(last); err != nil {
+		g.log.Warn().Int64("running", g.active.Load()).Err(err).Msg("requests were still running at the end of the grace")
 	}
 	cancel()
 }
--- a/internal/gateway/provider.go
+++ b/internal/gateway/provider.go
@@ -192,6 +192,8 @@
 	EncodeCopyOrder(requestID, to string) target.Message
 	// DecodeCopyOrder returns the handle of the copy from the answer to a copy order.
 	DecodeCopyOrder(body []byte) (handle string, err error)
+	// EncodeCopyRelease returns the request to a run's engine that frees an ordered copy.
+	EncodeCopyRelease(handle string) target.Message
 	// DecodeReport reads an engine's report.
 	DecodeReport(body []byte) (EngineReport, error)
 	// DecodeDesired reads the rows of TableConfig. Rows that cannot be read are reported
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -77,6 +77,8 @@
 
 // ServeHTTP handles one client request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
