--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -172,6 +172,9 @@
 	lastSeen time.Time
 	checked  time.Time
 	gap      time.Duration
+	// delivered is when the last event was passed on, longest the longest pause between two.
+	delivered time.Time
+	longest   time.Duration
 }
 
 // New returns a machine that waits for Start.
@@ -194,6 +197,9 @@
 // Ran reports whether a target may have begun to run the request.
 func (m *Machine) Ran() bool { return m.ran }
 
+// LongestGap returns the longest pause between two events that were passed on.
+func (m *Machine) LongestGap() time.Duration { return m.longest }
+
 // Done reports that Finish was emitted.
 func (m *Machine) Done() bool { return m.done }
 
@@ -242,6 +248,10 @@
 	if m.fresh > 0 {
 		m.observeGap(now.Sub(m.lastSeen))
 	}
+	if m.events > 0 {
+		m.longest = max(m.longest, now.Sub(m.delivered))
+	}
+	m.delivered = now
 	m.last = number
 	m.events++
 	m.fresh++
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -297,7 +297,7 @@
 	if f.Outcome == forward.Answered {
 		name = end.result.String()
 	}
-	x.call.finished(name, x.sends, 0, end.target)
+	x.call.finished(name, x.sends, end.target, nil)
 	switch {
 	case f.Outcome == forward.CallerLeft:
 	case f.Outcome == forward.Answered && end.result == forward.TargetError,
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -49,8 +49,10 @@
 	storeFailed   [followed]time.Time
 	storeWorked   [followed]time.Time
 	// gateways are the names of the gateways that answer, with this one, sorted.
-	gateways   []string
-	lastTick   time.Time
+	gateways []string
+	lastTick time.Time
+	// stops is when the other gateways that answered end; zero for those that do not stop.
+	stops      map[string]time.Time
 	rng        *rand.Rand
 	recentDown map[string]time.Time
 }
@@ -90,6 +92,7 @@
 		suspects:      suspect.NewTracker(),
 		streams:       map[string]map[*running]struct{}{},
 		recentDown:    map[string]time.Time{},
+		stops:         map[string]time.Time{},
 		gateways:      []string{d.options.Settings.Name},
 		lastTick:      now,
 		rng:           rng,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	balancerNotice = 2500 * time.Millisecond
 	// exitMargin is left before the end of the grace for closing what still runs.
 	exitMargin = 400 * time.Millisecond
+	// restartTime is how long the platform and a new process take until it is ready.
+	restartTime = 900 * time.Millisecond
 	// stopPoll is the interval at which a stopping process looks whether requests run.
 	stopPoll = 50 * time.Millisecond
 )
@@ -194,3 +196,24 @@
 	}
 	return g.stopEnd.Load().Sub(arrived) < stopMargin
 }
+
+// otherGatewayIn returns when a client that is refused here is likely to find a gateway
+// that takes a stream: at once if another one goes on, or else when the first of those
+// that stop has started again.
+func (g *Gateway) otherGatewayIn(ctx context.Context) time.Duration {
+	return ask(ctx, g.director, func(st *state) time.Duration {
+		now := time.Now()
+		first := *g.stopEnd.Load()
+		for _, name := range st.gateways {
+			end, known := st.stops[name]
+			switch {
+			case !known:
+			case end.IsZero():
+				return notReadyRetryAfter
+			case end.Before(first):
+				first = end
+			}
+		}
+		return max(0, first.Sub(now)) + restartTime
+	})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -219,7 +219,10 @@
 	now := time.Now()
 	s := p.g.options.Settings
 	m := &wire.GatewayState{
-		Name: s.Name, Incarnation: p.incarnation, Address: s.PeerListen, Zone: s.Zone, Leaving: p.g.stopping.Load(),
+		Name: s.Name, Incarnation: p.incarnation, Address: s.PeerListen, Zone: s.Zone,
+	}
+	if end := p.g.stopEnd.Load(); end != nil {
+		m.StopsInMs = uint32(max(1, end.Sub(now).Milliseconds()))
 	}
 	for id, load := range st.fleet.OwnLoads(now) {
 		m.Loads = append(m.Loads, &wire.TargetLoad{
@@ -277,6 +280,10 @@
 		}
 	}
 	st.fleet.Observe(m.Name, now, loads)
+	st.stops[m.Name] = time.Time{}
+	if m.StopsInMs > 0 {
+		st.stops[m.Name] = now.Add(time.Duration(m.StopsInMs) * time.Millisecond)
+	}
 	records := make([]suspect.Record, 0, len(m.Suspects))
 	for _, s := range m.Suspects {
 		r := suspect.Record{Fingerprint: s.Fingerprint, Expires: now.Add(time.Duration(s.ExpiresUnixMs) * time.Millisecond)}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"bramleygap/internal/core/catalog"
+	"bramleygap/internal/core/relay"
 	"bramleygap/internal/gateway/target"
 	"bramleygap/internal/result"
 )
@@ -62,15 +63,15 @@
 }
 
 // finished writes the line that closes the request's story.
-func (c *call) finished(outcome string, attempts, events int, last string) {
+func (c *call) finished(outcome string, attempts int, last string, s *relay.Machine) {
 	took := time.Since(c.arrived)
 	kind := c.route.Kind.String()
 	c.g.metrics.requests.WithLabelValues(kind, outcome).Inc()
 	c.g.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
 	line := c.log.Info().Str("route", c.route.Name).Str("kind", kind).Str("service", c.service).Str("account", c.account).
 		Str("outcome", outcome).Int("attempts", attempts).Str("target", last).Dur("took", took).Uint64("version", c.version)
-	if c.route.Kind == catalog.Stream {
-		line = line.Int("events", events).Dur("first_event", c.firstEvent)
+	if s != nil {
+		line = line.Int("events", s.Delivered()).Dur("first_event", c.firstEvent).Dur("longest_gap", s.LongestGap())
 	}
 	line.Msg("request ended")
 }
@@ -101,7 +102,7 @@
 	c.fingerprint = fingerprint(c)
 	if c.route.Kind == catalog.Stream {
 		if g.tooLateForStream(c.arrived) {
-			g.refuse(w, c, result.Leaving, notReadyRetryAfter)
+			g.refuse(w, c, result.Leaving, g.otherGatewayIn(c.ctx))
 			return
 		}
 		g.serveStream(w, c)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -397,7 +397,7 @@
 // respond ends the client's response. A response that was begun and is not complete is
 // cut, so that it cannot look whole.
 func (s *stream) respond() {
-	s.call.finished(s.outcomeName(), s.machine.Attempts(), s.machine.Delivered(), s.reg.ID)
+	s.call.finished(s.outcomeName(), s.machine.Attempts(), s.reg.ID, s.machine)
 	switch s.outcome {
 	case relay.Complete:
 		s.sendHeader()
