Follow the store with two gateways a table; pass changes on in the exchange

Change: two readers a table by rendezvous hashing, deltas and the age of the store's confirmation in the exchange, own reading when no confirmation arrives for 1.4 s.

--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"bramleygap/internal/core/membership"
@@ -23,6 +24,9 @@
 	// lateTick is the lateness of a tick from which the process distrusts what it believed
 	// of others: it was stopped, and their silence says nothing.
 	lateTick = 300 * time.Millisecond
+	// readersPerTable is the number of gateways that follow a table in the store; the others
+	// get it from them. Two go on when one is lost.
+	readersPerTable = 2
 	// lapseWindow is how long after a failure of the store vanished registrations are
 	// taken for lapsed rather than gone.
 	lapseWindow = 3 * time.Second
@@ -46,8 +50,11 @@
 	latencies     map[string]*retry.Estimate
 	suspects      *suspect.Tracker
 	streams       map[string]map[*running]struct{}
-	storeFailed   [followed]time.Time
-	storeWorked   [followed]time.Time
+	// storeWorked is the time at which a table's copy was known to be current; silent is
+	// set while that is too long ago, and lastSilent is when it last was.
+	storeWorked [followed]time.Time
+	silent      [followed]bool
+	lastSilent  [followed]time.Time
 	// gateways are the names of the gateways that answer, with this one, sorted.
 	gateways []string
 	lastTick time.Time
@@ -148,9 +155,10 @@
 		d.metrics.lateTicks.Inc()
 	}
 	s.lastTick = now
+	d.watchSilence(s, now)
 	expired := s.registry.Expire(now)
 	// Live targets register again within 2 s of the store's return.
-	if worked := s.storeWorked[TableTargets]; worked.Sub(s.storeFailed[TableTargets]) > lapseWindow {
+	if worked := s.storeWorked[TableTargets]; worked.Sub(s.lastSilent[TableTargets]) > lapseWindow {
 		expired = s.registry.ForgetMet() || expired
 	}
 	if expired {
@@ -165,13 +173,8 @@
 	d.publishStaleness(s, now)
 }
 
-// staleAfter is the time without an answer of the store from which unknown routes and keys
-// may be newer than the desired state here.
-const staleAfter = 1500 * time.Millisecond
-
-func (s *state) stale(now time.Time) bool {
-	return now.Sub(s.storeWorked[TableConfig]) > staleAfter+pollWait
-}
+// stale reports whether unknown routes and keys may be newer than the desired state here.
+func (s *state) stale(now time.Time) bool { return s.silent[TableConfig] }
 
 func (d *director) publishStaleness(s *state, now time.Time) {
 	current := d.published.Load()
@@ -181,27 +184,62 @@
 	d.published.Store(&published{desired: current.desired, stale: s.stale(now)})
 }
 
-// storeAnswered records that the store answered for a table.
-func (d *director) storeAnswered(s *state, now time.Time, table Table) {
-	if s.storeFailed[table].After(s.storeWorked[table]) {
-		d.log.Info().Stringer("table", table).Dur("after", now.Sub(s.storeWorked[table])).Msg("store answers again")
+// confirmed records that a table's copy was current at a time, by the store's answer to
+// this gateway or to another one.
+func (d *director) confirmed(s *state, at time.Time, table Table, source string) {
+	if !at.After(s.storeWorked[table]) {
+		return
+	}
+	if s.silent[table] {
+		s.silent[table] = false
+		d.log.Info().Stringer("table", table).Str("source", source).Msg("table is confirmed again")
+	}
+	s.storeWorked[table] = at
+}
+
+// watchSilence notes tables that nobody has confirmed for silentAfter.
+func (d *director) watchSilence(s *state, now time.Time) {
+	for i := range s.tables {
+		if now.Sub(s.storeWorked[i]) < silentAfter(Table(i)) {
+			continue
+		}
+		if !s.silent[i] && s.tables[i].Loaded() {
+			d.log.Warn().Stringer("table", Table(i)).Dur("age", now.Sub(s.storeWorked[i])).Uint64("revision", s.tables[i].Revision()).
+				Msg("table is not confirmed any more")
+		}
+		s.silent[i] = true
+		s.lastSilent[i] = now
+	}
+}
+
+// reads reports whether this gateway follows a table in the store itself: it is one of the
+// table's readers, or the readers do not pass the table on.
+func (s *state) reads(now time.Time, table Table, self string) bool {
+	if !s.tables[table].Loaded() || now.Sub(s.storeWorked[table]) > fallbackAfter(table) {
+		return true
 	}
-	s.storeWorked[table] = now
+	return s.isReader(table, self)
 }
 
-// storeFailing reports whether the last call for a table failed.
-func (s *state) storeFailing(table Table) bool {
-	return s.storeFailed[table].After(s.storeWorked[table])
+// isReader chooses the readers of a table by rendezvous hashing.
+func (s *state) isReader(table Table, self string) bool {
+	own := xxhash.Sum64String(table.String() + "\x00" + self)
+	ahead := 0
+	for _, name := range s.gateways {
+		if name != self && xxhash.Sum64String(table.String()+"\x00"+name) > own {
+			ahead++
+		}
+	}
+	return ahead < readersPerTable
 }
 
 // snapshot installs a whole table, read from the store or handed over by a peer.
 func (d *director) snapshot(s *state, now time.Time, table Table, rows []replica.Row, revision uint64, source string) {
 	copyOf := s.tables[table]
-	before := copyOf.Revision()
-	changes := copyOf.Replace(rows, revision)
-	if !copyOf.Loaded() || revision < before {
+	if copyOf.Loaded() && revision < copyOf.Revision() {
 		return
 	}
+	changes := copyOf.Replace(rows, revision)
 	d.log.Info().Stringer("table", table).Str("source", source).Uint64("revision", revision).
 		Int("rows", len(rows)).Int("changes", len(changes)).Msg("table read")
 	d.applied(s, now, table, changes)
@@ -269,7 +307,7 @@
 	for _, reg := range s.registrations {
 		list = append(list, reg)
 	}
-	lapsed := now.Sub(s.storeFailed[TableTargets]) < lapseWindow
+	lapsed := now.Sub(s.lastSilent[TableTargets]) < lapseWindow
 	before := s.registry.Targets()
 	s.registry.Replace(now, list, lapsed)
 	d.logTargets(before, s.registry.Targets())
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"time"
-
-	"bramleygap/internal/core/replica"
 )
 
 const (
@@ -21,28 +19,57 @@
 	// pollPause is the least time between two calls for changes of one table: registrations
 	// change with every heartbeat, and calls are paid for.
 	pollPause = 250 * time.Millisecond
-	// failurePause is the pause after a failed call.
-	failurePause = 150 * time.Millisecond
+	// failurePause is the pause of a reader after a failed call.
+	failurePause = 200 * time.Millisecond
+	// sparePause is the same for gateways that read only because the readers do not pass
+	// the table on. Refused calls are paid for too.
+	sparePause = 800 * time.Millisecond
+	// failureQuiet is the pause without failures after which the next one is logged.
+	failureQuiet = 2 * time.Second
+	// idleCheck is the interval at which a gateway that does not read looks whether it must.
+	idleCheck = 200 * time.Millisecond
 )
 
+// fallbackAfter is the age of a confirmation from which a gateway reads the table itself.
+func fallbackAfter(table Table) time.Duration {
+	if table == TableGateways {
+		return rarePollWait + 3*time.Second
+	}
+	return pollWait + 400*time.Millisecond
+}
+
 // follower keeps the copy of one table up to date.
 type follower struct {
 	director *director
 	store    Store
 	table    Table
+	// lastFailure is when a call failed last.
+	lastFailure time.Time
 }
 
 // position is where a follower continues.
 type position struct {
-	loaded   bool
-	revision uint64
+	loaded, reads, reader bool
+	revision              uint64
+}
+
+// silentAfter is the age of a confirmation from which a table may be out of date: a call of
+// a gateway that reads it itself takes up to pollWait and pollSlack.
+func silentAfter(table Table) time.Duration {
+	return fallbackAfter(table) + pollWait/2 + pollSlack/2
 }
 
 func (f *follower) run(ctx context.Context) error {
+	self := f.director.options.Settings.Name
 	for ctx.Err() == nil {
 		at := ask(ctx, f.director, func(s *state) position {
-			return position{s.tables[f.table].Loaded(), s.tables[f.table].Revision()}
+			t := s.tables[f.table]
+			return position{t.Loaded(), s.reads(time.Now(), f.table, self), s.isReader(f.table, self), t.Revision()}
 		})
+		if !at.reads {
+			sleep(ctx, idleCheck)
+			continue
+		}
 		started := time.Now()
 		err := f.step(ctx, at)
 		if ctx.Err() != nil {
@@ -50,8 +77,11 @@
 		}
 		pause := pollPause - time.Since(started)
 		if err != nil {
-			f.failed(ctx, err)
+			f.failed(err)
 			pause = failurePause
+			if at.loaded && !at.reader {
+				pause = sparePause
+			}
 		}
 		sleep(ctx, pause)
 	}
@@ -80,7 +110,7 @@
 	}
 	continued := ask(ctx, f.director, func(s *state) bool {
 		now := time.Now()
-		f.director.storeAnswered(s, now, f.table)
+		f.director.confirmed(s, now, f.table, "store")
 		return f.director.advance(s, now, f.table, changes, at.revision, max(to, at.revision))
 	})
 	if !continued && ctx.Err() == nil {
@@ -99,21 +129,18 @@
 	}
 	f.director.tell(ctx, func(s *state) {
 		now := time.Now()
-		f.director.storeAnswered(s, now, f.table)
+		f.director.confirmed(s, now, f.table, "store")
 		f.director.snapshot(s, now, f.table, rows, revision, "store")
 	})
 	return nil
 }
 
-func (f *follower) failed(ctx context.Context, err error) {
-	f.director.tell(ctx, func(s *state) {
-		now := time.Now()
-		if !s.storeFailing(f.table) {
-			f.director.log.Warn().Stringer("table", f.table).Err(err).
-				Dur("last_answer_age", now.Sub(s.storeWorked[f.table])).Msg("store does not answer")
-		}
-		s.storeFailed[f.table] = now
-	})
+// failed logs the first of several failures.
+func (f *follower) failed(err error) {
+	if time.Since(f.lastFailure) > failureQuiet {
+		f.director.log.Warn().Stringer("table", f.table).Err(err).Msg("store does not answer")
+	}
+	f.lastFailure = time.Now()
 }
 
 func outcome(err error) string {
@@ -140,6 +167,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// rowsOf copies rows for a message to another gateway.
-func rowsOf(t *replica.Table) []replica.Row { return t.Rows() }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,6 +30,8 @@
 	// forgetAfter is how long a gateway may be silent before it no longer counts as one
 	// that shares the retry budget.
 	forgetAfter = 10 * time.Second
+	// maxAgeMs bounds the age of a confirmation in a message.
+	maxAgeMs = int64(time.Hour / time.Millisecond)
 	// announceRetry is the pause before the own address is written to the store again.
 	announceRetry = 500 * time.Millisecond
 )
@@ -246,27 +248,58 @@
 	for id, replaces := range st.registry.Met() {
 		m.Met = append(m.Met, &wire.MetTarget{Id: id, Replaces: replaces})
 	}
-	for i, table := range st.tables {
-		t := &wire.TableCopy{Table: uint32(i), Revision: table.Revision(), Wanted: st.storeFailing(Table(i)) || !table.Loaded()}
-		if wantsTable(asker, i, table) {
-			t.Complete = true
-			for _, row := range table.Rows() {
-				t.Rows = append(t.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision})
-			}
-		}
-		m.Tables = append(m.Tables, t)
+	for i := range st.tables {
+		m.Tables = append(m.Tables, p.exportTable(st, now, i, asker))
 	}
 	return m
 }
 
-// wantsTable reports whether the asking gateway lacks rows that this one has.
-func wantsTable(asker *wire.GatewayState, i int, table *replica.Table) bool {
+// exportTable tells what is held of a table, with the rows that the asking gateway lacks.
+func (p *peers) exportTable(st *state, now time.Time, i int, asker *wire.GatewayState) *wire.TableCopy {
+	table := st.tables[i]
+	t := &wire.TableCopy{Table: uint32(i), Revision: table.Revision(), Wanted: true, Confirmed: !st.storeWorked[i].IsZero()}
+	if t.Confirmed {
+		t.AgeMs = uint32(min(now.Sub(st.storeWorked[i]).Milliseconds(), maxAgeMs))
+	}
 	if asker == nil || !table.Loaded() {
-		return false
+		return t
+	}
+	k := slices.IndexFunc(asker.Tables, func(c *wire.TableCopy) bool { return c.Table == uint32(i) && c.Wanted })
+	if k < 0 || asker.Tables[k].Revision >= table.Revision() {
+		return t
+	}
+	t.After = asker.Tables[k].Revision
+	rows, ok := table.Since(t.After)
+	if !ok || t.After == 0 {
+		t.Complete, rows = true, table.Rows()
+	}
+	for _, row := range rows {
+		t.Rows = append(t.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+	}
+	return t
+}
+
+// mergeTable takes in another gateway's copy of a table. A confirmation holds for the own
+// copy as well if that one is as new.
+func (p *peers) mergeTable(st *state, now time.Time, source string, t *wire.TableCopy) {
+	if int(t.Table) >= followed {
+		return
+	}
+	table := Table(t.Table)
+	rows := make([]replica.Row, 0, len(t.Rows))
+	for _, row := range t.Rows {
+		rows = append(rows, replica.Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+	}
+	own := st.tables[table]
+	switch {
+	case t.Complete && (!own.Loaded() || t.Revision > own.Revision()):
+		p.g.director.snapshot(st, now, table, rows, t.Revision, source)
+	case !t.Complete && t.After > 0 && t.After == own.Revision():
+		p.g.director.advance(st, now, table, rows, t.After, t.Revision)
+	}
+	if t.Confirmed && own.Loaded() && own.Revision() >= t.Revision {
+		p.g.director.confirmed(st, now.Add(-time.Duration(t.AgeMs)*time.Millisecond), table, source)
 	}
-	return slices.ContainsFunc(asker.Tables, func(t *wire.TableCopy) bool {
-		return t.Table == uint32(i) && t.Wanted && t.Revision < table.Revision()
-	})
 }
 
 // merge takes in the state of another gateway.
@@ -305,18 +338,7 @@
 		p.g.director.meet(st, met.Id, met.Replaces)
 	}
 	for _, t := range m.Tables {
-		if !t.Complete || int(t.Table) >= followed {
-			continue
-		}
-		table := Table(t.Table)
-		if t.Revision <= st.tables[table].Revision() && st.tables[table].Loaded() {
-			continue
-		}
-		rows := make([]replica.Row, 0, len(t.Rows))
-		for _, row := range t.Rows {
-			rows = append(rows, replica.Row{Key: row.Key, Value: row.Value, Revision: row.Revision})
-		}
-		p.g.director.snapshot(st, now, table, rows, t.Revision, m.Name)
+		p.mergeTable(st, now, m.Name, t)
 	}
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -19,9 +19,6 @@
 	probeTries = 2
 	// recheckInterval is the pause between probes of targets that are avoided.
 	recheckInterval = 700 * time.Millisecond
-	// surveyAfter is the age of the store's last answer from which targets are asked
-	// whether they are leaving: the store can no longer say so.
-	surveyAfter = pollWait + pollSlack
 )
 
 // alive probes a target and marks it down if it does not answer.
@@ -112,13 +109,11 @@
 
 // storeSilent reports whether the store has not told of targets for so long that they
 // are asked themselves.
-func (st *state) storeSilent(now time.Time) bool {
-	return now.Sub(st.storeWorked[TableTargets]) >= surveyAfter
-}
+func (st *state) storeSilent() bool { return st.silent[TableTargets] }
 
 // toAsk returns the targets to be asked for their health.
 func (st *state) toAsk(now time.Time) []membership.Registration {
-	if !st.storeSilent(now) {
+	if !st.storeSilent() {
 		return st.fleet.DownTargets(now)
 	}
 	replaced := map[string]bool{}
@@ -170,7 +165,7 @@
 // the place of the old one, and only while the store cannot tell.
 func (g *Gateway) meet(reg membership.Registration, id string) {
 	g.director.tell(g.ctx, func(st *state) { st.fleet.Gone(reg.ID) })
-	if !reg.Model || !ask(g.ctx, g.director, func(st *state) bool { return st.storeSilent(time.Now()) }) {
+	if !reg.Model || !ask(g.ctx, g.director, func(st *state) bool { return st.storeSilent() }) {
 		return
 	}
 	p := g.director.published.Load()
@@ -191,7 +186,7 @@
 
 // meet takes a start that was met directly into use.
 func (d *director) meet(st *state, id, replaces string) {
-	if !st.storeSilent(time.Now()) || !st.registry.Meet(id, replaces) {
+	if !st.storeSilent() || !st.registry.Meet(id, replaces) {
 		return
 	}
 	d.log.Info().Str("target", id).Str("replaces", replaces).Msg("target met that started again while the store is silent")
