Count a confirmation of the store from the start of its call

Change: stamps are the start of the call, only answers to own questions confirm, a call is held for 500 ms.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// pollWait is how long the store holds a call for changes. It bounds how long a silent
-	// connection goes unnoticed; leaving targets must be known within 2 s.
-	pollWait = time.Second
+	// pollWait is how long the store holds a call for changes. A call confirms the table as of
+	// its start, and leaving targets must be known everywhere within 2 s.
+	pollWait = 500 * time.Millisecond
 	// rarePollWait is the same for tables whose changes are not urgent.
 	rarePollWait = 5 * time.Second
 	// pollSlack is added to pollWait for the answer itself. The store may be slow.
@@ -35,7 +35,7 @@
 	if table == TableGateways {
 		return rarePollWait + 3*time.Second
 	}
-	return pollWait + 400*time.Millisecond
+	return pollWait + pollPause + 500*time.Millisecond
 }
 
 // follower keeps the copy of one table up to date.
@@ -56,7 +56,7 @@
 // silentAfter is the age of a confirmation from which a table may be out of date: a call of
 // a gateway that reads it itself takes up to pollWait and pollSlack.
 func silentAfter(table Table) time.Duration {
-	return fallbackAfter(table) + pollWait/2 + pollSlack/2
+	return fallbackAfter(table) + pollWait + pollSlack/2
 }
 
 func (f *follower) run(ctx context.Context) error {
@@ -97,6 +97,7 @@
 	if f.table == TableGateways {
 		wait = rarePollWait
 	}
+	begun := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	changes, to, err := f.store.Changes(callCtx, f.table, at.revision, wait)
 	cancel()
@@ -109,9 +110,12 @@
 		return err
 	}
 	continued := ask(ctx, f.director, func(s *state) bool {
-		now := time.Now()
-		f.director.confirmed(s, now, f.table, "store")
-		return f.director.advance(s, now, f.table, changes, at.revision, max(to, at.revision))
+		ok := f.director.advance(s, time.Now(), f.table, changes, at.revision, max(to, at.revision))
+		// Changes that do not start at the copy's revision were ignored.
+		if ok && s.tables[f.table].Revision() >= to {
+			f.director.confirmed(s, begun, f.table, "store")
+		}
+		return ok
 	})
 	if !continued && ctx.Err() == nil {
 		return f.read(ctx)
@@ -120,6 +124,7 @@
 }
 
 func (f *follower) read(ctx context.Context) error {
+	begun := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	rows, revision, err := f.store.Snapshot(callCtx, f.table)
@@ -128,9 +133,10 @@
 		return err
 	}
 	f.director.tell(ctx, func(s *state) {
-		now := time.Now()
-		f.director.confirmed(s, now, f.table, "store")
-		f.director.snapshot(s, now, f.table, rows, revision, "store")
+		f.director.snapshot(s, time.Now(), f.table, rows, revision, "store")
+		if s.tables[f.table].Revision() >= revision {
+			f.director.confirmed(s, begun, f.table, "store")
+		}
 	})
 	return nil
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -199,18 +199,20 @@
 	if mine == nil {
 		return "", ctx.Err()
 	}
+	begun := time.Now()
 	theirs, err := wire.NewGatewayClient(conn).Exchange(callCtx, mine, grpc.WaitForReady(false))
 	if err != nil {
 		return "", err
 	}
-	p.g.director.tell(ctx, func(st *state) { p.merge(st, theirs) })
+	p.g.director.tell(ctx, func(st *state) { p.merge(st, theirs, begun) })
 	return theirs.Name, nil
 }
 
 // Exchange implements wire.GatewayServer.
 func (p *peers) Exchange(ctx context.Context, theirs *wire.GatewayState) (*wire.GatewayState, error) {
 	mine := ask(ctx, p.g.director, func(st *state) *wire.GatewayState {
-		p.merge(st, theirs)
+		// A message may have been under way for long, so that it confirms nothing.
+		p.merge(st, theirs, time.Time{})
 		return p.export(st, theirs)
 	})
 	return mine, ctx.Err()
@@ -281,7 +283,7 @@
 
 // mergeTable takes in another gateway's copy of a table. A confirmation holds for the own
 // copy as well if that one is as new.
-func (p *peers) mergeTable(st *state, now time.Time, source string, t *wire.TableCopy) {
+func (p *peers) mergeTable(st *state, now, asked time.Time, source string, t *wire.TableCopy) {
 	if int(t.Table) >= followed {
 		return
 	}
@@ -297,13 +299,14 @@
 	case !t.Complete && t.After > 0 && t.After == own.Revision():
 		p.g.director.advance(st, now, table, rows, t.After, t.Revision)
 	}
-	if t.Confirmed && own.Loaded() && own.Revision() >= t.Revision {
-		p.g.director.confirmed(st, now.Add(-time.Duration(t.AgeMs)*time.Millisecond), table, source)
+	if t.Confirmed && !asked.IsZero() && own.Loaded() && own.Revision() >= t.Revision {
+		p.g.director.confirmed(st, asked.Add(-time.Duration(t.AgeMs)*time.Millisecond), table, source)
 	}
 }
 
-// merge takes in the state of another gateway.
-func (p *peers) merge(st *state, m *wire.GatewayState) {
+// merge takes in the state of another gateway. Asked is when it was asked for; the ages of
+// its confirmations count from then, and zero leaves them out.
+func (p *peers) merge(st *state, m *wire.GatewayState, asked time.Time) {
 	now := time.Now()
 	loads := make(map[string]placement.PeerLoad, len(m.Loads))
 	for _, l := range m.Loads {
@@ -338,7 +341,7 @@
 		p.g.director.meet(st, met.Id, met.Replaces)
 	}
 	for _, t := range m.Tables {
-		p.mergeTable(st, now, m.Name, t)
+		p.mergeTable(st, now, asked, m.Name, t)
 	}
 }
 
