--- /dev/null
+++ b/internal/core/catalog/catalog_test.go
@@ -0,0 +1,65 @@
+package catalog
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func sample() *Config {
+	routes := []Route{
+		{Name: "short", Host: "h.example", Prefix: "/a/", Shares: []Share{{"s", 1}}},
+		{Name: "long", Host: "h.example", Prefix: "/a/b/", Shares: []Share{{"s", 90}, {"t", 10}, {"u", 0}}, Anonymous: true},
+	}
+	services := []Service{{Name: "s", Engine: &Engine{Models: []string{"m"}}}, {Name: "t"}}
+	accounts := []Account{{Name: "x", Keys: []string{"k1", "k2"}}}
+	return New(4, routes, services, accounts, Limits{})
+}
+
+// Guards against the wrong one of several matching routes.
+func TestRoute(t *testing.T) {
+	c := qt.New(t)
+	config := sample()
+	for path, want := range map[string]string{"/a/": "short", "/a/x": "short", "/a/b/c": "long", "/a/b": "short"} {
+		c.Check(config.Route("H.example:80", path).Name, qt.Equals, want, qt.Commentf(path))
+	}
+	c.Check(config.Route("h.example", "/ab"), qt.IsNil)
+	c.Check(config.Route("other", "/a/"), qt.IsNil)
+}
+
+// Guards against a service that no share allows, at the ends of the draw too.
+func TestPick(t *testing.T) {
+	c := qt.New(t)
+	r := sample().Route("h.example", "/a/b/")
+	c.Check(r.Pick(0), qt.Equals, "s")
+	c.Check(r.Pick(0.899), qt.Equals, "s")
+	c.Check(r.Pick(0.9), qt.Equals, "t")
+	c.Check(r.Pick(0.999999), qt.Equals, "t")
+	c.Check(r.Allows("u"), qt.IsFalse, qt.Commentf("weight 0"))
+	c.Check((&Route{}).Pick(0.5), qt.Equals, "")
+}
+
+// Guards against keys that open other accounts, and against closed routes in a
+// configuration without accounts.
+func TestKeys(t *testing.T) {
+	c := qt.New(t)
+	config := sample()
+	c.Check(config.Account("k2").Name, qt.Equals, "x")
+	c.Check(config.Account(""), qt.IsNil)
+	c.Check(config.NeedsKey(config.Route("h.example", "/a/")), qt.IsTrue)
+	c.Check(config.NeedsKey(config.Route("h.example", "/a/b/")), qt.IsFalse)
+	c.Check(New(1, nil, nil, nil, Limits{}).NeedsKey(&Route{}), qt.IsFalse)
+}
+
+// Guards against a restarted engine that is taken for one of the wrong service.
+func TestModelService(t *testing.T) {
+	c := qt.New(t)
+	service, ok := sample().ModelService([]string{"m"})
+	c.Check(ok, qt.IsTrue)
+	c.Check(service, qt.Equals, "s")
+	_, ok = sample().ModelService([]string{"other"})
+	c.Check(ok, qt.IsFalse)
+	two := New(1, nil, []Service{{Name: "a", Engine: &Engine{Models: []string{"m"}}}, {Name: "b", Engine: &Engine{Models: []string{"m"}}}}, nil, Limits{})
+	_, ok = two.ModelService([]string{"m"})
+	c.Check(ok, qt.IsFalse, qt.Commentf("two services have the model"))
+}
--- /dev/null
+++ b/internal/core/relay/relay_test.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func options() Options {
+	return Options{Resumable: true, MaxAttempts: 5, Deadline: start.Add(25 * time.Second), EventGap: 700 * time.Millisecond}
+}
+
+// opened returns a machine whose first attempt is open.
+func opened(o Options, place Place) *Machine {
+	m := New(o)
+	m.Start()
+	m.Placed(start, place)
+	return m
+}
+
+func choose(c *qt.C, effects []Effect) Choose {
+	for _, e := range effects {
+		if choose, ok := e.(Choose); ok {
+			return choose
+		}
+	}
+	c.Fatalf("no Choose in %#v", effects)
+	return Choose{}
+}
+
+func outcome(effects []Effect) Outcome {
+	if len(effects) == 0 {
+		return 0
+	}
+	if f, ok := effects[len(effects)-1].(Finish); ok {
+		return f.Outcome
+	}
+	return 0
+}
+
+// Guards against an event that is missing, comes twice or out of order, against two open
+// attempts, and against effects behind Finish, under any mix of losses, stale and skipped
+// events, silences and probes.
+func TestEventsOnceAndInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := options()
+		o.Resumable = rapid.Bool().Draw(t, "resumable")
+		o.After = rapid.SampledFrom([]uint64{0, 7}).Draw(t, "after")
+		m := New(o)
+		now := start
+		open, last, attempts := false, o.After, 0
+		queue := m.Start()
+		for step := 0; step < 200 && !m.Done(); step++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			var next []Effect
+			for _, e := range queue {
+				switch e := e.(type) {
+				case Choose:
+					if rapid.IntRange(0, 9).Draw(t, "place") == 0 {
+						next = append(next, m.Unplaced()...)
+						break
+					}
+					attempts++
+					next = append(next, m.Placed(now, Place{Target: fmt.Sprint("t", attempts), Copy: fmt.Sprint("c", attempts)})...)
+				case Open:
+					if open {
+						t.Fatal("two attempts are open")
+					}
+					if e.After != last {
+						t.Fatalf("attempt continues behind %d, delivered is %d", e.After, last)
+					}
+					open = true
+				case Close:
+					open = false
+				case Probe:
+					next = append(next, m.Probed(now, rapid.Bool().Draw(t, "alive"))...)
+				case Deliver:
+					t.Fatal("deliver without an event")
+				}
+			}
+			if queue = next; len(queue) > 0 || m.Done() {
+				continue
+			}
+			switch rapid.IntRange(0, 6).Draw(t, "message") {
+			case 0:
+				queue = m.Broken(now, rapid.SampledFrom([]Loss{Unsent, Refused, Replaced, Interrupted, TargetDown, Failed}).Draw(t, "loss"))
+			case 1:
+				queue = m.Check(now)
+			default:
+				number := last + uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "delta"))
+				queue = m.Event(now, number)
+				if len(queue) == 1 {
+					if _, ok := queue[0].(Deliver); ok {
+						if number != last+1 && last != 0 {
+							t.Fatalf("event %d delivered behind %d", number, last)
+						}
+						last, queue = number, nil
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a stream of a lost zone that reads its prompt again though a copy exists
+// (zone of engines lost at once), and against asking for a copy of a run that never began.
+func TestContinuesFromCopy(t *testing.T) {
+	c := qt.New(t)
+	m := opened(options(), Place{Target: "a", Copy: "b"})
+	m.Event(start, 1)
+	next := choose(c, m.Broken(start.Add(time.Second), TargetDown))
+	c.Check(next, qt.DeepEquals, Choose{Exclude: []string{"a"}, Copy: "b"})
+	effects := m.Placed(start.Add(time.Second), Place{Target: "b", Copy: "d", Resume: true})
+	c.Check(effects, qt.DeepEquals, []Effect{Open{Place: Place{Target: "b", Copy: "d", Resume: true}, After: 1, Holder: "b"}})
+	for _, loss := range []Loss{Unsent, Refused, Replaced} {
+		m := opened(options(), Place{Target: "a", Copy: "b"})
+		c.Check(choose(c, m.Broken(start, loss)).Copy, qt.Equals, "", qt.Commentf("%v", loss))
+	}
+}
+
+// Guards against a stream that ends as NoTarget because several restarted targets refused
+// it in turn (zone that comes back under new ids), and against tries without end.
+func TestRefusalsAreNoRuns(t *testing.T) {
+	c := qt.New(t)
+	m := opened(options(), Place{Target: "t0"})
+	for i := 1; i < maxTries; i++ {
+		choose(c, m.Broken(start, Replaced))
+		m.Placed(start, Place{Target: fmt.Sprint("t", i)})
+	}
+	c.Check(outcome(m.Broken(start, Replaced)), qt.Equals, NoTarget)
+	m = opened(options(), Place{Target: "t0"})
+	for i := 1; i < 5; i++ {
+		choose(c, m.Broken(start, Interrupted))
+		m.Placed(start, Place{Target: fmt.Sprint("t", i)})
+	}
+	c.Check(outcome(m.Broken(start, Interrupted)), qt.Equals, Lost, qt.Commentf("five targets ran it"))
+}
+
+// Guards against a stream that must not run twice and is sent again after it ran.
+func TestNotResumable(t *testing.T) {
+	c := qt.New(t)
+	o := options()
+	o.Resumable = false
+	m := opened(o, Place{Target: "a", Copy: "b"})
+	choose(c, m.Broken(start, Refused))
+	m.Placed(start, Place{Target: "b"})
+	c.Check(outcome(m.Broken(start, Interrupted)), qt.Equals, Lost)
+}
+
+// Guards against a silent target that is noticed too late for the permitted pause, and
+// against a prompt that is being read and taken for a silent target.
+func TestSilence(t *testing.T) {
+	c := qt.New(t)
+	m := opened(options(), Place{Target: "a", Copy: "b"})
+	c.Check(m.Check(start.Add(firstProbe-1)), qt.HasLen, 0)
+	c.Check(m.Check(start.Add(firstProbe)), qt.DeepEquals, []Effect{Probe{"a"}})
+	c.Check(m.Probed(start.Add(firstProbe), true), qt.HasLen, 0)
+	now := start.Add(time.Second)
+	for i := range uint64(20) {
+		now = now.Add(40 * time.Millisecond)
+		m.Event(now, i+1)
+	}
+	silent := m.NextCheck()
+	c.Check(silent.Sub(now), qt.Equals, minSilence)
+	c.Check(m.Check(silent), qt.DeepEquals, []Effect{Probe{"a"}})
+	c.Check(choose(c, m.Probed(silent, false)).Copy, qt.Equals, "b")
+}
+
+// Guards against waiting for an engine that is alive and makes no progress (engines that
+// hang), beyond the pause that callers accept, while a copy could go on.
+func TestStuckStreamMovesToCopy(t *testing.T) {
+	c := qt.New(t)
+	moved := func(place Place) time.Duration {
+		m := opened(options(), place)
+		m.Event(start, 1)
+		m.Event(start.Add(40*time.Millisecond), 2)
+		last := start.Add(40 * time.Millisecond)
+		for {
+			at := m.NextCheck()
+			if at.Sub(last) > 10*time.Second {
+				return 0
+			}
+			m.Check(at)
+			if len(m.Probed(at, true)) > 0 {
+				return at.Sub(last)
+			}
+		}
+	}
+	c.Check(moved(Place{Target: "a", Copy: "b"}) < 650*time.Millisecond, qt.IsTrue)
+	c.Check(moved(Place{Target: "a"}) >= stuckWithoutCopy, qt.IsTrue)
+}
+
+// Guards against an answer that comes after the deadline.
+func TestDeadline(t *testing.T) {
+	c := qt.New(t)
+	m := opened(options(), Place{Target: "a"})
+	end := options().Deadline
+	c.Check(m.NextCheck().After(end), qt.IsFalse)
+	c.Check(outcome(m.Check(end)), qt.Equals, TimedOut)
+	c.Check(m.Check(end), qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/core/replica/replica_test.go
@@ -0,0 +1,146 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// store is the table that copies follow, with its whole history.
+type store struct {
+	rows     map[string]Row
+	history  []Change
+	revision uint64
+}
+
+func (s *store) write(key string, remove bool) {
+	s.revision++
+	change := Change{Key: key, Value: fmt.Append(nil, s.revision), Revision: s.revision, Deleted: remove}
+	s.history = append(s.history, change)
+	if remove {
+		delete(s.rows, key)
+	} else {
+		s.rows[key] = change
+	}
+}
+
+func (s *store) snapshot() []Row {
+	var rows []Row
+	for _, row := range s.rows {
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func (s *store) since(after uint64) []Change {
+	var changes []Change
+	for _, c := range s.history {
+		if c.Revision > after {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func values(t *Table) map[string]string {
+	m := map[string]string{}
+	for _, row := range t.Rows() {
+		m[row.Key] = string(row.Value)
+	}
+	return m
+}
+
+// Guards against a copy that goes back, that brings back a deleted row or that stays
+// different, when changes come from the store and from other copies, late, twice and with
+// gaps.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{rows: map[string]Row{}}
+		copies := []*Table{NewTable(), NewTable(), NewTable()}
+		type delta struct {
+			changes   []Change
+			after, to uint64
+		}
+		var late []delta
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			c := rapid.SampledFrom(copies).Draw(t, "copy")
+			other := rapid.SampledFrom(copies).Draw(t, "other")
+			before := c.Revision()
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				s.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Bool().Draw(t, "remove"))
+			case 2:
+				c.Replace(s.snapshot(), s.revision)
+			case 3:
+				c.Advance(s.since(c.Revision()), c.Revision(), s.revision)
+			case 4:
+				if changes, ok := other.Since(c.Revision()); ok {
+					late = append(late, delta{changes, c.Revision(), other.Revision()})
+				}
+			case 5:
+				for _, d := range late {
+					c.Advance(d.changes, d.after, d.to)
+				}
+			}
+			if c.Revision() < before {
+				t.Fatalf("revision %d fell to %d", before, c.Revision())
+			}
+		}
+		for _, c := range copies {
+			if !c.Loaded() {
+				c.Replace(s.snapshot(), s.revision)
+			} else if _, ok := c.Advance(s.since(c.Revision()), c.Revision(), s.revision); !ok {
+				t.Fatal("a feed from the copy's revision does not continue it")
+			}
+			want := map[string]string{}
+			for key, row := range s.rows {
+				want[key] = string(row.Value)
+			}
+			if got := values(c); fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("copy has %v, the store %v", got, want)
+			}
+		}
+	})
+}
+
+// Guards against an old snapshot of a lagging peer that brings back an older state.
+func TestOldSnapshotIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	table.Replace([]Row{{Key: "a", Value: []byte("2"), Revision: 7}}, 9)
+	c.Check(table.Replace([]Row{{Key: "a", Value: []byte("1"), Revision: 3}}, 8), qt.HasLen, 0)
+	c.Check(values(table), qt.DeepEquals, map[string]string{"a": "2"})
+	changes := table.Replace(nil, 10)
+	c.Check(changes, qt.DeepEquals, []Change{{Key: "a", Revision: 10, Deleted: true}})
+}
+
+// Guards against changes with a gap that are taken for a continuation.
+func TestGapIsReported(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	_, ok := table.Advance(nil, 0, 1)
+	c.Check(ok, qt.IsFalse, qt.Commentf("nothing loaded"))
+	table.Replace(nil, 5)
+	_, ok = table.Advance([]Change{{Key: "a", Revision: 9}}, 8, 9)
+	c.Check(ok, qt.IsFalse)
+	_, ok = table.Since(4)
+	c.Check(ok, qt.IsFalse, qt.Commentf("the log does not reach back"))
+}
+
+// Guards against a log of changes without bound.
+func TestLogIsBounded(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	table.Replace(nil, 1)
+	for i := uint64(2); i < 3*maxLog; i++ {
+		table.Advance([]Change{{Key: "a", Revision: i}}, i-1, i)
+	}
+	c.Check(len(table.log), qt.Equals, maxLog)
+	_, ok := table.Since(1)
+	c.Check(ok, qt.IsFalse)
+	changes, ok := table.Since(table.Revision() - 3)
+	c.Check(ok, qt.IsTrue)
+	c.Check(changes, qt.HasLen, 1, qt.Commentf("only the newest of a key"))
+}
