Roll a version out by an operator's order

Cause: an order (op/rollout) was decoded and ignored; new targets got their share by load, a bad version as much as a good one.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -288,6 +288,8 @@
 	Service string
 	// Version restricts the choice to targets of a version; empty accepts any.
 	Version string
+	// Without leaves out targets of a version; empty leaves out none.
+	Without string
 	// Exclude holds ids that must not be chosen.
 	Exclude []string
 	// AvoidZone is a zone to leave out while another has a usable target.
@@ -298,6 +300,9 @@
 	if m.reg.Service != q.Service || q.Version != "" && m.reg.Version != q.Version || !m.usable(now) {
 		return false
 	}
+	if q.Without != "" && m.reg.Version == q.Without {
+		return false
+	}
 	for _, id := range q.Exclude {
 		if id == m.reg.ID {
 			return false
@@ -306,6 +311,16 @@
 	return true
 }
 
+// Any reports whether a query admits any target.
+func (f *Fleet) Any(now time.Time, q FleetQuery) bool {
+	for _, m := range f.members {
+		if q.admits(m, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // best returns the admitted member with the lowest cost.
 func (f *Fleet) best(now time.Time, q *FleetQuery, cost func(*member) time.Duration) *member {
 	var chosen, other *member
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -144,7 +144,9 @@
 			x.g.metrics.budgetSpent.WithLabelValues(x.call.service).Inc()
 			return choice{}
 		}
-		reg, ok := st.fleet.ChooseCall(now, placement.FleetQuery{Service: x.call.service, Exclude: e.Exclude})
+		query := placement.FleetQuery{Service: x.call.service, Exclude: e.Exclude}
+		st.restrictVersion(now, &query, x.call.draw)
+		reg, ok := st.fleet.ChooseCall(now, query)
 		if ok {
 			st.fleet.BeginCall(reg.ID)
 			st.addHandle(reg.ID, handle)
@@ -162,7 +164,8 @@
 	begun := time.Now()
 	end := x.once(ctx, reg, handle)
 	end.attempt, end.target = n, reg.ID
-	latency := time.Since(begun)
+	took := time.Since(begun)
+	latency := took
 	failed := end.result == forward.TargetError || end.result == forward.Unknown || end.result == forward.Unsent
 	x.g.director.tell(x.g.ctx, func(st *state) {
 		now := time.Now()
@@ -175,6 +178,9 @@
 		if x.call.ctx.Err() != nil {
 			failed = false
 		}
+		if end.result.Ran() {
+			st.observe(now, reg, x.call.route.Name, took, failed)
+		}
 		st.fleet.EndCall(now, reg.ID, latency, failed)
 		if end.result == forward.Replaced {
 			st.fleet.Gone(reg.ID)
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -122,7 +122,7 @@
 			return holder{}
 		}
 		source, _ := st.fleet.Target(k.place.Target)
-		q := placement.FleetQuery{Service: k.s.call.service, Exclude: []string{k.place.Target}, AvoidZone: source.Zone}
+		q := placement.FleetQuery{Service: k.s.call.service, Version: source.Version, Exclude: []string{k.place.Target}, AvoidZone: source.Zone}
 		reg, ok := st.fleet.ChooseCopy(now, q, k.s.prompt)
 		if !ok {
 			return holder{}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"bramleygap/internal/core/evidence"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/replica"
@@ -62,6 +63,10 @@
 	stops      map[string]time.Time
 	rng        *rand.Rand
 	recentDown map[string]time.Time
+	// orders are the operators' rollout orders by service.
+	orders    map[string]*order
+	baselines map[string]*evidence.Baseline
+	evidence  *evidence.Counters
 }
 
 // director owns the gateway's beliefs. Other tasks send it functions as messages.
@@ -100,6 +105,9 @@
 		streams:       map[string]map[*running]struct{}{},
 		recentDown:    map[string]time.Time{},
 		stops:         map[string]time.Time{},
+		orders:        map[string]*order{},
+		baselines:     map[string]*evidence.Baseline{},
+		evidence:      evidence.NewCounters(d.options.Settings.Name, rng.Uint64()),
 		gateways:      []string{d.options.Settings.Name},
 		lastTick:      now,
 		rng:           rng,
@@ -277,6 +285,7 @@
 		desired.Config = old
 	}
 	s.desired = desired
+	d.takeOrders(s, now, desired.Rollouts)
 	if desired.Config == nil {
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	peers := newPeers(g)
 	group.Go(func() error { return peers.run(groupCtx) })
 	group.Go(func() error { return g.recheck(groupCtx) })
+	orders := &rollouts{g: g}
+	group.Go(func() error { return orders.run(groupCtx) })
 	if err := g.serve(group, groupCtx); err != nil {
 		return err
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -250,6 +250,7 @@
 	for id, replaces := range st.registry.Met() {
 		m.Met = append(m.Met, &wire.MetTarget{Id: id, Replaces: replaces})
 	}
+	st.exportRollouts(m)
 	for i := range st.tables {
 		m.Tables = append(m.Tables, p.exportTable(st, now, i, asker))
 	}
@@ -343,6 +344,7 @@
 	for _, t := range m.Tables {
 		p.mergeTable(st, now, asked, m.Name, t)
 	}
+	p.g.director.mergeRollouts(st, m)
 }
 
 // mergeDown probes targets that another gateway did not reach and that run streams of
--- a/internal/gateway/provider.go
+++ b/internal/gateway/provider.go
@@ -13,6 +13,7 @@
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/replica"
+	"bramleygap/internal/core/rollout"
 	"bramleygap/internal/gateway/target"
 )
 
@@ -202,15 +203,7 @@
 	// DecodeRegistration reads a row of TableTargets.
 	DecodeRegistration(row replica.Row) (membership.Registration, error)
 	// EncodeRolloutStatus returns the write that reports the state of a rollout.
-	EncodeRolloutStatus(service, version string, state RolloutState) Write
+	EncodeRolloutStatus(service, version string, state rollout.OrderState) Write
+	// DecodeRolloutStatus reads a row of TableStatus; a row of something else is an error.
+	DecodeRolloutStatus(row replica.Row) (service, version string, state rollout.OrderState, err error)
 }
-
-// RolloutState is the state of a rollout as reported to operators.
-type RolloutState int
-
-// States of a rollout.
-const (
-	RolloutRunning RolloutState = iota
-	RolloutCompleted
-	RolloutWithdrawn
-)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,7 +48,9 @@
 	g           *Gateway
 	version     uint64
 	rejected    bool
-	firstEvent  time.Duration
+	// draw decides which version of the service the request goes to.
+	draw       uint64
+	firstEvent time.Duration
 }
 
 func (c *call) message(header http.Header) *target.Message {
@@ -137,6 +139,7 @@
 		c.account = account.Name
 	}
 	c.service = c.route.Pick(rand.Float64())
+	c.draw = rand.Uint64()
 	patience := c.route.Timeout
 	if c.request.Patience > 0 && (patience <= 0 || c.request.Patience < patience) {
 		patience = c.request.Patience
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -63,6 +63,8 @@
 	// from is the copy that the current attempt continues from.
 	from   *Copy
 	keeper *copyKeeper
+	// firstEventAt is when the current attempt produced its first event, zero before.
+	firstEventAt time.Time
 }
 
 // serveStream relays a stream to its end.
@@ -147,7 +149,7 @@
 		if resume && s.machine.Ran() && !s.g.director.budget(st, now, s.call.service).TakeResume() {
 			return placed{}
 		}
-		return st.placeStream(now, s.call.service, e, s.prompt)
+		return st.placeStream(now, s.call.service, s.call.draw, e, s.prompt)
 	})
 	if p.rejected {
 		s.call.log.Warn().Msg("request is rejected: it crashed too many targets")
@@ -166,8 +168,9 @@
 	return p.place, p.ok
 }
 
-func (st *state) placeStream(now time.Time, service string, e relay.Choose, prompt placement.Prompt) placed {
+func (st *state) placeStream(now time.Time, service string, draw uint64, e relay.Choose, prompt placement.Prompt) placed {
 	query := placement.FleetQuery{Service: service, Exclude: e.Exclude}
+	st.restrictVersion(now, &query, draw)
 	var reg membership.Registration
 	ok, fromCopy := false, false
 	if e.Copy != "" && st.fleet.Usable(now, e.Copy) {
@@ -184,6 +187,8 @@
 	if st.keepsCopies(service) {
 		query.Exclude = append(append([]string(nil), e.Exclude...), reg.ID)
 		query.AvoidZone = reg.Zone
+		// A run does not go on under another version.
+		query.Version = reg.Version
 		if keeper, found := st.fleet.ChooseCopy(now, query, prompt); found {
 			p.place.Copy = keeper.ID
 		}
@@ -217,8 +222,18 @@
 		prompt = placement.Prompt{Output: s.prompt.Tokens + s.prompt.Output}
 	}
 	begin := s.begin(e, handle, prompt)
+	begun, reg := time.Now(), s.reg
+	s.firstEventAt = time.Time{}
 	effects, failed := s.exchange(ctx, e, handle, begin)
+	latency := time.Duration(0)
+	if !s.firstEventAt.IsZero() {
+		latency = s.firstEventAt.Sub(begun)
+	}
 	s.g.director.tell(s.g.ctx, func(st *state) {
+		// A lost zone or a resumption from a copy says nothing about the version.
+		if e.Holder == "" && !handle.interrupted.Load() && (failed || latency > 0) {
+			st.observe(time.Now(), reg, s.call.route.Name, latency, failed)
+		}
 		st.fleet.EndStream(time.Now(), e.Place.Target, e.Place.Copy, begin.run, prompt, failed)
 		st.removeHandle(e.Place.Target, handle)
 		st.inflight[s.call.service]--
@@ -325,6 +340,7 @@
 		if first {
 			first = false
 			s.g.director.tell(s.g.ctx, func(st *state) { st.fleet.StreamRead(now, e.Place.Target, run) })
+			s.firstEventAt = now
 			s.call.observeFirstEvent(now)
 			s.keeper.delivering()
 		}
