--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -121,7 +121,7 @@
 			}()
 			return nil
 		}
-		if e.Extra || !time.Now().Before(until) || x.call.ctx.Err() != nil {
+		if e.Extra || x.call.rejected || !time.Now().Before(until) || x.call.ctx.Err() != nil {
 			cancel()
 			return x.machine.NoTarget(e.Attempt)
 		}
@@ -206,6 +206,7 @@
 	message := x.call.message(x.g.options.Protocol.EncodeAttempt(&Attempt{
 		Request: &x.call.request, Target: reg, Account: x.call.account, Patience: time.Until(x.call.deadline), Urgency: -1,
 	}))
+	handle.sent.Store(true)
 	sent, err := conn.Send(message)
 	if err != nil {
 		_ = conn.Close()
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -208,7 +208,7 @@
 // watchSilence notes tables that nobody has confirmed for silentAfter.
 func (d *director) watchSilence(s *state, now time.Time) {
 	for i := range s.tables {
-		if now.Sub(s.storeWorked[i]) < silentAfter(Table(i)) {
+		if now.Sub(s.storeWorked[i]) < d.silentAfter(Table(i)) {
 			continue
 		}
 		if !s.silent[i] && s.tables[i].Loaded() {
@@ -222,11 +222,11 @@
 
 // reads reports whether this gateway follows a table in the store itself: it is one of the
 // table's readers, or the readers do not pass the table on.
-func (s *state) reads(now time.Time, table Table, self string) bool {
-	if !s.tables[table].Loaded() || now.Sub(s.storeWorked[table]) > fallbackAfter(table) {
+func (d *director) reads(s *state, now time.Time, table Table) bool {
+	if !s.tables[table].Loaded() || now.Sub(s.storeWorked[table]) > d.fallbackAfter(table) {
 		return true
 	}
-	return s.isReader(table, self)
+	return s.isReader(table, d.options.Settings.Name)
 }
 
 // isReader chooses the readers of a table by rendezvous hashing.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -30,12 +30,17 @@
 	idleCheck = 200 * time.Millisecond
 )
 
+// fallbackShare is the part of the time in which a leaving target must be known after which
+// a gateway reads a table itself; its own call takes a few ms of the rest.
+const fallbackShare = 0.62
+
 // fallbackAfter is the age of a confirmation from which a gateway reads the table itself.
-func fallbackAfter(table Table) time.Duration {
+func (d *director) fallbackAfter(table Table) time.Duration {
 	if table == TableGateways {
 		return rarePollWait + 3*time.Second
 	}
-	return pollWait + pollPause + 500*time.Millisecond
+	bound := time.Duration(fallbackShare * float64(d.options.Settings.Bounds.DrainTimeout.Duration))
+	return max(bound, pollWait+pollPause+300*time.Millisecond)
 }
 
 // follower keeps the copy of one table up to date.
@@ -55,8 +60,8 @@
 
 // silentAfter is the age of a confirmation from which a table may be out of date: a call of
 // a gateway that reads it itself takes up to pollWait and pollSlack.
-func silentAfter(table Table) time.Duration {
-	return fallbackAfter(table) + pollWait + pollSlack/2
+func (d *director) silentAfter(table Table) time.Duration {
+	return d.fallbackAfter(table) + pollWait + pollSlack/2
 }
 
 func (f *follower) run(ctx context.Context) error {
@@ -64,7 +69,7 @@
 	for ctx.Err() == nil {
 		at := ask(ctx, f.director, func(s *state) position {
 			t := s.tables[f.table]
-			return position{t.Loaded(), s.reads(time.Now(), f.table, self), s.isReader(f.table, self), t.Revision()}
+			return position{t.Loaded(), f.director.reads(s, time.Now(), f.table), s.isReader(f.table, self), t.Revision()}
 		})
 		if !at.reads {
 			sleep(ctx, idleCheck)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,6 +23,8 @@
 	// exchangeFanout is the number of other gateways asked in a round. Each exchange goes
 	// both ways, so that small installations are covered within a round.
 	exchangeFanout = 3
+	// readerInterval is the pause between two questions to a reader of the targets' table.
+	readerInterval = 400 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// unreachablePause is the pause before a gateway that did not answer is asked again.
@@ -43,6 +45,8 @@
 	conns       *rpc.Pool
 	incarnation uint64
 	known       map[string]*peer
+	// askedReader is when a reader of the targets' table was asked last.
+	askedReader time.Time
 }
 
 // peer is another gateway as this one sees it. The peers task owns it.
@@ -155,8 +159,7 @@
 			}
 		}
 	})
-	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
-	due = due[:min(len(due), exchangeFanout)]
+	due = p.choose(ctx, now, due)
 	type reply struct {
 		peer *peer
 		name string
@@ -188,6 +191,28 @@
 	}
 }
 
+// choose picks the gateways to ask in a round: random ones, and now and then a reader of
+// the targets' table, whose word is the newest.
+func (p *peers) choose(ctx context.Context, now time.Time, due []*peer) []*peer {
+	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	if len(due) <= exchangeFanout {
+		return due
+	}
+	if now.Sub(p.askedReader) >= readerInterval {
+		readers := ask(ctx, p.g.director, func(st *state) []string {
+			return slices.DeleteFunc(slices.Clone(st.gateways), func(name string) bool { return !st.isReader(TableTargets, name) })
+		})
+		for i, other := range due {
+			if slices.Contains(readers, other.name) {
+				due[0], due[i] = due[i], due[0]
+				p.askedReader = now
+				break
+			}
+		}
+	}
+	return due[:exchangeFanout]
+}
+
 func (p *peers) exchange(ctx context.Context, address string) (name string, err error) {
 	conn, err := p.conns.Conn(address)
 	if err != nil {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -57,17 +57,18 @@
 
 // countCrash blames the requests that ran on a crashed target.
 func (d *director) countCrash(st *state, now time.Time, reg membership.Registration) {
-	handles := st.streams[reg.ID]
-	if len(handles) == 0 {
-		return
-	}
 	death := suspect.Death{ID: reg.ID + "@" + reg.Address, Target: reg.ID, Zone: reg.Zone, At: now}
-	for handle := range handles {
-		death.Fingerprints = append(death.Fingerprints, handle.fingerprint)
+	for handle := range st.streams[reg.ID] {
+		if handle.sent.Load() {
+			death.Fingerprints = append(death.Fingerprints, handle.fingerprint)
+		}
+	}
+	if len(death.Fingerprints) == 0 {
+		return
 	}
 	if st.suspects.Report(death, now) {
 		d.metrics.crashesCounted.Inc()
-		d.log.Warn().Str("target", reg.ID).Str("zone", reg.Zone).Int("running", len(handles)).Msg("target crashed; running requests are suspected")
+		d.log.Warn().Str("target", reg.ID).Str("zone", reg.Zone).Int("running", len(death.Fingerprints)).Msg("target crashed; running requests are suspected")
 	}
 }
 
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -31,6 +31,9 @@
 // running is an attempt at a target as the director knows it.
 type running struct {
 	fingerprint uint64
+	// sent is set once a byte of the request may have left: before, the request cannot be
+	// what crashes the target.
+	sent        atomic.Bool
 	interrupted atomic.Bool
 	close       context.CancelFunc
 }
@@ -119,6 +122,8 @@
 			return s.machine.CallerGone()
 		case ok:
 			return s.machine.Placed(time.Now(), place)
+		case s.call.rejected:
+			return s.machine.Unplaced()
 		case !time.Now().Before(until):
 			return s.machine.Unplaced()
 		}
@@ -278,6 +283,7 @@
 		attempt.From = s.from
 	}
 	defer s.keepCopy(e.Place, begin.copyAddress).stop()
+	handle.sent.Store(true)
 	sent, err := conn.Send(s.call.message(s.g.options.Protocol.EncodeAttempt(&attempt)))
 	if err != nil && !sent {
 		return s.machine.Broken(time.Now(), relay.Unsent), true
