--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -15,6 +15,7 @@
 	"bramleygap/internal/core/replica"
 	"bramleygap/internal/core/retry"
 	"bramleygap/internal/core/suspect"
+	"bramleygap/internal/settings"
 )
 
 const (
@@ -41,6 +42,8 @@
 
 // state is what the director owns. Only functions that run on the director touch it.
 type state struct {
+	// settings are those in force: seeds and bounds follow a reload.
+	settings      settings.Gateway
 	tables        [followed]*replica.Table
 	registrations map[string]membership.Registration
 	desired       Desired
@@ -95,6 +98,7 @@
 func (d *director) newState(now time.Time) *state {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &state{
+		settings:      d.options.Settings,
 		registrations: map[string]membership.Registration{},
 		registry:      membership.NewRegistry(),
 		fleet:         placement.NewFleet(d.options.Settings.Name, d.options.Settings.Zone, rng),
@@ -208,7 +212,7 @@
 // watchSilence notes tables that nobody has confirmed for silentAfter.
 func (d *director) watchSilence(s *state, now time.Time) {
 	for i := range s.tables {
-		if now.Sub(s.storeWorked[i]) < d.silentAfter(Table(i)) {
+		if now.Sub(s.storeWorked[i]) < s.silentAfter(Table(i)) {
 			continue
 		}
 		if !s.silent[i] && s.tables[i].Loaded() {
@@ -223,7 +227,7 @@
 // reads reports whether this gateway follows a table in the store itself: it is one of the
 // table's readers, or the readers do not pass the table on.
 func (d *director) reads(s *state, now time.Time, table Table) bool {
-	if !s.tables[table].Loaded() || now.Sub(s.storeWorked[table]) > d.fallbackAfter(table) {
+	if !s.tables[table].Loaded() || now.Sub(s.storeWorked[table]) > s.fallbackAfter(table) {
 		return true
 	}
 	return s.isReader(table, d.options.Settings.Name)
@@ -369,7 +373,7 @@
 
 // rates are this gateway's part of the retry budget that all gateways share.
 func (d *director) rates(s *state) retry.Rates {
-	bounds := d.options.Settings.Bounds
+	bounds := s.settings.Bounds
 	return retry.Rates{
 		PerRequest: budgetShare * bounds.RetryRatio,
 		Burst:      max(2, budgetShare*bounds.RetrySlack/float64(max(1, len(s.gateways)))),
@@ -422,3 +426,13 @@
 		}
 	}
 }
+
+// reload takes in changed settings. Addresses and names stay those of the start.
+func (d *director) reload(s *state, changed settings.Gateway) {
+	s.settings.Seeds, s.settings.Bounds = changed.Seeds, changed.Bounds
+	for _, b := range s.budgets {
+		b.SetRates(d.rates(s))
+	}
+	d.log.Info().Strs("seeds", changed.Seeds).Float64("retry_ratio", changed.Bounds.RetryRatio).
+		Dur("drain_timeout", changed.Bounds.DrainTimeout.Duration).Msg("settings reloaded; names and addresses stay until a restart")
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -35,11 +35,11 @@
 const fallbackShare = 0.62
 
 // fallbackAfter is the age of a confirmation from which a gateway reads the table itself.
-func (d *director) fallbackAfter(table Table) time.Duration {
+func (s *state) fallbackAfter(table Table) time.Duration {
 	if table == TableGateways {
 		return rarePollWait + 3*time.Second
 	}
-	bound := time.Duration(fallbackShare * float64(d.options.Settings.Bounds.DrainTimeout.Duration))
+	bound := time.Duration(fallbackShare * float64(s.settings.Bounds.DrainTimeout.Duration))
 	return max(bound, pollWait+pollPause+300*time.Millisecond)
 }
 
@@ -60,8 +60,8 @@
 
 // silentAfter is the age of a confirmation from which a table may be out of date: a call of
 // a gateway that reads it itself takes up to pollWait and pollSlack.
-func (d *director) silentAfter(table Table) time.Duration {
-	return d.fallbackAfter(table) + pollWait + pollSlack/2
+func (s *state) silentAfter(table Table) time.Duration {
+	return s.fallbackAfter(table) + pollWait + pollSlack/2
 }
 
 func (f *follower) run(ctx context.Context) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	Store      Store
 	Logger     zerolog.Logger
 	Registerer *prometheus.Registry
+	// Reload delivers changed settings; nil if they do not change.
+	Reload <-chan settings.Gateway
 }
 
 // Gateway is one running gateway.
@@ -92,10 +94,15 @@
 		return err
 	}
 	g.log.Info().Str("zone", options.Settings.Zone).Msg("gateway started")
-	select {
-	case <-ctx.Done():
-	case <-groupCtx.Done():
-		return group.Wait()
+	for running := true; running; {
+		select {
+		case <-ctx.Done():
+			running = false
+		case <-groupCtx.Done():
+			return group.Wait()
+		case changed := <-options.Reload:
+			g.director.tell(groupCtx, func(s *state) { g.director.reload(s, changed) })
+		}
 	}
 	g.log.Info().Msg("stop requested")
 	g.stop(cancel)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,7 +21,6 @@
 	lateTicks      prometheus.Counter
 	targets        prometheus.Gauge
 	configVersion  prometheus.Gauge
-	logLinesLost   prometheus.Counter
 	crashesCounted prometheus.Counter
 }
 
@@ -60,11 +59,9 @@
 		lateTicks:      counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
 		targets:        gauge("targets", "Registered targets."),
 		configVersion:  gauge("config_version", "Version of the desired state in force."),
-		logLinesLost:   counter("log_lines_lost_total", "Log lines dropped because the output was too slow."),
 		crashesCounted: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.budgetSpent, m.storeCalls,
-		m.peerCalls, m.probes, m.copyOrders, m.connections, m.strayAnswers, m.targetsDown, m.lateTicks, m.targets, m.configVersion,
-		m.logLinesLost, m.crashesCounted)
+		m.peerCalls, m.probes, m.copyOrders, m.connections, m.strayAnswers, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.crashesCounted)
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -110,7 +110,14 @@
 
 // refresh takes in the gateways that the store lists and the seeds of the settings.
 func (p *peers) refresh(ctx context.Context) {
-	rows := ask(ctx, p.g.director, func(st *state) []replica.Row { return st.tables[TableGateways].Rows() })
+	var seeds []string
+	rows := ask(ctx, p.g.director, func(st *state) []replica.Row {
+		seeds = st.settings.Seeds
+		return st.tables[TableGateways].Rows()
+	})
+	if ctx.Err() != nil {
+		return
+	}
 	listed := map[string]bool{}
 	for _, row := range rows {
 		var state wire.GatewayState
@@ -119,7 +126,7 @@
 		}
 		listed[state.Address] = true
 	}
-	for _, seed := range p.g.options.Settings.Seeds {
+	for _, seed := range seeds {
 		listed[seed] = true
 	}
 	delete(listed, p.g.options.Settings.PeerListen)
