--- a/cmd/bramleygap/gateway.go
+++ b/cmd/bramleygap/gateway.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,6 +16,7 @@
 
 	"bramleygap/internal/gateway"
 	"bramleygap/internal/obs"
+	"bramleygap/internal/result"
 	"bramleygap/internal/settings"
 	"bramleygap/platform"
 )
@@ -32,7 +34,7 @@
 func (c *gatewayCommand) Run(ctx context.Context) error {
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil {
-		return err
+		return fmt.Errorf("%d %v: %w", result.InvalidText, result.InvalidText, err)
 	}
 	if s.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimitMB<<20)))
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,45 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const sampleLog = `  0.1 edge-1 {"level":"warn","gateway":"g1","target":"t1","reason":"no answer","time":"2026-01-01T00:00:01.100Z","message":"target is down"}
+panic: not a log line
+{"level":"info","gateway":"g1","request":"r1","target":"t1","time":"2026-01-01T00:00:00.900Z","message":"stream placed"}
+{"level":"info","gateway":"g2","target":"t1","time":"2026-01-01T00:00:01.000Z","message":"belief of another process"}
+{"level":"info","gateway":"g1","request":"r2","time":"2026-01-01T00:00:01.000Z","message":"another request"}
+{"level":"info","gateway":"g1","request":"r1","outcome":"lost","time":"2026-01-01T00:00:01.200Z","message":"request ended"}
+{"level":"warn","gateway":"g1","table":"targets","time":"2025-12-31T23:59:50.000Z","message":"long before"}
+`
+
+// Guards against a story that is out of order, lacks the belief that decided, or holds lines
+// of other requests and processes.
+func TestStory(t *testing.T) {
+	c := qt.New(t)
+	entries, skipped, err := Read(strings.NewReader(sampleLog))
+	c.Assert(err, qt.IsNil)
+	c.Check(skipped, qt.Equals, 1)
+	var out strings.Builder
+	c.Assert(Story(&out, "r1", entries, skipped), qt.IsNil)
+	c.Check(out.String(), qt.Equals, `      0.000 s g1: stream placed target=t1
+~     0.200 s g1: target is down reason=no answer target=t1
+      0.300 s g1: request ended outcome=lost
+1 lines could not be read
+`)
+	c.Check(Story(&out, "r9", entries, 0), qt.ErrorIs, ErrUnknown)
+}
+
+// Guards against panics on arbitrary lines.
+func FuzzRead(f *testing.F) {
+	f.Add(sampleLog)
+	f.Fuzz(func(t *testing.T, text string) {
+		entries, _, err := Read(strings.NewReader(text))
+		if err == nil {
+			_ = Story(&strings.Builder{}, "r1", entries, 0)
+		}
+	})
+}
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +22,15 @@
 
 const adminReadTimeout = 5 * time.Second
 
+// setTimeFormat sets the library's global format once.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = timeFormat })
+
+// timeFormat has milliseconds, so that the lines of several processes can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes JSON lines, or text for people if s.Console is set.
 func NewLogger(s settings.Log, w io.Writer) zerolog.Logger {
+	setTimeFormat()
 	level, err := zerolog.ParseLevel(s.Level)
 	if err != nil || s.Level == "" {
 		level = zerolog.InfoLevel
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -17,8 +17,8 @@
 // ErrInvalid is returned by Check if a file has problems; they are printed.
 var ErrInvalid = errors.New("at least one file is not valid")
 
-// Check validates files and prints every problem. Entry settings, agent settings and
-// operator configurations are told apart by their keys.
+// Check validates files and prints every problem. Settings of entries, gateways and
+// agents and operator configurations are told apart by their keys.
 func Check(_ context.Context, files []string, w io.Writer) error {
 	valid := true
 	for _, file := range files {
@@ -52,6 +52,9 @@
 		return false
 	}
 	switch {
+	case has("client_listen", "readiness_listen", "store_address"):
+		_, err = settings.ParseGateway(file, text)
+		return "gateway settings", err
 	case has("caller_listen", "peer_listen"):
 		_, err = settings.ParseEntry(file, text)
 		return "entry settings", err
