Refuse at once a stream that cannot be useful before its deadline

Change: a stream that has not run is refused (1013, 503) if the earliest first event and a second of output come too late.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -48,6 +48,7 @@
 	g           *Gateway
 	version     uint64
 	rejected    bool
+	hopeless    bool
 	// draw decides which version of the service the request goes to.
 	draw       uint64
 	firstEvent time.Duration
@@ -206,7 +207,7 @@
 // answers callers of the product's own interface.
 func statusOf(code result.Code) int {
 	switch code {
-	case result.NoTarget, result.NotReady, result.Leaving, result.Overloaded, result.RetryBudgetSpent:
+	case result.NoTarget, result.DeadlineTooShort, result.NotReady, result.Leaving, result.Overloaded, result.RetryBudgetSpent:
 		return http.StatusServiceUnavailable
 	case result.CrashesTargets, result.TargetDied:
 		return http.StatusBadGateway
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -21,6 +21,8 @@
 	// patienceShare is the part of the latency objective that a request waits for a target
 	// before it is refused: most of the objective is left for another gateway.
 	patienceShare = 0.12
+	// leastOutput is the time that the shortest useful output takes: some 200 tokens.
+	leastOutput = time.Second
 	// resumePatience is how long a stream that ran waits for a target to continue on.
 	resumePatience = 3 * time.Second
 )
@@ -122,7 +124,7 @@
 			return s.machine.CallerGone()
 		case ok:
 			return s.machine.Placed(time.Now(), place)
-		case s.call.rejected:
+		case s.call.rejected, s.call.hopeless:
 			return s.machine.Unplaced()
 		case !time.Now().Before(until):
 			return s.machine.Unplaced()
@@ -137,6 +139,8 @@
 	reg      membership.Registration
 	ok       bool
 	rejected bool
+	// hopeless is set if no target can produce anything useful before the deadline.
+	hopeless bool
 }
 
 // place asks the director for a target: the holder of the copy if it may be used, or else
@@ -154,8 +158,12 @@
 		if resume && s.machine.Ran() && !s.g.director.budget(st, now, s.call.service).TakeResume() {
 			return placed{}
 		}
+		if !s.machine.Ran() && st.hopeless(now, s.call, s.prompt) {
+			return placed{hopeless: true}
+		}
 		return st.placeStream(now, s.call.service, s.call.draw, e, s.prompt)
 	})
+	s.call.hopeless = p.hopeless
 	if p.rejected {
 		s.call.log.Warn().Msg("request is rejected: it crashed too many targets")
 		s.call.rejected = true
@@ -173,6 +181,13 @@
 	return p.place, p.ok
 }
 
+// hopeless reports whether a stream that has not run cannot get its first event and a
+// little more before its caller gives up. Reading its prompt would only delay the others.
+func (st *state) hopeless(now time.Time, c *call, prompt placement.Prompt) bool {
+	expected, ok := st.fleet.FirstEvent(now, placement.FleetQuery{Service: c.service}, prompt)
+	return ok && now.Add(expected+leastOutput).After(c.deadline)
+}
+
 func (st *state) placeStream(now time.Time, service string, draw uint64, e relay.Choose, prompt placement.Prompt) placed {
 	query := placement.FleetQuery{Service: service, Exclude: e.Exclude}
 	st.restrictVersion(now, &query, draw)
@@ -440,6 +455,8 @@
 		s.g.refuse(s.w, s.call, result.DeadlineExceeded, 0)
 	case ran:
 		s.g.refuse(s.w, s.call, result.TargetDied, 0)
+	case s.call.hopeless:
+		s.g.refuse(s.w, s.call, result.DeadlineTooShort, streamRetryAfter)
 	default:
 		s.g.refuse(s.w, s.call, result.NoTarget, streamRetryAfter)
 	}
