Leave stuck resumptions; judge by the copy that exists now

Change: Choose.Continue in place of a remembered copy, the keeper's copy counts, resumptions are given up after 1.5 s, copies move off engines that said they leave. The readers' table of gateways is not taken for silent after each second call.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -279,6 +279,13 @@
 	return m != nil && m.usable(now)
 }
 
+// Stays reports whether a target may get work and has not said that it is leaving: a leaving
+// engine refuses to go on from a copy.
+func (f *Fleet) Stays(now time.Time, id string) bool {
+	m := f.members[id]
+	return m != nil && m.usable(now) && !now.Before(m.leavingUntil)
+}
+
 func (m *member) usable(now time.Time) bool {
 	return !m.reg.Leaving && !m.gone && !now.Before(m.downUntil)
 }
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -158,6 +158,8 @@
 	c.Check(reg.ID, qt.Equals, "e01")
 	_, ok := f.ChooseEngine(now, FleetQuery{Service: "s", Exclude: []string{"e01"}}, longPrompt)
 	c.Check(ok, qt.IsTrue)
+	c.Check(f.Stays(now, "e00"), qt.IsFalse, qt.Commentf("a copy there is of no use"))
+	c.Check(f.Stays(now, "e01"), qt.IsTrue)
 	c.Check(f.SaidLeaving(now), qt.DeepEquals, []string{"e00"})
 	c.Check(f.SaidLeaving(now.Add(leavingFor)), qt.HasLen, 0)
 }
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -31,6 +31,9 @@
 	// stuckWithoutCopy is the pause after which a stream without a copy moves: reading the
 	// prompt again costs more than a second, and target and caller may both recover.
 	stuckWithoutCopy = 4 * time.Second
+	// stuckResumption is the time after which a resumption from a copy that produced nothing
+	// at a live target is given up; one that works takes some 30 ms.
+	stuckResumption = 1500 * time.Millisecond
 	// maxTries bounds the attempts of one stream with those that did not run. Targets that
 	// restarted together refuse in turn until the gateway learns of their new ids.
 	maxTries = 16
@@ -50,10 +53,10 @@
 	After uint64
 }
 
-// Place is a chosen target with the engine that keeps the copy of the run's memory.
+// Place is a chosen target.
 type Place struct {
 	Target string
-	// Copy is the target of the second copy, empty for none.
+	// Copy is the target that shall keep the second copy of the run's memory, empty for none.
 	Copy string
 	// Resume is set if the target holds the copy made by the previous attempt.
 	Resume bool
@@ -123,8 +126,8 @@
 type Choose struct {
 	// Exclude holds targets that failed this stream.
 	Exclude []string
-	// Copy is the target that may hold a copy of the run's memory, empty for none.
-	Copy string
+	// Continue is set if the attempt before may have left a copy of the run's memory.
+	Continue bool
 }
 
 // Open starts an attempt at a place, continuing behind an event.
@@ -298,10 +301,7 @@
 		}
 		return append(effects, m.Unplaced()...)
 	}
-	if !began {
-		return append(effects, Choose{Exclude: m.excluded})
-	}
-	return append(effects, Choose{Exclude: m.excluded, Copy: m.place.Copy})
+	return append(effects, Choose{Exclude: m.excluded, Continue: began})
 }
 
 // CallerGone reports that the caller closed its connection.
@@ -344,9 +344,10 @@
 	return []Effect{Probe{m.place.Target}}
 }
 
-// Probed answers a Probe. A live target whose stream makes no progress is left for the
-// copy before the permitted pause is over.
-func (m *Machine) Probed(now time.Time, alive bool) []Effect {
+// Probed answers a Probe; hasCopy tells whether the run's memory has a copy now. A live
+// target whose stream makes no progress is left for the copy before the permitted pause is
+// over, and without one only after a time in which target and caller may both recover.
+func (m *Machine) Probed(now time.Time, alive, hasCopy bool) []Effect {
 	if !m.open || m.done {
 		return nil
 	}
@@ -354,11 +355,13 @@
 	if !alive {
 		return m.Broken(now, TargetDown)
 	}
-	if m.fresh == 0 {
-		return nil
-	}
 	limit := stuckWithoutCopy
-	if m.place.Copy != "" {
+	switch {
+	case m.fresh == 0 && !m.place.Resume:
+		return nil
+	case m.fresh == 0:
+		limit = stuckResumption
+	case hasCopy:
 		limit = time.Duration(stuckShare * float64(m.options.EventGap))
 	}
 	if m.options.Resumable && now.Sub(m.lastSeen) >= limit {
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -78,7 +78,7 @@
 				case Close:
 					open = false
 				case Probe:
-					next = append(next, m.Probed(now, rapid.Bool().Draw(t, "alive"))...)
+					next = append(next, m.Probed(now, rapid.Bool().Draw(t, "alive"), rapid.Bool().Draw(t, "copy"))...)
 				case Deliver:
 					t.Fatal("deliver without an event")
 				}
@@ -114,12 +114,12 @@
 	m := opened(options(), Place{Target: "a", Copy: "b"})
 	m.Event(start, 1)
 	next := choose(c, m.Broken(start.Add(time.Second), TargetDown))
-	c.Check(next, qt.DeepEquals, Choose{Exclude: []string{"a"}, Copy: "b"})
+	c.Check(next, qt.DeepEquals, Choose{Exclude: []string{"a"}, Continue: true})
 	effects := m.Placed(start.Add(time.Second), Place{Target: "b", Copy: "d", Resume: true})
 	c.Check(effects, qt.DeepEquals, []Effect{Open{Place: Place{Target: "b", Copy: "d", Resume: true}, After: 1, Holder: "b"}})
 	for _, loss := range []Loss{Unsent, Refused, Replaced} {
 		m := opened(options(), Place{Target: "a", Copy: "b"})
-		c.Check(choose(c, m.Broken(start, loss)).Copy, qt.Equals, "", qt.Commentf("%v", loss))
+		c.Check(choose(c, m.Broken(start, loss)).Continue, qt.IsFalse, qt.Commentf("%v", loss))
 	}
 }
 
@@ -159,7 +159,7 @@
 	m := opened(options(), Place{Target: "a", Copy: "b"})
 	c.Check(m.Check(start.Add(firstProbe-1)), qt.HasLen, 0)
 	c.Check(m.Check(start.Add(firstProbe)), qt.DeepEquals, []Effect{Probe{"a"}})
-	c.Check(m.Probed(start.Add(firstProbe), true), qt.HasLen, 0)
+	c.Check(m.Probed(start.Add(firstProbe), true, true), qt.HasLen, 0)
 	now := start.Add(time.Second)
 	for i := range uint64(20) {
 		now = now.Add(40 * time.Millisecond)
@@ -168,31 +168,53 @@
 	silent := m.NextCheck()
 	c.Check(silent.Sub(now), qt.Equals, minSilence)
 	c.Check(m.Check(silent), qt.DeepEquals, []Effect{Probe{"a"}})
-	c.Check(choose(c, m.Probed(silent, false)).Copy, qt.Equals, "b")
+	c.Check(choose(c, m.Probed(silent, false, true)).Continue, qt.IsTrue)
+}
+
+// stuckFor returns how long a machine waits at a live target that makes no progress.
+func stuckFor(m *Machine, last time.Time, hasCopy bool) time.Duration {
+	for {
+		at := m.NextCheck()
+		if at.Sub(last) > 10*time.Second {
+			return 0
+		}
+		m.Check(at)
+		if len(m.Probed(at, true, hasCopy)) > 0 {
+			return at.Sub(last)
+		}
+	}
 }
 
 // Guards against waiting for an engine that is alive and makes no progress (engines that
-// hang), beyond the pause that callers accept, while a copy could go on.
+// hang), beyond the pause that callers accept, while a copy could go on, and against reading
+// the prompt again too soon where there is none.
 func TestStuckStreamMovesToCopy(t *testing.T) {
 	c := qt.New(t)
-	moved := func(place Place) time.Duration {
-		m := opened(options(), place)
+	stuck := func(hasCopy bool) time.Duration {
+		// The copy of the place may have been lost, or another one made, since the start.
+		m := opened(options(), Place{Target: "a"})
 		m.Event(start, 1)
-		m.Event(start.Add(40*time.Millisecond), 2)
 		last := start.Add(40 * time.Millisecond)
-		for {
-			at := m.NextCheck()
-			if at.Sub(last) > 10*time.Second {
-				return 0
-			}
-			m.Check(at)
-			if len(m.Probed(at, true)) > 0 {
-				return at.Sub(last)
-			}
-		}
+		m.Event(last, 2)
+		return stuckFor(m, last, hasCopy)
 	}
-	c.Check(moved(Place{Target: "a", Copy: "b"}) < 650*time.Millisecond, qt.IsTrue)
-	c.Check(moved(Place{Target: "a"}) >= stuckWithoutCopy, qt.IsTrue)
+	c.Check(stuck(true) < 650*time.Millisecond, qt.IsTrue)
+	c.Check(stuck(false) >= stuckWithoutCopy, qt.IsTrue)
+}
+
+// Guards against a resumption that waits for ever at an engine that took the copy and
+// produces nothing (seen for 7 s when many streams of a zone went on at one engine).
+func TestStuckResumptionMoves(t *testing.T) {
+	c := qt.New(t)
+	m := opened(options(), Place{Target: "a", Copy: "b"})
+	m.Event(start, 1)
+	m.Broken(start, TargetDown)
+	m.Placed(start, Place{Target: "b", Resume: true})
+	waited := stuckFor(m, start, true)
+	c.Check(waited >= stuckResumption && waited < 2*time.Second, qt.IsTrue, qt.Commentf("%v", waited))
+	// A prompt that is being read is no stuck stream.
+	m = opened(options(), Place{Target: "a"})
+	c.Check(stuckFor(m, start, false), qt.Equals, time.Duration(0))
 }
 
 // Guards against an answer that comes after the deadline.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleygap/internal/core/placement"
@@ -34,8 +35,9 @@
 	done   sync.WaitGroup
 	begun  chan struct{}
 	once   sync.Once
-	// copy and ordered belong to run; stop reads them after its end.
-	copy    *Copy
+	// copy is where the run's memory is kept now, nil for none. Only run changes it.
+	copy atomic.Pointer[Copy]
+	// ordered belongs to run; stop reads it after its end.
 	ordered bool
 }
 
@@ -43,7 +45,7 @@
 func (s *stream) keepCopy(place relay.Place, copyAddress string) *copyKeeper {
 	k := &copyKeeper{s: s, place: place, begun: make(chan struct{})}
 	if place.Copy != "" {
-		k.copy = &Copy{Holder: place.Copy, Address: copyAddress, Handle: s.call.request.ID}
+		k.copy.Store(&Copy{Holder: place.Copy, Address: copyAddress, Handle: s.call.request.ID})
 	}
 	k.ctx, k.cancel = context.WithCancel(s.call.ctx)
 	s.keeper = k
@@ -60,7 +62,7 @@
 func (k *copyKeeper) stop() {
 	k.cancel()
 	k.done.Wait()
-	k.s.copy = k.copy
+	k.s.copy = k.copy.Load()
 	if k.ordered && k.s.machine.Done() {
 		k.s.g.background(k.release)
 	}
@@ -68,15 +70,15 @@
 
 // release frees an ordered copy, which would occupy memory until it expires.
 func (k *copyKeeper) release() {
-	message := k.s.g.options.Protocol.EncodeCopyRelease(k.copy.Handle)
-	answer, err := k.s.g.pool.Do(k.s.g.ctx, k.copy.Address, &message, copyOrderTimeout)
+	message := k.s.g.options.Protocol.EncodeCopyRelease(k.copy.Load().Handle)
+	answer, err := k.s.g.pool.Do(k.s.g.ctx, k.copy.Load().Address, &message, copyOrderTimeout)
 	if err != nil {
-		k.s.call.log.Debug().Str("target", k.copy.Holder).Err(err).Msg("copy not released; it expires")
+		k.s.call.log.Debug().Str("target", k.copy.Load().Holder).Err(err).Msg("copy not released; it expires")
 		return
 	}
 	k.s.g.metrics.copyOrders.WithLabelValues("released").Inc()
 	if answer.Status >= http.StatusMultipleChoices {
-		k.s.call.log.Debug().Str("target", k.copy.Holder).Int("status", answer.Status).Msg("copy was gone before its release")
+		k.s.call.log.Debug().Str("target", k.copy.Load().Holder).Int("status", answer.Status).Msg("copy was gone before its release")
 	}
 }
 
@@ -112,10 +114,11 @@
 	type holder struct {
 		id, address string
 	}
+	current := k.copy.Load()
 	h := ask(k.ctx, k.s.g.director, func(st *state) holder {
 		now := time.Now()
-		if k.copy != nil && st.fleet.Usable(now, k.copy.Holder) {
-			reg, _ := st.fleet.Target(k.copy.Holder)
+		if current != nil && st.fleet.Stays(now, current.Holder) {
+			reg, _ := st.fleet.Target(current.Holder)
 			return holder{reg.ID, reg.Address}
 		}
 		if !st.keepsCopies(k.s.call.service) {
@@ -129,7 +132,7 @@
 		}
 		return holder{reg.ID, reg.Address}
 	})
-	if h.id == "" || k.copy != nil && h.id == k.copy.Holder && !k.ordered {
+	if h.id == "" || current != nil && h.id == current.Holder && !k.ordered {
 		return
 	}
 	k.order(h.id, h.address)
@@ -150,13 +153,15 @@
 	k.s.g.metrics.copyOrders.WithLabelValues(copyOutcome(answer, err)).Inc()
 	if handle == "" {
 		k.s.call.log.Info().Str("target", id).Int("status", answer.Status).AnErr("error", err).Msg("copy not made")
-		k.copy, k.ordered = nil, false
+		k.copy.Store(nil)
+		k.ordered = false
 		return
 	}
-	if k.copy == nil || k.copy.Handle != handle {
+	if before := k.copy.Load(); before == nil || before.Handle != handle {
 		k.s.call.log.Info().Str("target", id).Str("source", k.s.reg.ID).Msg("copy ordered in place of a lost one")
 	}
-	k.copy, k.ordered = &Copy{Holder: id, Address: source, Handle: handle}, true
+	k.copy.Store(&Copy{Holder: id, Address: source, Handle: handle})
+	k.ordered = true
 }
 
 func copyOutcome(a target.Answer, err error) string {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -37,7 +37,8 @@
 // fallbackAfter is the age of a confirmation from which a gateway reads the table itself.
 func (s *state) fallbackAfter(table Table) time.Duration {
 	if table == TableGateways {
-		return rarePollWait + 3*time.Second
+		// The last confirmation is as old as the call before the one that is held.
+		return 2*rarePollWait + 3*time.Second
 	}
 	bound := time.Duration(fallbackShare * float64(s.settings.Bounds.DrainTimeout.Duration))
 	return max(bound, pollWait+pollPause+300*time.Millisecond)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -145,8 +146,9 @@
 // the best one, with another engine for the next copy.
 func (s *stream) place(e relay.Choose) (relay.Place, bool) {
 	resume := len(e.Exclude) > 0
-	if e.Copy != "" && s.copy != nil {
-		e.Copy = s.copy.Holder
+	holder := ""
+	if e.Continue && s.copy != nil {
+		holder = s.copy.Holder
 	}
 	p := ask(s.call.ctx, s.g.director, func(st *state) placed {
 		now := time.Now()
@@ -159,7 +161,7 @@
 		if !s.machine.Ran() && st.hopeless(now, s.call, s.prompt) {
 			return placed{hopeless: true}
 		}
-		return st.placeStream(now, s.call.service, s.call.draw, e, s.prompt)
+		return st.placeStream(now, s.call.service, s.call.draw, e.Exclude, holder, s.prompt)
 	})
 	s.call.hopeless = p.hopeless
 	if p.rejected {
@@ -186,13 +188,13 @@
 	return ok && now.Add(expected).After(c.deadline)
 }
 
-func (st *state) placeStream(now time.Time, service string, draw uint64, e relay.Choose, prompt placement.Prompt) placed {
-	query := placement.FleetQuery{Service: service, Exclude: e.Exclude}
+func (st *state) placeStream(now time.Time, service string, draw uint64, exclude []string, holder string, prompt placement.Prompt) placed {
+	query := placement.FleetQuery{Service: service, Exclude: exclude}
 	st.restrictVersion(now, &query, draw)
 	var reg membership.Registration
 	ok, fromCopy := false, false
-	if e.Copy != "" && st.fleet.Usable(now, e.Copy) {
-		reg, ok = st.fleet.Target(e.Copy)
+	if holder != "" && st.fleet.Usable(now, holder) {
+		reg, ok = st.fleet.Target(holder)
 		fromCopy = ok
 	}
 	if !ok {
@@ -203,7 +205,7 @@
 	}
 	p := placed{place: relay.Place{Target: reg.ID, Resume: fromCopy}, reg: reg, ok: true}
 	if st.keepsCopies(service) {
-		query.Exclude = append(append([]string(nil), e.Exclude...), reg.ID)
+		query.Exclude = append(slices.Clone(exclude), reg.ID)
 		query.AvoidZone = reg.Zone
 		// A run does not go on under another version.
 		query.Version = reg.Version
@@ -401,7 +403,7 @@
 			alive := s.g.alive(s.reg)
 			s.call.log.Info().Str("target", s.reg.ID).Bool("alive", alive).Uint64("last_event", s.machine.Last()).
 				Msg("silent target probed")
-			effects = s.machine.Probed(time.Now(), alive)
+			effects = s.machine.Probed(time.Now(), alive, s.keeper.copy.Load() != nil)
 			break
 		}
 	}
