--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,8 +23,12 @@
 	// exchangeFanout is the number of other gateways asked in a round. Each exchange goes
 	// both ways, so that small installations are covered within a round.
 	exchangeFanout = 3
-	// readerInterval is the pause between two questions to a reader of the targets' table.
+	// readerInterval is the least pause between two questions to a reader of the targets'
+	// table.
 	readerInterval = 400 * time.Millisecond
+	// readerLoad is the number of such questions that one reader answers in a second; in a
+	// large installation the word of the others goes round by random exchanges.
+	readerLoad = 40
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// unreachablePause is the pause before a gateway that did not answer is asked again.
@@ -205,7 +209,7 @@
 	if len(due) <= exchangeFanout {
 		return due
 	}
-	if now.Sub(p.askedReader) >= readerInterval {
+	if now.Sub(p.askedReader) >= readerPause(len(p.known)+1) {
 		readers := ask(ctx, p.g.director, func(st *state) []string {
 			return slices.DeleteFunc(slices.Clone(st.gateways), func(name string) bool { return !st.isReader(TableTargets, name) })
 		})
@@ -220,6 +224,11 @@
 	return due[:exchangeFanout]
 }
 
+// readerPause is the pause between two questions of one of n gateways to a reader.
+func readerPause(n int) time.Duration {
+	return max(readerInterval, time.Duration(n)*time.Second/(readersPerTable*readerLoad))
+}
+
 func (p *peers) exchange(ctx context.Context, address string) (name string, err error) {
 	conn, err := p.conns.Conn(address)
 	if err != nil {
