--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -17,9 +17,6 @@
 	"bramleygap/internal/result"
 )
 
-// CodeHeader carries the number of the result code in an error response.
-const CodeHeader = "Bramleygap-Code"
-
 // Identity is an authenticated client account and its member.
 type Identity struct {
 	Account opconfig.Account
@@ -113,7 +110,7 @@
 	coded := AsError(err)
 	r.Count(coded.Code)
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(CodeHeader, strconv.FormatUint(uint64(coded.Code), 10))
+	w.Header().Set(result.Header, strconv.FormatUint(uint64(coded.Code), 10))
 	w.WriteHeader(coded.Code.HTTPStatus())
 	_ = json.NewEncoder(w).Encode(BodyOf(coded))
 }
--- a/internal/entry/calls/bench_test.go
+++ b/internal/entry/calls/bench_test.go
@@ -16,7 +16,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
 
-	"bramleygap/internal/entry/caller"
 	"bramleygap/internal/platform"
 	"bramleygap/internal/result"
 )
@@ -164,7 +163,7 @@
 }
 
 func codeOf(response *http.Response) result.Code {
-	code, _ := strconv.Atoi(response.Header.Get(caller.CodeHeader))
+	code, _ := strconv.Atoi(response.Header.Get(result.Header))
 	return result.Code(code)
 }
 
--- a/internal/entry/calls/calls_test.go
+++ b/internal/entry/calls/calls_test.go
@@ -156,7 +156,7 @@
 	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
-	code, _ := strconv.Atoi(w.Header().Get(caller.CodeHeader))
+	code, _ := strconv.Atoi(w.Header().Get(result.Header))
 	return reply{status: w.Code, code: result.Code(code), repeated: w.Header().Get(RepeatedHeader) != "", body: w.Body.String()}
 }
 
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -53,7 +53,8 @@
 	inflight      map[string]int
 	latencies     map[string]*retry.Estimate
 	suspects      *suspect.Tracker
-	streams       map[string]map[*running]struct{}
+	// attempts are those of this gateway that are open, by target.
+	attempts map[string]map[*running]struct{}
 	// storeWorked is the time at which a table's copy was known to be current; silent is
 	// set while that is too long ago, and lastSilent is when it last was.
 	storeWorked [followed]time.Time
@@ -64,7 +65,6 @@
 	lastTick time.Time
 	// stops is when the other gateways that answered end; zero for those that do not stop.
 	stops      map[string]time.Time
-	rng        *rand.Rand
 	recentDown map[string]time.Time
 	// orders are the operators' rollout orders by service.
 	orders    map[string]*order
@@ -80,14 +80,14 @@
 	messages chan func(*state)
 	// published is the desired state in force; nil before the first one.
 	published atomic.Pointer[published]
-	// changed is signalled when targets or the desired state changed.
+	// probe asks a target in the background whether it answers.
 	probe func(target membership.Registration)
 }
 
 // published is what request handlers read without asking the director.
 type published struct {
 	desired Desired
-	// stale is set while the store has not answered for longer than staleAfter.
+	// stale is set while nobody has confirmed the desired state for longer than silentAfter.
 	stale bool
 }
 
@@ -106,7 +106,7 @@
 		inflight:      map[string]int{},
 		latencies:     map[string]*retry.Estimate{},
 		suspects:      suspect.NewTracker(),
-		streams:       map[string]map[*running]struct{}{},
+		attempts:      map[string]map[*running]struct{}{},
 		recentDown:    map[string]time.Time{},
 		stops:         map[string]time.Time{},
 		orders:        map[string]*order{},
@@ -114,7 +114,6 @@
 		evidence:      evidence.NewCounters(d.options.Settings.Name, rng.Uint64()),
 		gateways:      []string{d.options.Settings.Name},
 		lastTick:      now,
-		rng:           rng,
 	}
 	for i := range s.tables {
 		s.tables[i] = replica.NewTable()
@@ -389,12 +388,12 @@
 	}
 	if _, known := s.recentDown[id]; !known {
 		d.log.Warn().Str("target", id).Str("address", reg.Address).Str("zone", reg.Zone).Str("reason", reason).
-			Int("streams", len(s.streams[id])).Msg("target is down")
+			Int("attempts", len(s.attempts[id])).Msg("target is down")
 		d.metrics.targetsDown.Inc()
 	}
 	s.recentDown[id] = now
 	s.fleet.Down(now, id)
-	for handle := range s.streams[id] {
+	for handle := range s.attempts[id] {
 		handle.interrupt()
 	}
 	d.probeZone(s, reg)
@@ -421,7 +420,7 @@
 		if _, known := s.recentDown[reg.ID]; known {
 			continue
 		}
-		if len(s.streams[reg.ID]) > 0 || down == zoneSuspicion {
+		if len(s.attempts[reg.ID]) > 0 || down == zoneSuspicion {
 			d.probe(reg)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// codeHeader carries the number of the result code in an error response.
-	codeHeader = "Bramleygap-Code"
 	// defaultMaxBodyBytes bounds a body while the desired state sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// headerTimeout bounds the reading of a client's header; the users' limit is 3 s.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -392,7 +392,7 @@
 // this one. They may be reachable from here.
 func (p *peers) mergeDown(st *state, ids []string) {
 	for _, id := range ids {
-		if _, known := st.recentDown[id]; known || len(st.streams[id]) == 0 {
+		if _, known := st.recentDown[id]; known || len(st.attempts[id]) == 0 {
 			continue
 		}
 		if reg, ok := st.fleet.Target(id); ok {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -58,7 +58,7 @@
 // countCrash blames the requests that ran on a crashed target.
 func (d *director) countCrash(st *state, now time.Time, reg membership.Registration) {
 	death := suspect.Death{ID: reg.ID + "@" + reg.Address, Target: reg.ID, Zone: reg.Zone, At: now}
-	for handle := range st.streams[reg.ID] {
+	for handle := range st.attempts[reg.ID] {
 		if handle.sent.Load() {
 			death.Fingerprints = append(death.Fingerprints, handle.fingerprint)
 		}
@@ -209,15 +209,15 @@
 }
 
 func (st *state) addHandle(id string, h *running) {
-	if st.streams[id] == nil {
-		st.streams[id] = map[*running]struct{}{}
+	if st.attempts[id] == nil {
+		st.attempts[id] = map[*running]struct{}{}
 	}
-	st.streams[id][h] = struct{}{}
+	st.attempts[id][h] = struct{}{}
 }
 
 func (st *state) removeHandle(id string, h *running) {
-	delete(st.streams[id], h)
-	if len(st.streams[id]) == 0 {
-		delete(st.streams, id)
+	delete(st.attempts[id], h)
+	if len(st.attempts[id]) == 0 {
+		delete(st.attempts, id)
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -184,7 +184,7 @@
 		Str("path", c.request.Path).Uint64("version", c.version).Dur("took", time.Since(c.arrived)).Msg("request refused")
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(codeHeader, strconv.FormatUint(uint64(code), 10))
+	h.Set(result.Header, strconv.FormatUint(uint64(code), 10))
 	if status == http.StatusServiceUnavailable {
 		g.options.Protocol.RetryAfter(h, retryAfter)
 	}
@@ -237,7 +237,7 @@
 // a promise that the request did not run is replaced, since the target did not say so.
 func (g *Gateway) passFailure(w http.ResponseWriter, a Answer, body []byte) {
 	if promisesNotRun(a.Status) {
-		w.Header().Set(codeHeader, strconv.FormatUint(uint64(result.ApplicationFailed), 10))
+		w.Header().Set(result.Header, strconv.FormatUint(uint64(result.ApplicationFailed), 10))
 		w.WriteHeader(http.StatusBadGateway)
 		return
 	}
--- /dev/null
+++ b/internal/gateway/target/target_test.go
@@ -0,0 +1,172 @@
+package target
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an event that is passed on in part, joined with the next one or read with
+// the wrong number, however the bytes arrive.
+func TestEvents(t *testing.T) {
+	c := qt.New(t)
+	text := "id: 1\ndata: a\n\nweights: 2\nid: 2\r\ndata: b\r\n\r\ndata: no number\n\nid: 4\ndata: c"
+	for _, reader := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
+		events := NewEventReader(reader)
+		for _, want := range []uint64{1, 2, 0} {
+			event, err := events.Read()
+			c.Assert(err, qt.IsNil)
+			c.Check(event.Number, qt.Equals, want)
+		}
+		_, err := events.Read()
+		c.Check(err, qt.ErrorIs, ErrCutEvent)
+	}
+	_, err := NewEventReader(strings.NewReader("")).Read()
+	c.Check(err, qt.ErrorIs, io.EOF)
+	_, err = NewEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Read()
+	c.Check(err, qt.ErrorIs, ErrEventTooLong)
+}
+
+// Guards against panics and endless reading of arbitrary streams.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		events := NewEventReader(strings.NewReader(text))
+		for range len(text) + 1 {
+			if _, err := events.Read(); err != nil {
+				return
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
+
+// server answers each connection with a function.
+func server(t *testing.T, serve func(net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func get() *Message {
+	return &Message{Method: http.MethodGet, URI: "/x", Host: "h", Header: http.Header{}}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func exchange(c *qt.C, conn *Conn) {
+	_, err := conn.Send(get())
+	c.Assert(err, qt.IsNil)
+	response, err := conn.Receive(http.MethodGet)
+	c.Assert(err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+}
+
+// Guards against a kept connection on which the target sent more than its answer, or that it
+// closed: the next request would get the wrong answer or be lost.
+func TestUnusableConnectionsAreNotReused(t *testing.T) {
+	c := qt.New(t)
+	more := make(chan string)
+	address := server(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, okAnswer)
+			if extra := <-more; extra == "close" {
+				_ = conn.Close()
+				return
+			} else {
+				_, _ = io.WriteString(conn, extra)
+			}
+		}
+	})
+	opened := 0
+	pool := NewPool(func() { opened++ })
+	for i, extra := range []string{"", okAnswer, "", "close", ""} {
+		conn, err := pool.Get(t.Context(), address, time.Minute)
+		c.Assert(err, qt.IsNil)
+		exchange(c, conn)
+		more <- extra
+		// Loopback delivers within the pause; a slower delivery only makes the check weaker.
+		time.Sleep(50 * time.Millisecond)
+		pool.Put(conn)
+		c.Check(conn.Reused, qt.Equals, i == 1 || i == 3, qt.Commentf("use %d", i))
+	}
+	c.Check(opened, qt.Equals, 3)
+	conn, err := pool.Get(t.Context(), address, 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(conn.Reused, qt.IsFalse, qt.Commentf("idle for too long"))
+}
+
+// Guards against a request that is said not to have been sent though a byte left, and
+// against the reverse.
+func TestSent(t *testing.T) {
+	c := qt.New(t)
+	client, peer := net.Pipe()
+	conn := &Conn{Conn: client}
+	_ = peer.Close()
+	sent, err := conn.Send(get())
+	c.Check(err, qt.IsNotNil)
+	c.Check(sent, qt.IsFalse)
+	client, peer = net.Pipe()
+	conn = &Conn{Conn: client}
+	go func() {
+		_, _ = peer.Read(make([]byte, 1))
+		_ = peer.Close()
+	}()
+	sent, err = conn.Send(get())
+	c.Check(err, qt.IsNotNil)
+	c.Check(sent, qt.IsTrue)
+}
+
+// Guards against a pause that ends a read for good: the decoders above cannot go on after an
+// error.
+func TestIdleIsNoError(t *testing.T) {
+	c := qt.New(t)
+	address := server(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab")
+		time.Sleep(100 * time.Millisecond)
+		_, _ = fmt.Fprint(conn, "cd\r\n0\r\n\r\n")
+	})
+	pool := NewPool(func() {})
+	conn, err := pool.Dial(t.Context(), address)
+	c.Assert(err, qt.IsNil)
+	idles := 0
+	conn.Until = func() time.Time { return time.Now().Add(10 * time.Millisecond) }
+	conn.Idle = func() error { idles++; return nil }
+	_, err = conn.Send(get())
+	c.Assert(err, qt.IsNil)
+	response, err := conn.Receive(http.MethodGet)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(body), qt.Equals, "abcd")
+	c.Check(idles > 0, qt.IsTrue)
+	left := errors.New("left")
+	conn.Idle = func() error { return left }
+	_, err = conn.Read(make([]byte, 1))
+	c.Check(errors.Is(err, left) || errors.Is(err, io.EOF), qt.IsTrue)
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -7,6 +7,9 @@
 	"net/http"
 )
 
+// Header carries the number of the result code in an error response.
+const Header = "Bramleygap-Code"
+
 // Class says what is known about the execution of a request on a target.
 type Class int
 
