Continue a returning client's stream from the copy of its run at any gateway

Change: each generation has two homes among the gateways (rendezvous hashing of the request's fingerprint). The relaying gateway tells them where the run and the copy of its memory are; a gateway to which a client returns asks the homes and continues from the copy. The target that ran it is preferred where the copy is gone, since it may keep the prompt.

Not covered: all gateways killed together (the records are in their memory only).

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -301,6 +301,8 @@
 	Exclude []string
 	// AvoidZone is a zone to leave out while another has a usable target.
 	AvoidZone string
+	// Warm is a target that may still keep the prompt, empty for none.
+	Warm string
 }
 
 func (q *FleetQuery) admits(m *member, now time.Time) bool {
@@ -467,7 +469,11 @@
 func (f *Fleet) ChooseEngine(now time.Time, q FleetQuery, p Prompt) (membership.Registration, bool) {
 	m := f.best(now, &q, func(m *member) time.Duration {
 		memory, streams, copies := f.load(now, m)
-		cost := f.firstEvent(now, m, p) + time.Duration(streams)*streamCrowding + time.Duration(copies)*copyCrowding
+		toRead := p
+		if m.reg.ID == q.Warm {
+			toRead.Tokens = 0
+		}
+		cost := f.firstEvent(now, m, toRead) + time.Duration(streams)*streamCrowding + time.Duration(copies)*copyCrowding
 		if m.capacity > 0 && memory+p.memory() > m.capacity {
 			cost += memoryCost
 		}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -51,6 +51,8 @@
 	EventGap time.Duration
 	// After is the number of the last event that the caller has.
 	After uint64
+	// HasCopy is set if a copy of the memory of an earlier run is known.
+	HasCopy bool
 }
 
 // Place is a chosen target.
@@ -126,7 +128,7 @@
 type Choose struct {
 	// Exclude holds targets that failed this stream.
 	Exclude []string
-	// Continue is set if the attempt before may have left a copy of the run's memory.
+	// Continue is set if an attempt before may have left a copy of the run's memory.
 	Continue bool
 }
 
@@ -186,7 +188,7 @@
 }
 
 // Start begins the stream.
-func (m *Machine) Start() []Effect { return []Effect{Choose{}} }
+func (m *Machine) Start() []Effect { return []Effect{Choose{Continue: m.options.HasCopy}} }
 
 // Delivered returns the number of events passed on.
 func (m *Machine) Delivered() int { return m.events }
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -39,6 +39,10 @@
 	copy atomic.Pointer[Copy]
 	// ordered belongs to run; stop reads it after its end.
 	ordered bool
+	// told is the copy that the homes of the run were told of, and known is set once they
+	// were told of the run.
+	told  *Copy
+	known bool
 }
 
 // keepCopy starts watching the copy of an attempt at a place.
@@ -89,7 +93,9 @@
 		return
 	}
 	for {
+		k.remember()
 		k.check()
+		k.remember()
 		pause := copyCheck
 		if k.ordered {
 			pause = time.Duration(copyRefreshShare * float64(k.lifetime()))
@@ -101,6 +107,16 @@
 	}
 }
 
+// remember tells where the run and its copy are, once and after each change.
+func (k *copyKeeper) remember() {
+	current := k.copy.Load()
+	if k.known && current == k.told || k.ctx.Err() != nil {
+		return
+	}
+	k.known, k.told = true, current
+	k.s.g.rememberRun(k.s.call, k.place.Target, current)
+}
+
 func (k *copyKeeper) lifetime() time.Duration {
 	p := k.s.g.director.published.Load()
 	if svc, ok := p.desired.Config.Service(k.s.call.service); ok && svc.Engine != nil && svc.Engine.CopyLifetime > 0 {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -14,6 +14,7 @@
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/replica"
 	"bramleygap/internal/core/retry"
+	"bramleygap/internal/core/runindex"
 	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/settings"
 )
@@ -62,6 +63,12 @@
 	lastSilent  [followed]time.Time
 	// gateways are the names of the gateways that answer, with this one, sorted.
 	gateways []string
+	// addresses are those of the other gateways that answer, by name.
+	addresses map[string]string
+	// runs remembers generations of this gateway and those that it is home to.
+	runs *runindex.Index
+	// untold are records that wait to be sent to their homes.
+	untold   []runindex.Record
 	lastTick time.Time
 	// stops is when the other gateways that answered end; zero for those that do not stop.
 	stops      map[string]time.Time
@@ -113,6 +120,7 @@
 		baselines:     map[string]*evidence.Baseline{},
 		evidence:      evidence.NewCounters(d.options.Settings.Name, rng.Uint64()),
 		gateways:      []string{d.options.Settings.Name},
+		runs:          runindex.New(),
 		lastTick:      now,
 	}
 	for i := range s.tables {
@@ -176,6 +184,7 @@
 		d.updateFleet(s)
 	}
 	s.suspects.Expire(now)
+	s.runs.Expire(now)
 	for id, at := range s.recentDown {
 		if now.Sub(at) > time.Second {
 			delete(s.recentDown, id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,7 @@
 	log      zerolog.Logger
 	metrics  *metrics
 	director *director
+	peers    *peers
 	pool     *target.Pool
 	ctx      context.Context
 	tasks    sync.WaitGroup
@@ -83,8 +84,8 @@
 		f := &follower{director: g.director, store: options.Store, table: table}
 		group.Go(func() error { return f.run(groupCtx) })
 	}
-	peers := newPeers(g)
-	group.Go(func() error { return peers.run(groupCtx) })
+	g.peers = newPeers(g)
+	group.Go(func() error { return g.peers.run(groupCtx) })
 	group.Go(func() error { return g.recheck(groupCtx) })
 	orders := &rollouts{g: g}
 	group.Go(func() error { return orders.run(groupCtx) })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	peerCalls      *prometheus.CounterVec
 	probes         *prometheus.CounterVec
 	copyOrders     *prometheus.CounterVec
+	runsSought     *prometheus.CounterVec
 	connections    prometheus.Counter
 	strayAnswers   prometheus.Counter
 	targetsDown    prometheus.Counter
@@ -52,6 +53,7 @@
 		storeCalls:     vec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
 		peerCalls:      vec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
 		probes:         vec("probes_total", "Probes of targets by outcome.", "outcome"),
+		runsSought:     vec("runs_sought_total", "Searches for the run of a returning client by where it was found.", "from"),
 		copyOrders:     vec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayAnswers:   counter("stray_answers_total", "Answers of targets that belong to another request."),
@@ -62,6 +64,6 @@
 		crashesCounted: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.budgetSpent, m.storeCalls,
-		m.peerCalls, m.probes, m.copyOrders, m.connections, m.strayAnswers, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.crashesCounted)
+		m.peerCalls, m.probes, m.copyOrders, m.runsSought, m.connections, m.strayAnswers, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.crashesCounted)
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -80,6 +80,7 @@
 		}
 	})
 	p.g.background(func() { p.announce(ctx) })
+	p.g.background(func() { p.tellHomes(ctx) })
 	defer p.conns.Close()
 	defer server.Stop()
 	for ctx.Err() == nil {
@@ -152,9 +153,11 @@
 	now := time.Now()
 	var due []*peer
 	names := []string{p.g.options.Settings.Name}
+	addresses := map[string]string{}
 	for _, other := range p.known {
 		if now.Sub(other.answered) < forgetAfter {
 			names = append(names, other.name)
+			addresses[other.name] = other.address
 		}
 		if now.Sub(other.failed) >= unreachablePause {
 			due = append(due, other)
@@ -162,6 +165,7 @@
 	}
 	slices.Sort(names)
 	p.g.director.tell(ctx, func(st *state) {
+		st.addresses = addresses
 		if !slices.Equal(st.gateways, names) {
 			st.gateways = names
 			st.fleet.SetGateways(names)
--- /dev/null
+++ b/internal/gateway/runs.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"bramleygap/internal/core/runindex"
+	"bramleygap/internal/wire"
+)
+
+const (
+	// tellInterval is the pause between two rounds of telling other gateways where runs are.
+	// It is short beside the 700 ms that users allow between two events.
+	tellInterval = 50 * time.Millisecond
+	// findTimeout bounds the search for a run; a lost gateway must not use up the pause that
+	// users allow between two events.
+	findTimeout = 120 * time.Millisecond
+)
+
+// rememberRun records where a run and its copy are, here and at the run's homes.
+func (g *Gateway) rememberRun(c *call, source string, held *Copy) {
+	r := runindex.Record{Fingerprint: c.fingerprint, Source: source}
+	if held != nil {
+		r.Holder, r.Address, r.Handle = held.Holder, held.Address, held.Handle
+	}
+	g.director.tell(g.ctx, func(st *state) {
+		st.runs.Put(time.Now(), r)
+		st.untold = append(st.untold, r)
+	})
+}
+
+// tellHomes sends new records to the homes of their runs until ctx ends.
+func (p *peers) tellHomes(ctx context.Context) {
+	self := p.g.options.Settings.Name
+	for sleep(ctx, tellInterval); ctx.Err() == nil; sleep(ctx, tellInterval) {
+		batches := ask(ctx, p.g.director, func(st *state) map[string]*wire.RunRecords {
+			if len(st.untold) == 0 {
+				return nil
+			}
+			batches := map[string]*wire.RunRecords{}
+			for _, r := range st.untold {
+				for _, home := range runindex.HomesOf(r.Fingerprint, st.gateways, self) {
+					address, ok := st.addresses[home]
+					if !ok {
+						continue
+					}
+					if batches[address] == nil {
+						batches[address] = &wire.RunRecords{}
+					}
+					batches[address].Records = append(batches[address].Records, &wire.RunRecord{
+						Fingerprint: r.Fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle,
+					})
+				}
+			}
+			st.untold = nil
+			return batches
+		})
+		for address, batch := range batches {
+			p.g.background(func() { p.tellHome(ctx, address, batch) })
+		}
+	}
+}
+
+func (p *peers) tellHome(ctx context.Context, address string, batch *wire.RunRecords) {
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	conn, err := p.conns.Conn(address)
+	if err == nil {
+		_, err = wire.NewGatewayClient(conn).KeepRuns(callCtx, batch, grpc.WaitForReady(false))
+	}
+	if err != nil && ctx.Err() == nil {
+		// The other home and this gateway still know the runs.
+		p.g.log.Debug().Str("peer", address).Int("runs", len(batch.Records)).Err(err).Msg("home of runs not told")
+	}
+}
+
+// KeepRuns implements wire.GatewayServer.
+func (p *peers) KeepRuns(ctx context.Context, batch *wire.RunRecords) (*wire.RunsKept, error) {
+	p.g.director.tell(ctx, func(st *state) {
+		now := time.Now()
+		for _, r := range batch.Records {
+			st.runs.Put(now, runindex.Record{Fingerprint: r.Fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle})
+		}
+	})
+	return &wire.RunsKept{}, ctx.Err()
+}
+
+// FindRun implements wire.GatewayServer.
+func (p *peers) FindRun(ctx context.Context, query *wire.RunQuery) (*wire.RunRecords, error) {
+	reply := ask(ctx, p.g.director, func(st *state) *wire.RunRecords { return st.localRun(query.Fingerprint) })
+	return reply, ctx.Err()
+}
+
+// localRun returns the record that this gateway has of a run, or none.
+func (st *state) localRun(fingerprint uint64) *wire.RunRecords {
+	r, age, ok := st.runs.Get(time.Now(), fingerprint)
+	if !ok {
+		return &wire.RunRecords{}
+	}
+	return &wire.RunRecords{Records: []*wire.RunRecord{{
+		Fingerprint: fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle, AgeMs: uint32(age.Milliseconds()),
+	}}}
+}
+
+// findRun looks for the run of an earlier attempt of a client that has some of its events.
+// It returns the target that ran it and the copy of its memory, as far as they are known.
+func (g *Gateway) findRun(c *call) (source string, held *Copy) {
+	type known struct {
+		own       *wire.RunRecords
+		addresses []string
+	}
+	k := ask(c.ctx, g.director, func(st *state) known {
+		k := known{own: st.localRun(c.fingerprint)}
+		for _, name := range runindex.Candidates(c.fingerprint, st.gateways, g.options.Settings.Name) {
+			if address, ok := st.addresses[name]; ok {
+				k.addresses = append(k.addresses, address)
+			}
+		}
+		return k
+	})
+	own := newest(k.own, nil)
+	record, from := newest(k.own, g.peers.searchRun(c.ctx, k.addresses, c.fingerprint)), "peer"
+	if record == own {
+		from = "own"
+	}
+	if record == nil {
+		g.metrics.runsSought.WithLabelValues("unknown").Inc()
+		c.log.Info().Uint64("after", c.request.After).Int("asked", len(k.addresses)).Msg("earlier run not known")
+		return "", nil
+	}
+	g.metrics.runsSought.WithLabelValues(from).Inc()
+	c.log.Info().Uint64("after", c.request.After).Str("source", record.Source).Str("copy", record.Holder).
+		Str("from", from).Uint32("age_ms", record.AgeMs).Msg("earlier run found")
+	if record.Holder != "" {
+		held = &Copy{Holder: record.Holder, Address: record.Address, Handle: record.Handle}
+	}
+	return record.Source, held
+}
+
+// newest returns the younger of a record and the one of a reply, nil for none.
+func newest(reply *wire.RunRecords, record *wire.RunRecord) *wire.RunRecord {
+	if reply == nil || len(reply.Records) == 0 {
+		return record
+	}
+	if r := reply.Records[0]; record == nil || r.AgeMs < record.AgeMs {
+		return r
+	}
+	return record
+}
+
+// searchRun asks other gateways for a run and returns the newest record, nil for none.
+func (p *peers) searchRun(ctx context.Context, addresses []string, fingerprint uint64) *wire.RunRecord {
+	callCtx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	replies := make(chan *wire.RunRecords, len(addresses))
+	for _, address := range addresses {
+		p.g.background(func() {
+			conn, err := p.conns.Conn(address)
+			if err != nil {
+				replies <- nil
+				return
+			}
+			reply, err := wire.NewGatewayClient(conn).FindRun(callCtx, &wire.RunQuery{Fingerprint: fingerprint}, grpc.WaitForReady(false))
+			if err != nil {
+				p.g.log.Debug().Str("peer", address).Err(err).Msg("gateway not asked for a run")
+			}
+			replies <- reply
+		})
+	}
+	var record *wire.RunRecord
+	for range addresses {
+		record = newest(<-replies, record)
+	}
+	return record
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -65,8 +65,11 @@
 	// copy is where the memory of the attempt that ended is kept; nil for none.
 	copy *Copy
 	// from is the copy that the current attempt continues from.
-	from   *Copy
-	keeper *copyKeeper
+	from *Copy
+	// earlier is the target that ran the stream for another attempt of the client, empty if
+	// that is not known.
+	earlier string
+	keeper  *copyKeeper
 	// firstEventAt is when the current attempt produced its first event, zero before.
 	firstEventAt time.Time
 }
@@ -75,11 +78,14 @@
 func (g *Gateway) serveStream(w http.ResponseWriter, c *call) {
 	s := &stream{
 		g: g, w: w, call: c, control: http.NewResponseController(w), prompt: c.request.Prompt,
-		machine: relay.New(relay.Options{
-			Resumable: c.route.Resumable, MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
-			EventGap: c.route.EventGap, After: c.request.After,
-		}),
 	}
+	if c.request.After > 0 && c.route.Resumable {
+		s.earlier, s.copy = g.findRun(c)
+	}
+	s.machine = relay.New(relay.Options{
+		Resumable: c.route.Resumable, MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
+		EventGap: c.route.EventGap, After: c.request.After, HasCopy: s.copy != nil,
+	})
 	queue := s.machine.Start()
 	for len(queue) > 0 && !s.finished {
 		effect := queue[0]
@@ -158,10 +164,11 @@
 		if resume && s.machine.Ran() && !s.g.director.budget(st, now, s.call.service).TakeResume() {
 			return placed{}
 		}
-		if !s.machine.Ran() && st.hopeless(now, s.call, s.prompt) {
+		if !s.machine.Ran() && holder == "" && st.hopeless(now, s.call, s.prompt) {
 			return placed{hopeless: true}
 		}
-		return st.placeStream(now, s.call.service, s.call.draw, e.Exclude, holder, s.prompt)
+		query := placement.FleetQuery{Service: s.call.service, Exclude: e.Exclude, Warm: s.earlier}
+		return st.placeStream(now, query, s.call.draw, holder, s.prompt)
 	})
 	s.call.hopeless = p.hopeless
 	if p.rejected {
@@ -188,8 +195,7 @@
 	return ok && now.Add(expected).After(c.deadline)
 }
 
-func (st *state) placeStream(now time.Time, service string, draw uint64, exclude []string, holder string, prompt placement.Prompt) placed {
-	query := placement.FleetQuery{Service: service, Exclude: exclude}
+func (st *state) placeStream(now time.Time, query placement.FleetQuery, draw uint64, holder string, prompt placement.Prompt) placed {
 	st.restrictVersion(now, &query, draw)
 	var reg membership.Registration
 	ok, fromCopy := false, false
@@ -204,8 +210,8 @@
 		return placed{}
 	}
 	p := placed{place: relay.Place{Target: reg.ID, Resume: fromCopy}, reg: reg, ok: true}
-	if st.keepsCopies(service) {
-		query.Exclude = append(slices.Clone(exclude), reg.ID)
+	if st.keepsCopies(query.Service) {
+		query.Exclude = append(slices.Clone(query.Exclude), reg.ID)
 		query.AvoidZone = reg.Zone
 		// A run does not go on under another version.
 		query.Version = reg.Version
