Move the choice of probes and places of streams into the placement package

The director held two decisions that need no task: which targets of a zone to probe after a loss, and where a stream runs next with its next copy.

--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -71,8 +71,8 @@
 	untold   []runindex.Record
 	lastTick time.Time
 	// stops is when the other gateways that answered end; zero for those that do not stop.
-	stops      map[string]time.Time
-	recentDown map[string]time.Time
+	stops   map[string]time.Time
+	outages *placement.Outages
 	// orders are the operators' rollout orders by service.
 	orders    map[string]*order
 	baselines map[string]*evidence.Baseline
@@ -114,7 +114,7 @@
 		latencies:     map[string]*retry.Estimate{},
 		suspects:      suspect.NewTracker(),
 		attempts:      map[string]map[*running]struct{}{},
-		recentDown:    map[string]time.Time{},
+		outages:       placement.NewOutages(),
 		stops:         map[string]time.Time{},
 		orders:        map[string]*order{},
 		baselines:     map[string]*evidence.Baseline{},
@@ -185,11 +185,7 @@
 	}
 	s.suspects.Expire(now)
 	s.runs.Expire(now)
-	for id, at := range s.recentDown {
-		if now.Sub(at) > time.Second {
-			delete(s.recentDown, id)
-		}
-	}
+	s.outages.Expire(now)
 	d.publishStaleness(s, now)
 }
 
@@ -395,43 +391,19 @@
 	if !ok {
 		return
 	}
-	if _, known := s.recentDown[id]; !known {
+	if s.outages.Note(now, reg) {
 		d.log.Warn().Str("target", id).Str("address", reg.Address).Str("zone", reg.Zone).Str("reason", reason).
 			Int("attempts", len(s.attempts[id])).Msg("target is down")
 		d.metrics.targetsDown.Inc()
 	}
-	s.recentDown[id] = now
 	s.fleet.Down(now, id)
 	for handle := range s.attempts[id] {
 		handle.interrupt()
 	}
-	d.probeZone(s, reg)
-}
-
-// zoneSuspicion is the number of targets of a zone found down within a second from which
-// all its targets are probed.
-const zoneSuspicion = 2
-
-// probeZone probes the other targets of a lost target's zone: zones are lost as a whole, and
-// a probe is cheaper than waiting for each stream's silence. After a single loss only those
-// with work of this gateway are probed.
-func (d *director) probeZone(s *state, lost membership.Registration) {
-	down := 0
-	for id := range s.recentDown {
-		if reg, ok := s.fleet.Target(id); ok && reg.Zone == lost.Zone {
-			down++
-		}
-	}
-	for _, reg := range s.registry.Targets() {
-		if reg.ID == lost.ID || reg.Zone != lost.Zone || reg.Leaving || !s.fleet.Usable(s.lastTick, reg.ID) {
-			continue
-		}
-		if _, known := s.recentDown[reg.ID]; known {
-			continue
-		}
-		if len(s.attempts[reg.ID]) > 0 || down == zoneSuspicion {
-			d.probe(reg)
-		}
+	usable := func(id string) bool { return s.fleet.Usable(now, id) }
+	busy := func(id string) bool { return len(s.attempts[id]) > 0 }
+	for _, other := range s.outages.ToProbe(reg, s.registry.Targets(), usable, busy) {
+		d.probe(other)
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -288,9 +288,7 @@
 			})
 		}
 	}
-	for id := range st.recentDown {
-		m.Unreachable = append(m.Unreachable, id)
-	}
+	m.Unreachable = st.outages.Targets()
 	m.LeavingTargets = st.fleet.SaidLeaving(now)
 	for id, replaces := range st.registry.Met() {
 		m.Met = append(m.Met, &wire.MetTarget{Id: id, Replaces: replaces})
@@ -396,7 +394,7 @@
 // this one. They may be reachable from here.
 func (p *peers) mergeDown(st *state, ids []string) {
 	for _, id := range ids {
-		if _, known := st.recentDown[id]; known || len(st.attempts[id]) == 0 {
+		if st.outages.Known(id) || len(st.attempts[id]) == 0 {
 			continue
 		}
 		if reg, ok := st.fleet.Target(id); ok {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -197,29 +196,11 @@
 
 func (st *state) placeStream(now time.Time, query placement.FleetQuery, draw uint64, holder string, prompt placement.Prompt) placed {
 	st.restrictVersion(now, &query, draw)
-	var reg membership.Registration
-	ok, fromCopy := false, false
-	if holder != "" && st.fleet.Usable(now, holder) {
-		reg, ok = st.fleet.Target(holder)
-		fromCopy = ok
-	}
-	if !ok {
-		reg, ok = st.fleet.ChooseEngine(now, query, prompt)
-	}
+	chosen, ok := st.fleet.Place(now, query, holder, prompt, st.keepsCopies(query.Service))
 	if !ok {
 		return placed{}
 	}
-	p := placed{place: relay.Place{Target: reg.ID, Resume: fromCopy}, reg: reg, ok: true}
-	if st.keepsCopies(query.Service) {
-		query.Exclude = append(slices.Clone(query.Exclude), reg.ID)
-		query.AvoidZone = reg.Zone
-		// A run does not go on under another version.
-		query.Version = reg.Version
-		if keeper, found := st.fleet.ChooseCopy(now, query, prompt); found {
-			p.place.Copy = keeper.ID
-		}
-	}
-	return p
+	return placed{place: relay.Place{Target: chosen.Target.ID, Copy: chosen.Copy, Resume: chosen.FromCopy}, reg: chosen.Target, ok: true}
 }
 
 func (st *state) keepsCopies(service string) bool {
