Add an emulator of engines and leave engines that never begin a prompt

Cause found with it (pattern grey): a stream without a first event stayed at a live engine until its client gave up after 18 s, since silence before the first event meant a prompt being read. Change: it leaves once 60% of the objective and 2.5 times the expected time have passed, once.

--- a/cmd/bramleygap/main.go
+++ b/cmd/bramleygap/main.go
@@ -10,24 +10,26 @@
 
 	"bramleygap/internal/benchcheck"
 	"bramleygap/internal/demo"
+	"bramleygap/internal/emulator"
 	"bramleygap/internal/explain"
 	"bramleygap/internal/load"
 	"bramleygap/internal/operator"
 )
 
 type commandLine struct {
-	Entry   entryCommand    `cmd:"" help:"Run an entry: terminate callers' HTTP and route requests to agents."`
-	Gateway gatewayCommand  `cmd:"" help:"Run a gateway: send clients' requests to targets directly, on a platform with a load balancer and a store."`
-	Agent   agentCommand    `cmd:"" help:"Run an agent beside one target."`
-	Check   checkCommand    `cmd:"" help:"Validate settings files and operator configurations."`
-	Apply   applyCommand    `cmd:"" help:"Submit an operator configuration and wait until it is in force on all live nodes."`
-	Status  statusCommand   `cmd:"" help:"Show the configuration revision, nodes, targets, leaving VMs, versions and members."`
-	Drain   drainCommand    `cmd:"" help:"Give the targets of a VM no new work; running requests finish."`
-	Version versionCommand  `cmd:"" help:"Start, withdraw or show versions."`
-	Load    load.Command    `cmd:"" help:"Replay a trace against running entries and report the measures."`
-	Demo    demo.Command    `cmd:"" help:"Run all roles and stand-ins on loopback and kill an engine during a generation."`
-	Explain explain.Command `cmd:"" help:"Tell the story of one request from the logs of several gateways."`
-	Standin standinCommand  `cmd:"" hidden:"" help:"Run a stand-in of the platform, a model engine or an application engine."`
+	Entry      entryCommand     `cmd:"" help:"Run an entry: terminate callers' HTTP and route requests to agents."`
+	Gateway    gatewayCommand   `cmd:"" help:"Run a gateway: send clients' requests to targets directly, on a platform with a load balancer and a store."`
+	Agent      agentCommand     `cmd:"" help:"Run an agent beside one target."`
+	Check      checkCommand     `cmd:"" help:"Validate settings files and operator configurations."`
+	Apply      applyCommand     `cmd:"" help:"Submit an operator configuration and wait until it is in force on all live nodes."`
+	Status     statusCommand    `cmd:"" help:"Show the configuration revision, nodes, targets, leaving VMs, versions and members."`
+	Drain      drainCommand     `cmd:"" help:"Give the targets of a VM no new work; running requests finish."`
+	Version    versionCommand   `cmd:"" help:"Start, withdraw or show versions."`
+	Load       load.Command     `cmd:"" help:"Replay a trace against running entries and report the measures."`
+	Demo       demo.Command     `cmd:"" help:"Run all roles and stand-ins on loopback and kill an engine during a generation."`
+	Explain    explain.Command  `cmd:"" help:"Tell the story of one request from the logs of several gateways."`
+	Experiment emulator.Command `cmd:"" help:"Play a load pattern on emulated engines and compare placement policies."`
+	Standin    standinCommand   `cmd:"" hidden:"" help:"Run a stand-in of the platform, a model engine or an application engine."`
 
 	BenchCheck benchCheckCommand `cmd:"" hidden:"" help:"Compare a run of the benchmarks with the bounds and an earlier run."`
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -39,7 +39,7 @@
 
 // Any reports whether a query admits any target.
 func (f *Fleet) Any(now time.Time, q FleetQuery) bool {
-	for _, m := range f.members {
+	for _, m := range f.order {
 		if q.admits(m, now) {
 			return true
 		}
@@ -51,7 +51,7 @@
 func (f *Fleet) best(now time.Time, q *FleetQuery, cost func(*member) time.Duration) *member {
 	var chosen, other *member
 	var chosenCost, otherCost time.Duration
-	for _, m := range f.members {
+	for _, m := range f.order {
 		if !q.admits(m, now) {
 			continue
 		}
@@ -213,6 +213,8 @@
 	FromCopy bool
 	// Copy is the target that keeps the next second copy, empty for none.
 	Copy string
+	// Expected is the time until the first event; 0 for a target that has the copy.
+	Expected time.Duration
 }
 
 // Place chooses where a generation runs: at the holder of its copy if that target may get
@@ -228,6 +230,7 @@
 		if chosen.Target, ok = f.ChooseEngine(now, q, p); !ok {
 			return Placement{}, false
 		}
+		chosen.Expected = f.firstEvent(now, f.members[chosen.Target.ID], p)
 	}
 	if keepCopy {
 		q.Exclude = append(slices.Clone(q.Exclude), chosen.Target.ID)
@@ -240,4 +243,3 @@
 	}
 	return chosen, true
 }
-
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -1,8 +1,11 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -148,6 +151,8 @@
 	names   []string
 	rng     *rand.Rand
 	members map[string]*member
+	// order holds the members by id, so that the same calls give the same choices.
+	order   []*member
 	peers   map[string]peerReport
 	nextRun uint64
 }
@@ -175,6 +180,7 @@
 		next[reg.ID] = m
 	}
 	f.members = next
+	f.order = slices.SortedFunc(maps.Values(next), func(a, b *member) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.retireReplaced()
 	f.assign()
 }
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -31,6 +31,12 @@
 	// stuckWithoutCopy is the pause after which a stream without a copy moves: reading the
 	// prompt again costs more than a second, and target and caller may both recover.
 	stuckWithoutCopy = 4 * time.Second
+	// unreadShare is the share of the objective for the first event, and unreadFactor the
+	// multiple of the expected time, after which a stream without an event leaves a live
+	// target: another one can still read the prompt within the objective. A prompt that is
+	// given up is read in vain, so that both must have passed, and only once.
+	unreadShare  = 0.6
+	unreadFactor = 2.5
 	// stuckResumption is the time after which a resumption from a copy that produced nothing
 	// at a live target is given up; one that works takes some 30 ms.
 	stuckResumption = 1500 * time.Millisecond
@@ -49,6 +55,8 @@
 	Deadline time.Time
 	// EventGap is the longest pause between events that is still on time.
 	EventGap time.Duration
+	// FirstEvent is the time to the first event that is still on time, 0 for any.
+	FirstEvent time.Duration
 	// After is the number of the last event that the caller has.
 	After uint64
 	// HasCopy is set if a copy of the memory of an earlier run is known.
@@ -62,6 +70,8 @@
 	Copy string
 	// Resume is set if the target holds the copy made by the previous attempt.
 	Resume bool
+	// Expected is the time until the first event that is expected of the target.
+	Expected time.Duration
 }
 
 // Loss says how an attempt ended without completing.
@@ -177,6 +187,8 @@
 	lastSeen time.Time
 	checked  time.Time
 	gap      time.Duration
+	// leftUnread is set once a target was left because its first event did not come.
+	leftUnread bool
 	// delivered is when the last event was passed on, longest the longest pause between two.
 	delivered time.Time
 	longest   time.Duration
@@ -312,12 +324,24 @@
 // NextCheck returns when Check must be called unless an event comes before.
 func (m *Machine) NextCheck() time.Time {
 	next := m.checked.Add(m.patience())
+	if limit, ok := m.unreadLimit(); ok && m.lastSeen.Add(limit).After(m.checked) && m.lastSeen.Add(limit).Before(next) {
+		next = m.lastSeen.Add(limit)
+	}
 	if m.options.Deadline.Before(next) {
 		return m.options.Deadline
 	}
 	return next
 }
 
+// unreadLimit returns how long a target may take for the first event, and false if it is not
+// left for taking longer.
+func (m *Machine) unreadLimit() (time.Duration, bool) {
+	if m.fresh > 0 || m.place.Resume || m.leftUnread || m.options.FirstEvent <= 0 || !m.options.Resumable {
+		return 0, false
+	}
+	return max(time.Duration(unreadShare*float64(m.options.FirstEvent)), time.Duration(unreadFactor*float64(m.place.Expected))), true
+}
+
 // patience is the pause after the last event or probe until the next probe.
 func (m *Machine) patience() time.Duration {
 	switch {
@@ -360,6 +384,10 @@
 	limit := stuckWithoutCopy
 	switch {
 	case m.fresh == 0 && !m.place.Resume:
+		if unread, ok := m.unreadLimit(); ok && now.Sub(m.lastSeen) >= unread {
+			m.leftUnread = true
+			return m.Broken(now, Interrupted)
+		}
 		return nil
 	case m.fresh == 0:
 		limit = stuckResumption
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -226,3 +226,40 @@
 	c.Check(outcome(m.Check(end)), qt.Equals, TimedOut)
 	c.Check(m.Check(end), qt.HasLen, 0)
 }
+
+// Load pattern: engines that accept requests and never work on them. A stream without a
+// first event leaves such a live target once, early enough for another one to read the
+// prompt within the objective, and no earlier than twice the expected time.
+func TestUnreadStreamLeavesOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		expected, leaves time.Duration
+	}{
+		"idle target":      {expected: 1200 * time.Millisecond, leaves: 3 * time.Second},
+		"backlogged":       {expected: 2 * time.Second, leaves: 5 * time.Second},
+		"nothing expected": {leaves: 2700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			start := time.Unix(1000, 0)
+			m := New(Options{Resumable: true, MaxAttempts: 5, Deadline: start.Add(25 * time.Second), FirstEvent: 4500 * time.Millisecond})
+			m.Start()
+			m.Placed(start, Place{Target: "a", Expected: test.expected})
+			now, left := start, time.Duration(0)
+			for left == 0 && now.Before(start.Add(10*time.Second)) {
+				now = m.NextCheck()
+				c.Assert(m.Check(now), qt.DeepEquals, []Effect{Probe{"a"}})
+				if effects := m.Probed(now, true, false); len(effects) > 0 {
+					c.Assert(effects, qt.DeepEquals, []Effect{Close{Interrupted}, Choose{Exclude: []string{"a"}, Continue: true}})
+					left = now.Sub(start)
+				}
+			}
+			c.Check(left, qt.Equals, test.leaves)
+			m.Placed(now, Place{Target: "b", Expected: test.expected})
+			for end := now.Add(10 * time.Second); now.Before(end); {
+				now = m.NextCheck()
+				m.Check(now)
+				c.Assert(m.Probed(now, true, false), qt.HasLen, 0)
+			}
+		})
+	}
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -83,7 +83,7 @@
 	}
 	s.machine = relay.New(relay.Options{
 		Resumable: c.route.Resumable, MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
-		EventGap: c.route.EventGap, After: c.request.After, HasCopy: s.copy != nil,
+		EventGap: c.route.EventGap, FirstEvent: c.route.TargetLatency, After: c.request.After, HasCopy: s.copy != nil,
 	})
 	queue := s.machine.Start()
 	for len(queue) > 0 && !s.finished {
@@ -200,7 +200,7 @@
 	if !ok {
 		return placed{}
 	}
-	return placed{place: relay.Place{Target: chosen.Target.ID, Copy: chosen.Copy, Resume: chosen.FromCopy}, reg: chosen.Target, ok: true}
+	return placed{place: relay.Place{Target: chosen.Target.ID, Copy: chosen.Copy, Resume: chosen.FromCopy, Expected: chosen.Expected}, reg: chosen.Target, ok: true}
 }
 
 func (st *state) keepsCopies(service string) bool {
