Serve returning clients at restarted gateways, reconnect to gateways after a timeout

Change: a request waits up to 400 ms for the first desired state; a young gateway asks the gateways that the store lists and its seeds.

--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -87,6 +87,8 @@
 	messages chan func(*state)
 	// published is the desired state in force; nil before the first one.
 	published atomic.Pointer[published]
+	// first is closed when the first desired state is in force.
+	first chan struct{}
 	// probe asks a target in the background whether it answers.
 	probe func(target membership.Registration)
 }
@@ -99,7 +101,7 @@
 }
 
 func newDirector(options *Options, m *metrics) *director {
-	return &director{options: options, log: options.Logger, metrics: m, messages: make(chan func(*state), directorQueue)}
+	return &director{options: options, log: options.Logger, metrics: m, messages: make(chan func(*state), directorQueue), first: make(chan struct{})}
 }
 
 func (d *director) newState(now time.Time) *state {
@@ -302,7 +304,9 @@
 			Msg("desired state in force")
 		d.metrics.configVersion.Set(float64(desired.Config.Version))
 	}
-	d.published.Store(&published{desired: desired, stale: s.stale(now)})
+	if d.published.Swap(&published{desired: desired, stale: s.stale(now)}) == nil {
+		close(d.first)
+	}
 	d.updateFleet(s)
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -56,7 +56,9 @@
 // position is where a follower continues.
 type position struct {
 	loaded, reads, reader bool
-	revision              uint64
+	// silent is set while nobody has confirmed the table for too long.
+	silent   bool
+	revision uint64
 }
 
 // silentAfter is the age of a confirmation from which a table may be out of date: a call of
@@ -70,7 +72,7 @@
 	for ctx.Err() == nil {
 		at := ask(ctx, f.director, func(s *state) position {
 			t := s.tables[f.table]
-			return position{t.Loaded(), f.director.reads(s, time.Now(), f.table), s.isReader(f.table, self), t.Revision()}
+			return position{t.Loaded(), f.director.reads(s, time.Now(), f.table), s.isReader(f.table, self), s.silent[f.table], t.Revision()}
 		})
 		if !at.reads {
 			sleep(ctx, idleCheck)
@@ -103,6 +105,10 @@
 	if f.table == TableGateways {
 		wait = rarePollWait
 	}
+	if at.silent {
+		// What is known is too old to wait for news.
+		wait = 0
+	}
 	begun := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+pollSlack)
 	changes, to, err := f.store.Changes(callCtx, f.table, at.revision, wait)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	peers    *peers
 	pool     *target.Pool
 	ctx      context.Context
+	started  time.Time
 	tasks    sync.WaitGroup
 	stopping atomic.Bool
 	// active is the number of requests of clients that are being handled.
@@ -69,7 +70,7 @@
 
 // Run serves until ctx ends, then stops within the grace of the settings.
 func Run(ctx context.Context, options Options) error {
-	g := &Gateway{options: &options, log: options.Logger, metrics: newMetrics(options.Registerer)}
+	g := &Gateway{started: time.Now(), options: &options, log: options.Logger, metrics: newMetrics(options.Registerer)}
 	g.pool = target.NewPool(g.metrics.connections.Inc)
 	g.director = newDirector(&options, g.metrics)
 	// Tasks outlive ctx: running requests end before them.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"bramleygap/internal/core/placement"
@@ -115,25 +117,19 @@
 
 // refresh takes in the gateways that the store lists and the seeds of the settings.
 func (p *peers) refresh(ctx context.Context) {
-	var seeds []string
-	rows := ask(ctx, p.g.director, func(st *state) []replica.Row {
-		seeds = st.settings.Seeds
-		return st.tables[TableGateways].Rows()
+	listed := ask(ctx, p.g.director, func(st *state) map[string]bool {
+		listed := map[string]bool{}
+		for _, address := range st.listedGateways() {
+			listed[address] = true
+		}
+		for _, seed := range st.settings.Seeds {
+			listed[seed] = true
+		}
+		return listed
 	})
 	if ctx.Err() != nil {
 		return
 	}
-	listed := map[string]bool{}
-	for _, row := range rows {
-		var state wire.GatewayState
-		if err := proto.Unmarshal(row.Value, &state); err != nil || state.Address == "" {
-			continue
-		}
-		listed[state.Address] = true
-	}
-	for _, seed := range seeds {
-		listed[seed] = true
-	}
 	delete(listed, p.g.options.Settings.PeerListen)
 	for address := range listed {
 		if p.known[address] == nil {
@@ -148,6 +144,20 @@
 	}
 }
 
+// listedGateways returns the addresses of the gateways in the store by name.
+func (st *state) listedGateways() map[string]string {
+	listed := map[string]string{}
+	for _, row := range st.tables[TableGateways].Rows() {
+		var state wire.GatewayState
+		if err := proto.Unmarshal(row.Value, &state); err != nil || state.Address == "" {
+			// Another program's row names no gateway.
+			continue
+		}
+		listed[state.Name] = state.Address
+	}
+	return listed
+}
+
 // round exchanges state with a few other gateways at once.
 func (p *peers) round(ctx context.Context) {
 	now := time.Now()
@@ -202,6 +212,11 @@
 			p.g.log.Info().Str("peer", r.peer.address).Err(r.err).Msg("other gateway does not answer")
 		}
 		r.peer.failed = time.Now()
+		if status.Code(r.err) == codes.DeadlineExceeded {
+			// A connection with unanswered bytes recovers only at TCP's next retransmission,
+			// seconds after the network does; a new one does so at once.
+			p.conns.Forget(r.peer.address)
+		}
 		p.g.metrics.peerCalls.WithLabelValues("failed").Inc()
 	}
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
 
 	"bramleygap/internal/core/runindex"
+	"bramleygap/internal/settings"
 	"bramleygap/internal/wire"
 )
 
@@ -17,6 +20,11 @@
 	// findTimeout bounds the search for a run; a lost gateway must not use up the pause that
 	// users allow between two events.
 	findTimeout = 120 * time.Millisecond
+	// youngFor is how long after its start a gateway may not have met the others: the first
+	// round of exchanges, and a second one behind the store's list.
+	youngFor = 2 * time.Second
+	// maxSeedsAsked bounds the seeds that a young gateway asks for a run.
+	maxSeedsAsked = 4
 )
 
 // rememberRun records where a run and its copy are, here and at the run's homes.
@@ -112,13 +120,8 @@
 		addresses []string
 	}
 	k := ask(c.ctx, g.director, func(st *state) known {
-		k := known{own: st.localRun(c.fingerprint)}
-		for _, name := range runindex.Candidates(c.fingerprint, st.gateways, g.options.Settings.Name) {
-			if address, ok := st.addresses[name]; ok {
-				k.addresses = append(k.addresses, address)
-			}
-		}
-		return k
+		young := time.Since(g.started) < youngFor
+		return known{st.localRun(c.fingerprint), st.whoKnowsRun(c.fingerprint, g.options.Settings, young)}
 	})
 	own := newest(k.own, nil)
 	record, from := newest(k.own, g.peers.searchRun(c.ctx, k.addresses, c.fingerprint)), "peer"
@@ -139,6 +142,27 @@
 	return record.Source, held
 }
 
+// whoKnowsRun returns the addresses of the gateways to ask for a run. A gateway that has just
+// started has not met the others: it asks those that the store lists and its seeds.
+func (st *state) whoKnowsRun(fingerprint uint64, own settings.Gateway, young bool) []string {
+	names, addresses := st.gateways, st.addresses
+	asked := map[string]bool{}
+	if young {
+		addresses = st.listedGateways()
+		names = slices.Collect(maps.Keys(addresses))
+		for _, seed := range own.Seeds[:min(maxSeedsAsked, len(own.Seeds))] {
+			asked[seed] = true
+		}
+	}
+	for _, name := range runindex.Candidates(fingerprint, names, own.Name) {
+		if address, ok := addresses[name]; ok {
+			asked[address] = true
+		}
+	}
+	delete(asked, own.PeerListen)
+	return slices.Collect(maps.Keys(asked))
+}
+
 // newest returns the younger of a record and the one of a reply, nil for none.
 func newest(reply *wire.RunRecords, record *wire.RunRecord) *wire.RunRecord {
 	if reply == nil || len(reply.Records) == 0 {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -28,6 +28,9 @@
 	// notReadyRetryAfter is when a client may come back to a gateway without a desired
 	// state; the load balancer sends it to another one.
 	notReadyRetryAfter = 50 * time.Millisecond
+	// startPatience is how long a request waits for the first desired state: two rounds of
+	// exchanges with other gateways or a hundred answers of the store.
+	startPatience = 400 * time.Millisecond
 	// stopMargin is how long before the end of the grace a stream must have a chance to
 	// end; one that would take longer is sent to another gateway.
 	stopMargin = 6500 * time.Millisecond
@@ -94,6 +97,7 @@
 		g.refuse(w, c, result.MalformedRequest, 0)
 		return
 	}
+	g.awaitDesired(c.ctx)
 	if code := g.admit(c); code != result.OK {
 		g.refuse(w, c, code, notReadyRetryAfter)
 		return
@@ -114,6 +118,20 @@
 	g.serveCall(w, c)
 }
 
+// awaitDesired waits for the first desired state for a short time: it comes within a few ms
+// of the start, and clients whose gateway was restarted return to it at once.
+func (g *Gateway) awaitDesired(ctx context.Context) {
+	if g.director.published.Load() != nil {
+		return
+	}
+	waited, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	select {
+	case <-g.director.first:
+	case <-waited.Done():
+	}
+}
+
 // admit finds the route and the account of a request.
 func (g *Gateway) admit(c *call) result.Code {
 	p := g.director.published.Load()
