Emulate a load balancer that sends clients back to their gateway

The bench's clients return to the gateway they had until the balancer notices that it is down; the emulator's went to another one at once.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -14,6 +14,11 @@
 	clientDeadline = 25 * time.Second
 	// clientRetries is the number of times that a client comes back.
 	clientRetries = 1
+	// connectPause is the pause between two tries to connect, connectPatience how long a
+	// client is sent to its own gateway although that one is down: the load balancer
+	// notices a lost gateway only then.
+	connectPause    = 50 * time.Millisecond
+	connectPatience = 600 * time.Millisecond
 	// retryAfter is what a gateway answers with a refusal.
 	retryAfter = 800 * time.Millisecond
 )
@@ -46,13 +51,16 @@
 	deadline time.Time
 	streams  int
 	current  *stream
-	tries    int
-	has      int
-	seen     time.Time
-	first    time.Duration
-	longest  time.Duration
-	read     int
-	result   result
+	// home is the gateway that the load balancer chose, connecting since when it is tried.
+	home       *gateway
+	connecting time.Time
+	tries      int
+	has        int
+	seen       time.Time
+	first      time.Duration
+	longest    time.Duration
+	read       int
+	result     result
 	// leaves is when the client leaves, zero for one that stays.
 	leaves time.Duration
 	// extra is set for a request that only repeats another one; it is not counted.
@@ -68,18 +76,25 @@
 		c.end(resultLost)
 		return
 	}
-	g := c.w.anyGateway()
-	if g == nil {
-		c.again(resultLost, 0)
+	now := c.w.clock.now
+	if c.connecting.IsZero() {
+		c.connecting = now
+	}
+	if c.home == nil || !c.home.up && now.Sub(c.connecting) >= connectPatience {
+		c.home = c.w.anyGateway()
+	}
+	g := c.home
+	if g == nil || !g.up {
+		c.w.clock.after(connectPause, c.try)
 		return
 	}
-	c.seen = c.w.clock.now
+	c.seen, c.connecting = now, time.Time{}
 	c.w.clock.after(clientDelay, func() {
 		if c.result != resultOpen {
 			return
 		}
 		if !g.up {
-			c.again(resultLost, 0)
+			c.try()
 			return
 		}
 		c.current = g.accept(c)
