Keep the records of runs in the store, for the loss of all gateways

Change: each gateway writes the records of its running streams to one row, at most once a second and 0.1 s for each gateway; a gateway reads all rows when it starts. A client whose copy has expired goes to the engine that ran it, which may keep the prompt; the check for hopeless requests knows that.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -99,11 +99,19 @@
 // FirstEvent returns the expected time to the first event of a prompt at the best target,
 // and false if there is none.
 func (f *Fleet) FirstEvent(now time.Time, q FleetQuery, p Prompt) (time.Duration, bool) {
-	m := f.best(now, &q, func(m *member) time.Duration { return f.firstEvent(now, m, p) })
+	m := f.best(now, &q, func(m *member) time.Duration { return f.firstEvent(now, m, q.toRead(m, p)) })
 	if m == nil {
 		return 0, false
 	}
-	return f.firstEvent(now, m, p), true
+	return f.firstEvent(now, m, q.toRead(m, p)), true
+}
+
+// toRead returns what a target must read of a prompt.
+func (q *FleetQuery) toRead(m *member, p Prompt) Prompt {
+	if m.reg.ID == q.Warm {
+		p.Tokens = 0
+	}
+	return p
 }
 
 func (f *Fleet) firstEvent(now time.Time, m *member, p Prompt) time.Duration {
@@ -162,11 +170,7 @@
 func (f *Fleet) ChooseEngine(now time.Time, q FleetQuery, p Prompt) (membership.Registration, bool) {
 	m := f.best(now, &q, func(m *member) time.Duration {
 		memory, streams, copies := f.load(now, m)
-		toRead := p
-		if m.reg.ID == q.Warm {
-			toRead.Tokens = 0
-		}
-		cost := f.firstEvent(now, m, toRead) + time.Duration(streams)*streamCrowding + time.Duration(copies)*copyCrowding
+		cost := f.firstEvent(now, m, q.toRead(m, p)) + time.Duration(streams)*streamCrowding + time.Duration(copies)*copyCrowding
 		if m.capacity > 0 && memory+p.memory() > m.capacity {
 			cost += memoryCost
 		}
@@ -230,7 +234,8 @@
 		if chosen.Target, ok = f.ChooseEngine(now, q, p); !ok {
 			return Placement{}, false
 		}
-		chosen.Expected = f.firstEvent(now, f.members[chosen.Target.ID], p)
+		m := f.members[chosen.Target.ID]
+		chosen.Expected = f.firstEvent(now, m, q.toRead(m, p))
 	}
 	if keepCopy {
 		q.Exclude = append(slices.Clone(q.Exclude), chosen.Target.ID)
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -65,6 +65,17 @@
 	c.Check(product.TokensAgain < before.TokensAgain/2, qt.IsTrue, qt.Commentf("read again: %d, before %d", product.TokensAgain, before.TokensAgain))
 }
 
+// Load pattern: all gateways are lost together. Guards against runs that no gateway remembers.
+func TestStoredRunsOutliveGateways(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	all := playAll(t, "recovery")
+	before, product := all["before"], all["product"]
+	c.Check(product.OnTime > before.OnTime, qt.IsTrue, qt.Commentf("on time: %d, before %d", product.OnTime, before.OnTime))
+	// Prompts that are being read have no record yet.
+	c.Check(product.TokensAgain < before.TokensAgain, qt.IsTrue, qt.Commentf("read again: %d, before %d", product.TokensAgain, before.TokensAgain))
+}
+
 // Load pattern: engines that accept requests and never work on them. Guards against clients
 // that wait for the first event until they give up.
 func TestHungRequestsMove(t *testing.T) {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bramleygap/internal/core/membership"
@@ -29,6 +31,8 @@
 	placeRetry     = 40 * time.Millisecond
 	placePatience  = 540 * time.Millisecond
 	resumePatience = 3 * time.Second
+	// saveInterval is the pause between two writes of the records of runs.
+	saveInterval = time.Second
 	// copyCheck is the pause between two looks at the copy of a run.
 	copyCheck = 200 * time.Millisecond
 	// maxAttempts is the number of targets that may run a request.
@@ -48,6 +52,8 @@
 	Probes bool
 	// Returns finds the run of a client that returns to another gateway.
 	Returns bool
+	// StoresRuns keeps the records of runs in the store, for the loss of all gateways.
+	StoresRuns bool
 	// LeavesUnread moves streams whose first event does not come from a live engine.
 	LeavesUnread bool
 }
@@ -72,7 +78,7 @@
 		{Name: "round robin"},
 		{Name: "by reports", Placement: LeastReported, Resume: true, Probes: true},
 		{Name: "before", Placement: ByCost, Resume: true, Copies: true, Probes: true},
-		{Name: "product", Placement: ByCost, Resume: true, Copies: true, Probes: true, Returns: true, LeavesUnread: true},
+		{Name: "product", Placement: ByCost, Resume: true, Copies: true, Probes: true, Returns: true, StoresRuns: true, LeavesUnread: true},
 	}
 }
 
@@ -88,6 +94,8 @@
 	fleet   *placement.Fleet
 	outages *placement.Outages
 	runs    *runindex.Index
+	// own holds the records of the streams that run here.
+	own     map[uint64]runindex.Record
 	streams map[*stream]struct{}
 	targets []membership.Registration
 }
@@ -104,9 +112,22 @@
 	g.fleet = placement.NewFleet(g.name, g.zone, g.rng)
 	g.fleet.SetGateways(g.w.gatewayNames())
 	g.outages, g.runs, g.streams = placement.NewOutages(), runindex.New(), map[*stream]struct{}{}
+	g.own = map[uint64]runindex.Record{}
+	for _, records := range g.w.storedRuns {
+		for _, r := range records {
+			g.runs.Put(g.w.clock.now, r)
+		}
+	}
 	g.refresh()
 }
 
+// save stores the records of the streams that run here.
+func (g *gateway) save() {
+	if g.up && g.w.policy.StoresRuns && !g.w.storeDown {
+		g.w.storedRuns[g.name] = slices.Collect(maps.Values(g.own))
+	}
+}
+
 // refresh takes in what the store lists.
 func (g *gateway) refresh() {
 	g.targets = g.w.listed()
@@ -222,6 +243,7 @@
 	if s.held != nil {
 		r.Holder, r.Handle = s.held.holder, s.held.name
 	}
+	s.g.own[r.Fingerprint] = r
 	names := append(runindex.HomesOf(s.client.key, s.g.w.gatewayNames(), s.g.name), s.g.name)
 	s.g.w.clock.after(exchangeInterval/4, func() {
 		for _, name := range names {
@@ -551,6 +573,7 @@
 	s.closeRun()
 	s.done = true
 	delete(s.g.streams, s)
+	delete(s.g.own, s.client.key)
 	c := s.client
 	s.g.w.clock.after(clientDelay, func() {
 		switch outcome {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/runindex"
 )
 
 // The size of the installation is that of the users' first deployment.
@@ -46,6 +47,8 @@
 	// list is what the store holds of the engines, storeDown whether it answers.
 	list      []membership.Registration
 	storeDown bool
+	// storedRuns are the records of runs that the gateways wrote to the store.
+	storedRuns map[string][]runindex.Record
 	// rate multiplies the arrivals.
 	rate float64
 	// change alters requests as they arrive; it may be nil.
@@ -54,7 +57,7 @@
 }
 
 func newWorld(policy Policy, seed uint64) *world {
-	w := &world{clock: newClock(), rng: rand.New(rand.NewPCG(seed, 7)), load: rand.New(rand.NewPCG(seed, 8)), policy: policy, rate: 1}
+	w := &world{clock: newClock(), rng: rand.New(rand.NewPCG(seed, 7)), load: rand.New(rand.NewPCG(seed, 8)), policy: policy, rate: 1, storedRuns: map[string][]runindex.Record{}}
 	w.start = w.clock.now
 	for zone := range zones {
 		for range enginesPerZone {
@@ -155,6 +158,7 @@
 	end := w.start.Add(loadTime)
 	for _, g := range w.gateways {
 		w.clock.every(exchangeInterval, end.Add(2*clientDeadline), g.exchange)
+		w.clock.every(saveInterval, end, g.save)
 	}
 	p.play(w)
 	w.arrive(end)
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -67,9 +67,12 @@
 	addresses map[string]string
 	// runs remembers generations of this gateway and those that it is home to.
 	runs *runindex.Index
-	// untold are records that wait to be sent to their homes.
-	untold   []runindex.Record
-	lastTick time.Time
+	// untold are records that wait to be sent to their homes, ownRuns those of streams that
+	// this gateway relays now, and ownChanged is set if there are new ones to store.
+	untold     []runindex.Record
+	ownRuns    map[uint64]runindex.Record
+	ownChanged bool
+	lastTick   time.Time
 	// stops is when the other gateways that answered end; zero for those that do not stop.
 	stops   map[string]time.Time
 	outages *placement.Outages
@@ -123,6 +126,7 @@
 		evidence:      evidence.NewCounters(d.options.Settings.Name, rng.Uint64()),
 		gateways:      []string{d.options.Settings.Name},
 		runs:          runindex.New(),
+		ownRuns:       map[uint64]runindex.Record{},
 		lastTick:      now,
 	}
 	for i := range s.tables {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 	g.peers = newPeers(g)
 	group.Go(func() error { return g.peers.run(groupCtx) })
 	group.Go(func() error { return g.recheck(groupCtx) })
+	group.Go(func() error { return g.keepRuns(groupCtx) })
 	orders := &rollouts{g: g}
 	group.Go(func() error { return orders.run(groupCtx) })
 	if err := g.serve(group, groupCtx); err != nil {
--- a/internal/gateway/provider.go
+++ b/internal/gateway/provider.go
@@ -30,6 +30,8 @@
 	TableGateways
 	// TableStatus holds what the gateways report to operators.
 	TableStatus
+	// TableRuns holds where the generations of each gateway run; gateways write it.
+	TableRuns
 )
 
 // followed is the number of tables that a gateway keeps copies of: those before TableStatus.
@@ -46,6 +48,8 @@
 		return "gateways"
 	case TableStatus:
 		return "status"
+	case TableRuns:
+		return "runs"
 	}
 	return "unknown"
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"bramleygap/internal/core/runindex"
 	"bramleygap/internal/settings"
@@ -23,6 +24,13 @@
 	// youngFor is how long after its start a gateway may not have met the others: the first
 	// round of exchanges, and a second one behind the store's list.
 	youngFor = 2 * time.Second
+	// saveInterval is the least pause between two writes of the own runs to the store;
+	// saveSpread is added for each gateway, so that they together write ten times a second
+	// of the 400 that the store allows.
+	saveInterval = time.Second
+	saveSpread   = 100 * time.Millisecond
+	// maxSavedRuns bounds the records in one row: 100 bytes each, some 50 KB.
+	maxSavedRuns = 500
 	// maxSeedsAsked bounds the seeds that a young gateway asks for a run.
 	maxSeedsAsked = 4
 )
@@ -36,9 +44,107 @@
 	g.director.tell(g.ctx, func(st *state) {
 		st.runs.Put(time.Now(), r)
 		st.untold = append(st.untold, r)
+		if len(st.ownRuns) < maxSavedRuns {
+			st.ownRuns[r.Fingerprint], st.ownChanged = r, true
+		}
 	})
 }
 
+// endRun takes a stream that has ended out of those that this gateway relays. Its record
+// stays in the index, since the client of a broken stream may return, and in the store until
+// the next stream begins.
+func (g *Gateway) endRun(c *call) {
+	g.director.tell(g.ctx, func(st *state) { delete(st.ownRuns, c.fingerprint) })
+}
+
+// keepRuns takes in the stored records of all gateways and then stores those of this one as
+// they change, until ctx ends. They outlive the loss of all gateways together.
+func (g *Gateway) keepRuns(ctx context.Context) error {
+	for time.Since(g.started) < youngFor && ctx.Err() == nil {
+		if err := g.loadRuns(ctx); err == nil {
+			break
+		}
+		sleep(ctx, failurePause)
+	}
+	for ctx.Err() == nil {
+		type saved struct {
+			records  *wire.RunRecords
+			gateways int
+		}
+		next := ask(ctx, g.director, func(st *state) saved {
+			s := saved{gateways: len(st.gateways)}
+			if st.ownChanged {
+				s.records, st.ownChanged = &wire.RunRecords{}, false
+				for _, r := range st.ownRuns {
+					s.records.Records = append(s.records.Records, encodeRun(r))
+				}
+			}
+			return s
+		})
+		if next.records != nil {
+			g.saveRuns(ctx, next.records)
+		}
+		sleep(ctx, max(saveInterval, time.Duration(next.gateways)*saveSpread))
+	}
+	return nil
+}
+
+func (g *Gateway) loadRuns(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	rows, _, err := g.options.Store.Snapshot(callCtx, TableRuns)
+	cancel()
+	g.metrics.storeCalls.WithLabelValues(TableRuns.String(), outcome(err)).Inc()
+	if err != nil {
+		g.log.Debug().Err(err).Msg("stored runs not read")
+		return err
+	}
+	g.director.tell(ctx, func(st *state) {
+		now := time.Now()
+		taken := 0
+		for _, row := range rows {
+			var stored wire.RunRecords
+			if err := proto.Unmarshal(row.Value, &stored); err != nil {
+				g.log.Debug().Str("key", row.Key).Err(err).Msg("stored runs cannot be read")
+				continue
+			}
+			for _, r := range stored.Records {
+				// What a gateway told since the start is newer.
+				if _, _, known := st.runs.Get(now, r.Fingerprint); !known {
+					st.runs.Put(now, decodeRun(r))
+					taken++
+				}
+			}
+		}
+		g.log.Info().Int("gateways", len(rows)).Int("runs", taken).Msg("stored runs read")
+	})
+	return nil
+}
+
+func (g *Gateway) saveRuns(ctx context.Context, records *wire.RunRecords) {
+	value, err := proto.Marshal(records)
+	if err != nil {
+		g.log.Error().Err(err).Msg("own runs cannot be encoded")
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	write := Write{Table: TableRuns, Key: g.options.Settings.Name, Value: value, Unconditional: true}
+	err = g.options.Store.Commit(callCtx, []Write{write})
+	g.metrics.storeCalls.WithLabelValues(TableRuns.String(), outcome(err)).Inc()
+	if err != nil {
+		g.log.Debug().Err(err).Msg("own runs not stored; the next change stores them")
+		g.director.tell(ctx, func(st *state) { st.ownChanged = true })
+	}
+}
+
+func encodeRun(r runindex.Record) *wire.RunRecord {
+	return &wire.RunRecord{Fingerprint: r.Fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle}
+}
+
+func decodeRun(r *wire.RunRecord) runindex.Record {
+	return runindex.Record{Fingerprint: r.Fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle}
+}
+
 // tellHomes sends new records to the homes of their runs until ctx ends.
 func (p *peers) tellHomes(ctx context.Context) {
 	self := p.g.options.Settings.Name
@@ -57,9 +163,7 @@
 					if batches[address] == nil {
 						batches[address] = &wire.RunRecords{}
 					}
-					batches[address].Records = append(batches[address].Records, &wire.RunRecord{
-						Fingerprint: r.Fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle,
-					})
+					batches[address].Records = append(batches[address].Records, encodeRun(r))
 				}
 			}
 			st.untold = nil
@@ -89,7 +193,7 @@
 	p.g.director.tell(ctx, func(st *state) {
 		now := time.Now()
 		for _, r := range batch.Records {
-			st.runs.Put(now, runindex.Record{Fingerprint: r.Fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle})
+			st.runs.Put(now, decodeRun(r))
 		}
 	})
 	return &wire.RunsKept{}, ctx.Err()
@@ -107,9 +211,9 @@
 	if !ok {
 		return &wire.RunRecords{}
 	}
-	return &wire.RunRecords{Records: []*wire.RunRecord{{
-		Fingerprint: fingerprint, Source: r.Source, Holder: r.Holder, Address: r.Address, Handle: r.Handle, AgeMs: uint32(age.Milliseconds()),
-	}}}
+	found := encodeRun(r)
+	found.AgeMs = uint32(age.Milliseconds())
+	return &wire.RunRecords{Records: []*wire.RunRecord{found}}
 }
 
 // findRun looks for the run of an earlier attempt of a client that has some of its events.
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -90,6 +90,7 @@
 		effect := queue[0]
 		queue = append(queue[1:], s.apply(effect)...)
 	}
+	g.endRun(c)
 	s.respond()
 }
 
@@ -163,10 +164,10 @@
 		if resume && s.machine.Ran() && !s.g.director.budget(st, now, s.call.service).TakeResume() {
 			return placed{}
 		}
-		if !s.machine.Ran() && holder == "" && st.hopeless(now, s.call, s.prompt) {
+		query := placement.FleetQuery{Service: s.call.service, Exclude: e.Exclude, Warm: s.earlier}
+		if !s.machine.Ran() && holder == "" && st.hopeless(now, s.call, query, s.prompt) {
 			return placed{hopeless: true}
 		}
-		query := placement.FleetQuery{Service: s.call.service, Exclude: e.Exclude, Warm: s.earlier}
 		return st.placeStream(now, query, s.call.draw, holder, s.prompt)
 	})
 	s.call.hopeless = p.hopeless
@@ -189,8 +190,8 @@
 
 // hopeless reports whether a stream that has not run cannot get its first event before its
 // caller gives up. Reading its prompt would only delay the others.
-func (st *state) hopeless(now time.Time, c *call, prompt placement.Prompt) bool {
-	expected, ok := st.fleet.FirstEvent(now, placement.FleetQuery{Service: c.service}, prompt)
+func (st *state) hopeless(now time.Time, c *call, query placement.FleetQuery, prompt placement.Prompt) bool {
+	expected, ok := st.fleet.FirstEvent(now, query, prompt)
 	return ok && now.Add(expected).After(c.deadline)
 }
 
