Log how each target failed a short call; tell of requests without an end

One line for each failed attempt of a call names target, result, status and time; explain says when the process started again.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -21,6 +21,10 @@
 	// around a request: a gateway acts on what it learnt within the last seconds.
 	beliefsBefore = 3 * time.Second
 	beliefsAfter  = 200 * time.Millisecond
+	// messageEnded and messageRefused end a request's story, messageStarted begins a process.
+	messageEnded   = "request ended"
+	messageRefused = "request refused"
+	messageStarted = "gateway started"
 	// maxLine bounds one line; longer ones are counted as unreadable.
 	maxLine = 1 << 20
 )
@@ -145,6 +149,9 @@
 			return err
 		}
 	}
+	if err := noteMissingEnd(w, request, entries, first); err != nil {
+		return err
+	}
 	if skipped > 0 {
 		if _, err := fmt.Fprintf(w, "%d lines could not be read\n", skipped); err != nil {
 			return err
@@ -153,6 +160,29 @@
 	return nil
 }
 
+// noteMissingEnd says what became of the process whose lines of the request have no end: it
+// was killed or lost power, or lines were dropped.
+func noteMissingEnd(w io.Writer, request string, entries []Entry, first time.Time) error {
+	last := -1
+	for i, e := range entries {
+		if e.Request == request {
+			last = i
+		}
+	}
+	if m := entries[last].Message; m == messageEnded || m == messageRefused {
+		return nil
+	}
+	process := entries[last].Process
+	for _, e := range entries[last+1:] {
+		if e.Process == process && e.Message == messageStarted {
+			_, err := fmt.Fprintf(w, "~ %9.3f s %s: the request has no end in the log; the process started again here\n", e.At.Sub(first).Seconds(), process)
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "~ %s: the request has no end in the log, and the process has not started again\n", process)
+	return err
+}
+
 func fieldText(fields map[string]any) string {
 	var b strings.Builder
 	for _, key := range slices.Sorted(maps.Keys(fields)) {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -33,6 +33,24 @@
 	c.Check(Story(&out, "r9", entries, 0), qt.ErrorIs, ErrUnknown)
 }
 
+// Guards against a story that stops without a word where the process was killed.
+func TestStoryWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	for name, test := range map[string]struct{ more, want string }{
+		"not started again": {"", "~ g1: the request has no end in the log, and the process has not started again\n"},
+		"started again": {
+			`{"level":"info","gateway":"g1","time":"2026-01-01T00:00:03.000Z","message":"gateway started"}` + "\n",
+			"~     2.000 s g1: the request has no end in the log; the process started again here\n",
+		},
+	} {
+		entries, _, err := Read(strings.NewReader(sampleLog + test.more))
+		c.Assert(err, qt.IsNil)
+		var out strings.Builder
+		c.Assert(Story(&out, "r2", entries, 0), qt.IsNil)
+		c.Check(strings.HasSuffix(out.String(), test.want), qt.IsTrue, qt.Commentf("%s: %s", name, out.String()))
+	}
+}
+
 // Guards against panics on arbitrary lines.
 func FuzzRead(f *testing.F) {
 	f.Add(sampleLog)
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// callPlaceRetry is the pause between two tries to place a short call, well below its
+	// objective of 100 ms.
+	callPlaceRetry = 5 * time.Millisecond
 	// maxAnswerBytes bounds one answer of a target that is kept in memory.
 	maxAnswerBytes = 4 << 20
 	// maxIdle and maxIdleOnce are how long ago a connection must have been used to be used
@@ -125,7 +128,7 @@
 			cancel()
 			return x.machine.NoTarget(e.Attempt)
 		}
-		sleep(x.call.ctx, placeRetry/8)
+		sleep(x.call.ctx, callPlaceRetry)
 	}
 }
 
@@ -187,6 +190,10 @@
 		}
 	})
 	x.g.metrics.attempts.WithLabelValues(end.result.String()).Inc()
+	if end.result != forward.Good && ctx.Err() == nil {
+		x.call.log.Info().Str("target", reg.ID).Int("attempt", n).Stringer("result", end.result).Int("status", end.answer.Status).
+			Dur("took", took).Msg("call attempt failed")
+	}
 	x.ends <- end
 }
 
