Do not store an empty list of runs

A stream that ended within a second left a changed but empty list, whose encoding is empty; the write was repeated each second.

--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -72,14 +72,7 @@
 			gateways int
 		}
 		next := ask(ctx, g.director, func(st *state) saved {
-			s := saved{gateways: len(st.gateways)}
-			if st.ownChanged {
-				s.records, st.ownChanged = &wire.RunRecords{}, false
-				for _, r := range st.ownRuns {
-					s.records.Records = append(s.records.Records, encodeRun(r))
-				}
-			}
-			return s
+			return saved{st.runsToStore(), len(st.gateways)}
 		})
 		if next.records != nil {
 			g.saveRuns(ctx, next.records)
@@ -89,6 +82,20 @@
 	return nil
 }
 
+// runsToStore returns the records to write, nil if none is new. A new one may have ended
+// meanwhile: the store refuses an empty row.
+func (st *state) runsToStore() *wire.RunRecords {
+	if !st.ownChanged || len(st.ownRuns) == 0 {
+		return nil
+	}
+	st.ownChanged = false
+	records := &wire.RunRecords{}
+	for _, r := range st.ownRuns {
+		records.Records = append(records.Records, encodeRun(r))
+	}
+	return records
+}
+
 func (g *Gateway) loadRuns(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	rows, _, err := g.options.Store.Snapshot(callCtx, TableRuns)
