Clear suspects that completed at gateways

A call answered well and a whole stream now clear the request.

TestHarmlessRequestIsNotCondemned fails without it.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -175,6 +175,7 @@
 		st.removeHandle(reg.ID, handle)
 		if end.result == forward.Good {
 			st.latency(x.call.service).Observe(latency)
+			st.suspects.Ran(x.call.fingerprint, took, true)
 		} else {
 			latency = 0
 		}
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -52,9 +52,14 @@
 
 // endRun takes a stream that has ended out of those that this gateway relays. Its record
 // stays in the index, since the client of a broken stream may return, and in the store until
-// the next stream begins.
-func (g *Gateway) endRun(c *call) {
-	g.director.tell(g.ctx, func(st *state) { delete(st.ownRuns, c.fingerprint) })
+// the next stream begins. A request that completed does not crash targets.
+func (g *Gateway) endRun(c *call, completed bool) {
+	g.director.tell(g.ctx, func(st *state) {
+		delete(st.ownRuns, c.fingerprint)
+		if completed {
+			st.suspects.Ran(c.fingerprint, time.Since(c.arrived), true)
+		}
+	})
 }
 
 // keepRuns takes in the stored records of all gateways and then stores those of this one as
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -90,7 +90,7 @@
 		effect := queue[0]
 		queue = append(queue[1:], s.apply(effect)...)
 	}
-	g.endRun(c)
+	g.endRun(c, s.outcome == relay.Complete)
 	s.respond()
 }
 
