Log and count what a gateway's link carries while calls fail

Bytes by kind of connection are counted and reported at most once a second while exchanges or calls to the store fail; request lines carry config_age.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -23,6 +23,8 @@
 	eventQueueSize = 256
 	// tickInterval is the interval of periodic state maintenance.
 	tickInterval = 100 * time.Millisecond
+	// trafficReportInterval is the minimum time between two reports of traffic.
+	trafficReportInterval = time.Second
 	// lateTickThreshold is the delay beyond which a tick is logged and counted as late: the
 	// process was suspended, and its cached state may be out of date.
 	lateTickThreshold = 300 * time.Millisecond
@@ -76,6 +78,9 @@
 	activeRuns        map[uint64]runindex.Record
 	activeRunsChanged bool
 	lastTick          time.Time
+	// maxTickDelay is the largest delay of a tick since lastTrafficReport.
+	maxTickDelay      time.Duration
+	lastTrafficReport time.Time
 	// stopTimes holds the announced stop times of other gateways, zero if not stopping.
 	stopTimes map[string]time.Time
 	outages   *placement.Outages
@@ -96,6 +101,10 @@
 	published atomic.Pointer[publishedState]
 	// desiredLoaded is closed when the first desired state is in use.
 	desiredLoaded chan struct{}
+	traffic       traffic
+	// configConfirmedAt is when the desired state in use was last known to match the store, nil
+	// before the first confirmation.
+	configConfirmedAt atomic.Pointer[time.Time]
 	// probe starts a background probe of a target.
 	probe func(target membership.Registration)
 }
@@ -183,7 +192,9 @@
 		l.log.Warn().Dur("late", late).Msg("event loop tick was late; process was suspended and its cached state may be out of date")
 		l.metrics.lateTicks.Inc()
 	}
+	st.maxTickDelay = max(st.maxTickDelay, now.Sub(st.lastTick)-tickInterval)
 	st.lastTick = now
+	l.reportTraffic(st, now)
 	l.markUnconfirmed(st, now)
 	expired := st.registry.Expire(now)
 	// Running targets register again within 2 s after the store has recovered.
@@ -221,6 +232,47 @@
 		l.log.Info().Stringer("table", table).Str("source", source).Msg("table confirmed by the store again")
 	}
 	st.confirmedAt[table] = at
+	if table == TableConfig {
+		l.configConfirmedAt.Store(&at)
+	}
+}
+
+// reportTraffic logs once per trafficReportInterval the traffic of the interval if calls to the
+// store or to other gateways failed in it.
+func (l *eventLoop) reportTraffic(st *state, now time.Time) {
+	if now.Sub(st.lastTrafficReport) < trafficReportInterval {
+		return
+	}
+	t := &l.traffic
+	exchanges, timeouts, storeFailures := t.exchanges.Swap(0), t.exchangeTimeouts.Swap(0), t.storeFailures.Swap(0)
+	clientsIn, clientsOut := l.takeBytes("clients", &t.clients)
+	targetsIn, targetsOut := l.takeBytes("targets", &t.targets)
+	peersIn, peersOut := l.takeBytes("gateways", &t.peers)
+	if timeouts+storeFailures > 0 {
+		l.log.Info().Dur("interval", now.Sub(st.lastTrafficReport)).Dur("config_age", now.Sub(st.confirmedAt[TableConfig])).
+			Int64("exchanges", exchanges).Int64("exchanges_failed", timeouts).Int64("store_calls_failed", storeFailures).
+			Dur("max_tick_delay", st.maxTickDelay).Int64("clients_in", clientsIn).Int64("clients_out", clientsOut).
+			Int64("targets_in", targetsIn).Int64("targets_out", targetsOut).Int64("peers_in", peersIn).Int64("peers_out", peersOut).
+			Msg("calls to the store or to other gateways failed; traffic in bytes")
+	}
+	st.lastTrafficReport, st.maxTickDelay = now, 0
+}
+
+// takeBytes resets a counter and adds what it counted to the metrics.
+func (l *eventLoop) takeBytes(link string, c *linkCounter) (in, out int64) {
+	in, out = c.in.Swap(0), c.out.Swap(0)
+	l.metrics.linkBytes.WithLabelValues(link, "in").Add(float64(in))
+	l.metrics.linkBytes.WithLabelValues(link, "out").Add(float64(out))
+	return in, out
+}
+
+// configAge returns how long ago the desired state in use was confirmed by the store, 0 before
+// the first confirmation.
+func (l *eventLoop) configAge(now time.Time) time.Duration {
+	if at := l.configConfirmedAt.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return 0
 }
 
 // markUnconfirmed marks the tables that have not been confirmed for unconfirmedAge.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,8 +71,8 @@
 // Run serves requests until ctx is canceled, then shuts down within the configured grace period.
 func Run(ctx context.Context, options Options) error {
 	g := &Gateway{startedAt: time.Now(), options: &options, log: options.Logger, metrics: newMetrics(options.Registerer)}
-	g.pool = target.NewPool(g.metrics.connections.Inc)
 	g.loop = newEventLoop(&options, g.metrics)
+	g.pool = target.NewPool(g.metrics.connections.Inc, g.loop.traffic.targets.add)
 	// Background tasks outlive ctx, because active requests need them during shutdown.
 	tasksCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -118,17 +118,17 @@
 	clients := &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout,
 	}
-	if err := listen(group, s.ClientListen, clients); err != nil {
+	if err := listen(group, s.ClientListen, clients, &g.loop.traffic.clients); err != nil {
 		return err
 	}
 	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: readHeaderTimeout}
-	if err := listen(group, s.ReadinessListen, readiness); err != nil {
+	if err := listen(group, s.ReadinessListen, readiness, nil); err != nil {
 		return err
 	}
 	if s.AdminListen != "" {
 		handler := obs.AdminHandler(g.options.Registerer, g.unreadyReason)
 		admin := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-		if err := listen(group, s.AdminListen, admin); err != nil {
+		if err := listen(group, s.AdminListen, admin, nil); err != nil {
 			return err
 		}
 		context.AfterFunc(ctx, func() { _ = admin.Close() })
@@ -139,11 +139,15 @@
 	return nil
 }
 
-func listen(group *errgroup.Group, address string, server *http.Server) error {
+// listen starts a server. counter counts the bytes of its connections, nil for none.
+func listen(group *errgroup.Group, address string, server *http.Server, counter *linkCounter) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	if counter != nil {
+		listener = &countingListener{listener, counter}
+	}
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,7 +64,7 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, conns: rpc.NewPool(), incarnation: rand.Uint64(), byAddress: map[string]*peer{}}
+	return &peers{g: g, conns: rpc.NewPool(grpc.WithStatsHandler(rpcCounter{&g.loop.traffic.peers})), incarnation: rand.Uint64(), byAddress: map[string]*peer{}}
 }
 
 // run serves other gateways and exchanges state with them until ctx is canceled.
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	server := rpc.NewServer()
+	server := rpc.NewServer(grpc.StatsHandler(rpcCounter{&p.g.loop.traffic.peers}))
 	wire.RegisterGatewayServer(server, p)
 	p.g.background(func() {
 		if err := server.Serve(listener); err != nil && ctx.Err() == nil {
@@ -207,12 +207,14 @@
 			r.peer.name = r.name
 			r.peer.lastSuccess, r.peer.lastFailure = time.Now(), time.Time{}
 			p.g.metrics.peerExchanges.WithLabelValues("ok").Inc()
+			p.g.loop.traffic.exchanges.Add(1)
 			continue
 		}
 		if r.peer.lastFailure.IsZero() && ctx.Err() == nil {
 			p.g.log.Info().Str("peer", r.peer.address).Err(r.err).Msg("exchange with peer failed; retrying after a back-off")
 		}
 		r.peer.lastFailure = time.Now()
+		p.g.loop.traffic.exchangeTimeouts.Add(1)
 		if status.Code(r.err) == codes.DeadlineExceeded {
 			// A connection with unacknowledged data recovers only at the next TCP retransmission,
 			// which can be seconds after the network has recovered. A new one works at once.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -38,18 +38,20 @@
 
 // clientRequest is the state of a client request.
 type clientRequest struct {
-	ctx              context.Context
-	head             Request
-	body             []byte
-	route            *catalog.Route
-	service          string
-	account          string
-	fingerprint      uint64
-	arrived          time.Time
-	deadline         time.Time
-	log              zerolog.Logger
-	g                *Gateway
-	configVersion    uint64
+	ctx           context.Context
+	head          Request
+	body          []byte
+	route         *catalog.Route
+	service       string
+	account       string
+	fingerprint   uint64
+	arrived       time.Time
+	deadline      time.Time
+	log           zerolog.Logger
+	g             *Gateway
+	configVersion uint64
+	// configAge is how long before the request's admission the store confirmed the desired state.
+	configAge        time.Duration
 	rejected         bool
 	deadlineTooShort bool
 	// versionDraw is a random number that selects the version of the service during a rollout.
@@ -76,7 +78,7 @@
 	c.g.metrics.requests.WithLabelValues(kind, outcome).Inc()
 	c.g.metrics.duration.WithLabelValues(kind).Observe(took.Seconds())
 	event := c.log.Info().Str("route", c.route.Name).Str("kind", kind).Str("service", c.service).Str("account", c.account).
-		Str("outcome", outcome).Int("attempts", attempts).Str("target", lastTarget).Dur("took", took).Uint64("version", c.configVersion)
+		Str("outcome", outcome).Int("attempts", attempts).Str("target", lastTarget).Dur("took", took).Uint64("version", c.configVersion).Dur("config_age", c.configAge)
 	if machine != nil {
 		event = event.Int("events", machine.Delivered()).Dur("first_event", c.firstEvent).Dur("longest_gap", machine.LongestGap())
 	}
@@ -140,7 +142,7 @@
 		return result.NotReady
 	}
 	config := p.desired.Config
-	c.configVersion = config.Version
+	c.configVersion, c.configAge = config.Version, g.loop.configAge(time.Now())
 	c.route = config.Route(c.head.Host, c.head.Path)
 	if c.route == nil {
 		if p.stale {
@@ -200,7 +202,7 @@
 	status := httpStatus(code)
 	g.metrics.refusals.WithLabelValues(code.String()).Inc()
 	c.log.Info().Uint32("code", uint32(code)).Str("reason", code.String()).Int("status", status).Str("host", c.head.Host).
-		Str("path", c.head.Path).Uint64("version", c.configVersion).Dur("took", time.Since(c.arrived)).Msg("request refused")
+		Str("path", c.head.Path).Uint64("version", c.configVersion).Dur("config_age", c.configAge).Dur("took", time.Since(c.arrived)).Msg("request refused")
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(result.Header, strconv.FormatUint(uint64(code), 10))
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -40,6 +40,7 @@
 	address     string
 	lastUsed    time.Time
 	idleTimeout time.Duration
+	onBytes     func(in, out int)
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
 	// OnIdle, if set, is called when no data has arrived until IdleDeadline. If it returns an
@@ -57,13 +58,16 @@
 type Pool struct {
 	dialer *net.Dialer
 	onOpen func()
+	// onBytes is called with the number of bytes read and written.
+	onBytes func(in, out int)
 	mu     sync.Mutex
 	idle   map[string][]*Conn
 }
 
-// NewPool returns an empty pool. onOpen is called for each new connection.
-func NewPool(onOpen func()) *Pool {
-	return &Pool{dialer: NewDialer(), onOpen: onOpen, idle: map[string][]*Conn{}}
+// NewPool returns an empty pool. onOpen is called for each new connection and onBytes with the
+// bytes that each read and write transferred.
+func NewPool(onOpen func(), onBytes func(in, out int)) *Pool {
+	return &Pool{dialer: NewDialer(), onOpen: onOpen, onBytes: onBytes, idle: map[string][]*Conn{}}
 }
 
 // Get returns a connection that has been idle for less than maxIdle, or a new one.
@@ -81,7 +85,7 @@
 		return nil, err
 	}
 	p.onOpen()
-	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout}
+	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes}
 	conn.reader = bufio.NewReaderSize(conn, readBufferSize)
 	return conn, nil
 }
@@ -89,6 +93,19 @@
 // Read implements io.Reader. If OnIdle is set, a pause does not end the read with a timeout,
 // because the decoders that read from the connection cannot continue after an error.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	c.onBytes(n, 0)
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.onBytes(0, n)
+	return n, err
+}
+
+func (c *Conn) read(p []byte) (int, error) {
 	for {
 		if c.OnIdle == nil {
 			return c.Conn.Read(p)
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -103,7 +103,7 @@
 		}
 	})
 	opened := 0
-	pool := NewPool(func() { opened++ })
+	pool := NewPool(func() { opened++ }, func(int, int) {})
 	for i, extra := range []string{"", okResponse, "", "close", ""} {
 		conn, err := pool.Get(t.Context(), address, time.Minute)
 		c.Assert(err, qt.IsNil)
@@ -124,13 +124,13 @@
 func TestSendReportsPartialWrite(t *testing.T) {
 	c := qt.New(t)
 	client, peer := net.Pipe()
-	conn := &Conn{Conn: client}
+	conn := &Conn{Conn: client, onBytes: func(int, int) {}}
 	_ = peer.Close()
 	sent, err := conn.Send(getRequest())
 	c.Check(err, qt.IsNotNil)
 	c.Check(sent, qt.IsFalse)
 	client, peer = net.Pipe()
-	conn = &Conn{Conn: client}
+	conn = &Conn{Conn: client, onBytes: func(int, int) {}}
 	go func() {
 		_, _ = peer.Read(make([]byte, 1))
 		_ = peer.Close()
@@ -150,7 +150,7 @@
 		time.Sleep(100 * time.Millisecond)
 		_, _ = fmt.Fprint(conn, "cd\r\n0\r\n\r\n")
 	})
-	pool := NewPool(func() {})
+	pool := NewPool(func() {}, func(int, int) {})
 	conn, err := pool.Dial(t.Context(), address)
 	c.Assert(err, qt.IsNil)
 	idles := 0
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -86,7 +86,8 @@
 		}
 		pause := minPollInterval - time.Since(start)
 		if err != nil {
-			w.logFailure(err)
+			w.logFailure(err, time.Since(start))
+			w.loop.traffic.storeFailures.Add(1)
 			pause = failureBackoff
 			if pos.loaded && !pos.isReader {
 				pause = fallbackFailureBackoff
@@ -156,9 +157,9 @@
 }
 
 // logFailure logs the first of a series of failures.
-func (w *tableWatcher) logFailure(err error) {
+func (w *tableWatcher) logFailure(err error, took time.Duration) {
 	if time.Since(w.lastFailure) > failureLogReset {
-		w.loop.log.Warn().Stringer("table", w.table).Err(err).Msg("call to the store failed; retrying")
+		w.loop.log.Warn().Stringer("table", w.table).Err(err).Dur("took", took).Msg("call to the store failed; retrying")
 	}
 	w.lastFailure = time.Now()
 }
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -26,8 +26,8 @@
 
 // Dial returns a lazy connection to host:port. Retries by gRPC are disabled, since a
 // call that is retried transparently could run twice.
-func Dial(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
+func Dial(address string, options ...grpc.DialOption) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address, append([]grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
@@ -42,27 +42,30 @@
 				MaxDelay:   maxReconnectDelay,
 			},
 		}),
-	)
+	}, options...)...)
 }
 
 // NewServer returns a server with the message limits and keepalive policy that Dial expects.
-func NewServer() *grpc.Server {
-	return grpc.NewServer(
+func NewServer(options ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append([]grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
-	)
+	}, options...)...)
 }
 
 // Pool keeps one connection for each address; it is safe for concurrent use.
 type Pool struct {
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	options []grpc.DialOption
+	mu      sync.Mutex
+	conns   map[string]*grpc.ClientConn
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{conns: make(map[string]*grpc.ClientConn)} }
+// NewPool returns an empty pool whose connections are dialed with the given options.
+func NewPool(options ...grpc.DialOption) *Pool {
+	return &Pool{options: options, conns: make(map[string]*grpc.ClientConn)}
+}
 
 // Conn returns the connection to host:port, creating it on first use.
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
@@ -71,7 +74,7 @@
 	if conn, ok := p.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := Dial(address)
+	conn, err := Dial(address, p.options...)
 	if err != nil {
 		return nil, err
 	}
