Transfer large tables between gateways and from the store without a limit for the whole

A change of the desired state was in force 4.5 s after its confirmation at one gateway (bound 3 s), which went on to serve by the version before. Cause: an exchange carried all rows that the other gateway lacked. The desired state is one row, of 297 KB once many routes were added. A gateway asks three others at a time, so that 0.9 MB came for it on a link of 10 Mbit/s: 0.75 s, against a timeout of 0.4 s. None of them completed, each began again from nothing 0.2 s later, and the full link also delayed the gateway's own call to the store (1.2 s in all, ended while its body was read), connections to targets (0.1 s) and probes. The same cause lies in the call to the store itself. Class: a transfer whose size depends on state, under a fixed time limit for the whole of it, begun several times at once and again from nothing. Change: an exchange carries the rows of a table up to 8 KB and otherwise says that it left them out. Reads from the store end only if no byte arrives for 0.7 s.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -47,8 +47,11 @@
 // state is owned by the event loop and accessed only by functions that run on it.
 type state struct {
 	// settings are the current settings. A reload changes only the seeds and bounds.
-	settings        settings.Gateway
-	tables          [numReplicatedTables]*replica.Table
+	settings settings.Gateway
+	tables   [numReplicatedTables]*replica.Table
+	// tableSources holds for each table the address of a gateway with rows that the local copy
+	// lacks, empty if there is none.
+	tableSources    [numReplicatedTables]string
 	registrations   map[string]membership.Registration
 	desired         DesiredState
 	registry        *membership.Registry
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -79,6 +79,8 @@
 
 // Store is the platform's transactional store. All methods are safe for concurrent use. After
 // an error other than those above, a write may have been performed or may still be performed.
+// Snapshot and Changes fail if no data arrives for about a second beyond the wait, and may take
+// longer while data arrives.
 type Store interface {
 	// Snapshot returns all rows of a table as of one revision.
 	Snapshot(ctx context.Context, table Table) ([]replica.Row, uint64, error)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	storeCalls     *prometheus.CounterVec
 	peerExchanges  *prometheus.CounterVec
 	linkBytes      *prometheus.CounterVec
+	tableFetches   *prometheus.CounterVec
 	probes         *prometheus.CounterVec
 	copyOrders     *prometheus.CounterVec
 	runLookups     *prometheus.CounterVec
@@ -54,6 +55,7 @@
 		storeCalls:     counterVec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
 		peerExchanges:  counterVec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
 		linkBytes:      counterVec("link_bytes_total", "Bytes exchanged with clients, targets and other gateways, by direction.", "link", "direction"),
+		tableFetches:   counterVec("table_fetches_total", "Tables fetched from other gateways, by table and outcome.", "table", "outcome"),
 		probes:         counterVec("probes_total", "Probes of targets by outcome.", "outcome"),
 		runLookups:     counterVec("runs_sought_total", "Searches for the run of a returning client by where it was found.", "from"),
 		copyOrders:     counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
@@ -66,6 +68,6 @@
 		targetCrashes:  counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.linkBytes, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.targetCrashes)
+		m.peerExchanges, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.targetCrashes)
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -53,6 +54,9 @@
 	byAddress   map[string]*peer
 	// lastReaderExchange is the time of the last exchange with a reader of TableTargets.
 	lastReaderExchange time.Time
+	// fetchWanted wakes fetchTables.
+	fetchWanted   chan struct{}
+	servedFetches atomic.Int32
 }
 
 // peer is the connection state of another gateway. It is owned by the goroutine of peers.run.
@@ -64,7 +68,7 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, conns: rpc.NewPool(grpc.WithStatsHandler(rpcCounter{&g.loop.traffic.peers})), incarnation: rand.Uint64(), byAddress: map[string]*peer{}}
+	return &peers{g: g, conns: rpc.NewPool(grpc.WithStatsHandler(rpcCounter{&g.loop.traffic.peers})), incarnation: rand.Uint64(), byAddress: map[string]*peer{}, fetchWanted: make(chan struct{}, 1)}
 }
 
 // run serves other gateways and exchanges state with them until ctx is canceled.
@@ -83,6 +87,7 @@
 	})
 	p.g.background(func() { p.announce(ctx) })
 	p.g.background(func() { p.sendRunRecords(ctx) })
+	p.g.background(func() { p.fetchTables(ctx) })
 	defer p.conns.Close()
 	defer server.Stop()
 	for ctx.Err() == nil {
@@ -268,7 +273,10 @@
 	if err != nil {
 		return "", err
 	}
-	p.g.loop.post(ctx, func(st *state) { p.mergeState(st, remote, start) })
+	p.g.loop.post(ctx, func(st *state) {
+		p.mergeState(st, remote, start)
+		p.wantOmittedTables(st, remote, address)
+	})
 	return remote.Name, nil
 }
 
@@ -321,27 +329,47 @@
 	return msg
 }
 
-// exportTable returns the revision and age of a table, with the rows that the requester lacks.
-func (p *peers) exportTable(st *state, now time.Time, i int, requester *wire.GatewayState) *wire.TableCopy {
-	table := st.tables[i]
-	out := &wire.TableCopy{Table: uint32(i), Revision: table.Revision(), Wanted: true, Confirmed: !st.confirmedAt[i].IsZero()}
+// describeTable returns the revision and age of a table without rows.
+func (st *state) describeTable(now time.Time, i int) *wire.TableCopy {
+	out := &wire.TableCopy{Table: uint32(i), Revision: st.tables[i].Revision(), Wanted: true, Confirmed: !st.confirmedAt[i].IsZero()}
 	if out.Confirmed {
 		out.AgeMs = uint32(min(now.Sub(st.confirmedAt[i]).Milliseconds(), maxAgeMs))
 	}
-	if requester == nil || !table.Loaded() {
+	return out
+}
+
+// addRows adds the rows that a copy at revision after lacks: all rows if after is 0 or older than
+// the known changes.
+func (st *state) addRows(out *wire.TableCopy, after uint64) {
+	table := st.tables[out.Table]
+	out.After = after
+	rows, ok := table.Since(after)
+	if !ok || after == 0 {
+		out.Complete, rows = true, table.Rows()
+	}
+	for _, row := range rows {
+		out.Rows = append(out.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+	}
+}
+
+// exportTable returns the revision and age of a table, with the rows that the requester lacks if
+// they are small.
+func (p *peers) exportTable(st *state, now time.Time, i int, requester *wire.GatewayState) *wire.TableCopy {
+	out := st.describeTable(now, i)
+	if requester == nil || !st.tables[i].Loaded() {
 		return out
 	}
 	k := slices.IndexFunc(requester.Tables, func(c *wire.TableCopy) bool { return c.Table == uint32(i) && c.Wanted })
-	if k < 0 || requester.Tables[k].Revision >= table.Revision() {
+	if k < 0 || requester.Tables[k].Revision >= out.Revision {
 		return out
 	}
-	out.After = requester.Tables[k].Revision
-	rows, ok := table.Since(out.After)
-	if !ok || out.After == 0 {
-		out.Complete, rows = true, table.Rows()
+	st.addRows(out, requester.Tables[k].Revision)
+	size := 0
+	for _, row := range out.Rows {
+		size += len(row.Key) + len(row.Value)
 	}
-	for _, row := range rows {
-		out.Rows = append(out.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
+	if size > maxInlineTableBytes {
+		out.Rows, out.After, out.Complete, out.Omitted = nil, 0, false, true
 	}
 	return out
 }
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -60,8 +60,8 @@
 	onOpen func()
 	// onBytes is called with the number of bytes read and written.
 	onBytes func(in, out int)
-	mu     sync.Mutex
-	idle   map[string][]*Conn
+	mu      sync.Mutex
+	idle    map[string][]*Conn
 }
 
 // NewPool returns an empty pool. onOpen is called for each new connection and onBytes with the
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -12,9 +12,12 @@
 	longPollWait = 500 * time.Millisecond
 	// slowLongPollWait is the same for TableGateways, whose changes are not urgent.
 	slowLongPollWait = 5 * time.Second
-	// pollTimeoutMargin is added to the wait of a call to get its timeout: the store may be slow.
+	// pollTimeoutMargin is how much longer than its wait a call may take before a table counts
+	// as unconfirmed: the store may be slow.
 	pollTimeoutMargin = 700 * time.Millisecond
-	// storeCallTimeout limits a snapshot read or a commit.
+	// maxReadTime limits a read of a table that makes progress.
+	maxReadTime = 10 * time.Second
+	// storeCallTimeout limits a commit and the read of the run records.
 	storeCallTimeout = 900 * time.Millisecond
 	// minPollInterval is the minimum time between the starts of two calls for changes of a
 	// table. Registrations change with every heartbeat, and each call is billed.
@@ -113,7 +116,7 @@
 		wait = 0
 	}
 	start := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+maxReadTime)
 	changes, upTo, err := w.store.Changes(callCtx, w.table, pos.revision, wait)
 	cancel()
 	w.loop.metrics.storeCalls.WithLabelValues(w.table.String(), storeOutcome(err)).Inc()
@@ -140,7 +143,7 @@
 
 func (w *tableWatcher) readSnapshot(ctx context.Context) error {
 	start := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	rows, revision, err := w.store.Snapshot(callCtx, w.table)
 	w.loop.metrics.storeCalls.WithLabelValues(w.table.String(), storeOutcome(err)).Inc()
