Bound the repeated attempts of a service over all gateways

One stream reached six engines within 60 ms, was run by none, and was refused. Cause: (1) an attempt that a target rejected took no token, so that only the limit of 16 attempts bounded it; (2) the constants did not add up to the operators' bound: a reserve of 6 and of one token for each stream in flight at each gateway, refilled within the window, beside the common bucket; (3) a gateway that had lost contact divided by fewer gateways, and a new process began with a full bucket; (4) a token was taken even if no target was found, each 40 ms; (5) a gateway found the restarted instances one by one, although others knew them. Class: a bound for the whole service enforced by local parts whose sum nobody had written down, and applied to some of what it counts. Change: retry.SharedBudget, whose parts add up: per gateway and window at most a part of the slack and of the tokens per request, of this window and the one before. Each attempt after one that reached a target takes a token, whatever became of it, once a target is found; an attempt that did not leave returns it. Streams wait for a token, streams that ran come before others, and a hedged call is tried again later. The number of gateways is the largest of the last 10 minutes. Gateways report the instances that they found gone; others avoid these for 3 s.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -18,6 +18,8 @@
 	// minHedgeDelay is the lower bound of the hedge delay, so that the retry budget is spent
 	// on hanging targets and not on normal latency variation.
 	minHedgeDelay = 45 * time.Millisecond
+	// hedgeRetryDelay is the pause after a hedged request that the retry budget did not permit.
+	hedgeRetryDelay = 100 * time.Millisecond
 )
 
 // Options are the fixed properties of a request.
@@ -102,8 +104,11 @@
 type Send struct {
 	Attempt int
 	Exclude []string
-	// Retry is set for each attempt after the first. Such attempts draw on the retry budget.
+	// Retry is set for each attempt after the first.
 	Retry bool
+	// Repeat is set if an earlier attempt may have reached its target. Such attempts draw on the
+	// retry budget.
+	Repeat bool
 	// Hedge is set if another attempt is still open.
 	Hedge bool
 }
@@ -129,6 +134,10 @@
 	hedgeAt      time.Time // zero if no hedged request is due
 	done         bool
 	mayHaveRun   bool
+	// unplaced counts the sends for which there was no target.
+	unplaced int
+	// arrived is set once an ended attempt may have reached its target.
+	arrived bool
 }
 
 // New returns a machine that waits for Start.
@@ -153,16 +162,21 @@
 	m.sends++
 	hedge := len(m.open) > 0
 	m.open[attempt] = true
-	return []Effect{Send{Attempt: attempt, Exclude: append([]string(nil), m.excluded...), Retry: retry, Hedge: hedge}}
+	return []Effect{Send{Attempt: attempt, Exclude: append([]string(nil), m.excluded...), Retry: retry, Repeat: hedge || m.arrived, Hedge: hedge}}
 }
 
 // TargetChosen reports the target chosen for a Send.
 func (m *Machine) TargetChosen(target string) { m.excluded = append(m.excluded, target) }
 
-// NoTarget reports that no target or no retry budget is available for a Send.
-func (m *Machine) NoTarget(attempt int) []Effect {
+// NoTarget reports that no target or no retry budget is available for a Send. In that case, a
+// hedged request is tried again later, since the open attempt may hang until the deadline.
+func (m *Machine) NoTarget(now time.Time, attempt int) []Effect {
 	delete(m.open, attempt)
+	m.unplaced++
 	m.hedgeAt = time.Time{}
+	if len(m.open) > 0 && m.options.Idempotent {
+		m.hedgeAt = now.Add(hedgeRetryDelay)
+	}
 	return m.conclude()
 }
 
@@ -206,6 +220,9 @@
 		return nil
 	}
 	delete(m.open, attempt)
+	if r != Unsent {
+		m.arrived = true
+	}
 	if r.Ran() {
 		m.runs++
 		m.mayHaveRun = true
@@ -220,7 +237,7 @@
 	if len(m.open) > 0 {
 		return nil
 	}
-	mayRetry := m.runs+len(m.open) < m.options.MaxAttempts && m.sends < maxSends && now.Before(m.options.Deadline)
+	mayRetry := m.runs+len(m.open) < m.options.MaxAttempts && m.sends-m.unplaced < maxSends && now.Before(m.options.Deadline)
 	if r.Ran() && !m.options.Idempotent {
 		mayRetry = false
 	}
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -55,7 +55,7 @@
 					t.Fatal("non-idempotent request was sent again after it ran")
 				}
 				if rapid.IntRange(0, 7).Draw(t, "target") == 0 {
-					next = append(next, m.NoTarget(send.Attempt)...)
+					next = append(next, m.NoTarget(now, send.Attempt)...)
 					continue
 				}
 				sent++
@@ -115,6 +115,22 @@
 	c.Check(finishOutcome(nonIdempotent.Check(start.Add(time.Second))), qt.Equals, TimedOut, qt.Commentf("the open attempt may still run"))
 }
 
+// Guards against a call that waits for a hanging target until its deadline because the retry
+// budget did not permit a second one at first.
+func TestRefusedHedgeIsTriedAgain(t *testing.T) {
+	c := qt.New(t)
+	m := New(options(true, 2))
+	m.Start(start)
+	now := start.Add(minHedgeDelay)
+	for range maxSends + 2 {
+		effects := m.Check(now)
+		c.Assert(countSends(effects), qt.Equals, 1)
+		c.Assert(m.NoTarget(now, effects[0].(Send).Attempt), qt.HasLen, 0)
+		now = m.NextCheck()
+		c.Assert(now.Before(start.Add(5*time.Second)), qt.IsTrue)
+	}
+}
+
 // Guards against returning a refusal although another target is available, and against NotRun
 // for a request whose response was lost.
 func TestNonIdempotentRequest(t *testing.T) {
@@ -126,7 +142,7 @@
 	m = New(options(false, 1))
 	m.Start(start)
 	m.AttemptEnded(start, 0, Unsent)
-	c.Check(finishOutcome(m.NoTarget(1)), qt.Equals, NotRun)
+	c.Check(finishOutcome(m.NoTarget(start, 1)), qt.Equals, NotRun)
 }
 
 // Guards against losing the error response of the first target when the second one gives no
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -102,6 +102,10 @@
 	// replaced is set when another instance responded at the address or a newer one
 	// registered it.
 	replaced bool
+	// goneAt is when this gateway found that the instance no longer exists, zero if it did not.
+	goneAt time.Time
+	// reportedGone is set once another gateway has reported that the instance no longer exists.
+	reportedGone bool
 	// preferred is set if this gateway is the one that prefers the target.
 	preferred    bool
 	leavingUntil time.Time
@@ -411,24 +415,64 @@
 	}
 }
 
-// MarkUp clears the effect of MarkDown after the target responded.
+// MarkUp clears the effect of MarkDown and MarkGone after the target responded.
 func (f *Fleet) MarkUp(id string) {
 	if t := f.targets[id]; t != nil {
-		t.downUntil = time.Time{}
+		t.downUntil, t.goneAt = time.Time{}, time.Time{}
 	}
 }
 
 // MarkReplaced excludes a target at whose address another instance responded.
-func (f *Fleet) MarkReplaced(id string) {
+func (f *Fleet) MarkReplaced(now time.Time, id string) {
 	if t := f.targets[id]; t != nil {
-		t.replaced = true
+		t.replaced, t.goneAt = true, now
 	}
 }
 
-// DownTargets returns the targets that are excluded because they were unreachable.
+// MarkGone records that the process of a target has ended.
+func (f *Fleet) MarkGone(now time.Time, id string) {
+	if t := f.targets[id]; t != nil {
+		t.goneAt = now
+	}
+}
+
+// Instance identifies one start of a target.
+type Instance struct {
+	ID          string
+	StartUnixMS uint64
+}
+
+// GoneInstances returns the instances that this gateway found gone within downDuration, to be
+// reported to the other gateways.
+func (f *Fleet) GoneInstances(now time.Time) []Instance {
+	var list []Instance
+	for _, t := range f.order {
+		if !t.goneAt.IsZero() && now.Sub(t.goneAt) < downDuration {
+			list = append(list, Instance{t.reg.ID, t.reg.StartUnixMS})
+		}
+	}
+	return list
+}
+
+// ReportGone excludes an instance for downDuration that another gateway found gone. Later reports
+// about the same instance have no effect, so that gateways cannot prolong each other's reports.
+func (f *Fleet) ReportGone(now time.Time, instance Instance) {
+	t := f.targets[instance.ID]
+	if t == nil || t.reg.StartUnixMS != instance.StartUnixMS || t.reportedGone {
+		return
+	}
+	t.reportedGone = true
+	t.downUntil = now.Add(downDuration)
+}
+
+// DownTargets returns the targets to be checked because they are excluded as unreachable. Those
+// that only other gateways found gone are left to them.
 func (f *Fleet) DownTargets(now time.Time) []membership.Registration {
 	var list []membership.Registration
 	for _, t := range f.targets {
+		if t.reportedGone && t.goneAt.IsZero() && !t.preferred {
+			continue
+		}
 		if now.Before(t.downUntil) && !t.replaced && !t.reg.Leaving {
 			list = append(list, t.reg)
 		}
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -198,3 +198,29 @@
 	f.EndStream(now, "e00", "e01", id, typicalSize, false)
 	c.Check(f.LocalLoads(now), qt.HasLen, 0)
 }
+
+// Pattern: engines crash and restart under new ids, and each gateway meets the old instances one
+// after the other. Guards against sending to an instance that another gateway found gone, against
+// reports that gateways prolong for each other, and against excluding a restarted engine that
+// kept its id.
+func TestReportedGoneInstanceIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	list := engines(2)
+	finder, other := newFleet("g1", list), newFleet("g2", list)
+	finder.MarkGone(now, "e00")
+	gone := finder.GoneInstances(now)
+	c.Assert(gone, qt.DeepEquals, []Instance{{ID: "e00", StartUnixMS: list[0].StartUnixMS}})
+	other.ReportGone(now, gone[0])
+	c.Check(other.Usable(now, "e00"), qt.IsFalse)
+	c.Check(other.Usable(now, "e01"), qt.IsTrue)
+	c.Check(other.GoneInstances(now), qt.HasLen, 0, qt.Commentf("only the finder reports it"))
+	later := now.Add(downDuration)
+	other.ReportGone(later.Add(-time.Millisecond), gone[0])
+	c.Check(other.Usable(later, "e00"), qt.IsTrue)
+	c.Check(finder.GoneInstances(later), qt.HasLen, 0)
+	restarted := engines(2)
+	restarted[0].StartUnixMS++
+	other.Update(restarted, func(string) int { return 0 })
+	other.ReportGone(later, gone[0])
+	c.Check(other.Usable(later, "e00"), qt.IsTrue)
+}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -178,7 +178,9 @@
 type Machine struct {
 	options  Options
 	attempts int
-	// runs counts the attempts that may have run the request.
+	// arrivals counts the ended attempts that may have reached their target, and runs those that
+	// may have run the request.
+	arrivals  int
 	runs      int
 	excluded  []string
 	placement Placement
@@ -218,6 +220,10 @@
 // Ran reports whether a target may have begun to run the request.
 func (m *Machine) Ran() bool { return m.ran }
 
+// Arrived reports whether an attempt may have reached a target, so that another one repeats the
+// request.
+func (m *Machine) Arrived() bool { return m.arrivals > 0 }
+
 // LongestGap returns the longest pause between two delivered events.
 func (m *Machine) LongestGap() time.Duration { return m.longestGap }
 
@@ -303,6 +309,9 @@
 		return nil
 	}
 	m.open = false
+	if loss != Unsent {
+		m.arrivals++
+	}
 	mayHaveRun := loss != Unsent && loss != Refused && loss != Replaced
 	if mayHaveRun {
 		m.ran = true
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -61,12 +61,6 @@
 	return &Budget{rates: rates, tokens: rates.Burst, reserve: rates.Reserve, reserveLimit: rates.Reserve, last: now}
 }
 
-// SetRates replaces the rates. Tokens beyond the new burst are discarded.
-func (b *Budget) SetRates(rates Rates) {
-	b.rates = rates
-	b.tokens = min(b.tokens, rates.Burst)
-}
-
 // Refill adds the tokens accrued since the last call. The size of the reserve follows the
 // number of requests in flight; tokens by which the reserve grows are available at once.
 func (b *Budget) Refill(now time.Time, inflight int) {
--- /dev/null
+++ b/internal/core/retry/shared_test.go
@@ -0,0 +1,153 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const sharedStep = 50 * time.Millisecond
+
+// sharedLoad is a pattern of requests and of demand for repeated attempts.
+type sharedLoad struct {
+	gateways int
+	// requestsPerStep is the mean number of requests per step at all gateways together.
+	requestsPerStep func(step int) float64
+	// demand reports whether each gateway takes every token that it gets at a step.
+	demand func(step int) bool
+	// restarts reports whether a gateway restarts at a step.
+	restarts func(gateway, step int) bool
+}
+
+// play returns the requests and the repeated attempts of each step.
+func (l *sharedLoad) play(bounds Bounds, steps int, seed uint64) (requests, repeats []int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	now := time.Unix(1000, 0)
+	budgets := make([]*SharedBudget, l.gateways)
+	for i := range budgets {
+		// The gateways start some time before the traffic.
+		budgets[i] = NewSharedBudget(now.Add(-time.Minute), bounds, l.gateways)
+	}
+	requests, repeats = make([]int, steps), make([]int, steps)
+	for step := range steps {
+		now = now.Add(sharedStep)
+		for i, b := range budgets {
+			if l.restarts != nil && l.restarts(i, step) {
+				b = NewSharedBudget(now, bounds, l.gateways)
+				budgets[i] = b
+			}
+			b.Refill(now)
+		}
+		for expected := l.requestsPerStep(step); expected > 0; expected-- {
+			if expected >= 1 || rng.Float64() < expected {
+				// Some gateways get several times as many requests as others.
+				i := min(rng.IntN(l.gateways), rng.IntN(l.gateways))
+				budgets[i].OnRequest()
+				requests[step]++
+			}
+		}
+		if !l.demand(step) {
+			continue
+		}
+		for _, b := range budgets {
+			for b.TakeResume() {
+				repeats[step]++
+			}
+		}
+	}
+	return requests, repeats
+}
+
+// checkBounds checks each window as the operators do: repeats against the requests of the window,
+// the one before and the one half a window before.
+func checkBounds(c *qt.C, bounds Bounds, requests, repeats []int) {
+	window := int(bounds.Window / sharedStep)
+	sum := func(values []int, from int) (total int) {
+		for i := max(0, from); i < min(len(values), from+window); i++ {
+			total += values[i]
+		}
+		return total
+	}
+	for start := range len(requests) {
+		most := max(sum(requests, start), sum(requests, start-window), sum(requests, start-window/2))
+		allowed := bounds.Ratio*float64(most) + bounds.Slack
+		c.Assert(float64(sum(repeats, start)) <= allowed, qt.IsTrue,
+			qt.Commentf("window from step %d: %d repeats, %.0f allowed", start, sum(repeats, start), allowed))
+	}
+}
+
+// Guards against more repeated attempts over all gateways than the operators allow, when engines
+// crash again and again, when traffic stops, after restarts of gateways and at the target size.
+func TestSharedBudgetHoldsOverAllGateways(t *testing.T) {
+	bounds := Bounds{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
+	always := func(int) bool { return true }
+	// Engines crash every 2 s, 20 s after the start.
+	crashes := func(step int) bool { return step > 400 && step%40 < 4 }
+	steady := func(perSecond float64) func(int) float64 {
+		return func(int) float64 { return perSecond * sharedStep.Seconds() }
+	}
+	stops := func(step int) float64 {
+		if step > 500 {
+			return 0
+		}
+		return 200 * sharedStep.Seconds()
+	}
+	loads := map[string]sharedLoad{
+		"3 gateways":             {gateways: 3, requestsPerStep: steady(5), demand: crashes},
+		"23 gateways":            {gateways: 23, requestsPerStep: steady(22), demand: crashes},
+		"23 gateways, all taken": {gateways: 23, requestsPerStep: steady(22), demand: always},
+		"370 gateways":           {gateways: 370, requestsPerStep: steady(10000), demand: crashes},
+		"traffic stops":          {gateways: 23, requestsPerStep: stops, demand: crashes},
+		"restarts": {gateways: 23, requestsPerStep: steady(200), demand: always,
+			restarts: func(gateway, step int) bool { return step%46 == 2*gateway }},
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range uint64(3) {
+				requests, repeats := load.play(bounds, 1200, seed)
+				checkBounds(c, bounds, requests, repeats)
+			}
+		})
+	}
+}
+
+// Guards against a budget so small that the streams of a lost zone cannot resume: 120 streams at
+// 23 gateways of which a third are lost at once.
+func TestSharedBudgetAllowsResumesOfOneZone(t *testing.T) {
+	c := qt.New(t)
+	bounds := Bounds{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
+	load := sharedLoad{gateways: 23, requestsPerStep: func(int) float64 { return 22 * sharedStep.Seconds() }, demand: func(step int) bool { return step == 600 }}
+	_, repeats := load.play(bounds, 700, 1)
+	c.Check(slices.Max(repeats) >= 40, qt.IsTrue, qt.Commentf("%d resumes at once", slices.Max(repeats)))
+}
+
+// Guards against hedges and retries of new work that leave no tokens for streams that have run.
+func TestSharedBudgetReservesTokensForResumes(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := NewSharedBudget(now.Add(-time.Minute), Bounds{Ratio: 0.8, Slack: 200, Window: 10 * time.Second}, 1)
+	b.Refill(now)
+	for b.TakeRetry(10) {
+	}
+	resumes := 0
+	for b.TakeResume() {
+		resumes++
+	}
+	c.Check(resumes, qt.Equals, 10)
+	b.Refund()
+	c.Check(b.TakeResume(), qt.IsTrue)
+}
+
+// Guards against a gateway that takes the whole slack once it has lost contact with the others.
+func TestPeakCountOutlastsPartition(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	p := PeakCount{Memory: 10 * time.Minute}
+	c.Check(p.Observe(now, 23), qt.Equals, 23)
+	c.Check(p.Observe(now.Add(time.Minute), 1), qt.Equals, 23)
+	c.Check(p.Observe(now.Add(11*time.Minute), 20), qt.Equals, 20)
+}
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -190,7 +190,7 @@
 	case !target.up:
 		fail(networkDelay, relay.Unsent, sim.policy.Probe)
 	case target.id() != s.target.ID:
-		s.gateway.fleet.MarkReplaced(s.target.ID)
+		s.gateway.fleet.MarkReplaced(sim.clock.now, s.target.ID)
 		fail(2*networkDelay, relay.Replaced, false)
 	default:
 		s.job, s.engine, s.incarnation = j, target, target.incarnation
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -121,13 +121,13 @@
 			f.machine.TargetChosen(reg.ID)
 			go func() {
 				defer cancel()
-				f.attempt(ctx, e.Attempt, reg, handle)
+				f.attempt(ctx, e, reg, handle)
 			}()
 			return nil
 		}
 		if e.Retry || f.req.rejected || !time.Now().Before(waitUntil) || f.req.ctx.Err() != nil {
 			cancel()
-			return f.machine.NoTarget(e.Attempt)
+			return f.machine.NoTarget(time.Now(), e.Attempt)
 		}
 		sleep(f.req.ctx, callPlacementRetryInterval)
 	}
@@ -144,13 +144,13 @@
 			f.req.rejected = true
 			return choice{}
 		}
-		if e.Retry && !f.g.loop.budget(st, now, f.req.service).TakeRetry() {
-			f.g.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
-			return choice{}
-		}
 		fleetQuery := placement.FleetQuery{Service: f.req.service, Exclude: e.Exclude}
 		st.restrictVersion(now, &fleetQuery, f.req.versionDraw)
 		reg, ok := st.fleet.ChooseCall(now, fleetQuery)
+		if ok && e.Repeat && !f.g.loop.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
+			f.g.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
+			ok = false
+		}
 		if ok {
 			st.fleet.BeginCall(reg.ID)
 			st.addAttempt(reg.ID, handle)
@@ -164,16 +164,19 @@
 }
 
 // attempt sends the request to a target, records the outcome and delivers the result.
-func (f *callForwarder) attempt(ctx context.Context, attempt int, reg membership.Registration, handle *attemptHandle) {
+func (f *callForwarder) attempt(ctx context.Context, e forward.Send, reg membership.Registration, handle *attemptHandle) {
 	start := time.Now()
 	r := f.sendOnce(ctx, reg, handle)
-	r.attempt, r.target = attempt, reg.ID
+	r.attempt, r.target = e.Attempt, reg.ID
 	took := time.Since(start)
 	latency := took
 	failed := r.result == forward.TargetError || r.result == forward.Unknown || r.result == forward.Unsent
 	f.g.loop.post(f.g.ctx, func(st *state) {
 		now := time.Now()
 		st.removeAttempt(reg.ID, handle)
+		if e.Repeat && r.result == forward.Unsent {
+			f.g.loop.budget(st, now, f.req.service).Refund()
+		}
 		if r.result == forward.Success {
 			st.latency(f.req.service).Observe(latency)
 			st.suspects.ClearIfSafe(f.req.fingerprint, took, true)
@@ -188,12 +191,12 @@
 		}
 		st.fleet.EndCall(now, reg.ID, latency, failed)
 		if r.result == forward.Replaced {
-			st.fleet.MarkReplaced(reg.ID)
+			st.fleet.MarkReplaced(time.Now(), reg.ID)
 		}
 	})
 	f.g.metrics.attempts.WithLabelValues(r.result.String()).Inc()
 	if r.result != forward.Success && ctx.Err() == nil {
-		f.req.log.Info().Str("target", reg.ID).Int("attempt", attempt).Stringer("result", r.result).Int("status", r.response.Status).
+		f.req.log.Info().Str("target", reg.ID).Int("attempt", e.Attempt).Stringer("result", r.result).Int("status", r.response.Status).
 			Dur("took", took).Msg("attempt failed")
 	}
 	f.results <- r
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -35,13 +35,11 @@
 	// failed renewals, not to the removal of its target. Targets that were found restarted
 	// during the outage are kept for the same time.
 	storeOutageGrace = 3 * time.Second
-	// retryBudgetShare is the fraction of the configured retry budget that the live gateways
-	// divide among themselves. The rest covers gateways that have not discovered each other.
-	retryBudgetShare = 0.6
-	// resumeReserve is the minimum number of stream resumptions reserved per gateway and
-	// service. It is small compared with the shared budget, and the reserve grows with the
-	// number of streams in flight.
-	resumeReserve = 6
+	// defaultRetryWindow applies if the settings state no window.
+	defaultRetryWindow = 10 * time.Second
+	// gatewayCountMemory is how long a gateway that lost contact with others goes on to share the
+	// retry budget with them.
+	gatewayCountMemory = 10 * time.Minute
 )
 
 // state is owned by the event loop and accessed only by functions that run on it.
@@ -51,12 +49,16 @@
 	tables   [numReplicatedTables]*replica.Table
 	// tableSources holds for each table the address of a gateway with rows that the local copy
 	// lacks, empty if there is none.
-	tableSources    [numReplicatedTables]string
-	registrations   map[string]membership.Registration
-	desired         DesiredState
-	registry        *membership.Registry
-	fleet           *placement.Fleet
-	budgets         map[string]*retry.Budget
+	tableSources  [numReplicatedTables]string
+	registrations map[string]membership.Registration
+	desired       DesiredState
+	registry      *membership.Registry
+	fleet         *placement.Fleet
+	budgets       map[string]*retry.SharedBudget
+	// gatewayCount is the number of gateways that share the retry budgets.
+	gatewayCount    int
+	peakGateways    retry.PeakCount
+	startedAt       time.Time
 	inflightStreams map[string]int
 	latencies       map[string]*retry.Estimate
 	suspects        *suspect.Tracker
@@ -130,7 +132,10 @@
 		registrations:   map[string]membership.Registration{},
 		registry:        membership.NewRegistry(),
 		fleet:           placement.NewFleet(l.options.Settings.Name, l.options.Settings.Zone, rng),
-		budgets:         map[string]*retry.Budget{},
+		budgets:         map[string]*retry.SharedBudget{},
+		gatewayCount:    1,
+		peakGateways:    retry.PeakCount{Memory: gatewayCountMemory},
+		startedAt:       now,
 		inflightStreams: map[string]int{},
 		latencies:       map[string]*retry.Estimate{},
 		suspects:        suspect.NewTracker(),
@@ -435,23 +440,38 @@
 }
 
 // budget returns the retry budget of a service, refilled up to now.
-func (l *eventLoop) budget(st *state, now time.Time, service string) *retry.Budget {
+func (l *eventLoop) budget(st *state, now time.Time, service string) *retry.SharedBudget {
 	b := st.budgets[service]
 	if b == nil {
-		b = retry.NewBudgetWithRates(now, l.rates(st))
+		b = retry.NewSharedBudget(st.startedAt, st.retryBounds(), st.gatewayCount)
 		st.budgets[service] = b
 	}
-	b.Refill(now, st.inflightStreams[service])
+	b.Refill(now)
 	return b
 }
 
-// rates returns this gateway's share of the retry budget.
-func (l *eventLoop) rates(st *state) retry.Rates {
+func (st *state) retryBounds() retry.Bounds {
 	bounds := st.settings.Bounds
-	return retry.Rates{
-		PerRequest: retryBudgetShare * bounds.RetryRatio,
-		Burst:      max(2, retryBudgetShare*bounds.RetrySlack/float64(max(1, len(st.liveGateways)))),
-		Reserve:    resumeReserve,
+	window := bounds.RetryWindow.Duration
+	if window <= 0 {
+		window = defaultRetryWindow
+	}
+	return retry.Bounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: window}
+}
+
+// setGatewayCount sets the number of gateways that share the retry budgets. A gateway that has
+// just started may not have met all that the store lists.
+func (st *state) setGatewayCount(now time.Time, live int) {
+	count := st.peakGateways.Observe(now, live)
+	if now.Sub(st.startedAt) < gatewayCountMemory {
+		count = max(count, len(st.listedGateways()))
+	}
+	if count == st.gatewayCount {
+		return
+	}
+	st.gatewayCount = count
+	for _, b := range st.budgets {
+		b.SetBounds(st.retryBounds(), count)
 	}
 }
 
@@ -482,7 +502,7 @@
 func (l *eventLoop) reload(st *state, changed settings.Gateway) {
 	st.settings.Seeds, st.settings.Bounds = changed.Seeds, changed.Bounds
 	for _, b := range st.budgets {
-		b.SetRates(l.rates(st))
+		b.SetBounds(st.retryBounds(), st.gatewayCount)
 	}
 	l.log.Info().Strs("seeds", changed.Seeds).Float64("retry_ratio", changed.Bounds.RetryRatio).
 		Dur("drain_timeout", changed.Bounds.DrainTimeout.Duration).Msg("settings reloaded; changed names and addresses take effect at the next restart")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -185,10 +185,8 @@
 		if !slices.Equal(st.liveGateways, names) {
 			st.liveGateways = names
 			st.fleet.SetGateways(names)
-			for _, b := range st.budgets {
-				b.SetRates(p.g.loop.rates(st))
-			}
 		}
+		st.setGatewayCount(now, len(names))
 	})
 	due = p.choosePeers(ctx, now, due)
 	type reply struct {
@@ -322,6 +320,9 @@
 	for id, replaces := range st.registry.Replacements() {
 		msg.Met = append(msg.Met, &wire.MetTarget{Id: id, Replaces: replaces})
 	}
+	for _, instance := range st.fleet.GoneInstances(now) {
+		msg.Gone = append(msg.Gone, &wire.GoneInstance{Id: instance.ID, StartUnixMs: instance.StartUnixMS})
+	}
 	st.exportRollouts(msg)
 	for i := range st.tables {
 		msg.Tables = append(msg.Tables, p.exportTable(st, now, i, requester))
@@ -425,6 +426,9 @@
 	}
 	st.suspects.Merge(records, now)
 	p.mergeUnreachable(st, remote.Unreachable)
+	for _, gone := range remote.Gone {
+		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
+	}
 	for _, id := range remote.LeavingTargets {
 		if _, ok := st.fleet.Target(id); ok && !slices.Contains(st.fleet.ReportedLeaving(now), id) {
 			st.fleet.MarkLeaving(now, id)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -51,6 +51,9 @@
 		if connRefused(err) {
 			g.loop.reportCrash(st, now, reg)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			st.fleet.MarkGone(now, reg.ID)
+		}
 		g.loop.markTargetDown(st, now, reg.ID, reason)
 	})
 }
@@ -167,7 +170,7 @@
 // engine whose models belong to the same service, and only while the registrations are
 // unconfirmed.
 func (g *Gateway) handleRestartedTarget(reg membership.Registration, id string) {
-	g.loop.post(g.ctx, func(st *state) { st.fleet.MarkReplaced(reg.ID) })
+	g.loop.post(g.ctx, func(st *state) { st.fleet.MarkReplaced(time.Now(), reg.ID) })
 	if !reg.Model || !query(g.ctx, g.loop, func(st *state) bool { return st.targetsUnconfirmed() }) {
 		return
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -71,6 +71,11 @@
 	// empty if unknown.
 	previousTarget string
 	copies         *copyManager
+	// unsent is set if no byte of the current attempt was sent.
+	unsent bool
+	// tookRepeat is set if the current attempt took a token of the retry budget, and budgetSpent if
+	// the last placement failed because there was none.
+	tookRepeat, budgetSpent bool
 	// firstEventAt is when the current attempt produced its first event, zero if it has not.
 	firstEventAt time.Time
 }
@@ -83,6 +88,7 @@
 	if c.head.LastEventID > 0 && c.route.Resumable {
 		s.previousTarget, s.cacheCopy = g.findRun(c)
 	}
+	g.loop.post(c.ctx, func(st *state) { g.loop.budget(st, time.Now(), c.service).OnRequest() })
 	s.machine = relay.New(relay.Options{
 		Resumable: c.route.Resumable, MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
 		MaxEventGap: c.route.MaxEventGap, FirstEventObjective: c.route.TargetLatency, After: c.head.LastEventID, HasCopy: s.cacheCopy != nil,
@@ -147,12 +153,13 @@
 	rejected  bool
 	// deadlineTooShort is set if no target can produce the first event before the deadline.
 	deadlineTooShort bool
+	// budgetSpent is set if the retry budget does not permit another attempt now.
+	budgetSpent bool
 }
 
 // requestPlacement requests a target from the event loop: the holder of the KV cache copy if it
 // is usable, otherwise the best target. The placement includes an engine for the next copy.
 func (s *stream) requestPlacement(e relay.ChooseTarget) (relay.Placement, bool) {
-	resume := len(e.Exclude) > 0
 	holder := ""
 	if e.MayHaveCopy && s.cacheCopy != nil {
 		holder = s.cacheCopy.Holder
@@ -162,15 +169,21 @@
 		if st.suspects.Rejected(s.req.fingerprint, now) {
 			return placementResult{rejected: true}
 		}
-		if resume && s.machine.Ran() && !s.g.loop.budget(st, now, s.req.service).TakeResume() {
-			return placementResult{}
-		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude, WarmTarget: s.previousTarget}
 		if !s.machine.Ran() && holder == "" && st.deadlineTooShort(now, s.req, fleetQuery, s.prompt) {
 			return placementResult{deadlineTooShort: true}
 		}
-		return st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
+		placed := st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
+		if placed.ok && s.machine.Arrived() {
+			placed.ok = s.takeRepeat(st, now)
+			placed.budgetSpent = !placed.ok
+		}
+		return placed
 	})
+	if p.budgetSpent && !s.budgetSpent {
+		s.req.log.Info().Bool("ran", s.machine.Ran()).Int("attempts", s.machine.Attempts()).Msg("retry budget is spent; stream waits for it")
+	}
+	s.budgetSpent = p.budgetSpent
 	s.req.deadlineTooShort = p.deadlineTooShort
 	if p.rejected {
 		s.req.log.Warn().Msg("request rejected because it crashed too many targets")
@@ -189,6 +202,17 @@
 	return p.placement, p.ok
 }
 
+// takeRepeat takes a token for an attempt after one that reached a target, whether or not that
+// target ran the request: rejecting attempts costs targets too.
+func (s *stream) takeRepeat(st *state, now time.Time) bool {
+	budget := s.g.loop.budget(st, now, s.req.service)
+	s.tookRepeat = s.machine.Ran() && budget.TakeResume() || !s.machine.Ran() && budget.TakeRetry(st.inflightStreams[s.req.service])
+	if !s.tookRepeat {
+		s.g.metrics.retriesRefused.WithLabelValues(s.req.service).Inc()
+	}
+	return s.tookRepeat
+}
+
 // deadlineTooShort reports whether a stream that has not run cannot get its first event before
 // its deadline. Processing its prompt would only delay other streams.
 func (st *state) deadlineTooShort(now time.Time, c *clientRequest, fleetQuery placement.FleetQuery, prompt placement.GenerationSize) bool {
@@ -233,13 +257,18 @@
 	}
 	info := s.beginAttempt(e, handle, prompt)
 	start, reg := time.Now(), s.reg
-	s.firstEventAt = time.Time{}
+	s.firstEventAt, s.unsent = time.Time{}, false
 	effects, failed := s.sendAndRelay(ctx, e, handle, info)
 	latency := time.Duration(0)
 	if !s.firstEventAt.IsZero() {
 		latency = s.firstEventAt.Sub(start)
 	}
+	refund := s.tookRepeat && s.unsent
+	s.tookRepeat = false
 	s.g.loop.post(s.g.ctx, func(st *state) {
+		if refund {
+			s.g.loop.budget(st, time.Now(), s.req.service).Refund()
+		}
 		// The outcome of an attempt says nothing about the version if its target was marked down,
 		// for example with its zone, or if it continued from a copy.
 		if e.CopyHolder == "" && !handle.interrupted.Load() && (failed || latency > 0) {
@@ -274,6 +303,7 @@
 			return s.machine.CallerDisconnected(), false
 		}
 		s.g.handleDialError(s.reg, err)
+		s.unsent = true
 		return s.machine.AttemptFailed(time.Now(), relay.Unsent), true
 	}
 	defer func() { _ = conn.Close() }()
@@ -292,6 +322,7 @@
 	handle.sent.Store(true)
 	sent, err := conn.Send(s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&attempt)))
 	if err != nil && !sent {
+		s.unsent = true
 		return s.machine.AttemptFailed(time.Now(), relay.Unsent), true
 	}
 	if err != nil {
@@ -304,7 +335,7 @@
 	header := s.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 	if loss := s.checkResponse(&header, response); loss != 0 {
 		if loss == relay.Replaced {
-			s.g.loop.post(s.g.ctx, func(st *state) { st.fleet.MarkReplaced(s.reg.ID) })
+			s.g.loop.post(s.g.ctx, func(st *state) { st.fleet.MarkReplaced(time.Now(), s.reg.ID) })
 		}
 		return s.machine.AttemptFailed(time.Now(), loss), loss != relay.Refused
 	}
@@ -448,6 +479,8 @@
 		s.g.refuse(s.w, s.req, result.DeadlineExceeded, 0)
 	case ran:
 		s.g.refuse(s.w, s.req, result.TargetDied, 0)
+	case s.budgetSpent:
+		s.g.refuse(s.w, s.req, result.RetryBudgetSpent, streamRetryAfter)
 	case s.req.deadlineTooShort:
 		s.g.refuse(s.w, s.req, result.DeadlineTooShort, streamRetryAfter)
 	default:
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -39,7 +39,7 @@
 	RetryRatio float64 `toml:"retry_ratio"`
 	// RetrySlack is the number of additional retries permitted in each RetryWindow.
 	RetrySlack float64 `toml:"retry_slack"`
-	// RetryWindow is the period over which retries are counted.
+	// RetryWindow is the period over which retries are counted; 0 means 10 s.
 	RetryWindow opconfig.Duration `toml:"retry_window"`
 	// DrainTimeout is the time after which a leaving target receives no more requests.
 	DrainTimeout opconfig.Duration `toml:"drain_timeout"`
@@ -85,6 +85,9 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		d.Add("bounds.retry_ratio", "and bounds.retry_slack must not be negative")
 	}
+	if s.Bounds.RetryWindow.Duration < 0 {
+		d.Add("bounds.retry_window", "must not be negative")
+	}
 	checkLog(d, s.Log)
 	if err := d.Err(); err != nil {
 		return Gateway{}, err
