Limit what a target may send in place of a response

What callers saw: nothing yet; the users say that targets in trouble send bytes without end. Cause: the head of a response (interim responses, status line, header) was read without a limit, so that one target could fill the gateway's memory: the test saw 0.1 to 1.4 GB before the deadline, against 112 MB on the smallest VM; the platform then kills the process with all its streams. Events that do not continue the stream were read until the stall was noticed (67 MB). Change: 64 KiB for a head, 128 KiB for an event and for events that do not continue the stream, 256 KiB for the body of a failure in place of a stream; a longer one counts as an invalid response and is not taken for the whole.

--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -21,6 +21,11 @@
 	// placementWaitFraction is the fraction of the latency objective that a request waits for a
 	// target before it is refused. Most of the objective is left for another gateway.
 	placementWaitFraction = 0.12
+	// maxFailureBytes limits the body of a failure in place of a stream.
+	maxFailureBytes = 256 << 10
+	// maxDroppedEventBytes limits the events without a new number between two that have one. A
+	// target that resumes may repeat some events.
+	maxDroppedEventBytes = 128 << 10
 	// resumePlacementWait is how long a stream that has already run waits for a target on which
 	// to continue.
 	resumePlacementWait = 3 * time.Second
@@ -29,6 +34,10 @@
 // errAttemptEnded stops reading the response of an attempt that the state machine has ended.
 var errAttemptEnded = errors.New("attempt ended by the state machine")
 
+// errOnlyDroppedEvents ends an attempt whose target sends events, but none that continues the
+// stream.
+var errOnlyDroppedEvents = errors.New("target sent 128 KiB of events that do not continue the stream")
+
 // attemptHandle is how the event loop identifies and interrupts an open attempt at a target.
 type attemptHandle struct {
 	fingerprint uint64
@@ -355,8 +364,8 @@
 	case header.RequestID != s.req.head.ID:
 		return relay.Interrupted
 	case header.Status != http.StatusOK:
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-		if err != nil {
+		body, err := io.ReadAll(io.LimitReader(response.Body, maxFailureBytes+1))
+		if err != nil || len(body) > maxFailureBytes {
 			return relay.Interrupted
 		}
 		s.response, s.failureBody = *header, body
@@ -372,6 +381,7 @@
 func (s *stream) relayEvents(e relay.StartAttempt, handle *attemptHandle, body io.Reader, streamID uint64) ([]relay.Effect, bool) {
 	reader := target.NewEventReader(body)
 	first := true
+	dropped := 0
 	for {
 		event, err := reader.Read()
 		now := time.Now()
@@ -394,12 +404,16 @@
 				if err := s.deliver(event.Raw); err != nil {
 					return s.machine.CallerDisconnected(), false
 				}
+				dropped = 0
 				continue
 			}
 		}
 		if len(effects) > 0 {
 			return effects, true
 		}
+		if dropped += len(event.Raw); dropped > maxDroppedEventBytes {
+			return s.connectionLost(handle, errOnlyDroppedEvents)
+		}
 	}
 }
 
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -26,6 +26,9 @@
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutMargin is subtracted from the idle timeout that a target states.
 	idleTimeoutMargin = 500 * time.Millisecond
+	// maxHeadBytes limits what a target sends before the body of a response: interim responses,
+	// status line and header.
+	maxHeadBytes = 64 << 10
 	// maxIdlePerTarget limits the idle connections to a target.
 	maxIdlePerTarget = 16
 )
@@ -33,6 +36,9 @@
 // ErrUnexpectedBytes means that a target sent data without a request.
 var ErrUnexpectedBytes = errors.New("target sent data without a request")
 
+// ErrHeadTooLong means that a target sent more than maxHeadBytes without beginning a body.
+var ErrHeadTooLong = errors.New("response head exceeds 64 KiB")
+
 // Conn is a connection to a target. It carries one request at a time.
 type Conn struct {
 	net.Conn
@@ -41,6 +47,9 @@
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	onBytes     func(in, out int)
+	// readingHead is set while the head of a response is read, and headBytes counts its bytes.
+	readingHead bool
+	headBytes   int
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
 	// OnIdle, if set, is called when no data has arrived until IdleDeadline. If it returns an
@@ -93,8 +102,12 @@
 // Read implements io.Reader. If OnIdle is set, a pause does not end the read with a timeout,
 // because the decoders that read from the connection cannot continue after an error.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.readingHead && c.headBytes >= maxHeadBytes {
+		return 0, ErrHeadTooLong
+	}
 	n, err := c.read(p)
 	c.onBytes(n, 0)
+	c.headBytes += n
 	return n, err
 }
 
@@ -285,6 +298,8 @@
 // connection fails before the end of the response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
+	c.readingHead, c.headBytes = true, 0
+	defer func() { c.readingHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
--- a/internal/gateway/target/events.go
+++ b/internal/gateway/target/events.go
@@ -8,11 +8,12 @@
 	"strconv"
 )
 
-// maxEventBytes limits the size of an event. Typical events have a few hundred bytes.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of an event. Typical events have a few hundred bytes, and many
+// streams are buffered at a time.
+const maxEventBytes = 128 << 10
 
 // ErrEventTooLong is returned for an event that exceeds maxEventBytes.
-var ErrEventTooLong = errors.New("event exceeds 1 MiB")
+var ErrEventTooLong = errors.New("event exceeds 128 KiB")
 
 // ErrTruncatedEvent is returned for a stream that ends within an event.
 var ErrTruncatedEvent = errors.New("stream ended within an event")
