Let streams that can still continue in time take the retry budget first

The budget that all gateways share permits fewer resumes than a series of crashes asks for. Tests: TestInTime, TestSharedBudgetHoldsOverAllGateways.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -55,6 +55,8 @@
 	Resumable bool
 	// MaxAttempts bounds the number of targets that may run the request.
 	MaxAttempts int
+	// Arrived is when the request arrived.
+	Arrived time.Time
 	// Deadline is when the stream ends as TimedOut.
 	Deadline time.Time
 	// MaxEventGap is the longest acceptable pause between events.
@@ -220,6 +222,15 @@
 // Ran reports whether a target may have begun to run the request.
 func (m *Machine) Ran() bool { return m.ran }
 
+// InTime reports whether the next event can still come within the pause that the caller accepts,
+// or the first one within its objective.
+func (m *Machine) InTime(now time.Time) bool {
+	if m.events == 0 {
+		return now.Sub(m.options.Arrived) <= m.options.FirstEventObjective
+	}
+	return now.Sub(m.lastDelivery) <= m.options.MaxEventGap
+}
+
 // Arrived reports whether an attempt may have reached a target, so that another one repeats the
 // request.
 func (m *Machine) Arrived() bool { return m.arrivals > 0 }
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -262,3 +262,21 @@
 		})
 	}
 }
+
+// Pattern: engines crash again and again, and the retry budget permits some of the resumes.
+// Guards against giving it to streams that are late already, and against taking a stream without
+// an event for one that is late.
+func TestInTime(t *testing.T) {
+	c := qt.New(t)
+	o := options()
+	o.Arrived, o.FirstEventObjective = start, 4*time.Second
+	m := newOpenMachine(o, Placement{Target: "a"})
+	c.Check(m.InTime(start.Add(4*time.Second)), qt.IsTrue)
+	c.Check(m.InTime(start.Add(4*time.Second+1)), qt.IsFalse)
+	m.Event(start.Add(time.Second), 1)
+	c.Check(m.InTime(start.Add(1700*time.Millisecond)), qt.IsTrue)
+	c.Check(m.InTime(start.Add(1701*time.Millisecond)), qt.IsFalse)
+	c.Check(m.Arrived(), qt.IsFalse)
+	m.AttemptFailed(start.Add(2*time.Second), Refused)
+	c.Check(m.Arrived(), qt.IsTrue)
+}
--- a/internal/core/retry/shared.go
+++ b/internal/core/retry/shared.go
@@ -5,13 +5,15 @@
 const (
 	// boundShare is the share of the bounds that the gateways use. The rest covers attempts that
 	// reach their targets in a later window than the one in which they were permitted.
-	boundShare = 0.9
-	// slackBurstShare is the share of the slack that a full budget holds, slackInitialShare the
-	// share that a new budget holds, and slackRefillShare the share that is refilled within a
-	// window. A gateway that restarts once in a window takes no more than all three together.
-	slackBurstShare   = 0.4
-	slackInitialShare = 0.2
-	slackRefillShare  = 0.4
+	boundShare = 0.95
+	// slackHeldShare is the share of the slack that a full budget holds. As much is refilled
+	// within a window.
+	slackHeldShare = 0.5
+	// youngHeldShare is the same for a process younger than a window, and youngInitialShare the
+	// share that its budget begins with: with what its predecessor took in the same window, a
+	// gateway that restarts once takes no more than the whole.
+	youngHeldShare    = 0.4
+	youngInitialShare = 0.2
 	// bankedShare is the share of the tokens per request that a full budget holds for the
 	// requests of the last window. The rest is added with each request.
 	bankedShare = 0.25
@@ -39,15 +41,16 @@
 	bounds   Bounds
 	gateways int
 	tokens   float64
+	started  time.Time
 	last     time.Time
 	requests slidingCount
 }
 
 // NewSharedBudget returns the budget of a process that started at the given time.
 func NewSharedBudget(at time.Time, bounds Bounds, gateways int) *SharedBudget {
-	b := &SharedBudget{last: at, requests: slidingCount{slotStart: at}}
+	b := &SharedBudget{started: at, last: at, requests: slidingCount{slotStart: at}}
 	b.SetBounds(bounds, gateways)
-	b.tokens = slackInitialShare * b.slack()
+	b.tokens = youngInitialShare * b.slack()
 	return b
 }
 
@@ -66,8 +69,16 @@
 // slack returns this gateway's part of the slack.
 func (b *SharedBudget) slack() float64 { return boundShare * b.bounds.Slack / float64(b.gateways) }
 
+// heldSlack returns the part of the slack that a full budget holds.
+func (b *SharedBudget) heldSlack() float64 {
+	if b.last.Sub(b.started) < b.bounds.Window {
+		return youngHeldShare * b.slack()
+	}
+	return slackHeldShare * b.slack()
+}
+
 func (b *SharedBudget) capacity() float64 {
-	return slackBurstShare*b.slack() + bankedShare*boundShare*b.bounds.Ratio*float64(b.requests.total())
+	return b.heldSlack() + bankedShare*boundShare*b.bounds.Ratio*float64(b.requests.total())
 }
 
 // Refill adds the tokens accrued since the last call.
@@ -75,7 +86,7 @@
 	elapsed := max(0, now.Sub(b.last))
 	b.last = now
 	b.requests.advance(now)
-	b.tokens += slackRefillShare * b.slack() * float64(elapsed) / float64(b.bounds.Window)
+	b.tokens += b.heldSlack() * float64(elapsed) / float64(b.bounds.Window)
 	b.tokens = min(b.tokens, b.capacity())
 }
 
@@ -91,8 +102,8 @@
 	return b.take(min(reservedShare*b.capacity(), float64(inflightStreams)))
 }
 
-// TakeResume takes a token for another attempt of a stream that has run, and reports whether
-// there was one.
+// TakeResume takes a token for another attempt of a stream that has run and can still continue
+// in time, and reports whether there was one. Streams that are late take TakeRetry.
 func (b *SharedBudget) TakeResume() bool { return b.take(0) }
 
 func (b *SharedBudget) take(reserved float64) bool {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -99,7 +99,7 @@
 	}
 	g.loop.post(c.ctx, func(st *state) { g.loop.budget(st, time.Now(), c.service).OnRequest() })
 	s.machine = relay.New(relay.Options{
-		Resumable: c.route.Resumable, MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
+		Resumable: c.route.Resumable, MaxAttempts: c.route.MaxAttempts, Arrived: c.arrived, Deadline: c.deadline,
 		MaxEventGap: c.route.MaxEventGap, FirstEventObjective: c.route.TargetLatency, After: c.head.LastEventID, HasCopy: s.cacheCopy != nil,
 	})
 	queue := s.machine.Start()
@@ -215,7 +215,11 @@
 // target ran the request: rejecting attempts costs targets too.
 func (s *stream) takeRepeat(st *state, now time.Time) bool {
 	budget := s.g.loop.budget(st, now, s.req.service)
-	s.tookRepeat = s.machine.Ran() && budget.TakeResume() || !s.machine.Ran() && budget.TakeRetry(st.inflightStreams[s.req.service])
+	if s.machine.Ran() && s.machine.InTime(now) {
+		s.tookRepeat = budget.TakeResume()
+	} else {
+		s.tookRepeat = budget.TakeRetry(st.inflightStreams[s.req.service])
+	}
 	if !s.tookRepeat {
 		s.g.metrics.retriesRefused.WithLabelValues(s.req.service).Inc()
 	}
