--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -245,12 +245,12 @@
 	}
 }
 
-// reportTraffic logs once per trafficReportInterval the traffic of the interval if calls to the
-// store or to other gateways failed in it.
+// reportTraffic updates the periodic metrics once per trafficReportInterval. It logs the traffic if calls to the store or to other gateways failed.
 func (l *eventLoop) reportTraffic(st *state, now time.Time) {
 	if now.Sub(st.lastTrafficReport) < trafficReportInterval {
 		return
 	}
+	l.reportBeliefs(st, now)
 	t := &l.traffic
 	exchanges, timeouts, storeFailures := t.exchanges.Swap(0), t.exchangeTimeouts.Swap(0), t.storeFailures.Swap(0)
 	clientsIn, clientsOut := l.takeBytes("clients", &t.clients)
@@ -266,6 +266,29 @@
 	st.lastTrafficReport, st.maxTickDelay = now, 0
 }
 
+// reportBeliefs updates the gauges of the tables' ages and of the targets by state.
+func (l *eventLoop) reportBeliefs(st *state, now time.Time) {
+	for i, confirmed := range st.confirmedAt {
+		if !confirmed.IsZero() {
+			l.metrics.tableAge.WithLabelValues(Table(i).String()).Set(now.Sub(confirmed).Seconds())
+		}
+	}
+	states := map[string]int{"usable": 0, "leaving": 0, "avoided": 0}
+	for _, reg := range st.registry.Targets() {
+		switch {
+		case reg.Leaving:
+			states["leaving"]++
+		case st.fleet.Usable(now, reg.ID):
+			states["usable"]++
+		default:
+			states["avoided"]++
+		}
+	}
+	for state, count := range states {
+		l.metrics.targetStates.WithLabelValues(state).Set(float64(count))
+	}
+}
+
 // takeBytes resets a counter and adds what it counted to the metrics.
 func (l *eventLoop) takeBytes(link string, c *linkCounter) (in, out int64) {
 	in, out = c.in.Swap(0), c.out.Swap(0)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,9 @@
 	lateTicks      prometheus.Counter
 	targets        prometheus.Gauge
 	configVersion  prometheus.Gauge
+	tableAge       *prometheus.GaugeVec
+	targetStates   *prometheus.GaugeVec
+	storeSeconds   *prometheus.HistogramVec
 	targetCrashes  prometheus.Counter
 }
 
@@ -65,9 +68,18 @@
 		lateTicks:      counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
 		targets:        gauge("targets", "Registered targets."),
 		configVersion:  gauge("config_version", "Version of the desired state in force."),
-		targetCrashes:  counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
+		tableAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_table_age_seconds", Help: "Time since the store last confirmed the local copy of a table.",
+		}, []string{"table"}),
+		targetStates: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_targets_by_state", Help: "Registered targets by what this gateway believes of them.",
+		}, []string{"state"}),
+		storeSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bramleygap_gateway_store_call_seconds", Help: "Duration of reads from the store, with the time for which it holds them.", Buckets: latencyBuckets,
+		}, []string{"table"}),
+		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.targetCrashes)
+		m.peerExchanges, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes)
 	return m
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -119,6 +119,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+maxReadTime)
 	changes, upTo, err := w.store.Changes(callCtx, w.table, pos.revision, wait)
 	cancel()
+	w.loop.metrics.storeSeconds.WithLabelValues(w.table.String()).Observe(time.Since(start).Seconds())
 	w.loop.metrics.storeCalls.WithLabelValues(w.table.String(), storeOutcome(err)).Inc()
 	if errors.Is(err, ErrCompacted) {
 		w.loop.log.Info().Stringer("table", w.table).Uint64("revision", pos.revision).Msg("store has compacted the history; reading a snapshot of the table")
@@ -146,6 +147,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	rows, revision, err := w.store.Snapshot(callCtx, w.table)
+	w.loop.metrics.storeSeconds.WithLabelValues(w.table.String()).Observe(time.Since(start).Seconds())
 	w.loop.metrics.storeCalls.WithLabelValues(w.table.String(), storeOutcome(err)).Inc()
 	if err != nil {
 		return err
