--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -483,11 +483,11 @@
 }
 
 // setGatewayCount sets the number of gateways that share the retry budgets. A gateway that has
-// just started may not have met all that the store lists.
-func (st *state) setGatewayCount(now time.Time, live int) {
+// just started may not have met all that it knows of.
+func (st *state) setGatewayCount(now time.Time, live, known int) {
 	count := st.peakGateways.Observe(now, live)
 	if now.Sub(st.startedAt) < gatewayCountMemory {
-		count = max(count, len(st.listedGateways()))
+		count = max(count, known)
 	}
 	if count == st.gatewayCount {
 		return
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -180,13 +180,14 @@
 		}
 	}
 	slices.Sort(names)
+	known := len(p.byAddress) + 1
 	p.g.loop.post(ctx, func(st *state) {
 		st.peerAddresses = addresses
 		if !slices.Equal(st.liveGateways, names) {
 			st.liveGateways = names
 			st.fleet.SetGateways(names)
 		}
-		st.setGatewayCount(now, len(names))
+		st.setGatewayCount(now, len(names), known)
 	})
 	due = p.choosePeers(ctx, now, due)
 	type reply struct {
