Delete rows that a copy received from elsewhere and its source never saw

In an installation, a gateway keeps the registration of a target, or a row of the desired state, that the store has deleted, until the row changes again: requests go to a target that is gone, and a removed rollout order stays in force. Cause: changes for other copies come from a log of what altered this copy's own rows. Class: changes computed between two states of the sender, applied to a state of the receiver that lies in between.

--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -20,13 +20,13 @@
 	rows     map[string]Row
 	revision uint64
 	loaded   bool
-	// log holds the most recent changes in the order in which they were applied. It is
-	// complete for revisions above logStart.
+	// log holds the most recent changes of the store in their order, also those that did not
+	// alter the rows of this copy. It is complete for revisions above logStart.
 	log      []logEntry
 	logStart uint64
 }
 
-// logEntry is a change with the revision of the copy after the change.
+// logEntry is a change with the revision that the copy reached with it.
 type logEntry struct {
 	change   Change
 	revision uint64
@@ -75,14 +75,13 @@
 			changes = append(changes, Change{Key: key, Revision: max(old.Revision, revision), Deleted: true})
 		}
 	}
-	first := !t.loaded
+	if !t.loaded || revision > t.revision {
+		// A snapshot lacks rows that were created and deleted since the last revision, and a
+		// copy at a revision in between may have them.
+		t.log, t.logStart = nil, revision
+	}
 	t.rows, t.revision, t.loaded = next, revision, true
 	sort.Slice(changes, func(i, j int) bool { return changes[i].Key < changes[j].Key })
-	if first {
-		t.logStart = revision
-	} else {
-		t.appendLog(changes)
-	}
 	return changes
 }
 
@@ -143,6 +142,7 @@
 		applied = append(applied, change)
 	}
 	t.revision = to
-	t.appendLog(applied)
+	// A copy at a revision between after and to may lack changes that this one did not need.
+	t.appendLog(changes)
 	return applied, true
 }
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -44,6 +45,15 @@
 	return changes
 }
 
+// latest returns only the last change of each row, as a store may that compacts its history.
+func latest(changes []Change) []Change {
+	last := map[string]uint64{}
+	for _, c := range changes {
+		last[c.Key] = c.Revision
+	}
+	return slices.DeleteFunc(changes, func(c Change) bool { return c.Revision < last[c.Key] })
+}
+
 func values(t *Table) map[string]string {
 	m := map[string]string{}
 	for _, row := range t.Rows() {
@@ -53,7 +63,8 @@
 }
 
 // Guards against a copy that reverts, restores a deleted row or does not converge, when
-// changes come from the store and from other copies, late, twice and with gaps.
+// changes and snapshots come from the store and from other copies, late, twice and with
+// gaps.
 func TestCopiesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{rows: map[string]Row{}}
@@ -67,9 +78,12 @@
 			c := rapid.SampledFrom(copies).Draw(t, "copy")
 			other := rapid.SampledFrom(copies).Draw(t, "other")
 			before := c.Revision()
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
-			case 0, 1:
+			write := func() {
 				s.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Bool().Draw(t, "remove"))
+			}
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1:
+				write()
 			case 2:
 				c.Replace(s.snapshot(), s.revision)
 			case 3:
@@ -82,6 +96,12 @@
 				for _, d := range late {
 					c.Advance(d.changes, d.after, d.to)
 				}
+			case 6:
+				c.Advance(latest(s.since(c.Revision())), c.Revision(), s.revision)
+			case 7:
+				if other.Loaded() {
+					c.Replace(other.Rows(), other.Revision())
+				}
 			}
 			if c.Revision() < before {
 				t.Fatalf("revision decreased from %d to %d", before, c.Revision())
@@ -104,6 +124,33 @@
 	})
 }
 
+// Guards against a copy that keeps a row which was created and deleted between two revisions of
+// the copy that it receives changes from.
+func TestRowThatOnlyOtherCopySawIsDeleted(t *testing.T) {
+	created := Change{Key: "a", Value: []byte("1"), Revision: 2}
+	deleted := Change{Key: "a", Revision: 3, Deleted: true}
+	for name, advance := range map[string]func(*Table){
+		"snapshot":           func(t *Table) { t.Replace(nil, 4) },
+		"latest change only": func(t *Table) { t.Advance([]Change{deleted}, 1, 4) },
+		"all changes":        func(t *Table) { t.Advance([]Change{created, deleted}, 1, 4) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			source, copied := NewTable(), NewTable()
+			source.Replace(nil, 1)
+			advance(source)
+			copied.Replace([]Row{created}, 2)
+			if changes, ok := source.Since(copied.Revision()); ok {
+				copied.Advance(changes, copied.Revision(), source.Revision())
+			} else {
+				copied.Replace(source.Rows(), source.Revision())
+			}
+			c.Check(copied.Revision(), qt.Equals, uint64(4))
+			c.Check(values(copied), qt.HasLen, 0)
+		})
+	}
+}
+
 // Guards against an old snapshot from a lagging peer that restores an older state.
 func TestOldSnapshotIsIgnored(t *testing.T) {
 	c := qt.New(t)
