--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -65,15 +65,24 @@
 	var changes []Change
 	next := make(map[string]Row, len(rows))
 	for _, row := range rows {
-		next[row.Key] = row
-		if old, ok := t.rows[row.Key]; !ok || old.Revision < row.Revision {
-			changes = append(changes, row)
+		old, known := t.rows[row.Key]
+		if known && old.Revision >= row.Revision {
+			next[row.Key] = old
+			continue
 		}
+		next[row.Key] = row
+		changes = append(changes, row)
 	}
 	for key, old := range t.rows {
-		if _, ok := next[key]; !ok {
-			changes = append(changes, Change{Key: key, Revision: max(old.Revision, revision), Deleted: true})
+		if _, ok := next[key]; ok {
+			continue
+		}
+		// A snapshot of several pages can contain rows that are newer than its revision.
+		if old.Revision > revision {
+			next[key] = old
+			continue
 		}
+		changes = append(changes, Change{Key: key, Revision: revision, Deleted: true})
 	}
 	if !t.loaded || revision > t.revision {
 		// A snapshot lacks rows that were created and deleted since the last revision, and a
@@ -132,7 +141,7 @@
 	for _, change := range changes {
 		old, known := t.rows[change.Key]
 		switch {
-		case change.Deleted && !known, !change.Deleted && known && change.Revision <= old.Revision:
+		case change.Deleted && !known, known && change.Revision <= old.Revision:
 			continue
 		case change.Deleted:
 			delete(t.rows, change.Key)
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -63,8 +63,8 @@
 }
 
 // Guards against a copy that reverts, restores a deleted row or does not converge, when
-// changes and snapshots come from the store and from other copies, late, twice and with
-// gaps.
+// changes and snapshots come from the store and from other copies, late, twice, with gaps and
+// with writes between the pages of a snapshot.
 func TestCopiesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{rows: map[string]Row{}}
@@ -77,11 +77,11 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			c := rapid.SampledFrom(copies).Draw(t, "copy")
 			other := rapid.SampledFrom(copies).Draw(t, "other")
-			before := c.Revision()
+			before, rowsBefore := c.Revision(), c.Rows()
 			write := func() {
 				s.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Bool().Draw(t, "remove"))
 			}
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
 				write()
 			case 2:
@@ -102,6 +102,17 @@
 				if other.Loaded() {
 					c.Replace(other.Rows(), other.Revision())
 				}
+			case 8:
+				revision := s.revision
+				rows := slices.DeleteFunc(s.snapshot(), func(r Row) bool { return r.Key != "a" })
+				write()
+				rows = append(rows, slices.DeleteFunc(s.snapshot(), func(r Row) bool { return r.Key == "a" })...)
+				c.Replace(rows, revision)
+			}
+			for _, row := range rowsBefore {
+				if now, ok := c.rows[row.Key]; ok && now.Revision < row.Revision {
+					t.Fatalf("row %s reverted from revision %d to %d", row.Key, row.Revision, now.Revision)
+				}
 			}
 			if c.Revision() < before {
 				t.Fatalf("revision decreased from %d to %d", before, c.Revision())
