--- a/internal/agent/agentlists_test.go
+++ b/internal/agent/agentlists_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "bramleygap/internal/rapidseed"
 	"bramleygap/internal/wire"
 )
 
--- a/internal/core/adoption/adoption_test.go
+++ b/internal/core/adoption/adoption_test.go
@@ -5,6 +5,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 const validText = "[[service]]\nname = \"a\"\nkind = \"application\"\n[[service.route]]\nmethod = \"GET\"\npath = \"/x\"\n"
--- a/internal/core/delta/delta_test.go
+++ b/internal/core/delta/delta_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"bramleygap/internal/benchsize"
+	_ "bramleygap/internal/rapidseed"
 	"bramleygap/internal/wire"
 )
 
--- a/internal/core/evidence/evidence_test.go
+++ b/internal/core/evidence/evidence_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 func all(string) bool { return true }
--- a/internal/core/membership/view_test.go
+++ b/internal/core/membership/view_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	_ "bramleygap/internal/rapidseed"
 	"bramleygap/internal/wire"
 )
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"bramleygap/internal/core/membership"
+	_ "bramleygap/internal/rapidseed"
 )
 
 var now = time.Unix(1_000_000, 0)
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 // store is the original table with its complete history.
--- a/internal/core/rollout/order_test.go
+++ b/internal/core/rollout/order_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 // Guards against completing a good version late, keeping a bad version, and an order that
--- a/internal/core/storelimit/storelimit_test.go
+++ b/internal/core/storelimit/storelimit_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 // Guards against writes above the rate, against a write that overtakes one of a call with
--- a/internal/core/stream/codec_test.go
+++ b/internal/core/stream/codec_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 // Guards against an event id that decodes to a different position than it encodes, and
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 var now = time.Unix(1_000_000, 0)
--- a/internal/core/tokenlog/tokenlog_test.go
+++ b/internal/core/tokenlog/tokenlog_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "bramleygap/internal/rapidseed"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/entry/cluster/changes_test.go
+++ b/internal/entry/cluster/changes_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	_ "bramleygap/internal/rapidseed"
 	"bramleygap/internal/wire"
 )
 
