Read a change of the desired state in time even if a call to the store is lost

With both readers lost and one own call lost, a gateway went on by the old desired state for 1.86 + 0.2 + 1.2 + 0.8 s, against 3 s. Cause: the age from which a gateway reads the store itself followed from the drain timeout for every table, its read was held by the store like a reader's, and a lost call was repeated after 0.8 s like a refused one. Readers differed by table, and only those of the targets were asked regularly. Change: the age for the desired state follows from its own bound (config_apply), such a read asks for an immediate response, the first lost call is repeated at once, and all tables have the same readers.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -28,9 +28,9 @@
 	// lateTickThreshold is the delay beyond which a tick is logged and counted as late: the
 	// process was suspended, and its cached state may be out of date.
 	lateTickThreshold = 300 * time.Millisecond
-	// readersPerTable is the number of gateways that poll the store for a table; the others
-	// get the table from them. With two, one remains if the other is lost.
-	readersPerTable = 2
+	// readerCount is the number of gateways that poll the store for its tables; the others get the
+	// tables from them. With two, one remains if the other is lost.
+	readerCount = 2
 	// storeOutageGrace is how long after a store outage a missing registration is attributed to
 	// failed renewals, not to the removal of its target. Targets that were found restarted
 	// during the outage are kept for the same time.
@@ -324,23 +324,24 @@
 // readsStore reports whether this gateway polls the store for a table: it is one of the
 // table's readers, or it has not received the table from a reader for too long.
 func (l *eventLoop) readsStore(st *state, now time.Time, table Table) bool {
-	if !st.tables[table].Loaded() || now.Sub(st.confirmedAt[table]) > st.fallbackReadAge(table) {
+	if !st.tables[table].Loaded() || now.Sub(st.confirmedAt[table]) > fallbackReadAge(&st.settings.Bounds, table) {
 		return true
 	}
-	return st.isReader(table, l.options.Settings.Name)
+	return st.isReader(l.options.Settings.Name)
 }
 
-// isReader reports whether a gateway is among the readers of a table, which are chosen by
-// rendezvous hashing.
-func (st *state) isReader(table Table, gateway string) bool {
-	hash := xxhash.Sum64String(table.String() + "\x00" + gateway)
+// isReader reports whether a gateway is among the readers, which are chosen by rendezvous
+// hashing. All tables have the same readers, so that one exchange with a reader brings all of
+// them up to date.
+func (st *state) isReader(gateway string) bool {
+	hash := xxhash.Sum64String("reader\x00" + gateway)
 	higher := 0
 	for _, name := range st.liveGateways {
-		if name != gateway && xxhash.Sum64String(table.String()+"\x00"+name) > hash {
+		if name != gateway && xxhash.Sum64String("reader\x00"+name) > hash {
 			higher++
 		}
 	}
-	return higher < readersPerTable
+	return higher < readerCount
 }
 
 // installSnapshot replaces a table by a snapshot from the store or another gateway, unless the
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,11 +26,10 @@
 	// exchangeFanout is the number of gateways contacted per round. An exchange carries state
 	// in both directions, so one round covers a small installation.
 	exchangeFanout = 3
-	// minReaderInterval is the minimum time between two exchanges of a gateway with a reader of
-	// TableTargets.
+	// minReaderInterval is the minimum time between two exchanges of a gateway with a reader.
 	minReaderInterval = 400 * time.Millisecond
 	// maxReaderRate is the maximum number of such exchanges per second with one reader. In a large
-	// installation, the table also spreads through the exchanges with random gateways.
+	// installation, the tables also spread through the exchanges with random gateways.
 	maxReaderRate = 40
 	// exchangeTimeout limits a call to another gateway.
 	exchangeTimeout = 400 * time.Millisecond
@@ -52,7 +51,7 @@
 	conns       *rpc.Pool
 	incarnation uint64
 	byAddress   map[string]*peer
-	// lastReaderExchange is the time of the last exchange with a reader of TableTargets.
+	// lastReaderExchange is the time of the last exchange with a reader.
 	lastReaderExchange time.Time
 	// fetchWanted wakes fetchTables.
 	fetchWanted   chan struct{}
@@ -229,7 +228,7 @@
 }
 
 // choosePeers returns the peers to contact in a round. They are random, except that one is
-// regularly a reader of TableTargets, which has the newest copy of the table.
+// regularly a reader, which has the newest tables.
 func (p *peers) choosePeers(ctx context.Context, now time.Time, due []*peer) []*peer {
 	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	if len(due) <= exchangeFanout {
@@ -237,7 +236,7 @@
 	}
 	if now.Sub(p.lastReaderExchange) >= readerExchangeInterval(len(p.byAddress)+1) {
 		readers := query(ctx, p.g.loop, func(st *state) []string {
-			return slices.DeleteFunc(slices.Clone(st.liveGateways), func(name string) bool { return !st.isReader(TableTargets, name) })
+			return slices.DeleteFunc(slices.Clone(st.liveGateways), func(name string) bool { return !st.isReader(name) })
 		})
 		for i, other := range due {
 			if slices.Contains(readers, other.name) {
@@ -253,7 +252,7 @@
 // readerExchangeInterval returns the time between two exchanges of a gateway with a reader in
 // an installation of n gateways.
 func readerExchangeInterval(n int) time.Duration {
-	return max(minReaderInterval, time.Duration(n)*time.Second/(readersPerTable*maxReaderRate))
+	return max(minReaderInterval, time.Duration(n)*time.Second/(readerCount*maxReaderRate))
 }
 
 func (p *peers) exchange(ctx context.Context, address string) (name string, err error) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"bramleygap/internal/settings"
 )
 
 const (
@@ -31,6 +33,8 @@
 	failureLogReset = 2 * time.Second
 	// readerCheckInterval is how often a gateway that does not poll checks whether it has to.
 	readerCheckInterval = 200 * time.Millisecond
+	// configReadTime allows for reading a desired state of some 300 KB over a link of 10 Mbit/s.
+	configReadTime = 500 * time.Millisecond
 )
 
 // fallbackFraction is the fraction of the drain timeout after which a gateway reads an
@@ -40,13 +44,27 @@
 
 // fallbackReadAge returns the age of the last confirmation beyond which a gateway that is not a
 // reader of the table polls the store for it.
-func (st *state) fallbackReadAge(table Table) time.Duration {
+func fallbackReadAge(bounds *settings.Bounds, table Table) time.Duration {
 	if table == TableGateways {
 		// While the store holds a call, the last confirmation dates from the previous call.
 		return 2*slowLongPollWait + 3*time.Second
 	}
-	bound := time.Duration(fallbackFraction * float64(st.settings.Bounds.DrainTimeout.Duration))
-	return max(bound, longPollWait+minPollInterval+300*time.Millisecond)
+	age := time.Duration(fallbackFraction * float64(bounds.DrainTimeout.Duration))
+	if table == TableConfig && bounds.ConfigApply.Duration > 0 {
+		// The change arrives in time even if the first call for it is lost.
+		age = bounds.ConfigApply.Duration - readerCheckInterval - pollTimeoutMargin - configReadTime
+	}
+	return max(age, longPollWait+minPollInterval+300*time.Millisecond)
+}
+
+// fallbackPause returns the delay of a gateway that is not a reader after a failed call that
+// follows the given number of failed calls.
+func fallbackPause(err error, failures int) time.Duration {
+	if failures == 0 && !errors.Is(err, ErrNotPerformed) {
+		// A lost call may be due to its connection, and a new one works at once.
+		return 0
+	}
+	return fallbackFailureBackoff
 }
 
 // tableWatcher keeps the local copy of a table up to date.
@@ -55,6 +73,8 @@
 	store       Store
 	table       Table
 	lastFailure time.Time
+	// failures is the number of calls that failed in a row.
+	failures int
 }
 
 // watchPosition is the state from which a tableWatcher makes its next call.
@@ -68,7 +88,7 @@
 // unconfirmedAge returns the age of the last confirmation from which a table may be out of
 // date. It allows for a call to the store that takes half of pollTimeoutMargin beyond its wait.
 func (st *state) unconfirmedAge(table Table) time.Duration {
-	return st.fallbackReadAge(table) + longPollWait + pollTimeoutMargin/2
+	return fallbackReadAge(&st.settings.Bounds, table) + longPollWait + pollTimeoutMargin/2
 }
 
 func (w *tableWatcher) run(ctx context.Context) error {
@@ -76,7 +96,7 @@
 	for ctx.Err() == nil {
 		pos := query(ctx, w.loop, func(st *state) watchPosition {
 			t := st.tables[w.table]
-			return watchPosition{t.Loaded(), w.loop.readsStore(st, time.Now(), w.table), st.isReader(w.table, self), st.unconfirmed[w.table], t.Revision()}
+			return watchPosition{t.Loaded(), w.loop.readsStore(st, time.Now(), w.table), st.isReader(self), st.unconfirmed[w.table], t.Revision()}
 		})
 		if !pos.readsStore {
 			sleep(ctx, readerCheckInterval)
@@ -93,8 +113,11 @@
 			w.loop.traffic.storeFailures.Add(1)
 			pause = failureBackoff
 			if pos.loaded && !pos.isReader {
-				pause = fallbackFailureBackoff
+				pause = fallbackPause(err, w.failures)
 			}
+			w.failures++
+		} else {
+			w.failures = 0
 		}
 		sleep(ctx, pause)
 	}
@@ -111,7 +134,7 @@
 	if w.table == TableGateways {
 		wait = slowLongPollWait
 	}
-	if pos.unconfirmed {
+	if pos.unconfirmed || !pos.isReader {
 		// The local copy may be out of date, so ask for an immediate response.
 		wait = 0
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -43,6 +43,9 @@
 	RetryWindow opconfig.Duration `toml:"retry_window"`
 	// DrainTimeout is the time after which a leaving target receives no more requests.
 	DrainTimeout opconfig.Duration `toml:"drain_timeout"`
+	// ConfigApply is the time after which a change of the desired state is in force at every
+	// gateway; 0 means DrainTimeout.
+	ConfigApply opconfig.Duration `toml:"config_apply"`
 }
 
 // minGrace is the shortest valid grace: the load balancer takes 2 s to detect a stop.
@@ -88,6 +91,9 @@
 	if s.Bounds.RetryWindow.Duration < 0 {
 		d.Add("bounds.retry_window", "must not be negative")
 	}
+	if s.Bounds.DrainTimeout.Duration < 0 || s.Bounds.ConfigApply.Duration < 0 {
+		d.Add("bounds.drain_timeout", "and bounds.config_apply must not be negative")
+	}
 	checkLog(d, s.Log)
 	if err := d.Err(); err != nil {
 		return Gateway{}, err
