Refuse to send a table that is not loaded

A gateway that restarted between its offer of a table and the fetch sent an empty one, and a receiver without the table took it: no route and no target until its next read from the store. Cause: FetchTable did not check that the table is loaded, as exchanges do. Change: the fetch fails with Unavailable, and the receiver waits for another offer. Test: TestTableIsNotServedBeforeItIsLoaded, failed before (no error, one part sent).

--- a/internal/gateway/table_fetch.go
+++ b/internal/gateway/table_fetch.go
@@ -152,10 +152,17 @@
 	}
 	defer p.servedFetches.Add(-1)
 	local := query(stream.Context(), p.g.loop, func(st *state) *wire.TableCopy {
+		if !st.tables[request.Table].Loaded() {
+			return nil
+		}
 		copied := st.describeTable(time.Now(), int(request.Table))
 		st.addRows(copied, request.After)
 		return copied
 	})
+	if local == nil {
+		// This process has started since its predecessor offered the table.
+		return status.Error(codes.Unavailable, "table not loaded")
+	}
 	encoded, err := proto.Marshal(local)
 	if err != nil {
 		return err
