Limit what response bodies without end occupy together

Each call buffered up to 4 MiB, so that some 25 bodies without end at a time (one application engine in trouble, 10 Mbit/s, 50 calls/s) filled a VM of 112 MB, and the platform kills the process with all its streams. Cause: a limit for each response and none for their sum.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -257,13 +256,10 @@
 		if err != nil {
 			return attemptResult{}, false, err
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+		body, err := f.g.responses.readBody(response.Body)
 		if err != nil {
 			return attemptResult{}, false, err
 		}
-		if len(body) > maxResponseBytes {
-			return attemptResult{}, false, errors.New("response body exceeds 4 MiB")
-		}
 		header := f.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 		if header.RequestID != f.req.head.ID && (header.RequestID != "" || !header.NotRun) {
 			f.g.metrics.strayResponses.Inc()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	loop           *eventLoop
 	peers          *peers
 	pool           *target.Pool
+	responses      responseMemory
 	ctx            context.Context
 	startedAt      time.Time
 	tasks          sync.WaitGroup
