Look for a copy only after a run that produced events

Cause: an attempt that broke without an event was taken for one that may have left a copy. Engines copy a run's memory from its first event on ("a request starts to run with its first token"), and a copy that a resumed attempt has used is gone. Change: the next attempt looks for a copy only if the last one produced an event, delivered or repeated. Test: TestRunWithoutEventsLeavesNoCopy fails before; it replaces the last check of TestContinuesFromCopy and is stricter. TestStreamWithoutFirstEventFailsOverOnce expected a copy after such a run and now expects none.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -145,7 +145,7 @@
 type ChooseTarget struct {
 	// Exclude lists the targets that failed this stream.
 	Exclude []string
-	// MayHaveCopy is set if an earlier run may have left a KV cache copy.
+	// MayHaveCopy is set if the last attempt may have left a KV cache copy.
 	MayHaveCopy bool
 }
 
@@ -193,6 +193,7 @@
 	lastEvent     uint64
 	events        int       // events delivered
 	attemptEvents int       // events delivered by the open attempt
+	attemptRan    bool      // the open attempt produced an event, delivered or not
 	lastActivity  time.Time // start or last event of the open attempt
 	lastCheck     time.Time // lastActivity or last probe
 	averageGap    time.Duration
@@ -258,7 +259,7 @@
 	}
 	m.placement, m.open = placement, true
 	m.attempts++
-	m.attemptEvents = 0
+	m.attemptEvents, m.attemptRan = 0, false
 	m.lastActivity, m.lastCheck = now, now
 	return []Effect{StartAttempt{Placement: placement, After: m.lastEvent, CopyHolder: copyHolder}}
 }
@@ -276,7 +277,7 @@
 	if !m.open {
 		return nil
 	}
-	m.ran = true
+	m.ran, m.attemptRan = true, true
 	if number <= m.lastEvent {
 		return nil
 	}
@@ -339,7 +340,8 @@
 		}
 		return append(effects, m.PlacementFailed()...)
 	}
-	return append(effects, ChooseTarget{Exclude: m.excluded, MayHaveCopy: mayHaveRun})
+	// An engine copies a run's KV cache from its first event on, and a copy can be used once.
+	return append(effects, ChooseTarget{Exclude: m.excluded, MayHaveCopy: m.attemptRan})
 }
 
 // CallerDisconnected reports that the caller closed its connection.
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -109,7 +109,7 @@
 }
 
 // Guards against a second prefill although a copy exists, after the loss of a whole zone of
-// engines, and against looking for the copy of a run that never started.
+// engines.
 func TestContinuesFromCopy(t *testing.T) {
 	c := qt.New(t)
 	m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
@@ -118,10 +118,29 @@
 	c.Check(next, qt.DeepEquals, ChooseTarget{Exclude: []string{"a"}, MayHaveCopy: true})
 	effects := m.Placed(start.Add(time.Second), Placement{Target: "b", CopyTarget: "d", Resume: true})
 	c.Check(effects, qt.DeepEquals, []Effect{StartAttempt{Placement: Placement{Target: "b", CopyTarget: "d", Resume: true}, After: 1, CopyHolder: "b"}})
-	for _, loss := range []Loss{Unsent, Refused, Replaced} {
+}
+
+// Scenario: engines crash in series, also while they prefill prompts and while streams resume.
+// Guards against attempts at a copy that cannot exist, each of which takes a token of the retry
+// budget: the copy of a run without an event, and one that was used already.
+func TestRunWithoutEventsLeavesNoCopy(t *testing.T) {
+	c := qt.New(t)
+	for _, loss := range []Loss{Unsent, Refused, Replaced, Interrupted, TargetDown, Failed} {
 		m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
 		c.Check(chooseTarget(c, m.AttemptFailed(start, loss)).MayHaveCopy, qt.IsFalse, qt.Commentf("%v", loss))
+
+		m = newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+		m.Event(start, 1)
+		m.AttemptFailed(start, Interrupted)
+		m.Placed(start, Placement{Target: "b", CopyTarget: "d", Resume: true})
+		c.Check(chooseTarget(c, m.AttemptFailed(start, loss)).MayHaveCopy, qt.IsFalse, qt.Commentf("resumed, then %v", loss))
 	}
+	m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+	m.Event(start, 1)
+	m.AttemptFailed(start, Interrupted)
+	m.Placed(start, Placement{Target: "b", CopyTarget: "d", Resume: true})
+	m.Event(start, 1)
+	c.Check(chooseTarget(c, m.AttemptFailed(start, Interrupted)).MayHaveCopy, qt.IsTrue, qt.Commentf("the resumed run repeated an event"))
 }
 
 // Guards against a stream that ends as NoTarget because several restarted targets refused
@@ -250,7 +269,7 @@
 				now = m.NextCheck()
 				c.Assert(m.Check(now), qt.DeepEquals, []Effect{Probe{"a"}})
 				if effects := m.Probed(now, true, false); len(effects) > 0 {
-					c.Assert(effects, qt.DeepEquals, []Effect{EndAttempt{Interrupted}, ChooseTarget{Exclude: []string{"a"}, MayHaveCopy: true}})
+					c.Assert(effects, qt.DeepEquals, []Effect{EndAttempt{Interrupted}, ChooseTarget{Exclude: []string{"a"}}})
 					leftAfter = now.Sub(start)
 				}
 			}
