--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	retriesRefused *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	peerExchanges  *prometheus.CounterVec
+	peerSeconds    *prometheus.HistogramVec
 	linkBytes      *prometheus.CounterVec
 	tableFetches   *prometheus.CounterVec
 	probes         *prometheus.CounterVec
@@ -77,9 +78,12 @@
 		storeSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bramleygap_gateway_store_call_seconds", Help: "Duration of reads from the store, with the time for which it holds them.", Buckets: latencyBuckets,
 		}, []string{"table"}),
+		peerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bramleygap_gateway_peer_call_seconds", Help: "Duration of calls to other gateways, also of failed ones.", Buckets: latencyBuckets,
+		}, []string{"call"}),
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes)
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -268,6 +268,7 @@
 	}
 	start := time.Now()
 	remote, err := wire.NewGatewayClient(conn).Exchange(callCtx, local, grpc.WaitForReady(false))
+	p.g.metrics.peerSeconds.WithLabelValues("exchange").Observe(time.Since(start).Seconds())
 	if err != nil {
 		return "", err
 	}
--- a/internal/gateway/table_fetch.go
+++ b/internal/gateway/table_fetch.go
@@ -89,6 +89,7 @@
 func (p *peers) fetchTable(ctx context.Context, source tableSource) {
 	start := time.Now()
 	copied, size, err := p.receiveTable(ctx, source)
+	p.g.metrics.peerSeconds.WithLabelValues("fetch").Observe(time.Since(start).Seconds())
 	if err != nil {
 		p.g.metrics.tableFetches.WithLabelValues(source.table.String(), "failed").Inc()
 		p.g.log.Info().Stringer("table", source.table).Str("peer", source.address).Int("bytes", size).Dur("took", time.Since(start)).Err(err).
