Count slow requests of the previous version too

Cause: gateways counted slow requests for the new version only. Entries count both (entry/rollouts.observe). A failed request counted as slow too, though it is left out of the requests that slowness is a share of. Class: a comparison of two rates of which one is not measured. Change: observeAttempt decides for both versions, and only for requests that did not fail.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -86,10 +86,12 @@
 		return
 	}
 	slow := false
-	if reg.Version == o.Version {
+	if !failed {
+		if reg.Version != o.Version {
+			baseline.Observe(now, latency, 0)
+		}
+		// The previous version's own rate of slow requests is what the new one is compared with.
 		slow = baseline.Slow(now, latency, 0)
-	} else if !failed {
-		baseline.Observe(now, latency, 0)
 	}
 	st.evidence.Add(evidence.Key{Service: reg.Service, Version: reg.Version, Route: route, Zone: reg.Zone}, failed, slow, false)
 }
--- a/internal/gateway/table_fetch_test.go
+++ b/internal/gateway/table_fetch_test.go
@@ -29,16 +29,22 @@
 	return nil
 }
 
+// startPeers returns the exchange task of a gateway whose event loop runs, without sockets.
+func startPeers(t *testing.T, name string) *peers {
+	options := &Options{Registerer: prometheus.NewRegistry()}
+	options.Settings.Name = name
+	g := &Gateway{options: options, metrics: newMetrics(options.Registerer)}
+	g.loop = newEventLoop(options, g.metrics)
+	go func() { _ = g.loop.run(t.Context()) }()
+	return newPeers(g)
+}
+
 // Guards against an empty table from a gateway that has restarted since it offered the table: the
 // receiver would take it for the state of the store.
 func TestTableIsNotServedBeforeItIsLoaded(t *testing.T) {
 	c := qt.New(t)
-	options := &Options{Registerer: prometheus.NewRegistry()}
-	g := &Gateway{options: options}
-	g.loop = newEventLoop(options, newMetrics(options.Registerer))
-	go func() { _ = g.loop.run(t.Context()) }()
 	stream := &sentChunks{ctx: t.Context()}
-	err := newPeers(g).FetchTable(&wire.TableQuery{Table: uint32(TableTargets)}, stream)
+	err := startPeers(t, "g").FetchTable(&wire.TableQuery{Table: uint32(TableTargets)}, stream)
 	c.Check(status.Code(err), qt.Equals, codes.Unavailable)
 	c.Check(stream.chunks, qt.Equals, 0)
 }
