Repeat the first lost call to the store at once in each series

The count of failed calls went on after other gateways had confirmed the table meanwhile, so that the next lost call was repeated after 0.8 s.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -99,6 +99,7 @@
 			return watchPosition{t.Loaded(), w.loop.readsStore(st, time.Now(), w.table), st.isReader(self), st.unconfirmed[w.table], t.Revision()}
 		})
 		if !pos.readsStore {
+			w.failures = 0
 			sleep(ctx, readerCheckInterval)
 			continue
 		}
