Log by what a stream leaves a live target

The losses 'stalled' and 'first_event_late' now name these ends. The probe's line says how long the target has been silent, when the first event was expected, and what the engine's report says of its load and of this run. A new line gives the loads here and at the best other target, and the tokens left in the retry budget, at the moment at which a stream moves.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -168,6 +168,26 @@
 	return memory, streams, copies
 }
 
+// Load is the load of a target from all gateways, as far as this one knows.
+type Load struct {
+	// Backlog is the time that the target needs to prefill its pending prompts.
+	Backlog time.Duration
+	// Memory is the number of reserved tokens, Streams the number of running generations and
+	// Copies the number of KV cache copies.
+	Memory, Streams, Copies int
+}
+
+// Load returns the load of a target, zero if it is unknown.
+func (f *Fleet) Load(now time.Time, id string) Load {
+	t := f.targets[id]
+	if t == nil {
+		return Load{}
+	}
+	load := Load{Backlog: f.backlog(now, t)}
+	load.Memory, load.Streams, load.Copies = f.totalLoad(now, t)
+	return load
+}
+
 // ChooseEngine returns the engine for a generation. Its cost combines the expected time to
 // the first event with the delay that the prompt causes to streams on the engine.
 func (f *Fleet) ChooseEngine(now time.Time, q FleetQuery, size GenerationSize) (membership.Registration, bool) {
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -91,13 +91,17 @@
 	Refused
 	// Replaced means that a different target instance responded at the address.
 	Replaced
-	// Interrupted means that the connection broke, the response was invalid or the stream
-	// stalled.
+	// Interrupted means that the connection broke or the response was invalid.
 	Interrupted
 	// TargetDown means that the target was found unreachable.
 	TargetDown
 	// Failed means that the target responded with an error.
 	Failed
+	// Stalled means that a live target sent no event for too long after an earlier one or after
+	// a resumption from a copy.
+	Stalled
+	// FirstEventLate means that a live target sent no first event in time.
+	FirstEventLate
 )
 
 // String returns the loss as a metric label.
@@ -115,6 +119,10 @@
 		return "target_down"
 	case Failed:
 		return "failed"
+	case Stalled:
+		return "stalled"
+	case FirstEventLate:
+		return "first_event_late"
 	}
 	return "none"
 }
@@ -236,6 +244,12 @@
 // request.
 func (m *Machine) Arrived() bool { return m.arrivals > 0 }
 
+// Silence returns how long the open attempt has sent no event.
+func (m *Machine) Silence(now time.Time) time.Duration { return now.Sub(m.lastActivity) }
+
+// ExpectedFirstEvent returns the expected time to the first event of the last attempt.
+func (m *Machine) ExpectedFirstEvent() time.Duration { return m.placement.ExpectedFirstEvent }
+
 // LongestGap returns the longest pause between two delivered events.
 func (m *Machine) LongestGap() time.Duration { return m.longestGap }
 
@@ -412,7 +426,7 @@
 	case m.attemptEvents == 0 && !m.placement.Resume:
 		if timeout, ok := m.firstEventTimeout(); ok && now.Sub(m.lastActivity) >= timeout {
 			m.leftBeforeFirstEvent = true
-			return m.AttemptFailed(now, Interrupted)
+			return m.AttemptFailed(now, FirstEventLate)
 		}
 		return nil
 	case m.attemptEvents == 0:
@@ -421,7 +435,7 @@
 		limit = time.Duration(stallFraction * float64(m.options.MaxEventGap))
 	}
 	if m.options.Resumable && now.Sub(m.lastActivity) >= limit {
-		return m.AttemptFailed(now, Interrupted)
+		return m.AttemptFailed(now, Stalled)
 	}
 	return nil
 }
--- a/internal/core/retry/shared.go
+++ b/internal/core/retry/shared.go
@@ -114,6 +114,9 @@
 	return true
 }
 
+// Tokens returns the tokens that are left.
+func (b *SharedBudget) Tokens() float64 { return b.tokens }
+
 // Refund returns the token of an attempt that did not reach its target.
 func (b *SharedBudget) Refund() { b.tokens = min(b.capacity(), b.tokens+1) }
 
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -181,6 +181,15 @@
 	MemoryUsed, Capacity int
 	// Models holds the names of the loaded models.
 	Models []string
+	// Runs holds the running requests. The report is some hundred ms old.
+	Runs []EngineRun
+}
+
+// EngineRun is a running request in an engine's report.
+type EngineRun struct {
+	RequestID string
+	// LastEvent is the number of the last event that the engine produced.
+	LastEvent uint64
 }
 
 // Protocol translates between the messages of clients and targets and the types above.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -9,6 +9,7 @@
 
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/suspect"
+	"bramleygap/internal/gateway/target"
 )
 
 const (
@@ -22,13 +23,13 @@
 )
 
 // probeTarget probes a target and reports whether it responded. If not, it marks the target down.
-func (g *Gateway) probeTarget(reg membership.Registration) bool {
+func (g *Gateway) probeTarget(reg membership.Registration) (response target.Response, alive bool) {
 	var err error
 	for range maxProbeAttempts {
-		_, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
+		response, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
 			g.metrics.probes.WithLabelValues("alive").Inc()
-			return true
+			return response, true
 		}
 		if connRefused(err) {
 			break
@@ -36,7 +37,7 @@
 	}
 	g.metrics.probes.WithLabelValues("no_answer").Inc()
 	g.reportDown(reg, err)
-	return false
+	return target.Response{}, false
 }
 
 // reportDown marks a target down. If its port is closed, it has crashed, and its running
@@ -85,7 +86,7 @@
 		// Avoid the target until a probe succeeds.
 		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
 		g.background(func() {
-			if g.probeTarget(reg) {
+			if _, alive := g.probeTarget(reg); alive {
 				g.loop.post(g.ctx, func(st *state) { st.fleet.MarkUp(reg.ID) })
 			}
 		})
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -442,10 +442,11 @@
 	effects := s.machine.Check(time.Now())
 	for _, effect := range effects {
 		if _, ok := effect.(relay.Probe); ok {
-			alive := s.g.probeTarget(s.reg)
-			s.req.log.Info().Str("target", s.reg.ID).Bool("alive", alive).Uint64("last_event", s.machine.LastEvent()).
-				Msg("target sent no events; probed it")
+			alive := s.probe()
 			effects = s.machine.Probed(time.Now(), alive, s.copies.current.Load() != nil)
+			if alive && len(effects) > 0 {
+				s.logDeparture()
+			}
 			break
 		}
 	}
@@ -456,6 +457,46 @@
 	return nil
 }
 
+// probe probes the target of the open attempt, logs what its report says of the run, and reports
+// whether it responded.
+func (s *stream) probe() bool {
+	response, alive := s.g.probeTarget(s.reg)
+	event := s.req.log.Info().Str("target", s.reg.ID).Bool("alive", alive).Uint64("last_event", s.machine.LastEvent()).
+		Dur("silence", s.machine.Silence(time.Now())).Dur("expected", s.machine.ExpectedFirstEvent())
+	if alive {
+		report, err := s.g.options.Protocol.DecodeReport(response.Body)
+		event = event.AnErr("error", err).Int("queued", report.Queued).Int("running", report.Running).
+			Int("memory", report.MemoryUsed).Int("capacity", report.Capacity)
+		for _, run := range report.Runs {
+			if run.RequestID == s.req.head.ID {
+				event = event.Uint64("run_event", run.LastEvent)
+			}
+		}
+	}
+	event.Msg("target sent no events; probed it")
+	return alive
+}
+
+// logDeparture logs what was known when the stream left a live target: the loads of that target
+// and of the best other one, and the state of the retry budget.
+func (s *stream) logDeparture() {
+	s.g.loop.post(s.g.ctx, func(st *state) {
+		now := time.Now()
+		query := placement.FleetQuery{Service: s.req.service, Exclude: []string{s.reg.ID}}
+		here := st.fleet.Load(now, s.reg.ID)
+		event := s.req.log.Info().Str("target", s.reg.ID).Int("streams", here.Streams).Int("memory", here.Memory).Dur("backlog", here.Backlog).
+			Float64("retry_tokens", s.g.loop.budget(st, now, s.req.service).Tokens())
+		if expected, ok := st.fleet.TimeToFirstEvent(now, query, s.prompt); ok {
+			event = event.Dur("expected_elsewhere", expected)
+		}
+		if best, ok := st.fleet.ChooseEngine(now, query, s.prompt); ok {
+			there := st.fleet.Load(now, best.ID)
+			event = event.Str("best", best.ID).Int("best_streams", there.Streams).Int("best_memory", there.Memory).Dur("best_backlog", there.Backlog)
+		}
+		event.Msg("stream leaves a live target")
+	})
+}
+
 // deliver writes one event to the client.
 func (s *stream) deliver(raw []byte) error {
 	s.writeHeaderOnce()
