--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -272,3 +272,31 @@
 	}
 	return chosen, true
 }
+
+// PlaceSuccessor chooses where a generation continues that runs on a live target: at the holder of
+// its copy, or at an engine whose expected time to the first event is at most maxExpected. It
+// returns false unless the target has room for the generation and is neither leaving nor failing:
+// a generation that has to wait there is better off where it is.
+func (f *Fleet) PlaceSuccessor(now time.Time, q FleetQuery, holder string, size GenerationSize, keepCopy bool, maxExpected time.Duration) (Placement, bool) {
+	if t := f.targets[holder]; t == nil || !f.hasRoom(now, t, 0) {
+		holder = ""
+	}
+	chosen, ok := f.Place(now, q, holder, size, keepCopy)
+	if !ok || chosen.FromCopy {
+		return chosen, ok
+	}
+	if chosen.Expected > maxExpected || !f.hasRoom(now, f.targets[chosen.Target.ID], size.memory()) {
+		return Placement{}, false
+	}
+	return chosen, true
+}
+
+// hasRoom reports whether a target is sound and its memory holds the given number of tokens beyond
+// what is reserved there.
+func (f *Fleet) hasRoom(now time.Time, t *targetState, tokens int) bool {
+	if !t.usable(now) || t.leavingPenalty(now) > 0 || t.failures.get(now) > failureThreshold {
+		return false
+	}
+	memory, _, _ := f.totalLoad(now, t)
+	return t.memoryCapacity == 0 || memory+tokens <= t.memoryCapacity
+}
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -224,3 +224,56 @@
 	other.ReportGone(later, gone[0])
 	c.Check(other.Usable(later, "e00"), qt.IsTrue)
 }
+
+// Scenario: every other engine is full, leaving or failing. Guards against a stream that moves from a
+// live engine to one where it has to wait, or that refuses it.
+func TestSuccessorNeedsRoom(t *testing.T) {
+	const soon = 1500 * time.Millisecond
+	fill := func(f *Fleet, id string, n int) {
+		for range n {
+			f.BeginStream(now, id, "", typicalSize)
+		}
+	}
+	at := now.Add(20 * time.Second) // the prompts have been prefilled
+	q := FleetQuery{Service: "s", Exclude: []string{"e00"}}
+	for name, test := range map[string]struct {
+		prepare     func(f *Fleet)
+		holder      string
+		maxExpected time.Duration
+		ok          bool
+	}{
+		"room":                 {func(*Fleet) {}, "", soon, true},
+		"not in time":          {func(*Fleet) {}, "", soon / 2, false},
+		"full":                 {func(f *Fleet) { fill(f, "e01", 9) }, "", soon, false},
+		"leaving":              {func(f *Fleet) { f.MarkLeaving(at, "e01") }, "", soon, false},
+		"down":                 {func(f *Fleet) { f.MarkDown(at, "e01") }, "", soon, false},
+		"failing":              {func(f *Fleet) { fill(f, "e01", 1); failStreams(f, at, "e01") }, "", soon, false},
+		"copy":                 {func(*Fleet) {}, "e01", 0, true},
+		"copy at full holder":  {func(f *Fleet) { fill(f, "e01", 10) }, "e01", 0, false},
+		"copy at lost holder":  {func(f *Fleet) { f.MarkDown(at, "e01") }, "e01", soon, false},
+		"copy at leaving hold": {func(f *Fleet) { f.MarkLeaving(at, "e01") }, "e01", soon, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet("g", engines(2))
+			test.prepare(f)
+			for _, target := range f.targets {
+				for _, s := range target.streams {
+					s.prefilling = false
+				}
+			}
+			placed, ok := f.PlaceSuccessor(at, q, test.holder, typicalSize, false, test.maxExpected)
+			c.Check(ok, qt.Equals, test.ok)
+			if ok {
+				c.Check(placed.Target.ID, qt.Equals, "e01")
+				c.Check(placed.FromCopy, qt.Equals, test.holder != "")
+			}
+		})
+	}
+}
+
+func failStreams(f *Fleet, at time.Time, id string) {
+	for range 8 {
+		f.EndStream(at, id, "", f.BeginStream(at, id, "", typicalSize), typicalSize, true)
+	}
+}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -3,10 +3,16 @@
 // an inactive target counts as failed, and where the stream resumes. Each event is
 // delivered once and in order.
 //
+// A target that fails is left at once. A live target is left only for a successor: a second
+// attempt that is opened beside the current one and has been accepted by its target. Without a
+// successor the stream stays where it is.
+//
 // Invariants:
 //   - an event is delivered only if its number is one above that of the previous event;
-//   - at most one attempt is open at any time;
-//   - each later attempt continues after the last delivered event;
+//   - at most one attempt is current, and at most one successor is open beside it;
+//   - the current attempt ends within maxOverlap after its successor was sent, or the successor
+//     does;
+//   - each later attempt continues after the last event delivered before it was placed;
 //   - Finish is the last effect.
 package relay
 
@@ -27,11 +33,11 @@
 	firstProbeDelay = 900 * time.Millisecond
 	nextProbeDelay  = 1200 * time.Millisecond
 	// stallFraction is the fraction of Options.MaxEventGap after which a stream without
-	// progress on a live target moves to the copy of its KV cache.
+	// progress on a live target seeks a successor at the copy of its KV cache.
 	stallFraction = 0.62
-	// stallTimeoutWithoutCopy is the pause after which a stalled stream without a copy moves:
-	// another prefill costs more than a second, and the target or the caller may recover
-	// meanwhile.
+	// stallTimeoutWithoutCopy is the pause after which a stalled stream without a copy seeks a
+	// successor: another prefill costs more than a second, and the target or the caller may
+	// recover meanwhile.
 	stallTimeoutWithoutCopy = 4 * time.Second
 	// firstEventFraction is the fraction of the objective for the first event, and
 	// firstEventFactor the multiple of the expected time, after which a stream without an
@@ -43,6 +49,20 @@
 	// resumeTimeout is how long a live target may take for the first event after a resumption
 	// from a copy. A working resumption takes about 30 ms.
 	resumeTimeout = 1500 * time.Millisecond
+	// maxOverlap is how long the current attempt and its successor may be open together once the
+	// successor was sent. A refusal takes a few ms and the first event from a copy about 30 ms. The
+	// users' engines must not both work on a stream for 400 ms.
+	maxOverlap = 250 * time.Millisecond
+	// successorSendTimeout is how long a successor may take to be sent: the connection to a live
+	// target is established within a few ms.
+	successorSendTimeout = 250 * time.Millisecond
+	// maxSuccessors bounds the successors of one stream, because each one that is canceled has
+	// cost its target a part of a prefill.
+	maxSuccessors = 4
+	// successorWaitFraction is the fraction of the target's silence within which a successor
+	// without a copy must be expected to produce its first event, once the objective for the first
+	// event has passed.
+	successorWaitFraction = 0.5
 	// maxTotalAttempts bounds the attempts of one stream, including those that did not run.
 	// Targets that restarted together refuse one after the other until the gateway learns
 	// their new ids.
@@ -168,21 +188,61 @@
 // EndAttempt ends the open attempt.
 type EndAttempt struct{ Loss Loss }
 
-// Probe asks whether the target of the open attempt is reachable. The reply is Probed.
+// Probe asks whether the target of the current attempt is reachable. The reply is Probed; if the
+// attempt ends before it, there is none.
 type Probe struct{ Target string }
 
+// SeekSuccessor asks for a target to which the stream can move from a live one. The reply, given at
+// once, is SuccessorPlaced or NoSuccessor.
+type SeekSuccessor struct {
+	// Loss is why the stream is to leave the current target.
+	Loss Loss
+	// Exclude lists the targets that failed this stream and the current one.
+	Exclude []string
+	// MayHaveCopy is set if the current attempt may have left a KV cache copy.
+	MayHaveCopy bool
+	// MaxExpected is the longest acceptable expected time to the first event on a target without
+	// the copy.
+	MaxExpected time.Duration
+}
+
+// StartSuccessor starts an attempt beside the current one. The replies are SuccessorSent and then
+// SuccessorEvent or SuccessorFailed.
+type StartSuccessor struct{ Start StartAttempt }
+
+// EndSuccessor ends the successor because of Loss, 0 if it is not needed. The current attempt goes
+// on.
+type EndSuccessor struct{ Loss Loss }
+
+// Switch ends the current attempt because of Loss and makes the successor the current attempt.
+type Switch struct{ Loss Loss }
+
 // Deliver passes the event just received to the caller.
 type Deliver struct{}
 
 // Finish ends the stream.
 type Finish struct{ Outcome Outcome }
 
-func (ChooseTarget) effect() {}
-func (StartAttempt) effect() {}
-func (EndAttempt) effect()   {}
-func (Probe) effect()        {}
-func (Deliver) effect()      {}
-func (Finish) effect()       {}
+func (ChooseTarget) effect()   {}
+func (StartAttempt) effect()   {}
+func (EndAttempt) effect()     {}
+func (Probe) effect()          {}
+func (Deliver) effect()        {}
+func (Finish) effect()         {}
+func (SeekSuccessor) effect()  {}
+func (StartSuccessor) effect() {}
+func (EndSuccessor) effect()   {}
+func (Switch) effect()         {}
+
+// successor is the attempt that is opened beside the current one.
+type successor struct {
+	placement Placement
+	// loss is why the stream is to leave the current target.
+	loss     Loss
+	placedAt time.Time
+	// sentAt is when the request was sent, zero before.
+	sentAt time.Time
+}
 
 // Machine is the state of one stream. It is not safe for concurrent use.
 type Machine struct {
@@ -196,6 +256,11 @@
 	placement Placement
 	open      bool // an attempt is open
 	done      bool
+	// probing is set while the reply to a Probe is pending, and seeking while that to a
+	// SeekSuccessor is.
+	probing, seeking bool
+	successor        *successor
+	successors       int // successors placed
 	// ran is set once a target may have begun to run the request.
 	ran           bool
 	lastEvent     uint64
@@ -258,24 +323,122 @@
 
 func (m *Machine) finish(o Outcome) []Effect {
 	m.done = true
+	effects := m.endSuccessor()
 	if m.open {
 		m.open = false
-		return []Effect{EndAttempt{}, Finish{o}}
+		effects = append(effects, EndAttempt{})
 	}
-	return []Effect{Finish{o}}
+	return append(effects, Finish{o})
 }
 
 // Placed reports the target chosen for a ChooseTarget.
 func (m *Machine) Placed(now time.Time, placement Placement) []Effect {
+	m.makeCurrent(now, now, placement)
+	return []Effect{m.startAttempt(placement)}
+}
+
+// startAttempt counts an attempt and returns its effect.
+func (m *Machine) startAttempt(placement Placement) StartAttempt {
+	m.attempts++
 	copyHolder := ""
 	if placement.Resume {
 		copyHolder = placement.Target
 	}
+	return StartAttempt{Placement: placement, After: m.lastEvent, CopyHolder: copyHolder}
+}
+
+// makeCurrent makes an attempt that started at the given time the current one.
+func (m *Machine) makeCurrent(now, started time.Time, placement Placement) {
 	m.placement, m.open = placement, true
-	m.attempts++
 	m.attemptEvents, m.attemptRan = 0, false
-	m.lastActivity, m.lastCheck = now, now
-	return []Effect{StartAttempt{Placement: placement, After: m.lastEvent, CopyHolder: copyHolder}}
+	m.lastActivity, m.lastCheck = started, now
+	m.probing, m.seeking = false, false
+}
+
+// SuccessorPlaced reports the target chosen for a SeekSuccessor.
+func (m *Machine) SuccessorPlaced(now time.Time, loss Loss, placement Placement) []Effect {
+	if !m.open || !m.seeking {
+		return nil
+	}
+	m.seeking = false
+	m.successors++
+	m.successor = &successor{placement: placement, loss: loss, placedAt: now}
+	return []Effect{StartSuccessor{m.startAttempt(placement)}}
+}
+
+// NoSuccessor reports that there is no target for a SeekSuccessor. The stream stays at its target.
+func (m *Machine) NoSuccessor() { m.seeking = false }
+
+// SuccessorSent reports that the successor's request was sent.
+func (m *Machine) SuccessorSent(now time.Time) {
+	if m.successor != nil {
+		m.successor.sentAt = now
+	}
+}
+
+// SuccessorFailed reports that the successor ended. The current attempt goes on.
+func (m *Machine) SuccessorFailed(loss Loss) {
+	if m.successor == nil {
+		return
+	}
+	m.countLoss(loss)
+	m.excluded = append(m.excluded, m.successor.placement.Target)
+	m.successor = nil
+}
+
+// SuccessorEvent reports an event of the successor. With its first new event, the successor becomes
+// the current attempt.
+func (m *Machine) SuccessorEvent(now time.Time, number uint64) []Effect {
+	switch {
+	case m.successor == nil || m.done || number <= m.lastEvent:
+		return nil
+	case m.skipsEvent(number):
+		m.SuccessorFailed(Interrupted)
+		return []Effect{EndSuccessor{Interrupted}}
+	}
+	return append(m.switchAttempt(now, m.successor.loss), m.Event(now, number)...)
+}
+
+// skipsEvent reports whether an event number leaves out events that the caller lacks.
+func (m *Machine) skipsEvent(number uint64) bool {
+	return number > m.lastEvent+1 && (m.events > 0 || m.options.After > 0)
+}
+
+// switchAttempt ends the current attempt and makes the successor the current one.
+func (m *Machine) switchAttempt(now time.Time, loss Loss) []Effect {
+	next := m.successor
+	m.successor = nil
+	m.countLoss(loss)
+	m.excluded = append(m.excluded, m.placement.Target)
+	if loss == FirstEventLate {
+		m.leftBeforeFirstEvent = true
+	}
+	m.makeCurrent(now, next.placedAt, next.placement)
+	return []Effect{Switch{loss}}
+}
+
+// endSuccessor ends the successor, if there is one, in favor of the current attempt. It has produced
+// no event, so that it has not run, but it has reached its target.
+func (m *Machine) endSuccessor() []Effect {
+	if m.successor == nil {
+		return nil
+	}
+	if !m.successor.sentAt.IsZero() {
+		m.arrivals++
+	}
+	m.successor = nil
+	return []Effect{EndSuccessor{}}
+}
+
+// countLoss counts an attempt that ended because of loss.
+func (m *Machine) countLoss(loss Loss) {
+	if loss != Unsent {
+		m.arrivals++
+	}
+	if loss != Unsent && loss != Refused && loss != Replaced {
+		m.ran = true
+		m.runs++
+	}
 }
 
 // PlacementFailed reports that no target is available for a ChooseTarget.
@@ -295,7 +458,7 @@
 	if number <= m.lastEvent {
 		return nil
 	}
-	if number != m.lastEvent+1 && (m.events > 0 || m.options.After > 0) {
+	if m.skipsEvent(number) {
 		return m.AttemptFailed(now, Interrupted)
 	}
 	if m.attemptEvents > 0 {
@@ -309,7 +472,7 @@
 	m.events++
 	m.attemptEvents++
 	m.lastActivity, m.lastCheck = now, now
-	return []Effect{Deliver{}}
+	return append(m.endSuccessor(), Deliver{})
 }
 
 func (m *Machine) observeGap(gap time.Duration) {
@@ -325,24 +488,19 @@
 	if !m.open {
 		return nil
 	}
-	m.open = false
 	return m.finish(Complete)
 }
 
-// AttemptFailed reports that the open attempt ended without completing.
+// AttemptFailed reports that the current attempt ended without completing.
 func (m *Machine) AttemptFailed(now time.Time, loss Loss) []Effect {
 	if !m.open {
 		return nil
 	}
-	m.open = false
-	if loss != Unsent {
-		m.arrivals++
-	}
-	mayHaveRun := loss != Unsent && loss != Refused && loss != Replaced
-	if mayHaveRun {
-		m.ran = true
-		m.runs++
+	if m.successor != nil && now.Before(m.options.Deadline) {
+		return m.switchAttempt(now, loss)
 	}
+	m.open, m.probing = false, false
+	m.countLoss(loss)
 	effects := []Effect{EndAttempt{loss}}
 	m.excluded = append(m.excluded, m.placement.Target)
 	switch {
@@ -363,36 +521,75 @@
 
 // NextCheck returns when Check must be called unless an event arrives earlier.
 func (m *Machine) NextCheck() time.Time {
-	next := m.lastCheck.Add(m.probeDelay())
-	if timeout, ok := m.firstEventTimeout(); ok && m.lastActivity.Add(timeout).After(m.lastCheck) && m.lastActivity.Add(timeout).Before(next) {
-		next = m.lastActivity.Add(timeout)
+	next := m.options.Deadline
+	consider := func(at time.Time) {
+		if at.Before(next) {
+			next = at
+		}
+	}
+	if m.successor != nil {
+		consider(m.successor.end())
+	}
+	if m.probing {
+		return next
 	}
-	if m.options.Deadline.Before(next) {
-		return m.options.Deadline
+	consider(m.lastCheck.Add(m.probeDelay()))
+	if limit, ok := m.shortestLimit(); ok && m.lastActivity.Add(limit).After(m.lastCheck) {
+		consider(m.lastActivity.Add(limit))
 	}
 	return next
 }
 
-// firstEventTimeout returns how long a target may take for the first event, and false if
-// there is no limit.
-func (m *Machine) firstEventTimeout() (time.Duration, bool) {
-	if m.attemptEvents > 0 || m.placement.Resume || m.leftBeforeFirstEvent || m.options.FirstEventObjective <= 0 || !m.options.Resumable {
+// end returns when the overlap with the current attempt ends.
+func (s *successor) end() time.Time {
+	if s.sentAt.IsZero() {
+		return s.placedAt.Add(successorSendTimeout)
+	}
+	return s.sentAt.Add(maxOverlap)
+}
+
+// limit returns how long a live target may be silent before the stream seeks a successor, and false
+// if there is no limit. hasCopy is whether a copy of the run's KV cache exists.
+func (m *Machine) limit(hasCopy bool) (time.Duration, bool) {
+	switch {
+	case !m.options.Resumable:
+		return 0, false
+	case m.attemptEvents > 0 && hasCopy:
+		return time.Duration(stallFraction * float64(m.options.MaxEventGap)), true
+	case m.attemptEvents > 0:
+		return stallTimeoutWithoutCopy, true
+	case m.placement.Resume:
+		return resumeTimeout, true
+	case m.leftBeforeFirstEvent, m.options.FirstEventObjective <= 0:
 		return 0, false
 	}
 	return max(time.Duration(firstEventFraction*float64(m.options.FirstEventObjective)), time.Duration(firstEventFactor*float64(m.placement.ExpectedFirstEvent))), true
 }
 
-// probeDelay returns the delay from the last event or probe to the next probe.
+// shortestLimit returns the limit with a copy or, if it has passed, without one.
+func (m *Machine) shortestLimit() (time.Duration, bool) {
+	limit, ok := m.limit(true)
+	if ok && !m.lastActivity.Add(limit).After(m.lastCheck) {
+		return m.limit(false)
+	}
+	return limit, ok
+}
+
+// probeDelay returns the delay from the last event or probe to the next probe. During a long silence
+// it grows with it, since each probe costs the target a connection.
 func (m *Machine) probeDelay() time.Duration {
+	first := m.lastCheck.Equal(m.lastActivity)
+	delay := maxProbeDelay
 	switch {
 	case m.attemptEvents > 0:
-		return min(maxProbeDelay, max(minProbeDelay, probeDelayFactor*m.averageGap))
+		delay = min(maxProbeDelay, max(minProbeDelay, probeDelayFactor*m.averageGap))
 	case m.placement.Resume:
-		return maxProbeDelay
-	case m.lastCheck.Equal(m.lastActivity):
+	case first:
 		return firstProbeDelay
+	default:
+		return nextProbeDelay
 	}
-	return nextProbeDelay
+	return min(nextProbeDelay, max(delay, m.lastCheck.Sub(m.lastActivity)))
 }
 
 // Check must be called at the time that NextCheck returns.
@@ -400,42 +597,64 @@
 	if !m.open || m.done {
 		return nil
 	}
-	if !now.Before(m.options.Deadline) {
+	switch {
+	case !now.Before(m.options.Deadline):
 		return m.finish(TimedOut)
-	}
-	if now.Before(m.NextCheck()) {
+	case now.Before(m.NextCheck()):
 		return nil
+	case m.successor != nil && !now.Before(m.successor.end()):
+		return m.endOverlap(now)
 	}
-	m.lastCheck = now
+	m.lastCheck, m.probing = now, true
 	return []Effect{Probe{m.placement.Target}}
 }
 
+// endOverlap ends the current attempt if the successor was sent, since its target did not refuse it,
+// and the successor otherwise.
+func (m *Machine) endOverlap(now time.Time) []Effect {
+	if m.successor.sentAt.IsZero() {
+		m.excluded = append(m.excluded, m.successor.placement.Target)
+		return m.endSuccessor()
+	}
+	return m.switchAttempt(now, m.successor.loss)
+}
+
 // Probed reports the result of a Probe; hasCopy is whether a copy of the run's KV cache
-// exists now. A stream that stalls on a live target moves to the copy before MaxEventGap
-// has passed. Without a copy it moves only after stallTimeoutWithoutCopy.
+// exists now. If a live target has been silent for too long, the stream seeks a successor.
 func (m *Machine) Probed(now time.Time, alive, hasCopy bool) []Effect {
 	if !m.open || m.done {
 		return nil
 	}
-	m.lastCheck = now
+	m.probing = false
 	if !alive {
 		return m.AttemptFailed(now, TargetDown)
 	}
-	limit := stallTimeoutWithoutCopy
-	switch {
-	case m.attemptEvents == 0 && !m.placement.Resume:
-		if timeout, ok := m.firstEventTimeout(); ok && now.Sub(m.lastActivity) >= timeout {
-			m.leftBeforeFirstEvent = true
-			return m.AttemptFailed(now, FirstEventLate)
-		}
+	m.lastCheck = now
+	limit, ok := m.limit(hasCopy)
+	if !ok || now.Sub(m.lastActivity) < limit || !m.maySeekSuccessor() {
 		return nil
-	case m.attemptEvents == 0:
-		limit = resumeTimeout
-	case hasCopy:
-		limit = time.Duration(stallFraction * float64(m.options.MaxEventGap))
 	}
-	if m.options.Resumable && now.Sub(m.lastActivity) >= limit {
-		return m.AttemptFailed(now, Stalled)
+	m.seeking = true
+	seek := SeekSuccessor{Loss: Stalled, MayHaveCopy: m.attemptRan && hasCopy, MaxExpected: m.maxExpected(now)}
+	if m.attemptEvents == 0 && !m.placement.Resume {
+		seek.Loss = FirstEventLate
+	}
+	seek.Exclude = append(append(seek.Exclude, m.excluded...), m.placement.Target)
+	return []Effect{seek}
+}
+
+// maySeekSuccessor reports whether another target may run the stream beside the current one.
+func (m *Machine) maySeekSuccessor() bool {
+	return m.successor == nil && !m.seeking && m.successors < maxSuccessors &&
+		m.runs+1 < m.options.MaxAttempts && m.attempts < maxTotalAttempts
+}
+
+// maxExpected returns the longest expected time to the first event with which another target is
+// likely to be sooner than the current one.
+func (m *Machine) maxExpected(now time.Time) time.Duration {
+	wait := time.Duration(successorWaitFraction * float64(now.Sub(m.lastActivity)))
+	if m.events > 0 {
+		return wait
 	}
-	return nil
+	return max(wait, m.options.Arrived.Add(m.options.FirstEventObjective).Sub(now))
 }
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -45,67 +45,152 @@
 	return 0
 }
 
-// Guards against lost, duplicated and reordered events, two open attempts and effects after
-// Finish, under any mix of losses, stale and skipped events, pauses and probes.
+// modelStream checks the effects of a machine against the invariants of the package.
+type modelStream struct {
+	t        *rapid.T
+	m        *Machine
+	now      time.Time
+	last     uint64
+	received uint64 // number of the event that is being handled
+	attempts int
+	// open and successorOpen are set while the attempts are open; sentAt is when the successor was
+	// sent, zero before.
+	open, successorOpen bool
+	placedAt, sentAt    time.Time
+	successorAfter      uint64
+	effects             map[string]int // number of effects by type
+}
+
+func (s *modelStream) apply(queue []Effect) {
+	for len(queue) > 0 {
+		effect := queue[0]
+		queue = append(queue[1:], s.applyEffect(effect)...)
+		if _, ok := effect.(Finish); ok {
+			if s.open || s.successorOpen || len(queue) > 0 {
+				s.t.Fatal("Finish with an open attempt or before another effect")
+			}
+		}
+	}
+}
+
+func (s *modelStream) nextPlacement() Placement {
+	s.attempts++
+	return Placement{Target: fmt.Sprint("t", s.attempts), CopyTarget: fmt.Sprint("c", s.attempts), Resume: rapid.Bool().Draw(s.t, "resume")}
+}
+
+func (s *modelStream) applyEffect(e Effect) []Effect {
+	s.effects[fmt.Sprintf("%T", e)]++
+	switch e := e.(type) {
+	case ChooseTarget:
+		if rapid.IntRange(0, 19).Draw(s.t, "place") == 19 {
+			return s.m.PlacementFailed()
+		}
+		return s.m.Placed(s.now, s.nextPlacement())
+	case SeekSuccessor:
+		if rapid.IntRange(0, 3).Draw(s.t, "successor") == 3 {
+			s.m.NoSuccessor()
+			return nil
+		}
+		return s.m.SuccessorPlaced(s.now, e.Loss, s.nextPlacement())
+	case StartAttempt:
+		s.checkStart(e, s.open)
+		s.open = true
+	case StartSuccessor:
+		s.checkStart(e.Start, s.successorOpen || !s.open)
+		s.successorOpen, s.placedAt, s.sentAt, s.successorAfter = true, s.now, time.Time{}, e.Start.After
+	case EndAttempt:
+		if e.Loss == Stalled || e.Loss == FirstEventLate {
+			s.t.Fatal("a live target was left without a successor")
+		}
+		s.open = false
+	case EndSuccessor:
+		s.successorOpen = false
+	case Switch:
+		if !s.successorOpen || s.sentAt.IsZero() && (e.Loss == Stalled || e.Loss == FirstEventLate) {
+			s.t.Fatal("switched to a successor that was not sent")
+		}
+		if s.successorAfter != s.last {
+			s.t.Fatalf("switched to an attempt that continues after event %d, last delivered event is %d", s.successorAfter, s.last)
+		}
+		s.successorOpen = false
+	case Probe:
+		return s.m.Probed(s.now, rapid.IntRange(0, 19).Draw(s.t, "alive") < 19, rapid.Bool().Draw(s.t, "copy"))
+	case Deliver:
+		if s.received != s.last+1 && s.last != 0 {
+			s.t.Fatalf("event %d delivered after event %d", s.received, s.last)
+		}
+		s.last = s.received
+	}
+	return nil
+}
+
+func (s *modelStream) checkStart(e StartAttempt, tooMany bool) {
+	if tooMany {
+		s.t.Fatal("too many open attempts")
+	}
+	if e.After != s.last {
+		s.t.Fatalf("attempt continues after event %d, last delivered event is %d", e.After, s.last)
+	}
+}
+
+// message lets one of the attempts send a message.
+func (s *modelStream) message() {
+	losses := []Loss{Unsent, Refused, Replaced, Interrupted, TargetDown, Failed}
+	s.received = s.last + uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(s.t, "delta"))
+	// Small values are drawn more often than large ones.
+	kind := rapid.IntRange(0, 19).Draw(s.t, "message")
+	switch {
+	case s.successorOpen && kind < 10 && s.sentAt.IsZero():
+		s.m.SuccessorSent(s.now)
+		s.sentAt = s.now
+	case s.successorOpen && kind < 5:
+		s.apply(s.m.SuccessorEvent(s.now, s.received))
+	case s.successorOpen && kind == 19:
+		s.m.SuccessorFailed(rapid.SampledFrom(losses).Draw(s.t, "loss"))
+		s.successorOpen = false
+	case kind > 2 && kind < 9:
+		s.apply(s.m.Event(s.now, s.received))
+	case s.successorOpen && kind == 16:
+		s.apply(s.m.AttemptCompleted())
+	case kind == 17:
+		s.apply(s.m.CallerDisconnected())
+	case kind == 18:
+		s.apply(s.m.AttemptFailed(s.now, rapid.SampledFrom(losses).Draw(s.t, "loss")))
+	}
+}
+
+// Guards against lost, duplicated and reordered events, more than one current attempt and one
+// successor, two attempts that stay open together, a live target that is left without a successor,
+// and effects after Finish, under any mix of losses, stale and skipped events, pauses and probes.
 func TestEventsAreDeliveredOnceInOrder(t *testing.T) {
+	effects := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		o := options()
-		o.Resumable = rapid.Bool().Draw(t, "resumable")
+		o.MaxAttempts = maxTotalAttempts
+		o.Resumable = rapid.IntRange(0, 3).Draw(t, "resumable") < 3
 		o.After = rapid.SampledFrom([]uint64{0, 7}).Draw(t, "after")
-		m := New(o)
-		now := start
-		open, last, attempts := false, o.After, 0
-		queue := m.Start()
-		for step := 0; step < 200 && !m.Done(); step++ {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			var next []Effect
-			for _, e := range queue {
-				switch e := e.(type) {
-				case ChooseTarget:
-					if rapid.IntRange(0, 9).Draw(t, "place") == 0 {
-						next = append(next, m.PlacementFailed()...)
-						break
-					}
-					attempts++
-					next = append(next, m.Placed(now, Placement{Target: fmt.Sprint("t", attempts), CopyTarget: fmt.Sprint("c", attempts)})...)
-				case StartAttempt:
-					if open {
-						t.Fatal("a second attempt was started while one is open")
-					}
-					if e.After != last {
-						t.Fatalf("attempt continues after event %d, last delivered event is %d", e.After, last)
-					}
-					open = true
-				case EndAttempt:
-					open = false
-				case Probe:
-					next = append(next, m.Probed(now, rapid.Bool().Draw(t, "alive"), rapid.Bool().Draw(t, "copy"))...)
-				case Deliver:
-					t.Fatal("Deliver without an event")
+		o.FirstEventObjective = 4500 * time.Millisecond
+		o.Arrived = start
+		s := &modelStream{t: t, m: New(o), now: start, last: o.After, effects: effects}
+		s.apply(s.m.Start())
+		for step := 0; step < 300 && !s.m.Done(); step++ {
+			pause := time.Duration(rapid.SampledFrom([]int{0, 20, 400, 5, 100, 1000}).Draw(t, "ms")) * time.Millisecond
+			for end := s.now.Add(pause); !s.m.Done() && !s.m.NextCheck().After(end); {
+				s.now = s.m.NextCheck()
+				s.apply(s.m.Check(s.now))
+				if s.successorOpen && s.now.Sub(s.placedAt) >= successorSendTimeout+maxOverlap {
+					t.Fatalf("two attempts are open together for %v", s.now.Sub(s.placedAt))
 				}
 			}
-			if queue = next; len(queue) > 0 || m.Done() {
-				continue
-			}
-			switch rapid.IntRange(0, 6).Draw(t, "message") {
-			case 0:
-				queue = m.AttemptFailed(now, rapid.SampledFrom([]Loss{Unsent, Refused, Replaced, Interrupted, TargetDown, Failed}).Draw(t, "loss"))
-			case 1:
-				queue = m.Check(now)
-			default:
-				number := last + uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "delta"))
-				queue = m.Event(now, number)
-				if len(queue) == 1 {
-					if _, ok := queue[0].(Deliver); ok {
-						if number != last+1 && last != 0 {
-							t.Fatalf("event %d delivered after event %d", number, last)
-						}
-						last, queue = number, nil
-					}
-				}
+			s.now = s.now.Add(time.Millisecond)
+			if !s.m.Done() {
+				s.message()
 			}
 		}
 	})
+	for _, effect := range []string{"relay.Switch", "relay.EndSuccessor", "relay.EndAttempt", "relay.Deliver"} {
+		qt.Check(t, effects[effect] > 20, qt.IsTrue, qt.Commentf("%s: %d", effect, effects[effect]))
+	}
 }
 
 // Guards against a second prefill although a copy exists, after the loss of a whole zone of
@@ -260,21 +345,19 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			start := time.Unix(1000, 0)
-			m := New(Options{Resumable: true, MaxAttempts: 5, Deadline: start.Add(25 * time.Second), FirstEventObjective: 4500 * time.Millisecond})
+			m := New(Options{Resumable: true, MaxAttempts: 5, Arrived: start, Deadline: start.Add(25 * time.Second), FirstEventObjective: 4500 * time.Millisecond})
 			m.Start()
 			m.Placed(start, Placement{Target: "a", ExpectedFirstEvent: test.expected})
-			now, leftAfter := start, time.Duration(0)
-			for leftAfter == 0 && now.Before(start.Add(10*time.Second)) {
-				now = m.NextCheck()
-				c.Assert(m.Check(now), qt.DeepEquals, []Effect{Probe{"a"}})
-				if effects := m.Probed(now, true, false); len(effects) > 0 {
-					c.Assert(effects, qt.DeepEquals, []Effect{EndAttempt{FirstEventLate}, ChooseTarget{Exclude: []string{"a"}}})
-					leftAfter = now.Sub(start)
-				}
-			}
-			c.Check(leftAfter, qt.Equals, test.leftAfter)
-			m.Placed(now, Placement{Target: "b", ExpectedFirstEvent: test.expected})
+			now, seek := awaitSeek(c, m, start.Add(10*time.Second), false)
+			c.Check(now.Sub(start), qt.Equals, test.leftAfter)
+			c.Check(seek.Loss, qt.Equals, FirstEventLate)
+			c.Check(seek.Exclude, qt.DeepEquals, []string{"a"})
+			c.Check(seek.MayHaveCopy, qt.IsFalse)
+			c.Check(seek.MaxExpected, qt.Equals, max(test.leftAfter/2, 4500*time.Millisecond-test.leftAfter))
+			m.SuccessorPlaced(now, seek.Loss, Placement{Target: "b", ExpectedFirstEvent: test.expected})
+			m.SuccessorSent(now)
+			now = now.Add(maxOverlap)
+			c.Assert(m.Check(now), qt.DeepEquals, []Effect{Switch{FirstEventLate}})
 			for end := now.Add(10 * time.Second); now.Before(end); {
 				now = m.NextCheck()
 				m.Check(now)
@@ -284,6 +367,126 @@
 	}
 }
 
+// awaitSeek lets a live target be silent until the machine seeks a successor. It fails the test if
+// that has not happened at the given time.
+func awaitSeek(c *qt.C, m *Machine, end time.Time, hasCopy bool) (time.Time, SeekSuccessor) {
+	for {
+		now := m.NextCheck()
+		c.Assert(now.Before(end), qt.IsTrue, qt.Commentf("no successor sought"))
+		m.Check(now)
+		for _, e := range m.Probed(now, true, hasCopy) {
+			if seek, ok := e.(SeekSuccessor); ok {
+				return now, seek
+			}
+		}
+	}
+}
+
+// newStalledMachine returns a machine whose live target is silent after its second event, and the
+// time at which it seeks a successor.
+func newStalledMachine(c *qt.C, hasCopy bool) (*Machine, time.Time, SeekSuccessor) {
+	m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+	m.Event(start, 1)
+	m.Event(start.Add(40*time.Millisecond), 2)
+	now, seek := awaitSeek(c, m, start.Add(10*time.Second), hasCopy)
+	return m, now, seek
+}
+
+// Scenario: every engine is overloaded and none has room, or the retry budget is spent. Guards against
+// a stream that ends although its engine is live: the client was cut off 3 s after the stream had
+// left the engine, which would have gone on.
+func TestStreamStaysAtLiveTargetWithoutSuccessor(t *testing.T) {
+	for _, hasCopy := range []bool{true, false} {
+		c := qt.New(t)
+		m, now, _ := newStalledMachine(c, hasCopy)
+		for now.Before(start.Add(20 * time.Second)) {
+			m.NoSuccessor()
+			now, _ = awaitSeek(c, m, start.Add(25*time.Second), hasCopy)
+		}
+		c.Check(m.Done(), qt.IsFalse)
+		c.Check(m.Event(now, 3), qt.DeepEquals, []Effect{Deliver{}})
+		c.Check(m.Ran(), qt.IsTrue)
+		c.Check(m.Arrived(), qt.IsFalse, qt.Commentf("the stream was sent to one target"))
+	}
+}
+
+// Guards against leaving a live target for one that refuses the stream: it was left half a second
+// into its run for the holder of a copy, which answered 503.
+func TestRefusedSuccessorKeepsCurrentAttempt(t *testing.T) {
+	c := qt.New(t)
+	for _, loss := range []Loss{Unsent, Refused, Replaced, Interrupted, TargetDown, Failed} {
+		m, now, seek := newStalledMachine(c, true)
+		c.Check(seek, qt.DeepEquals, SeekSuccessor{Loss: Stalled, Exclude: []string{"a"}, MayHaveCopy: true, MaxExpected: now.Sub(start.Add(40*time.Millisecond)) / 2})
+		effects := m.SuccessorPlaced(now, seek.Loss, Placement{Target: "b", Resume: true})
+		c.Check(effects, qt.DeepEquals, []Effect{StartSuccessor{StartAttempt{Placement: Placement{Target: "b", Resume: true}, After: 2, CopyHolder: "b"}}})
+		m.SuccessorFailed(loss)
+		c.Check(m.Event(now, 3), qt.DeepEquals, []Effect{Deliver{}}, qt.Commentf("%v", loss))
+		_, again := awaitSeek(c, m, now.Add(10*time.Second), false)
+		c.Check(again.Exclude, qt.DeepEquals, []string{"b", "a"})
+	}
+}
+
+// Guards against two runs whose events are mixed, and against a target that works on a stream that
+// goes on elsewhere: whichever attempt continues the stream first ends the other one.
+func TestFirstEventDecidesBetweenAttempts(t *testing.T) {
+	c := qt.New(t)
+	place := func() (*Machine, time.Time) {
+		m, now, seek := newStalledMachine(c, true)
+		m.SuccessorPlaced(now, seek.Loss, Placement{Target: "b", Resume: true})
+		m.SuccessorSent(now)
+		return m, now
+	}
+	m, now := place()
+	c.Check(m.SuccessorEvent(now, 2), qt.HasLen, 0, qt.Commentf("an event that the client has"))
+	c.Check(m.SuccessorEvent(now, 3), qt.DeepEquals, []Effect{Switch{Stalled}, Deliver{}})
+	c.Check(m.Event(now, 4), qt.DeepEquals, []Effect{Deliver{}})
+	m, now = place()
+	c.Check(m.Event(now, 3), qt.DeepEquals, []Effect{EndSuccessor{}, Deliver{}})
+	m, now = place()
+	c.Check(m.SuccessorEvent(now, 4), qt.DeepEquals, []Effect{EndSuccessor{Interrupted}}, qt.Commentf("an event is missing"))
+	m, now = place()
+	c.Check(m.AttemptFailed(now, Interrupted), qt.DeepEquals, []Effect{Switch{Interrupted}}, qt.Commentf("the first target is lost meanwhile"))
+	m, now = place()
+	c.Check(m.Check(now.Add(maxOverlap)), qt.DeepEquals, []Effect{Switch{Stalled}})
+	m, now, seek := newStalledMachine(c, true)
+	m.SuccessorPlaced(now, seek.Loss, Placement{Target: "b", Resume: true})
+	c.Check(m.Check(now.Add(successorSendTimeout)), qt.DeepEquals, []Effect{EndSuccessor{}}, qt.Commentf("never sent"))
+}
+
+// Guards against a probe that is answered after the target has sent an event, and then ends the
+// attempt at a target that works.
+func TestEventDuringProbeKeepsAttempt(t *testing.T) {
+	c := qt.New(t)
+	m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+	m.Event(start, 1)
+	at := start
+	for at.Sub(start) < 434*time.Millisecond {
+		at = m.NextCheck()
+		c.Assert(m.Check(at), qt.DeepEquals, []Effect{Probe{"a"}})
+		if at.Sub(start) < 434*time.Millisecond {
+			c.Assert(m.Probed(at, true, true), qt.HasLen, 0)
+		}
+	}
+	c.Check(m.Event(at, 2), qt.DeepEquals, []Effect{Deliver{}})
+	c.Check(m.Probed(at.Add(2*time.Millisecond), true, true), qt.HasLen, 0)
+}
+
+// Guards against probes at a constant rate during a long silence, each of which costs the target a
+// connection.
+func TestProbesBecomeRarer(t *testing.T) {
+	c := qt.New(t)
+	m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+	m.Event(start, 1)
+	probes := 0
+	for now := m.NextCheck(); now.Before(start.Add(10 * time.Second)); now = m.NextCheck() {
+		m.Check(now)
+		m.Probed(now, true, true)
+		m.NoSuccessor()
+		probes++
+	}
+	c.Check(probes <= 13, qt.IsTrue, qt.Commentf("%d probes in 10 s", probes))
+}
+
 // Pattern: engines crash again and again, and the retry budget permits some of the resumes.
 // Guards against giving it to streams that are late already, and against taking a stream without
 // an event for one that is late.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -45,7 +45,7 @@
 
 // Guards against responses that are lost or refused when only engines or the store fail.
 func TestEngineFailuresLoseNoRequest(t *testing.T) {
-	for _, name := range []string{"zone-lost", "zone-silent", "burst", "slow", "grey", "replaced", "store"} {
+	for _, name := range []string{"zone-lost", "zone-silent", "burst", "slow", "grey", "shrunk", "replaced", "store"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			product := simulateAll(t, name)["product"]
@@ -86,6 +86,20 @@
 	c.Check(Quantile(summaries["before"].FirstEvent, 1) > clientIdleTimeout, qt.IsTrue)
 }
 
+// Half of the engines leave under full load. Guards against streams that leave a live engine although
+// no other one has room: each move reads the prompt again and delays the streams that it joins, and
+// streams whose move found no target were lost.
+func TestOverloadedFleetKeepsStreams(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	summaries := simulateAll(t, "shrunk")
+	leavesFirst, product := summaries["leaves first"], summaries["product"]
+	c.Check(leavesFirst.Lost > 0, qt.IsTrue)
+	c.Check(product.Lost, qt.Equals, 0)
+	c.Check(product.OnTime > leavesFirst.OnTime, qt.IsTrue, qt.Commentf("on time: %d, leaving first %d", product.OnTime, leavesFirst.OnTime))
+	c.Check(product.WastedPrefillTokens < leavesFirst.WastedPrefillTokens/2, qt.IsTrue, qt.Commentf("wasted prefill tokens: %d, leaving first %d", product.WastedPrefillTokens, leavesFirst.WastedPrefillTokens))
+}
+
 // Guards against results that differ between runs with the same seed: a changed result must
 // mean a changed policy.
 func TestSimulationIsDeterministic(t *testing.T) {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -97,7 +97,7 @@
 	g.up = false
 	g.incarnation++
 	for _, s := range g.orderedStreams() {
-		s.endAttempt()
+		s.endAttempts()
 		s.done = true
 		c := s.client
 		g.sim.clock.after(clientDelay, func() { c.lost(s) })
@@ -186,12 +186,14 @@
 	g.fleet.MarkDown(now, reg.ID)
 	busy := map[string]bool{}
 	for _, s := range g.orderedStreams() {
-		if s.job == nil {
-			continue
-		}
-		busy[s.target.ID] = true
-		if s.target.ID == reg.ID {
-			s.apply(s.machine.AttemptFailed(now, relay.TargetDown))
+		for _, a := range []*attempt{s.successor, s.current} {
+			if a == nil || a.job == nil {
+				continue
+			}
+			busy[a.target.ID] = true
+			if a.target.ID == reg.ID {
+				a.failed(relay.TargetDown)
+			}
 		}
 	}
 	usable := func(id string) bool { return g.fleet.Usable(now, id) }
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -76,6 +76,11 @@
 			sim.at(8, func() { sim.forEngines(3, func(e *engine) { e.hangProbability = 0.45 }) })
 			sim.at(14.5, func() { sim.forEngines(3, func(e *engine) { e.hangProbability = 0 }) })
 		}},
+		{"shrunk", "half of the engines announce that they are leaving and stop 2 s later for good", func(sim *simulation) {
+			for i := 0; i < len(sim.engines); i += 2 {
+				sim.at(4+float64(i)/8, func() { sim.retire(sim.engines[i]) })
+			}
+		}},
 		{"replaced", "eight engines, one each second, announce that they are leaving, serve for 2 s and restart", func(sim *simulation) {
 			for i := range 8 {
 				sim.at(8+float64(i), func() { sim.restart(sim.engines[2*i]) })
@@ -124,6 +129,13 @@
 	}
 }
 
+// retire announces that an engine is leaving and stops it 2 s later.
+func (sim *simulation) retire(e *engine) {
+	e.leaving = true
+	sim.register(e)
+	sim.clock.after(2*time.Second+registrationDelay, func() { e.stop(false) })
+}
+
 // restart announces that an engine is leaving, stops it 2 s later and restarts it after
 // outageDuration.
 func (sim *simulation) restart(e *engine) {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -15,6 +15,8 @@
 	FindRuns bool
 	// StoreRuns keeps the run records in the store, so that they survive the loss of all gateways.
 	StoreRuns bool
+	// KeepUntilAccepted leaves a live engine only for a successor that has accepted the stream.
+	KeepUntilAccepted bool
 	// MoveLateStarts moves streams whose first event is late on a live engine.
 	MoveLateStarts bool
 }
@@ -33,12 +35,14 @@
 )
 
 // Policies returns the policies to compare: round robin, one that follows load reports, the
-// product before its latest change, and the product.
+// product before its first changes for these patterns, the product that leaves a live engine before
+// another one has accepted the stream, and the product.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "round robin"},
 		{Name: "by reports", Placement: LeastLoaded, Resume: true, Probe: true},
 		{Name: "before", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true},
-		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true},
+		{Name: "leaves first", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true},
+		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true},
 	}
 }
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -19,19 +19,31 @@
 	placementDeadline time.Time
 	done              bool
 	number            int
-	// The open attempt.
-	job           *job
+	// current is the attempt whose events go to the client, nil for none, and successor the one that
+	// was opened beside it.
+	current, successor *attempt
+	// placed is the target that the last placement chose.
+	placed  membership.Registration
+	checkID int
+	// copy is the cache copy left by the previous attempt, nil for none.
+	copy       *copyRef
+	warmTarget string
+}
+
+// attempt is one attempt of a stream at an engine.
+type attempt struct {
+	s             *stream
+	number        int
+	job           *job // nil until it was submitted and after the attempt has ended
 	engine        *engine
 	incarnation   int
 	streamID      uint64
 	target        membership.Registration
 	placement     relay.Placement
 	hasFirstEvent bool
-	checkID       int
 	// copy is the cache copy of the run, nil for none.
-	copy       *copyRef
-	warmTarget string
-	placedSize placement.GenerationSize
+	copy *copyRef
+	size placement.GenerationSize
 }
 
 // copyRef identifies a cache copy by the engine that holds it and its name there.
@@ -78,13 +90,14 @@
 }
 
 // publishRun sends the record of the run to the gateways that keep its replicas.
-func (s *stream) publishRun() {
+func (a *attempt) publishRun() {
+	s := a.s
 	if !s.gateway.sim.policy.FindRuns {
 		return
 	}
-	r := runindex.Record{Fingerprint: s.client.key, Source: s.target.ID}
-	if s.copy != nil {
-		r.Holder, r.Handle = s.copy.holder, s.copy.name
+	r := runindex.Record{Fingerprint: s.client.key, Source: a.target.ID}
+	if a.copy != nil {
+		r.Holder, r.Handle = a.copy.holder, a.copy.name
 	}
 	s.gateway.ownRecords[r.Fingerprint] = r
 	names := append(runindex.ReplicasFor(s.client.key, s.gateway.sim.gatewayNames(), s.gateway.name), s.gateway.name)
@@ -111,11 +124,23 @@
 			s.placementDeadline = s.gateway.sim.clock.now.Add(timeout)
 			s.chooseTarget(e)
 		case relay.StartAttempt:
-			s.startAttempt(e)
+			s.current = s.newAttempt(e)
+			s.current.start(e)
 		case relay.EndAttempt:
-			s.endAttempt()
+			s.endCurrent()
 		case relay.Probe:
-			s.probe()
+			s.current.probe()
+		case relay.SeekSuccessor:
+			s.seekSuccessor(e)
+		case relay.StartSuccessor:
+			s.successor = s.newAttempt(e.Start)
+			s.successor.start(e.Start)
+		case relay.EndSuccessor:
+			s.successor.end()
+			s.successor = nil
+		case relay.Switch:
+			s.endCurrent()
+			s.current, s.successor = s.successor, nil
 		case relay.Deliver:
 			number := int(s.machine.LastEvent())
 			s.gateway.sim.clock.after(clientDelay, func() { s.client.receive(s, number) })
@@ -136,8 +161,8 @@
 		copyHolder = s.copy.holder
 	}
 	if chosen, ok := s.gateway.chooseTarget(now, e.Exclude, copyHolder, s); ok {
-		s.target = chosen.Target
-		s.apply(s.machine.Placed(now, relay.Placement{Target: chosen.Target.ID, CopyTarget: chosen.Copy, Resume: chosen.FromCopy, ExpectedFirstEvent: chosen.Expected}))
+		s.placed = chosen.Target
+		s.apply(s.machine.Placed(now, relayPlacement(&chosen)))
 		return
 	}
 	if !now.Before(s.placementDeadline) || !now.Before(s.client.deadline) {
@@ -147,40 +172,73 @@
 	s.gateway.sim.clock.after(placementRetryInterval, func() { s.chooseTarget(e) })
 }
 
-// startAttempt sends the request to its target.
-func (s *stream) startAttempt(e relay.StartAttempt) {
-	sim := s.gateway.sim
-	target := sim.engineAt(s.target.Address)
-	s.placement, s.hasFirstEvent = e.Placement, false
-	s.placedSize = s.size
+func relayPlacement(chosen *placement.Placement) relay.Placement {
+	return relay.Placement{Target: chosen.Target.ID, CopyTarget: chosen.Copy, Resume: chosen.FromCopy, ExpectedFirstEvent: chosen.Expected}
+}
+
+// seekSuccessor looks for a target to which the stream can move from a live one. Without the policy
+// KeepUntilAccepted, the stream leaves its target first.
+func (s *stream) seekSuccessor(e relay.SeekSuccessor) {
+	now := s.gateway.sim.clock.now
+	if !s.gateway.sim.policy.KeepUntilAccepted {
+		s.apply(s.machine.AttemptFailed(now, e.Loss))
+		return
+	}
+	copyHolder := ""
+	if e.MayHaveCopy && s.current.copy != nil {
+		copyHolder = s.current.copy.holder
+	}
+	q := placement.FleetQuery{Service: service, Exclude: e.Exclude}
+	chosen, ok := s.gateway.fleet.PlaceSuccessor(now, q, copyHolder, s.size, s.gateway.sim.policy.CopyCaches, e.MaxExpected)
+	if !ok {
+		s.machine.NoSuccessor()
+		return
+	}
+	s.placed = chosen.Target
+	if chosen.FromCopy {
+		s.copy, s.current.copy = s.current.copy, nil
+	}
+	s.apply(s.machine.SuccessorPlaced(now, e.Loss, relayPlacement(&chosen)))
+}
+
+func (s *stream) newAttempt(e relay.StartAttempt) *attempt {
+	a := &attempt{s: s, number: s.machine.Attempts(), target: s.placed, placement: e.Placement, size: s.size}
 	if e.CopyHolder != "" {
-		s.placedSize = placement.GenerationSize{OutputTokens: s.size.PromptTokens + s.size.OutputTokens}
+		a.size = placement.GenerationSize{OutputTokens: s.size.PromptTokens + s.size.OutputTokens}
 	}
-	s.streamID = s.gateway.fleet.BeginStream(sim.clock.now, e.Placement.Target, e.Placement.CopyTarget, s.placedSize)
-	attempt := s.machine.Attempts()
-	current := func() bool { return !s.done && s.machine.Attempts() == attempt }
+	return a
+}
+
+// open reports whether the attempt has not ended.
+func (a *attempt) open() bool { return !a.s.done && (a.s.current == a || a.s.successor == a) }
+
+// start sends the request to its target.
+func (a *attempt) start(e relay.StartAttempt) {
+	s, sim := a.s, a.s.gateway.sim
+	target := sim.engineAt(a.target.Address)
+	a.streamID = s.gateway.fleet.BeginStream(sim.clock.now, e.Placement.Target, e.Placement.CopyTarget, a.size)
 	j := &job{
-		name: fmt.Sprintf("%d/%d/%d", s.client.number, s.number, attempt), key: s.client.key, prompt: s.client.prompt,
+		name: fmt.Sprintf("%d/%d/%d", s.client.number, s.number, a.number), key: s.client.key, prompt: s.client.prompt,
 		events: s.client.events, nextEvent: int(e.After) + 1, prefillTokens: &s.client.prefillTokens, copyTarget: sim.engineByID(e.Placement.CopyTarget),
 	}
 	if e.CopyHolder != "" {
 		j.resumeFrom = s.copy.name
 	}
 	j.deliver = func(kind signal, number int) {
-		if current() {
-			s.handleSignal(kind, number)
+		if a.open() {
+			a.handleSignal(kind, number)
 		}
 	}
 	fail := func(delay time.Duration, loss relay.Loss, targetDown bool) {
 		sim.clock.after(delay, func() {
-			if !current() {
+			if !a.open() {
 				return
 			}
 			if targetDown {
-				s.gateway.handleTargetDown(s.target)
+				s.gateway.handleTargetDown(a.target)
 			}
-			if current() {
-				s.apply(s.machine.AttemptFailed(sim.clock.now, loss))
+			if a.open() {
+				a.failed(loss)
 			}
 		})
 	}
@@ -189,140 +247,180 @@
 		fail(connectTimeout, relay.Unsent, sim.policy.Probe)
 	case !target.up:
 		fail(networkDelay, relay.Unsent, sim.policy.Probe)
-	case target.id() != s.target.ID:
-		s.gateway.fleet.MarkReplaced(sim.clock.now, s.target.ID)
+	case target.id() != a.target.ID:
+		s.gateway.fleet.MarkReplaced(sim.clock.now, a.target.ID)
 		fail(2*networkDelay, relay.Replaced, false)
 	default:
-		s.job, s.engine, s.incarnation = j, target, target.incarnation
-		if s.copy = nil; e.Placement.CopyTarget != "" {
-			s.copy = &copyRef{e.Placement.CopyTarget, j.name}
+		a.job, a.engine, a.incarnation = j, target, target.incarnation
+		if e.Placement.CopyTarget != "" {
+			a.copy = &copyRef{e.Placement.CopyTarget, j.name}
+		}
+		if s.successor == a {
+			s.machine.SuccessorSent(sim.clock.now)
 		}
 		sim.clock.after(networkDelay, func() {
-			if target.incarnation == s.incarnation {
+			if target.incarnation == a.incarnation {
 				target.submit(j)
 			}
 		})
 	}
-	s.scheduleCheck(attempt)
+	s.scheduleCheck()
 }
 
-func (s *stream) scheduleCheck(attempt int) {
+// failed reports the end of the attempt to the state machine.
+func (a *attempt) failed(loss relay.Loss) {
+	s := a.s
+	if s.successor == a {
+		s.machine.SuccessorFailed(loss)
+		a.end()
+		s.successor = nil
+		return
+	}
+	s.apply(s.machine.AttemptFailed(s.gateway.sim.clock.now, loss))
+}
+
+// scheduleCheck schedules the next check of the state machine in place of the scheduled one.
+func (s *stream) scheduleCheck() {
 	s.checkID++
 	id := s.checkID
 	s.gateway.sim.clock.after(s.machine.NextCheck().Sub(s.gateway.sim.clock.now), func() {
-		if s.done || s.checkID != id || s.machine.Attempts() != attempt {
+		if s.done || s.checkID != id {
 			return
 		}
-		effects := s.machine.Check(s.gateway.sim.clock.now)
-		s.apply(effects)
-		if len(effects) == 0 && !s.done {
-			s.scheduleCheck(attempt)
+		s.apply(s.machine.Check(s.gateway.sim.clock.now))
+		if !s.done && s.checkID == id {
+			s.scheduleCheck()
 		}
 	})
 }
 
-func (s *stream) handleSignal(kind signal, number int) {
-	now := s.gateway.sim.clock.now
+func (a *attempt) handleSignal(kind signal, number int) {
+	s, now := a.s, a.s.gateway.sim.clock.now
 	switch kind {
 	case signalEvent:
-		if !s.hasFirstEvent {
-			s.hasFirstEvent = true
-			s.gateway.fleet.RecordFirstEvent(now, s.target.ID, s.streamID)
-			s.publishRun()
-			s.maintainCopy(s.machine.Attempts())
+		if s.successor == a {
+			s.apply(s.machine.SuccessorEvent(now, uint64(number)))
+		} else {
+			s.apply(s.machine.Event(now, uint64(number)))
+		}
+		if !a.hasFirstEvent && s.current == a {
+			a.hasFirstEvent = true
+			s.gateway.fleet.RecordFirstEvent(now, a.target.ID, a.streamID)
+			a.publishRun()
+			a.maintainCopy()
 		}
-		s.apply(s.machine.Event(now, uint64(number)))
 		if !s.done {
-			s.scheduleCheck(s.machine.Attempts())
+			s.scheduleCheck()
 		}
 	case signalCompleted:
 		s.apply(s.machine.AttemptCompleted())
 	case signalRefused:
-		s.apply(s.machine.AttemptFailed(now, relay.Refused))
+		a.failed(relay.Refused)
 	case signalDisconnected:
 		if s.gateway.sim.policy.Probe {
-			s.gateway.probe(s.target, nil)
+			s.gateway.probe(a.target, nil)
 		}
-		s.apply(s.machine.AttemptFailed(now, relay.Interrupted))
+		a.failed(relay.Interrupted)
 	}
 }
 
-// probe checks whether the target of the open attempt is alive.
-func (s *stream) probe() {
-	attempt := s.machine.Attempts()
+// probe checks whether the target of the current attempt is alive.
+func (a *attempt) probe() {
+	s := a.s
 	if !s.gateway.sim.policy.Probe {
 		// Without probes, an inactive target counts as alive.
-		s.machine.Probed(s.gateway.sim.clock.now, true, false)
-		s.scheduleCheck(attempt)
+		s.apply(s.machine.Probed(s.gateway.sim.clock.now, true, false))
 		return
 	}
-	s.gateway.probe(s.target, func(alive bool) {
-		if s.done || s.machine.Attempts() != attempt {
+	s.gateway.probe(a.target, func(alive bool) {
+		if s.done || s.current != a {
 			return
 		}
-		s.apply(s.machine.Probed(s.gateway.sim.clock.now, alive, s.copy != nil))
-		if !s.done && s.machine.Attempts() == attempt {
-			s.scheduleCheck(attempt)
+		s.apply(s.machine.Probed(s.gateway.sim.clock.now, alive, a.copy != nil))
+		if !s.done {
+			s.scheduleCheck()
 		}
 	})
 }
 
 // maintainCopy checks the cache copy of the run periodically and creates a new one if it is lost.
-func (s *stream) maintainCopy(attempt int) {
-	if !s.gateway.sim.policy.CopyCaches {
+func (a *attempt) maintainCopy() {
+	if !a.s.gateway.sim.policy.CopyCaches {
 		return
 	}
-	s.gateway.sim.clock.after(copyCheckInterval, func() {
-		if s.done || s.machine.Attempts() != attempt || s.job == nil {
+	a.s.gateway.sim.clock.after(copyCheckInterval, func() {
+		if !a.open() || a.job == nil {
 			return
 		}
-		now := s.gateway.sim.clock.now
-		if s.copy == nil || !s.gateway.fleet.CanHoldCopy(now, s.copy.holder) {
-			q := placement.FleetQuery{Service: service, Exclude: []string{s.target.ID}, AvoidZone: s.target.Zone}
-			if reg, ok := s.gateway.fleet.ChooseCopy(now, q, s.size); ok {
-				s.createCopy(attempt, reg)
+		now, fleet := a.s.gateway.sim.clock.now, a.s.gateway.fleet
+		if a.copy == nil || !fleet.CanHoldCopy(now, a.copy.holder) {
+			q := placement.FleetQuery{Service: service, Exclude: []string{a.target.ID}, AvoidZone: a.target.Zone}
+			if reg, ok := fleet.ChooseCopy(now, q, a.s.size); ok {
+				a.createCopy(reg)
 			}
 		}
-		s.maintainCopy(attempt)
+		a.maintainCopy()
 	})
 }
 
-func (s *stream) createCopy(attempt int, reg membership.Registration) {
-	s.copy = nil
-	holder, source, j := s.gateway.sim.engineByID(reg.ID), s.engine, s.job
-	s.gateway.sim.clock.after(copyCreationTime, func() {
-		if s.done || s.machine.Attempts() != attempt || source.incarnation != s.incarnation || holder == nil {
+func (a *attempt) createCopy(reg membership.Registration) {
+	a.copy = nil
+	sim := a.s.gateway.sim
+	holder, source, j := sim.engineByID(reg.ID), a.engine, a.job
+	sim.clock.after(copyCreationTime, func() {
+		if !a.open() || source.incarnation != a.incarnation || holder == nil {
 			return
 		}
 		if holder.storeCopy(j.name, j.memory()) {
 			j.copyTarget = holder
 			source.startCopy(j)
-			s.copy = &copyRef{reg.ID, j.name}
-			s.publishRun()
+			a.copy = &copyRef{reg.ID, j.name}
+			a.publishRun()
 		}
 	})
 }
 
-// endAttempt ends the open attempt and cancels its job.
-func (s *stream) endAttempt() {
-	if s.streamID != 0 {
-		s.gateway.fleet.EndStream(s.gateway.sim.clock.now, s.placement.Target, s.placement.CopyTarget, s.streamID, s.placedSize, false)
-		s.streamID = 0
+// endCurrent ends the current attempt and keeps the copy that it leaves.
+func (s *stream) endCurrent() {
+	s.current.end()
+	if s.current.engine != nil {
+		s.copy = s.current.copy
+	}
+	s.current = nil
+}
+
+// end ends the attempt and cancels its job.
+func (a *attempt) end() {
+	clock, fleet := a.s.gateway.sim.clock, a.s.gateway.fleet
+	if a.streamID != 0 {
+		fleet.EndStream(clock.now, a.placement.Target, a.placement.CopyTarget, a.streamID, a.size, false)
+		a.streamID = 0
 	}
-	if s.job == nil {
+	if a.job == nil {
 		return
 	}
-	j, engine, incarnation := s.job, s.engine, s.incarnation
-	s.job = nil
-	s.gateway.sim.clock.after(networkDelay, func() {
-		if engine.incarnation == incarnation {
-			engine.cancel(j)
+	j := a.job
+	a.job = nil
+	clock.after(networkDelay, func() {
+		if a.engine.incarnation == a.incarnation {
+			a.engine.cancel(j)
 		}
 	})
 }
 
+// endAttempts ends the open attempts.
+func (s *stream) endAttempts() {
+	if s.successor != nil {
+		s.successor.end()
+		s.successor = nil
+	}
+	if s.current != nil {
+		s.endCurrent()
+	}
+}
+
 func (s *stream) finish(outcome relay.Outcome) {
-	s.endAttempt()
+	s.endAttempts()
 	s.done = true
 	delete(s.gateway.streams, s)
 	delete(s.gateway.ownRecords, s.client.key)
--- a/internal/gateway/cache_copies.go
+++ b/internal/gateway/cache_copies.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bramleygap/internal/core/placement"
-	"bramleygap/internal/core/relay"
 	"bramleygap/internal/gateway/target"
 )
 
@@ -29,14 +28,14 @@
 // requests a new copy on another engine: without a copy, the loss of the run's engine would
 // require processing the whole prompt again.
 type copyManager struct {
+	a         *attempt
 	s         *stream
-	placement relay.Placement
 	ctx       context.Context
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 	started   chan struct{}
 	startOnce sync.Once
-	// current is the current copy, nil for none. It is changed only by run.
+	// current is the current copy, nil for none. Only run and markUsed change it.
 	current atomic.Pointer[CacheCopy]
 	// requested is set if the gateway requested the current copy. It is owned by run; stop reads
 	// it after run has returned.
@@ -46,47 +45,49 @@
 	recorded     bool
 }
 
-// manageCopy starts maintaining the copy of an attempt. copyAddress is the address of the engine
-// that is to hold the copy.
-func (s *stream) manageCopy(placed relay.Placement, copyAddress string) *copyManager {
-	m := &copyManager{s: s, placement: placed, started: make(chan struct{})}
-	if placed.CopyTarget != "" {
-		m.current.Store(&CacheCopy{Holder: placed.CopyTarget, Address: copyAddress, Handle: s.req.head.ID})
-	}
-	m.ctx, m.cancel = context.WithCancel(s.req.ctx)
-	s.copies = m
-	if s.req.route.Resumable {
+// manageCopy starts maintaining the copy of an attempt.
+func (a *attempt) manageCopy() *copyManager {
+	m := &copyManager{a: a, s: a.s, started: make(chan struct{})}
+	if holder := a.start.Placement.CopyTarget; holder != "" {
+		m.current.Store(&CacheCopy{Holder: holder, Address: a.copyTarget, Handle: a.s.req.head.ID})
+	}
+	m.ctx, m.cancel = context.WithCancel(a.s.req.ctx)
+	if a.s.req.route.Resumable {
 		m.tasks.Go(m.run)
 	}
 	return m
 }
 
+// markUsed records that the current copy was used, so that another one is made.
+func (m *copyManager) markUsed() { m.current.Store(nil) }
+
 // markStarted signals that the run has produced its first event. Before, there is no KV cache to
 // copy.
 func (m *copyManager) markStarted() { m.startOnce.Do(func() { close(m.started) }) }
 
-// stop ends the maintenance and hands the copy over to the next attempt. If the stream has ended,
-// it releases a requested copy instead.
-func (m *copyManager) stop() {
+// stop ends the maintenance and returns the copy. If the stream has ended, it releases a requested
+// copy.
+func (m *copyManager) stop() *CacheCopy {
 	m.cancel()
 	m.tasks.Wait()
-	m.s.cacheCopy = m.current.Load()
-	if m.requested && m.s.machine.Done() {
-		m.s.g.background(m.release)
+	left := m.current.Load()
+	if m.requested && left != nil && m.s.machine.Done() {
+		m.s.g.background(func() { m.release(left) })
 	}
+	return left
 }
 
 // release frees a requested copy, which would otherwise occupy memory until it expires.
-func (m *copyManager) release() {
-	request := m.s.g.options.Protocol.EncodeCopyRelease(m.current.Load().Handle)
-	response, err := m.s.g.pool.Do(m.s.g.ctx, m.current.Load().Address, &request, copyRequestTimeout)
+func (m *copyManager) release(left *CacheCopy) {
+	request := m.s.g.options.Protocol.EncodeCopyRelease(left.Handle)
+	response, err := m.s.g.pool.Do(m.s.g.ctx, left.Address, &request, copyRequestTimeout)
 	if err != nil {
-		m.s.req.log.Debug().Str("target", m.current.Load().Holder).Err(err).Msg("KV cache copy not released; it occupies memory until it expires")
+		m.s.req.log.Debug().Str("target", left.Holder).Err(err).Msg("KV cache copy not released; it occupies memory until it expires")
 		return
 	}
 	m.s.g.metrics.copyOrders.WithLabelValues("released").Inc()
 	if response.Status >= http.StatusMultipleChoices {
-		m.s.req.log.Debug().Str("target", m.current.Load().Holder).Int("status", response.Status).Msg("engine refused to release the KV cache copy; it may have expired")
+		m.s.req.log.Debug().Str("target", left.Holder).Int("status", response.Status).Msg("engine refused to release the KV cache copy; it may have expired")
 	}
 }
 
@@ -119,7 +120,7 @@
 		return
 	}
 	m.recorded, m.recordedCopy = true, current
-	m.s.g.recordRun(m.s.req, m.placement.Target, current)
+	m.s.g.recordRun(m.s.req, m.a.reg.ID, current)
 }
 
 func (m *copyManager) lifetime() time.Duration {
@@ -145,8 +146,8 @@
 		if !st.supportsCopies(m.s.req.service) {
 			return holder{}
 		}
-		source, _ := st.fleet.Target(m.placement.Target)
-		q := placement.FleetQuery{Service: m.s.req.service, Version: source.Version, Exclude: []string{m.placement.Target}, AvoidZone: source.Zone}
+		source, _ := st.fleet.Target(m.a.reg.ID)
+		q := placement.FleetQuery{Service: m.s.req.service, Version: source.Version, Exclude: []string{m.a.reg.ID}, AvoidZone: source.Zone}
 		reg, ok := st.fleet.ChooseCopy(now, q, m.s.prompt)
 		if !ok {
 			return holder{}
@@ -161,7 +162,7 @@
 
 // requestCopy makes or refreshes a copy on a target.
 func (m *copyManager) requestCopy(id, address string) {
-	source := m.s.reg.Address
+	source := m.a.reg.Address
 	request := m.s.g.options.Protocol.EncodeCopyRequest(m.s.req.head.ID, address)
 	response, err := m.s.g.pool.Do(m.ctx, source, &request, copyRequestTimeout)
 	if m.ctx.Err() != nil {
@@ -179,7 +180,7 @@
 		return
 	}
 	if previous := m.current.Load(); previous == nil || previous.Handle != handle {
-		m.s.req.log.Info().Str("target", id).Str("source", m.s.reg.ID).Msg("KV cache copied to another engine")
+		m.s.req.log.Info().Str("target", id).Str("source", m.a.reg.ID).Msg("KV cache copied to another engine")
 	}
 	m.current.Store(&CacheCopy{Holder: id, Address: source, Handle: handle})
 	m.requested = true
--- /dev/null
+++ b/internal/gateway/stream_attempt.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/relay"
+	"bramleygap/internal/gateway/target"
+)
+
+// maxFailureBytes limits the body of a failure in place of a stream.
+const maxFailureBytes = 256 << 10
+
+// attemptHandle is how the event loop identifies and interrupts an open attempt at a target.
+type attemptHandle struct {
+	fingerprint uint64
+	// sent is set before the request is written. Until then, the request cannot have crashed
+	// the target.
+	sent        atomic.Bool
+	interrupted atomic.Bool
+	cancel      context.CancelFunc
+}
+
+// interrupt cancels the attempt because its target is down.
+func (h *attemptHandle) interrupt() {
+	h.interrupted.Store(true)
+	h.cancel()
+}
+
+// attempt is one attempt of a stream at a target. Its task owns the connection and sends messages to
+// the task of the stream, which owns the other fields.
+type attempt struct {
+	chosenTarget
+	s          *stream
+	start      relay.StartAttempt
+	number     int
+	handle     *attemptHandle
+	startedAt  time.Time
+	copies     *copyManager
+	size       placement.GenerationSize
+	streamID   uint64
+	copyTarget string // address of the engine that is to hold the next copy, empty for none
+	// response is set before the first event or failure is sent.
+	response TargetResponse
+	// firstEventAt is when the first event arrived, zero before.
+	firstEventAt time.Time
+	// dropped counts the bytes of events that did not continue the stream since the last that did.
+	dropped int
+	// processed receives a value when the stream has processed an event, and ended is closed when
+	// the stream has ended the attempt.
+	processed chan struct{}
+	ended     chan struct{}
+}
+
+type attemptMessageKind int
+
+const (
+	attemptSent attemptMessageKind = iota + 1
+	attemptEvent
+	attemptCompleted
+	attemptFailed
+	attemptProbed
+)
+
+// attemptMessage is a message from an attempt to its stream.
+type attemptMessage struct {
+	attempt *attempt
+	kind    attemptMessageKind
+	at      time.Time
+	// event is valid until the stream acknowledges it.
+	event       target.Event
+	loss        relay.Loss
+	failureBody []byte
+	alive       bool
+}
+
+// startAttempt starts an attempt at the target of the last placement.
+func (s *stream) startAttempt(e relay.StartAttempt) *attempt {
+	ctx, cancel := context.WithCancel(s.req.ctx)
+	a := &attempt{
+		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
+		handle:    &attemptHandle{fingerprint: s.req.fingerprint, cancel: cancel},
+		processed: make(chan struct{}, 1), ended: make(chan struct{}),
+	}
+	if e.CopyHolder != "" {
+		// The copy contains nearly all of the processed prompt.
+		a.size = placement.GenerationSize{OutputTokens: s.prompt.PromptTokens + s.prompt.OutputTokens}
+	}
+	a.streamID, a.copyTarget = s.beginAttempt(a)
+	s.g.background(func() {
+		defer cancel()
+		a.run(ctx)
+	})
+	return a
+}
+
+// beginAttempt records an attempt in the event loop. It returns the id of the stream in the fleet and
+// the address of the engine that is to hold the copy.
+func (s *stream) beginAttempt(a *attempt) (streamID uint64, copyTarget string) {
+	type begun struct {
+		streamID   uint64
+		copyTarget string
+	}
+	b := query(s.g.ctx, s.g.loop, func(st *state) begun {
+		placed := a.start.Placement
+		result := begun{streamID: st.fleet.BeginStream(time.Now(), placed.Target, placed.CopyTarget, a.size)}
+		if copyTarget, ok := st.fleet.Target(placed.CopyTarget); ok {
+			result.copyTarget = copyTarget.Address
+		}
+		st.addAttempt(placed.Target, a.handle)
+		st.inflightStreams[s.req.service]++
+		return result
+	})
+	return b.streamID, b.copyTarget
+}
+
+// becomeCurrent is called when the attempt becomes the stream's current one.
+func (a *attempt) becomeCurrent() { a.copies = a.manageCopy() }
+
+// end closes the connection and records the outcome. loss is 0 if the attempt did not fail.
+func (a *attempt) end(loss relay.Loss) {
+	close(a.ended)
+	a.handle.cancel()
+	latency := time.Duration(0)
+	if !a.firstEventAt.IsZero() {
+		latency = a.firstEventAt.Sub(a.startedAt)
+	}
+	failed := loss != 0 && loss != relay.Refused
+	s, placed := a.s, a.start.Placement
+	s.g.loop.post(s.g.ctx, func(st *state) {
+		now := time.Now()
+		if a.tookRepeat && loss == relay.Unsent {
+			s.g.loop.budget(st, now, s.req.service).Refund()
+		}
+		// The outcome of an attempt says nothing about the version if its target was marked down,
+		// for example with its zone, or if it continued from a copy.
+		if a.start.CopyHolder == "" && !a.handle.interrupted.Load() && (failed || latency > 0) {
+			st.observeAttempt(now, a.reg, s.req.route.Name, latency, failed)
+		}
+		if loss == relay.Replaced {
+			st.fleet.MarkReplaced(now, a.reg.ID)
+		}
+		st.fleet.EndStream(now, placed.Target, placed.CopyTarget, a.streamID, a.size, failed)
+		st.removeAttempt(placed.Target, a.handle)
+		st.inflightStreams[s.req.service]--
+	})
+}
+
+// recordFirstEvent records the first event of the attempt.
+func (a *attempt) recordFirstEvent(at time.Time) {
+	if !a.firstEventAt.IsZero() {
+		return
+	}
+	a.firstEventAt = at
+	a.s.g.loop.post(a.s.g.ctx, func(st *state) { st.fleet.RecordFirstEvent(at, a.start.Placement.Target, a.streamID) })
+	a.s.req.observeFirstEvent(at)
+}
+
+// acknowledge lets the attempt read the next event.
+func (a *attempt) acknowledge() { a.processed <- struct{}{} }
+
+// send sends a message to the stream unless the stream has ended the attempt.
+func (a *attempt) send(m attemptMessage) {
+	m.attempt, m.at = a, time.Now()
+	select {
+	case a.s.messages <- m:
+	case <-a.ended:
+	}
+}
+
+// run sends the request and relays the response until the attempt ends.
+func (a *attempt) run(ctx context.Context) {
+	s := a.s
+	conn, err := s.g.pool.Dial(ctx, a.reg.Address)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.g.handleDialError(a.reg, err)
+		}
+		a.send(attemptMessage{kind: attemptFailed, loss: relay.Unsent})
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	a.handle.sent.Store(true)
+	sent, err := conn.Send(s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&Attempt{
+		Request: &s.req.head, Target: a.reg, Account: s.req.account, Timeout: time.Until(s.req.deadline),
+		LastEventID: a.start.After, Priority: -1, CopyTo: a.copyTarget, CopyFrom: a.resumeFrom,
+	})))
+	if err != nil && !sent {
+		a.send(attemptMessage{kind: attemptFailed, loss: relay.Unsent})
+		return
+	}
+	if err == nil {
+		a.send(attemptMessage{kind: attemptSent})
+		err = a.receive(conn)
+	}
+	if err != nil {
+		a.connectionLost(err)
+	}
+}
+
+// receive reads the response and sends what it means to the stream. It returns an error if the
+// connection fails before the end of the response.
+func (a *attempt) receive(conn *target.Conn) error {
+	response, err := conn.Receive(a.s.req.head.Method)
+	if err != nil {
+		return err
+	}
+	a.response = a.s.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
+	if loss, body := a.checkResponse(response); loss != 0 {
+		a.send(attemptMessage{kind: attemptFailed, loss: loss, failureBody: body})
+		return nil
+	}
+	reader := target.NewEventReader(response.Body)
+	for {
+		event, err := reader.Read()
+		if errors.Is(err, io.EOF) {
+			a.send(attemptMessage{kind: attemptCompleted})
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		a.send(attemptMessage{kind: attemptEvent, event: event})
+		select {
+		case <-a.processed:
+		case <-a.ended:
+			return nil
+		}
+	}
+}
+
+// checkResponse returns how the attempt failed according to its response, or 0 if it did not, and the
+// body of a failure.
+func (a *attempt) checkResponse(response *http.Response) (relay.Loss, []byte) {
+	switch {
+	case a.response.InstanceMismatch:
+		return relay.Replaced, nil
+	case a.response.NotRun:
+		return relay.Refused, nil
+	case a.response.RequestID != a.s.req.head.ID:
+		return relay.Interrupted, nil
+	case a.response.Status != http.StatusOK:
+		body, err := io.ReadAll(io.LimitReader(response.Body, maxFailureBytes+1))
+		if err != nil || len(body) > maxFailureBytes {
+			return relay.Interrupted, nil
+		}
+		return relay.Failed, body
+	case !a.response.Signed:
+		return relay.Interrupted, nil
+	}
+	return 0, nil
+}
+
+// connectionLost handles an attempt that ended because of a connection error.
+func (a *attempt) connectionLost(err error) {
+	if a.handle.interrupted.Load() {
+		a.send(attemptMessage{kind: attemptFailed, loss: relay.TargetDown})
+		return
+	}
+	select {
+	case <-a.ended:
+		return
+	case <-a.s.req.ctx.Done():
+		return
+	default:
+	}
+	a.s.req.log.Debug().Str("target", a.reg.ID).Err(err).Msg("connection to target failed; probing the target")
+	a.s.g.probeTarget(a.reg)
+	a.send(attemptMessage{kind: attemptFailed, loss: relay.Interrupted})
+}
+
+// probe probes the target in the background, logs what its report says of the run, and sends the
+// result to the stream.
+func (a *attempt) probe() {
+	lastEvent, expected := a.s.machine.LastEvent(), a.s.machine.ExpectedFirstEvent()
+	silence := a.s.machine.Silence(time.Now())
+	a.s.g.background(func() {
+		response, alive := a.s.g.probeTarget(a.reg)
+		event := a.s.req.log.Info().Str("target", a.reg.ID).Bool("alive", alive).Uint64("last_event", lastEvent).
+			Dur("silence", silence).Dur("expected", expected)
+		if alive {
+			report, err := a.s.g.options.Protocol.DecodeReport(response.Body)
+			event = event.AnErr("error", err).Int("queued", report.Queued).Int("running", report.Running).
+				Int("memory", report.MemoryUsed).Int("capacity", report.Capacity)
+			for _, run := range report.Runs {
+				if run.RequestID == a.s.req.head.ID {
+					event = event.Uint64("run_event", run.LastEvent)
+				}
+			}
+		}
+		event.Msg("target sent no events; probed it")
+		a.send(attemptMessage{kind: attemptProbed, alive: alive})
+	})
+}
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,11 +51,6 @@
 	headBytes   int
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
-	// OnIdle, if set, is called when no data has arrived until IdleDeadline. If it returns an
-	// error, the read ends with that error.
-	OnIdle func() error
-	// IdleDeadline returns the time of the next call of OnIdle.
-	IdleDeadline func() time.Time
 	// bodyWritten is closed when the concurrent write of the body has ended with writeErr. It is
 	// nil if the body was not written concurrently.
 	bodyWritten chan struct{}
@@ -99,13 +93,12 @@
 	return conn, nil
 }
 
-// Read implements io.Reader. If OnIdle is set, a pause does not end the read with a timeout,
-// because the decoders that read from the connection cannot continue after an error.
+// Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.readingHead && c.headBytes >= maxHeadBytes {
 		return 0, ErrHeadTooLong
 	}
-	n, err := c.read(p)
+	n, err := c.Conn.Read(p)
 	c.onBytes(n, 0)
 	c.headBytes += n
 	return n, err
@@ -118,24 +111,6 @@
 	return n, err
 }
 
-func (c *Conn) read(p []byte) (int, error) {
-	for {
-		if c.OnIdle == nil {
-			return c.Conn.Read(p)
-		}
-		if err := c.SetReadDeadline(c.IdleDeadline()); err != nil {
-			return 0, err
-		}
-		n, err := c.Conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, err
-		}
-		if err := c.OnIdle(); err != nil {
-			return 0, err
-		}
-	}
-}
-
 // takeIdle returns the most recently used idle connection that is usable, nil if there is none.
 // It closes the unusable connections that it finds.
 func (p *Pool) takeIdle(address string, maxIdle time.Duration) *Conn {
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -139,33 +137,3 @@
 	c.Check(err, qt.IsNotNil)
 	c.Check(sent, qt.IsTrue)
 }
-
-// Guards against a pause that ends a read: decoders that read from the connection cannot
-// continue after an error.
-func TestReadContinuesAfterIdle(t *testing.T) {
-	c := qt.New(t)
-	address := startServer(t, func(conn net.Conn) {
-		_, _ = http.ReadRequest(bufio.NewReader(conn))
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab")
-		time.Sleep(100 * time.Millisecond)
-		_, _ = fmt.Fprint(conn, "cd\r\n0\r\n\r\n")
-	})
-	pool := NewPool(func() {}, func(int, int) {})
-	conn, err := pool.Dial(t.Context(), address)
-	c.Assert(err, qt.IsNil)
-	idles := 0
-	conn.IdleDeadline = func() time.Time { return time.Now().Add(10 * time.Millisecond) }
-	conn.OnIdle = func() error { idles++; return nil }
-	_, err = conn.Send(getRequest())
-	c.Assert(err, qt.IsNil)
-	response, err := conn.Receive(http.MethodGet)
-	c.Assert(err, qt.IsNil)
-	body, err := io.ReadAll(response.Body)
-	c.Assert(err, qt.IsNil)
-	c.Check(string(body), qt.Equals, "abcd")
-	c.Check(idles > 0, qt.IsTrue)
-	errAborted := errors.New("aborted")
-	conn.OnIdle = func() error { return errAborted }
-	_, err = conn.Read(make([]byte, 1))
-	c.Check(errors.Is(err, errAborted) || errors.Is(err, io.EOF), qt.IsTrue)
-}
