Count requested KV cache copies at their holder

Change: the fleet moves the copy to its new holder, and the end of the attempt releases it there. The emulator does the same.

TestMovedCopyIsCounted states the count; before, there was no call to move a copy.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -352,12 +352,31 @@
 		}
 		t.prefillEnd = start.Add(prefillTime(size.PromptTokens, t.slowness.get(now)))
 	}
-	if t := f.targets[copyHolder]; t != nil {
+	f.addCopy(id, copyHolder, size)
+	return f.nextStreamID
+}
+
+// MoveCopy records that the copy of a generation at the target id is at another holder than before.
+// Both holders may be empty. EndStream expects the last one.
+func (f *Fleet) MoveCopy(id, from, to string, size GenerationSize) {
+	f.removeCopy(id, from, size)
+	f.addCopy(id, to, size)
+}
+
+func (f *Fleet) addCopy(id, holder string, size GenerationSize) {
+	if t := f.targets[holder]; t != nil {
 		t.copies++
 		t.copyMemory += size.memory()
 		t.copiesBySourceZone[f.zoneOf(id)]++
 	}
-	return f.nextStreamID
+}
+
+func (f *Fleet) removeCopy(id, holder string, size GenerationSize) {
+	if t := f.targets[holder]; t != nil && t.copies > 0 {
+		t.copies--
+		t.copyMemory = max(0, t.copyMemory-size.memory())
+		t.copiesBySourceZone[f.zoneOf(id)] = max(0, t.copiesBySourceZone[f.zoneOf(id)]-1)
+	}
 }
 
 // RecordFirstEvent records that a generation produced its first event and updates the
@@ -394,11 +413,7 @@
 			t.prefillEnd = now
 		}
 	}
-	if t := f.targets[copyHolder]; t != nil && t.copies > 0 {
-		t.copies--
-		t.copyMemory = max(0, t.copyMemory-size.memory())
-		t.copiesBySourceZone[f.zoneOf(id)] = max(0, t.copiesBySourceZone[f.zoneOf(id)]-1)
-	}
+	f.removeCopy(id, copyHolder, size)
 }
 
 func (f *Fleet) zoneOf(id string) string {
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -277,3 +277,19 @@
 		f.EndStream(at, id, "", f.BeginStream(at, id, "", typicalSize), typicalSize, true)
 	}
 }
+
+// Scenario: the holder of a copy is lost and another engine gets a new one. Guards against memory that
+// is occupied there and not counted, so that the engine is filled beyond its memory.
+func TestMovedCopyIsCounted(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g", engines(3))
+	id := f.BeginStream(now, "e00", "e01", typicalSize)
+	f.MoveCopy("e00", "e01", "e02", typicalSize)
+	c.Check(f.Load(now, "e01"), qt.Equals, Load{})
+	c.Check(f.Load(now, "e02"), qt.Equals, Load{Memory: typicalSize.memory(), Copies: 1})
+	c.Check(f.LocalLoads(now)["e02"].Memory, qt.Equals, typicalSize.memory())
+	f.EndStream(now, "e00", "e02", id, typicalSize, false)
+	c.Check(f.LocalLoads(now), qt.HasLen, 0)
+	f.MoveCopy("e00", "", "e01", typicalSize)
+	c.Check(f.Load(now, "e01").Copies, qt.Equals, 1)
+}
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -43,7 +43,9 @@
 	hasFirstEvent bool
 	// copy is the cache copy of the run, nil for none.
 	copy *copyRef
-	size placement.GenerationSize
+	// copyHolder is the engine at which the fleet counts the copy, empty for none.
+	copyHolder string
+	size       placement.GenerationSize
 }
 
 // copyRef identifies a cache copy by the engine that holds it and its name there.
@@ -202,7 +204,7 @@
 }
 
 func (s *stream) newAttempt(e relay.StartAttempt) *attempt {
-	a := &attempt{s: s, number: s.machine.Attempts(), target: s.placed, placement: e.Placement, size: s.size}
+	a := &attempt{s: s, number: s.machine.Attempts(), target: s.placed, placement: e.Placement, copyHolder: e.Placement.CopyTarget, size: s.size}
 	if e.CopyHolder != "" {
 		a.size = placement.GenerationSize{OutputTokens: s.size.PromptTokens + s.size.OutputTokens}
 	}
@@ -375,6 +377,8 @@
 			j.copyTarget = holder
 			source.startCopy(j)
 			a.copy = &copyRef{reg.ID, j.name}
+			a.s.gateway.fleet.MoveCopy(a.target.ID, a.copyHolder, reg.ID, a.size)
+			a.copyHolder = reg.ID
 			a.publishRun()
 		}
 	})
@@ -393,7 +397,7 @@
 func (a *attempt) end() {
 	clock, fleet := a.s.gateway.sim.clock, a.s.gateway.fleet
 	if a.streamID != 0 {
-		fleet.EndStream(clock.now, a.placement.Target, a.placement.CopyTarget, a.streamID, a.size, false)
+		fleet.EndStream(clock.now, a.placement.Target, a.copyHolder, a.streamID, a.size, false)
 		a.streamID = 0
 	}
 	if a.job == nil {
--- a/internal/gateway/cache_copies.go
+++ b/internal/gateway/cache_copies.go
@@ -184,6 +184,17 @@
 	}
 	m.current.Store(&CacheCopy{Holder: id, Address: source, Handle: handle})
 	m.requested = true
+	m.countCopy(id)
+}
+
+// countCopy lets the fleet count the copy at its new holder.
+func (m *copyManager) countCopy(holder string) {
+	previous, source, size := m.a.copyHolder, m.a.reg.ID, m.a.size
+	if previous == holder {
+		return
+	}
+	m.a.copyHolder = holder
+	m.s.g.loop.post(m.s.g.ctx, func(st *state) { st.fleet.MoveCopy(source, previous, holder, size) })
 }
 
 func copyOutcome(response target.Response, err error) string {
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -36,14 +36,17 @@
 // the task of the stream, which owns the other fields.
 type attempt struct {
 	chosenTarget
-	s          *stream
-	start      relay.StartAttempt
-	number     int
-	handle     *attemptHandle
-	startedAt  time.Time
-	copies     *copyManager
-	size       placement.GenerationSize
-	streamID   uint64
+	s         *stream
+	start     relay.StartAttempt
+	number    int
+	handle    *attemptHandle
+	startedAt time.Time
+	copies    *copyManager
+	size      placement.GenerationSize
+	streamID  uint64
+	// copyHolder is the target at which the fleet counts the copy, empty for none. Its owner is the
+	// copy manager while that runs.
+	copyHolder string
 	copyTarget string // address of the engine that is to hold the next copy, empty for none
 	// response is set before the first event or failure is sent.
 	response TargetResponse
@@ -84,8 +87,9 @@
 	ctx, cancel := context.WithCancel(s.req.ctx)
 	a := &attempt{
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
-		handle:    &attemptHandle{fingerprint: s.req.fingerprint, cancel: cancel},
-		processed: make(chan struct{}, 1), ended: make(chan struct{}),
+		copyHolder: e.Placement.CopyTarget,
+		handle:     &attemptHandle{fingerprint: s.req.fingerprint, cancel: cancel},
+		processed:  make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	if e.CopyHolder != "" {
 		// The copy contains nearly all of the processed prompt.
@@ -131,7 +135,7 @@
 		latency = a.firstEventAt.Sub(a.startedAt)
 	}
 	failed := loss != 0 && loss != relay.Refused
-	s, placed := a.s, a.start.Placement
+	s, placed, copyHolder := a.s, a.start.Placement, a.copyHolder
 	s.g.loop.post(s.g.ctx, func(st *state) {
 		now := time.Now()
 		if a.tookRepeat && loss == relay.Unsent {
@@ -145,7 +149,7 @@
 		if loss == relay.Replaced {
 			st.fleet.MarkReplaced(now, a.reg.ID)
 		}
-		st.fleet.EndStream(now, placed.Target, placed.CopyTarget, a.streamID, a.size, failed)
+		st.fleet.EndStream(now, placed.Target, copyHolder, a.streamID, a.size, failed)
 		st.removeAttempt(placed.Target, a.handle)
 		st.inflightStreams[s.req.service]--
 	})
