Add no KV cache copies while the engines' memory is short

Callers waited seconds for their first event, and prompts were read again and again, on a fleet that had engines enough for its runs.

Cause: every run gets a copy of its KV cache, which occupies as much memory as the run and cannot be evicted. When half of the engines of grown otaru leave, runs and copies together do not fit. The runs wait for memory, pass the limits for a first event, move and read their prompts again.

Change: no copy is added or requested while more than 0.7 of the memory of a service's usable engines is reserved.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -300,3 +300,18 @@
 	memory, _, _ := f.totalLoad(now, t)
 	return t.memoryCapacity == 0 || memory+tokens <= t.memoryCapacity
 }
+
+// CopiesFit reports whether the engines of a service have memory for KV cache copies beside the runs
+// that are to be expected. A copy occupies as much memory as a run until the run ends, and cannot be
+// evicted.
+func (f *Fleet) CopiesFit(now time.Time, service string) bool {
+	reserved, capacity := 0, 0
+	for _, t := range f.order {
+		if t.reg.Service != service || !t.usable(now) {
+			continue
+		}
+		memory, _, _ := f.totalLoad(now, t)
+		reserved, capacity = reserved+memory, capacity+t.memoryCapacity
+	}
+	return float64(reserved) <= copyMemoryFraction*float64(capacity) || capacity == 0
+}
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -41,6 +41,10 @@
 	// sameZoneCopyCost is the cost of each copy at a candidate whose stream runs in the same
 	// zone as the stream to be copied: if that zone is lost, they all resume at once.
 	sameZoneCopyCost = 120 * time.Millisecond
+	// copyMemoryFraction is the fraction of the engines' memory, reserved for runs and copies, above
+	// which no copies are added. With the copies, the runs of an overloaded fleet would have to wait
+	// for memory, and each loss would be followed by fewer places to resume at.
+	copyMemoryFraction = 0.7
 	// lastResortCost is the cost of a candidate whose memory would overflow, which preempts
 	// generations, or whose failure rate exceeds failureThreshold.
 	lastResortCost = 20 * time.Second
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -293,3 +293,24 @@
 	f.MoveCopy("e00", "", "e01", typicalSize)
 	c.Check(f.Load(now, "e01").Copies, qt.Equals, 1)
 }
+
+// Load pattern: half of the engines have left under full load. Guards against copies that take the
+// memory of the runs: streams waited for memory, moved and read their prompts again.
+func TestNoCopiesWhileMemoryIsShort(t *testing.T) {
+	c := qt.New(t)
+	list := engines(4)
+	f := newFleet("g", list)
+	c.Check(f.CopiesFit(now, "s"), qt.IsTrue)
+	for i := range 16 {
+		f.BeginStream(now, list[i%4].ID, list[(i+1)%4].ID, GenerationSize{PromptTokens: 2000, OutputTokens: 500})
+	}
+	c.Check(f.CopiesFit(now, "s"), qt.IsTrue, qt.Commentf("80,000 of 220,000 tokens"))
+	for i := range list[:2] {
+		list[i].Leaving = true
+	}
+	f.Update(list, func(string) int { return 55000 })
+	c.Check(f.CopiesFit(now, "s"), qt.IsTrue, qt.Commentf("40,000 of 110,000 tokens"))
+	f.SetPeerLoads("h", now, map[string]PeerLoad{"e02": {Memory: 25000}, "e03": {Memory: 20000}})
+	c.Check(f.CopiesFit(now, "s"), qt.IsFalse, qt.Commentf("85,000 of 110,000 tokens"))
+	c.Check(f.CopiesFit(now, "other"), qt.IsTrue)
+}
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -125,11 +125,17 @@
 	}
 }
 
+// mayCopy reports whether a run may get a cache copy.
+func (g *gateway) mayCopy(now time.Time) bool {
+	policy := &g.sim.policy
+	return policy.CopyCaches && (!policy.LimitCopies || g.fleet.CopiesFit(now, service))
+}
+
 // chooseTarget returns the placement of the stream's next attempt, false if no target is usable.
 func (g *gateway) chooseTarget(now time.Time, exclude []string, copyHolder string, s *stream) (placement.Placement, bool) {
 	q := placement.FleetQuery{Service: service, Exclude: exclude, WarmTarget: s.warmTarget}
 	if g.sim.policy.Placement == ByCost {
-		return g.fleet.Place(now, q, copyHolder, s.size, g.sim.policy.CopyCaches)
+		return g.fleet.Place(now, q, copyHolder, s.size, g.mayCopy(now))
 	}
 	var chosen *membership.Registration
 	lowest := 0
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -9,6 +9,8 @@
 	Resume bool
 	// CopyCaches keeps copies of the KV caches of runs and resumes from them.
 	CopyCaches bool
+	// LimitCopies adds no copies while memory is short.
+	LimitCopies bool
 	// Probe checks whether unresponsive engines are alive and, if not, probes their zones.
 	Probe bool
 	// FindRuns finds the run of a client that reconnects to another gateway.
@@ -43,6 +45,6 @@
 		{Name: "by reports", Placement: LeastLoaded, Resume: true, Probe: true},
 		{Name: "before", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true},
 		{Name: "leaves first", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true},
-		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true},
+		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true},
 	}
 }
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -191,7 +191,7 @@
 		copyHolder = s.current.copy.holder
 	}
 	q := placement.FleetQuery{Service: service, Exclude: e.Exclude}
-	chosen, ok := s.gateway.fleet.PlaceSuccessor(now, q, copyHolder, s.size, s.gateway.sim.policy.CopyCaches, e.MaxExpected)
+	chosen, ok := s.gateway.fleet.PlaceSuccessor(now, q, copyHolder, s.size, s.gateway.mayCopy(now), e.MaxExpected)
 	if !ok {
 		s.machine.NoSuccessor()
 		return
@@ -355,7 +355,7 @@
 			return
 		}
 		now, fleet := a.s.gateway.sim.clock.now, a.s.gateway.fleet
-		if a.copy == nil || !fleet.CanHoldCopy(now, a.copy.holder) {
+		if (a.copy == nil || !fleet.CanHoldCopy(now, a.copy.holder)) && a.s.gateway.mayCopy(now) {
 			q := placement.FleetQuery{Service: service, Exclude: []string{a.target.ID}, AvoidZone: a.target.Zone}
 			if reg, ok := fleet.ChooseCopy(now, q, a.s.size); ok {
 				a.createCopy(reg)
--- a/internal/gateway/cache_copies.go
+++ b/internal/gateway/cache_copies.go
@@ -143,7 +143,7 @@
 			reg, _ := st.fleet.Target(current.Holder)
 			return holder{reg.ID, reg.Address}
 		}
-		if !st.supportsCopies(m.s.req.service) {
+		if !st.mayCopy(now, m.s.req.service) {
 			return holder{}
 		}
 		source, _ := st.fleet.Target(m.a.reg.ID)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -404,13 +404,13 @@
 
 func (st *state) placeStream(now time.Time, fleetQuery placement.FleetQuery, draw uint64, holder string, prompt placement.GenerationSize) placementResult {
 	st.restrictVersion(now, &fleetQuery, draw)
-	chosen, ok := st.fleet.Place(now, fleetQuery, holder, prompt, st.supportsCopies(fleetQuery.Service))
+	chosen, ok := st.fleet.Place(now, fleetQuery, holder, prompt, st.mayCopy(now, fleetQuery.Service))
 	return newPlacementResult(&chosen, ok)
 }
 
 func (st *state) placeSuccessor(now time.Time, fleetQuery placement.FleetQuery, draw uint64, holder string, prompt placement.GenerationSize, maxExpected time.Duration) placementResult {
 	st.restrictVersion(now, &fleetQuery, draw)
-	chosen, ok := st.fleet.PlaceSuccessor(now, fleetQuery, holder, prompt, st.supportsCopies(fleetQuery.Service), maxExpected)
+	chosen, ok := st.fleet.PlaceSuccessor(now, fleetQuery, holder, prompt, st.mayCopy(now, fleetQuery.Service), maxExpected)
 	return newPlacementResult(&chosen, ok)
 }
 
@@ -421,6 +421,11 @@
 	return placementResult{placement: relay.Placement{Target: chosen.Target.ID, CopyTarget: chosen.Copy, Resume: chosen.FromCopy, ExpectedFirstEvent: chosen.Expected}, reg: chosen.Target, ok: true}
 }
 
+// mayCopy reports whether a run of a service may get a copy of its KV cache.
+func (st *state) mayCopy(now time.Time, service string) bool {
+	return st.supportsCopies(service) && st.fleet.CopiesFit(now, service)
+}
+
 func (st *state) supportsCopies(service string) bool {
 	if st.desired.Config == nil {
 		return false
