Answer 504 at the deadline if a target has the request

Callers were told 503, "not run", when the deadline of a stream passed before its first event, although an engine had the request, ran it or would have run it: the state machine counted an attempt as run only when it had produced an event or had failed.

An attempt that is open when the stream ends may have run.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -323,6 +323,10 @@
 
 func (m *Machine) finish(o Outcome) []Effect {
 	m.done = true
+	if m.open {
+		// The target of an open attempt may run the request.
+		m.ran = true
+	}
 	effects := m.endSuccessor()
 	if m.open {
 		m.open = false
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -504,3 +504,12 @@
 	m.AttemptFailed(start.Add(2*time.Second), Refused)
 	c.Check(m.Arrived(), qt.IsTrue)
 }
+
+// Guards against a stream that ends at its deadline with an open attempt and counts as not run: the
+// answer would promise that no engine ran it.
+func TestOpenAttemptAtDeadlineMayHaveRun(t *testing.T) {
+	c := qt.New(t)
+	m := newOpenMachine(options(), Placement{Target: "a"})
+	c.Check(finishOutcome(m.Check(options().Deadline)), qt.Equals, TimedOut)
+	c.Check(m.Ran(), qt.IsTrue)
+}
