--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -16,7 +16,10 @@
 //   - Finish is the last effect.
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minProbeDelay and maxProbeDelay bound the pause after an event until the target is
@@ -250,15 +253,19 @@
 	attempts int
 	// arrivals counts the ended attempts that may have reached their target, and runs those that
 	// may have run the request.
-	arrivals  int
-	runs      int
-	excluded  []string
+	arrivals int
+	runs     int
+	excluded []string // targets that failed this stream
+	// avoided lists live targets that the stream left or that refused to be its successor. They are
+	// not asked again to be its successor, but may be chosen after a loss.
+	avoided   []string
 	placement Placement
 	open      bool // an attempt is open
 	done      bool
 	// probing is set while the reply to a Probe is pending, and seeking while that to a
 	// SeekSuccessor is.
 	probing, seeking bool
+	probedAt         time.Time
 	successor        *successor
 	successors       int // successors placed
 	// ran is set once a target may have begun to run the request.
@@ -309,6 +316,10 @@
 // request.
 func (m *Machine) Arrived() bool { return m.arrivals > 0 }
 
+// Delivery reports that the event has been passed to the caller. A slow caller is no silence of the
+// target.
+func (m *Machine) Delivery(now time.Time) { m.lastActivity, m.lastCheck = now, now }
+
 // Silence returns how long the open attempt has sent no event.
 func (m *Machine) Silence(now time.Time) time.Duration { return now.Sub(m.lastActivity) }
 
@@ -386,10 +397,20 @@
 		return
 	}
 	m.countLoss(loss)
-	m.excluded = append(m.excluded, m.successor.placement.Target)
+	m.exclude(m.successor.placement.Target, loss)
 	m.successor = nil
 }
 
+// exclude keeps the stream away from a target that ended an attempt because of loss.
+func (m *Machine) exclude(target string, loss Loss) {
+	switch loss {
+	case Refused, Stalled, FirstEventLate:
+		m.avoided = append(m.avoided, target)
+	default:
+		m.excluded = append(m.excluded, target)
+	}
+}
+
 // SuccessorEvent reports an event of the successor. With its first new event, the successor becomes
 // the current attempt.
 func (m *Machine) SuccessorEvent(now time.Time, number uint64) []Effect {
@@ -413,7 +434,7 @@
 	next := m.successor
 	m.successor = nil
 	m.countLoss(loss)
-	m.excluded = append(m.excluded, m.placement.Target)
+	m.exclude(m.placement.Target, loss)
 	if loss == FirstEventLate {
 		m.leftBeforeFirstEvent = true
 	}
@@ -421,14 +442,15 @@
 	return []Effect{Switch{loss}}
 }
 
-// endSuccessor ends the successor, if there is one, in favor of the current attempt. It has produced
-// no event, so that it has not run, but it has reached its target.
+// endSuccessor ends the successor, if there is one, in favor of the current attempt. If it was sent,
+// its target may have run the request.
 func (m *Machine) endSuccessor() []Effect {
 	if m.successor == nil {
 		return nil
 	}
 	if !m.successor.sentAt.IsZero() {
 		m.arrivals++
+		m.runs++
 	}
 	m.successor = nil
 	return []Effect{EndSuccessor{}}
@@ -500,12 +522,17 @@
 	if !m.open {
 		return nil
 	}
+	var effects []Effect
 	if m.successor != nil && now.Before(m.options.Deadline) {
-		return m.switchAttempt(now, loss)
+		if m.successor.placement.Resume || !m.attemptRan {
+			return m.switchAttempt(now, loss)
+		}
+		// The copy of the lost run is sooner than the prefill of a successor without it.
+		effects = m.endSuccessor()
 	}
 	m.open, m.probing = false, false
 	m.countLoss(loss)
-	effects := []Effect{EndAttempt{loss}}
+	effects = append(effects, EndAttempt{loss})
 	m.excluded = append(m.excluded, m.placement.Target)
 	switch {
 	case !now.Before(m.options.Deadline):
@@ -609,7 +636,7 @@
 	case m.successor != nil && !now.Before(m.successor.end()):
 		return m.endOverlap(now)
 	}
-	m.lastCheck, m.probing = now, true
+	m.lastCheck, m.probedAt, m.probing = now, now, true
 	return []Effect{Probe{m.placement.Target}}
 }
 
@@ -617,7 +644,7 @@
 // and the successor otherwise.
 func (m *Machine) endOverlap(now time.Time) []Effect {
 	if m.successor.sentAt.IsZero() {
-		m.excluded = append(m.excluded, m.successor.placement.Target)
+		m.avoided = append(m.avoided, m.successor.placement.Target)
 		return m.endSuccessor()
 	}
 	return m.switchAttempt(now, m.successor.loss)
@@ -631,6 +658,10 @@
 	}
 	m.probing = false
 	if !alive {
+		if m.lastActivity.After(m.probedAt) {
+			// An event that arrived meanwhile shows that the target works.
+			return nil
+		}
 		return m.AttemptFailed(now, TargetDown)
 	}
 	m.lastCheck = now
@@ -643,14 +674,15 @@
 	if m.attemptEvents == 0 && !m.placement.Resume {
 		seek.Loss = FirstEventLate
 	}
-	seek.Exclude = append(append(seek.Exclude, m.excluded...), m.placement.Target)
+	seek.Exclude = slices.Concat(m.excluded, m.avoided, []string{m.placement.Target})
 	return []Effect{seek}
 }
 
-// maySeekSuccessor reports whether another target may run the stream beside the current one.
+// maySeekSuccessor reports whether another target may run the stream beside the current one. One of
+// the attempts is kept for a loss.
 func (m *Machine) maySeekSuccessor() bool {
 	return m.successor == nil && !m.seeking && m.successors < maxSuccessors &&
-		m.runs+1 < m.options.MaxAttempts && m.attempts < maxTotalAttempts
+		m.runs+2 < m.options.MaxAttempts && m.attempts < maxTotalAttempts
 }
 
 // maxExpected returns the longest expected time to the first event with which another target is
--- a/internal/gateway/cache_copies.go
+++ b/internal/gateway/cache_copies.go
@@ -61,6 +61,9 @@
 // markUsed records that the current copy was used, so that another one is made.
 func (m *copyManager) markUsed() { m.current.Store(nil) }
 
+// restore takes back markUsed after the copy was not used, unless there is another one by now.
+func (m *copyManager) restore(unused *CacheCopy) { m.current.CompareAndSwap(nil, unused) }
+
 // markStarted signals that the run has produced its first event. Before, there is no KV cache to
 // copy.
 func (m *copyManager) markStarted() { m.startOnce.Do(func() { close(m.started) }) }
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -123,9 +123,6 @@
 	return b.streamID, b.copyTarget
 }
 
-// becomeCurrent is called when the attempt becomes the stream's current one.
-func (a *attempt) becomeCurrent() { a.copies = a.manageCopy() }
-
 // end closes the connection and records the outcome. loss is 0 if the attempt did not fail.
 func (a *attempt) end(loss relay.Loss) {
 	close(a.ended)
@@ -135,10 +132,11 @@
 		latency = a.firstEventAt.Sub(a.startedAt)
 	}
 	failed := loss != 0 && loss != relay.Refused
+	unsent := loss == relay.Unsent || !a.handle.sent.Load()
 	s, placed, copyHolder := a.s, a.start.Placement, a.copyHolder
 	s.g.loop.post(s.g.ctx, func(st *state) {
 		now := time.Now()
-		if a.tookRepeat && loss == relay.Unsent {
+		if a.tookRepeat && unsent {
 			s.g.loop.budget(st, now, s.req.service).Refund()
 		}
 		// The outcome of an attempt says nothing about the version if its target was marked down,
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -44,8 +44,10 @@
 	outcome     relay.Outcome
 	finished    bool
 	prompt      placement.GenerationSize
-	// placed is the target that the last placement chose.
-	placed chosenTarget
+	// placed is the target that the last placement chose, and lastTarget that of the last current
+	// attempt.
+	placed     chosenTarget
+	lastTarget string
 	// cacheCopy is the KV cache copy left by the previous attempt, nil for none.
 	cacheCopy *CacheCopy
 	// previousTarget is the target that ran the stream for an earlier attempt of the client,
@@ -75,6 +77,7 @@
 
 // run handles messages, checks and the client's disconnection until the stream ends.
 func (s *stream) run() {
+	defer s.endAttempts()
 	s.apply(s.machine.Start(), nil)
 	armed := s.machine.NextCheck()
 	timer := time.NewTimer(time.Until(armed))
@@ -99,6 +102,15 @@
 	}
 }
 
+// endAttempts ends the attempts that are still open, as after a panic.
+func (s *stream) endAttempts() {
+	for _, a := range []*attempt{s.successor, s.current} {
+		if a != nil {
+			a.end(0)
+		}
+	}
+}
+
 // apply applies effects and those that follow from them. event is the event that Deliver passes on.
 func (s *stream) apply(queue []relay.Effect, event []byte) {
 	for len(queue) > 0 && !s.finished {
@@ -113,7 +125,7 @@
 		return s.chooseTarget(e)
 	case relay.StartAttempt:
 		s.current = s.startAttempt(e)
-		s.current.becomeCurrent()
+		s.becomeCurrent()
 	case relay.EndAttempt:
 		s.logLoss(s.current, e.Loss)
 		s.endCurrent(e.Loss)
@@ -125,27 +137,38 @@
 		s.successor = s.startAttempt(e.Start)
 	case relay.EndSuccessor:
 		s.req.log.Info().Str("target", s.successor.reg.ID).Str("stays", s.current.reg.ID).Stringer("loss", e.Loss).Msg("stream stays at its target; its successor is canceled")
+		if from := s.successor.resumeFrom; from != nil && !s.successor.handle.sent.Load() {
+			s.current.copies.restore(from)
+		}
 		s.successor.end(e.Loss)
 		s.successor = nil
 	case relay.Switch:
 		s.logLoss(s.current, e.Loss)
 		s.endCurrent(e.Loss)
 		s.current, s.successor = s.successor, nil
-		s.current.becomeCurrent()
+		s.becomeCurrent()
 	case relay.Deliver:
 		if err := s.deliver(event); err != nil {
 			return s.machine.CallerDisconnected()
 		}
+		s.machine.Delivery(time.Now())
 	case relay.Finish:
 		s.outcome, s.finished = e.Outcome, true
 	}
 	return nil
 }
 
+// becomeCurrent is called when current is another attempt.
+func (s *stream) becomeCurrent() {
+	s.lastTarget = s.current.reg.ID
+	s.current.copies = s.current.manageCopy()
+}
+
 // endCurrent ends the current attempt and keeps the copy that it leaves.
 func (s *stream) endCurrent(loss relay.Loss) {
 	s.cacheCopy = s.current.copies.stop()
 	s.current.end(loss)
+	s.current = nil
 }
 
 func (s *stream) logLoss(a *attempt, loss relay.Loss) {
@@ -217,6 +240,8 @@
 				s.response = a.response
 			}
 			s.apply(effects, m.event.Raw)
+		}
+		if s.current == a {
 			a.recordFirstEvent(m.at)
 			a.copies.markStarted()
 		}
@@ -228,6 +253,9 @@
 		}
 		s.logLoss(a, loss)
 		s.machine.SuccessorFailed(loss)
+		if loss == relay.Unsent && a.resumeFrom != nil {
+			s.current.copies.restore(a.resumeFrom)
+		}
 		a.end(loss)
 		s.successor = nil
 	}
@@ -341,6 +369,9 @@
 	reg, silence := s.current.reg, s.machine.Silence(time.Now())
 	p := query(s.req.ctx, s.g.loop, func(st *state) placementResult {
 		now := time.Now()
+		if st.suspects.Rejected(s.req.fingerprint, now) {
+			return placementResult{}
+		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude}
 		found := st.placeSuccessor(now, fleetQuery, s.req.versionDraw, holder, s.prompt, e.MaxExpected)
 		if found.ok {
@@ -369,7 +400,7 @@
 	here := st.fleet.Load(now, reg.ID)
 	event := s.req.log.Info().Str("target", reg.ID).Stringer("loss", e.Loss).Dur("silence", silence).Int("streams", here.Streams).Int("memory", here.Memory).Dur("backlog", here.Backlog).
 		Float64("retry_tokens", s.g.loop.budget(st, now, s.req.service).Tokens()).Dur("max_expected", e.MaxExpected).
-		Str("successor", found.reg.ID).Bool("from_copy", found.placement.Resume).Bool("budget_spent", found.budgetSpent)
+		Str("candidate", found.reg.ID).Bool("moves", found.ok).Bool("from_copy", found.placement.Resume).Bool("budget_spent", found.budgetSpent)
 	if best, ok := st.fleet.ChooseEngine(now, fleetQuery, s.prompt); ok {
 		there := st.fleet.Load(now, best.ID)
 		event = event.Str("best", best.ID).Int("best_streams", there.Streams).Int("best_memory", there.Memory).Dur("best_backlog", there.Backlog)
@@ -454,7 +485,7 @@
 // respond ends the response to the client. If the response has begun but is incomplete, the
 // connection is aborted, so that the client cannot mistake the response for a complete one.
 func (s *stream) respond() {
-	s.req.logEnd(s.outcomeName(), s.machine.Attempts(), s.placed.reg.ID, s.machine)
+	s.req.logEnd(s.outcomeName(), s.machine.Attempts(), s.lastTarget, s.machine)
 	switch s.outcome {
 	case relay.Complete:
 		s.writeHeaderOnce()
