Measure what exchanges and choices cost one gateway at 3 to 370 gateways

BenchmarkControl runs a second of exchanges of one gateway and reports bytes of messages and processor time; BenchmarkPlace measures the choice of an engine and of a copy's engine.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -48,3 +49,27 @@
 		}
 	})
 }
+
+// BenchmarkPlace measures one choice of an engine and of a copy's engine in a fleet whose other
+// gateways have all reported loads within peerLoadMaxAge.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []struct{ gateways, targets int }{{3, 18}, {23, 86}, {100, 400}, {370, 1100}} {
+		b.Run(fmt.Sprintf("%dx%d", size.gateways, size.targets), func(b *testing.B) {
+			f := newFleet("g", engines(size.targets))
+			at := now
+			for i := range size.gateways - 1 {
+				loads := map[string]PeerLoad{}
+				for k := range 32 {
+					loads[engineID((i*7+k*13)%size.targets)] = PeerLoad{Backlog: time.Second, Memory: 6000, Streams: 1, Copies: 1}
+				}
+				f.SetPeerLoads(fmt.Sprintf("edge-%d", i), at, loads)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := f.Place(at, fleetQuery, "", typicalSize, true); !ok {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -14,12 +14,14 @@
 // typicalSize is the usual size of the users' generations.
 var typicalSize = GenerationSize{PromptTokens: 5200, OutputTokens: 800}
 
+func engineID(i int) string { return fmt.Sprintf("e%02d", i) }
+
 // engines returns n engines spread over three zones.
 func engines(n int) []membership.Registration {
 	var list []membership.Registration
 	for i := range n {
 		list = append(list, membership.Registration{
-			ID: fmt.Sprintf("e%02d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: string(rune('a' + i%3)), Service: "s", Slots: 64, Model: true,
+			ID: engineID(i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: string(rune('a' + i%3)), Service: "s", Slots: 64, Model: true,
 		})
 	}
 	return list
--- /dev/null
+++ b/internal/gateway/control_bench_test.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/replica"
+	"bramleygap/internal/core/suspect"
+	"bramleygap/internal/settings"
+	"bramleygap/internal/wire"
+)
+
+// controlSize is an installation whose control cost for one gateway is measured.
+type controlSize struct {
+	gateways, targets int
+	// streams is the number of streams that each gateway relays, each with a KV cache copy.
+	streams int
+	// suspects is the number of requests that all gateways know as suspects, of which
+	// newSuspects change each second.
+	suspects, newSuspects int
+}
+
+// controlSizes are the grown sites of today, an intermediate step, and the target of
+// docs/design.md. A grown site had about 100 suspects after ten seconds with crashes.
+var controlSizes = []controlSize{
+	{gateways: 3, targets: 21, streams: 16, suspects: 30, newSuspects: 1},
+	{gateways: 23, targets: 86, streams: 12, suspects: 100, newSuspects: 5},
+	{gateways: 100, targets: 400, streams: 16, suspects: 400, newSuspects: 5},
+	{gateways: 370, targets: 1100, streams: 400, suspects: 408, newSuspects: 5},
+}
+
+func (s controlSize) run(b *testing.B, benchmark func(*testing.B, controlSize)) {
+	b.Run(fmt.Sprintf("%dx%d", s.gateways, s.targets), func(b *testing.B) { benchmark(b, s) })
+}
+
+// registrationProtocol decodes registrations that have only a service and an address.
+type registrationProtocol struct{ Protocol }
+
+// DecodeRegistration implements Protocol.
+func (registrationProtocol) DecodeRegistration(row replica.Row) (membership.Registration, error) {
+	if len(row.Value) == 0 {
+		return membership.Registration{}, errors.New("empty row")
+	}
+	return membership.Registration{
+		ID: row.Key, Address: string(row.Value), Zone: "zone-" + row.Key[len(row.Key)-1:], Service: "s", Slots: 64, StartUnixMS: 1, Model: true,
+	}, nil
+}
+
+// controlGateway is a gateway without sockets whose event loop is run by the benchmark.
+type controlGateway struct {
+	peers *peers
+	st    *state
+}
+
+func controlTargetID(i int) string { return fmt.Sprintf("i-%08x%d", uint32(i)*2654435761, i%3) }
+
+func newControlGateway(size controlSize, index int) *controlGateway {
+	options := &Options{Registerer: prometheus.NewRegistry(), Protocol: registrationProtocol{}}
+	options.Settings = settings.Gateway{Name: fmt.Sprintf("edge-zone-%d-%d", index%3, index), Zone: "zone-0", PeerListen: fmt.Sprintf("10.%d.0.%d:7200", index/250, index%250)}
+	g := &Gateway{options: options, metrics: newMetrics(options.Registerer)}
+	g.loop = newEventLoop(options, g.metrics)
+	now := time.Now()
+	c := &controlGateway{newPeers(g), g.loop.newState(now)}
+	rows := make([]replica.Row, 0, size.targets)
+	for i := range size.targets {
+		rows = append(rows, replica.Row{Key: controlTargetID(i), Value: fmt.Appendf(nil, "10.9.%d.%d:80", i/250, i%250), Revision: 1})
+	}
+	for table := range c.st.tables {
+		if Table(table) == TableTargets {
+			g.loop.installSnapshot(c.st, now, TableTargets, rows, 1, "store")
+		}
+		g.loop.confirm(c.st, now, Table(table), "store")
+	}
+	rng := rand.New(rand.NewPCG(uint64(index), 1))
+	for range size.streams {
+		id, holder := controlTargetID(rng.IntN(size.targets)), controlTargetID(rng.IntN(size.targets))
+		c.st.fleet.BeginStream(now, id, holder, placement.GenerationSize{PromptTokens: 5200, OutputTokens: 800})
+	}
+	return c
+}
+
+// addSuspects makes requests suspects on this gateway.
+func (c *controlGateway) addSuspects(first, n int) {
+	now := time.Now()
+	for i := range n {
+		c.st.suspects.Report(suspect.Death{
+			ID: controlTargetID(first+i) + "@10.9.0.1:8080", Target: controlTargetID(first + i), Zone: "zone-0", At: now,
+			Fingerprints: []uint64{uint64(first+i) * 0x9e3779b97f4a7c15},
+		}, now)
+	}
+}
+
+// controlCost sums what the measured gateway spends.
+type controlCost struct {
+	bytes int
+	busy  time.Duration
+}
+
+// receive decodes a message. The sender's name varies, so that few gateways stand for many.
+func receive(encoded []byte, name string) *wire.GatewayState {
+	msg := &wire.GatewayState{}
+	if err := proto.Unmarshal(encoded, msg); err != nil {
+		panic(err)
+	}
+	msg.Name = name
+	return msg
+}
+
+func encode(msg *wire.GatewayState) []byte {
+	encoded, err := proto.Marshal(msg)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// exchange makes one exchange that from starts, and returns the bytes of both messages. cost is
+// charged with the work of the gateway measured.
+func exchange(from, to *controlGateway, fromName, toName string, measured *controlGateway, cost *controlCost) {
+	charge := func(on *controlGateway, work func()) {
+		start := time.Now()
+		work()
+		if on == measured {
+			cost.busy += time.Since(start)
+		}
+	}
+	var request, answer []byte
+	requestedAt := time.Now()
+	charge(from, func() { request = encode(from.peers.exportState(from.st, nil)) })
+	charge(to, func() {
+		remote := receive(request, fromName)
+		to.peers.mergeState(to.st, remote, time.Time{})
+		answer = encode(to.peers.exportState(to.st, remote))
+	})
+	charge(from, func() { from.peers.mergeState(from.st, receive(answer, toName), requestedAt) })
+	cost.bytes += len(request) + len(answer)
+}
+
+// controlOthers is the number of gateways that stand for all others in the benchmark.
+const controlOthers = 6
+
+// BenchmarkControl measures what exchanges cost one gateway in a second: bytes of messages in both
+// directions (without framing) and processor time.
+func BenchmarkControl(b *testing.B) {
+	for _, size := range controlSizes {
+		size.run(b, benchmarkControl)
+	}
+}
+
+func benchmarkControl(b *testing.B, size controlSize) {
+	self := newControlGateway(size, 0)
+	others := make([]*controlGateway, min(controlOthers, size.gateways-1))
+	for i := range others {
+		others[i] = newControlGateway(size, i+1)
+	}
+	for _, g := range append([]*controlGateway{self}, others...) {
+		g.addSuspects(0, size.suspects)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	rounds := int(time.Second / exchangeInterval)
+	perRound := min(exchangeFanout, size.gateways-1)
+	var cost, unused controlCost
+	added := size.suspects
+	seconds := 0
+	second := func(cost *controlCost) {
+		for range size.newSuspects {
+			others[rng.IntN(len(others))].addSuspects(added, 1)
+			added++
+		}
+		for range rounds {
+			for range perRound {
+				i := rng.IntN(size.gateways - 1)
+				other, name := others[i%len(others)], fmt.Sprintf("edge-%d", i+1)
+				exchange(self, other, "edge-0", name, self, cost)
+				i = rng.IntN(size.gateways - 1)
+				other, name = others[i%len(others)], fmt.Sprintf("edge-%d", i+1)
+				exchange(other, self, name, "edge-0", self, cost)
+			}
+			for i := range others {
+				exchange(others[i], others[(i+1)%len(others)], "a", "b", nil, &unused)
+			}
+		}
+	}
+	second(&unused)
+	for b.Loop() {
+		second(&cost)
+		seconds++
+	}
+	b.ReportMetric(float64(cost.bytes)/float64(seconds), "B/s")
+	b.ReportMetric(cost.busy.Seconds()*1000/float64(seconds), "ms/s")
+	b.ReportMetric(0, "ns/op")
+}
