Keep running sums of the loads that other gateways report

Cause: each choice of a target looked up the target in the report of every other gateway, twice for each candidate: targets x gateways lookups, and the own streams' memory was summed up each time. Change: the fleet keeps for each target the sums over the valid reports, updated when a report arrives, is replaced or is older than peerLoadMaxAge; only the backlogs, which shrink with time, are added up at a choice, and only those of gateways with prompts waiting at that target. Which reports count, and for how long (2 s), is unchanged. Tests: TestSumsEqualReports (property: sums equal the reports added up, after any order of reports, ageing, registrations, own streams) fails without the removal of a replaced report, without expiry and without the release of a stream's memory; TestSumsOfGoneTargetsAreDropped fails without either removal.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -126,17 +126,8 @@
 // backlog returns the time that a target needs to prefill its pending prompts from all
 // gateways.
 func (f *Fleet) backlog(now time.Time, t *targetState) time.Duration {
-	total := f.localBacklog(now, t)
-	for _, p := range f.peers {
-		age := now.Sub(p.at)
-		if age > peerLoadMaxAge {
-			continue
-		}
-		if load, ok := p.loads[t.reg.ID]; ok {
-			total += max(0, load.Backlog-age)
-		}
-	}
-	return total
+	f.expireReports(now)
+	return f.localBacklog(now, t) + t.reported.backlog(now)
 }
 
 // localBacklog returns the part of the backlog that this gateway caused. It is at least the
@@ -154,18 +145,9 @@
 // totalLoad returns a target's reserved memory in tokens, its streams and its copies, summed
 // over this gateway and the recent reports of others.
 func (f *Fleet) totalLoad(now time.Time, t *targetState) (memory, streams, copies int) {
-	memory, streams, copies = t.copyMemory, len(t.streams), t.copies
-	for _, s := range t.streams {
-		memory += s.size.memory()
-	}
-	for _, p := range f.peers {
-		if now.Sub(p.at) > peerLoadMaxAge {
-			continue
-		}
-		load := p.loads[t.reg.ID]
-		memory, streams, copies = memory+load.Memory, streams+load.Streams, copies+load.Copies
-	}
-	return memory, streams, copies
+	f.expireReports(now)
+	r := t.reported
+	return t.streamMemory + t.copyMemory + r.memory, len(t.streams) + r.streams, t.copies + r.copies
 }
 
 // Load is the load of a target from all gateways, as far as this one knows.
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -94,6 +94,44 @@
 	loads map[string]PeerLoad
 }
 
+// reportedLoad is the load of one target summed over the valid reports of other gateways, so that
+// a choice does not look at each report for each target.
+type reportedLoad struct {
+	memory, streams, copies int
+	// reports is the number of reports in the sums.
+	reports  int
+	backlogs []reportedBacklog
+}
+
+// reportedBacklog is when a target will have read the pending prompts of one other gateway.
+type reportedBacklog struct {
+	peer string
+	end  time.Time
+}
+
+func (r *reportedLoad) add(peer string, at time.Time, load PeerLoad) {
+	r.memory, r.streams, r.copies, r.reports = r.memory+load.Memory, r.streams+load.Streams, r.copies+load.Copies, r.reports+1
+	if load.Backlog > 0 {
+		r.backlogs = append(r.backlogs, reportedBacklog{peer, at.Add(load.Backlog)})
+	}
+}
+
+func (r *reportedLoad) remove(peer string, load PeerLoad) {
+	r.memory, r.streams, r.copies, r.reports = r.memory-load.Memory, r.streams-load.Streams, r.copies-load.Copies, r.reports-1
+	if load.Backlog > 0 {
+		r.backlogs = slices.DeleteFunc(r.backlogs, func(b reportedBacklog) bool { return b.peer == peer })
+	}
+}
+
+// backlog returns the time that the target needs to prefill the pending prompts of other gateways.
+func (r *reportedLoad) backlog(now time.Time) time.Duration {
+	var total time.Duration
+	for i := range r.backlogs {
+		total += max(0, r.backlogs[i].end.Sub(now))
+	}
+	return total
+}
+
 type targetState struct {
 	reg membership.Registration
 	// memoryCapacity is the memory in tokens, 0 if unknown.
@@ -110,7 +148,11 @@
 	preferred    bool
 	leavingUntil time.Time
 	activeCalls  int
-	streams      map[uint64]*stream
+	// reported is the load from other gateways. Its expired reports are removed by expireReports.
+	reported *reportedLoad
+	streams  map[uint64]*stream
+	// streamMemory is the number of tokens reserved for streams.
+	streamMemory int
 	copies       int
 	// copiesBySourceZone counts the copies by the zone in which their streams run.
 	copiesBySourceZone map[string]int
@@ -167,14 +209,18 @@
 	rng      *rand.Rand
 	targets  map[string]*targetState
 	// order holds the targets sorted by id, so that choices are deterministic.
-	order        []*targetState
+	order []*targetState
+	// peers holds the reports of other gateways by name, and reported their sums by target ID, also
+	// of targets that are not registered yet. oldestReport is not after the oldest report.
 	peers        map[string]peerReport
+	reported     map[string]*reportedLoad
+	oldestReport time.Time
 	nextStreamID uint64
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
 func NewFleet(name, zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}}
+	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, reported: map[string]*reportedLoad{}}
 }
 
 // Update replaces the registered targets. The state of targets that are still registered is
@@ -192,9 +238,14 @@
 				failures:           decayingAverage{halfLife: failureHalfLife},
 			}
 		}
-		t.reg, t.memoryCapacity = reg, capacity(reg.Service)
+		t.reg, t.memoryCapacity, t.reported = reg, capacity(reg.Service), f.reportedLoad(reg.ID)
 		next[reg.ID] = t
 	}
+	for id := range f.targets {
+		if sums := f.reported[id]; next[id] == nil && sums.reports == 0 {
+			delete(f.reported, id)
+		}
+	}
 	f.targets = next
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
@@ -271,9 +322,54 @@
 	return 0
 }
 
-// SetPeerLoads replaces the loads reported by another gateway.
+// SetPeerLoads replaces the loads reported by another gateway. It takes over the map.
 func (f *Fleet) SetPeerLoads(peer string, at time.Time, loads map[string]PeerLoad) {
+	f.removeReport(peer)
+	if len(f.peers) == 0 || at.Before(f.oldestReport) {
+		f.oldestReport = at
+	}
 	f.peers[peer] = peerReport{at: at, loads: loads}
+	for id, load := range loads {
+		f.reportedLoad(id).add(peer, at, load)
+	}
+}
+
+// removeReport removes the loads reported by another gateway from the sums.
+func (f *Fleet) removeReport(peer string) {
+	for id, load := range f.peers[peer].loads {
+		sums := f.reported[id]
+		sums.remove(peer, load)
+		if sums.reports == 0 && f.targets[id] == nil {
+			delete(f.reported, id)
+		}
+	}
+	delete(f.peers, peer)
+}
+
+// expireReports removes the reports that are older than peerLoadMaxAge.
+func (f *Fleet) expireReports(now time.Time) {
+	if len(f.peers) == 0 || now.Sub(f.oldestReport) <= peerLoadMaxAge {
+		return
+	}
+	f.oldestReport = now
+	for peer, report := range f.peers {
+		switch {
+		case now.Sub(report.at) > peerLoadMaxAge:
+			f.removeReport(peer)
+		case report.at.Before(f.oldestReport):
+			f.oldestReport = report.at
+		}
+	}
+}
+
+// reportedLoad returns the sums of a target, creating them if necessary.
+func (f *Fleet) reportedLoad(id string) *reportedLoad {
+	sums := f.reported[id]
+	if sums == nil {
+		sums = &reportedLoad{}
+		f.reported[id] = sums
+	}
+	return sums
 }
 
 // UsableCount returns the number of usable targets of a service.
@@ -346,6 +442,7 @@
 	if t := f.targets[id]; t != nil {
 		expected := f.timeToFirstEvent(now, t, size)
 		t.streams[f.nextStreamID] = &stream{size: size, started: now, expected: expected, prefilling: true}
+		t.streamMemory += size.memory()
 		start := t.prefillEnd
 		if start.Before(now) {
 			start = now
@@ -384,6 +481,7 @@
 // EndStream records the end of a generation at its target and releases its copy.
 func (f *Fleet) EndStream(now time.Time, id, copyHolder string, streamID uint64, size GenerationSize, failed bool) {
 	if t := f.targets[id]; t != nil && t.streams[streamID] != nil {
+		t.streamMemory -= t.streams[streamID].size.memory()
 		delete(t.streams, streamID)
 		sample := 0.0
 		if failed {
@@ -485,10 +583,7 @@
 func (f *Fleet) LocalLoads(now time.Time) map[string]PeerLoad {
 	loads := map[string]PeerLoad{}
 	for id, t := range f.targets {
-		load := PeerLoad{Backlog: f.localBacklog(now, t), Memory: t.copyMemory, Streams: len(t.streams), Copies: t.copies}
-		for _, s := range t.streams {
-			load.Memory += s.size.memory()
-		}
+		load := PeerLoad{Backlog: f.localBacklog(now, t), Memory: t.streamMemory + t.copyMemory, Streams: len(t.streams), Copies: t.copies}
 		if load != (PeerLoad{}) {
 			loads[id] = load
 		}
