Send suspects to a gateway only if it lacks them

What was seen: an exchange between gateways carried all suspects of the last ten minutes, in both directions. The same records were merged each time, and the remaining time that each message carries was prolonged a little by each of them. Cause: state that changes seldom was sent in full at the rate of the exchanges, and nothing told which of it the receiver had. Change: messages name a digest of the suspects. A request carries those that changed in the last five rounds (1 s) and the version of the receiver's suspects that the sender has merged; an answer carries nothing if the digests are equal, otherwise what changed after that version, at most 500. A gateway that the first second did not reach thus sees that it lacks some and gets them. Gateways of the version before still get all. Not exchanged by itself any more: a later time of expiry of known crashes. Two gateways that see one crash differ by the time between their sights of it, out of ten minutes.

--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -5,6 +5,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -50,7 +52,9 @@
 	// deaths maps a death id to whether it counts. Once false, a value does not change.
 	deaths map[string]bool
 	// crashes is the number of deaths that count.
-	crashes           int
+	crashes int
+	// changed is the tracker's version at which deaths last changed.
+	changed           uint64
 	expires           time.Time
 	zone              string
 	longestCrashedRun time.Duration
@@ -61,6 +65,7 @@
 	suspects map[uint64]*suspectState
 	deaths   map[string]*Death
 	version  uint64
+	digest   uint64
 }
 
 // NewTracker returns an empty tracker.
@@ -71,6 +76,32 @@
 // Version returns a number that changes whenever the exported state changes.
 func (t *Tracker) Version() uint64 { return t.version }
 
+// Digest returns a hash of the suspects and of the deaths that count against them, without the
+// times at which they expire. Trackers with the same suspects have the same digest.
+func (t *Tracker) Digest() uint64 { return t.digest }
+
+// deathHash is the part of one death of a suspect in the digest. The parts are combined by
+// exclusive or, so that their order does not matter and each can be removed again.
+func deathHash(fingerprint uint64, deathID string, counts bool) uint64 {
+	h := xxhash.Sum64String(deathID) + fingerprint*0x9e3779b97f4a7c15
+	if counts {
+		h++
+	}
+	// The finalizer of SplitMix64 spreads differences over all bits.
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// remove drops a fingerprint.
+func (t *Tracker) remove(fingerprint uint64) {
+	for id, counts := range t.suspects[fingerprint].deaths {
+		t.digest ^= deathHash(fingerprint, id, counts)
+	}
+	delete(t.suspects, fingerprint)
+	t.version++
+}
+
 // Len returns the number of tracked fingerprints.
 func (t *Tracker) Len() int { return len(t.suspects) }
 
@@ -240,8 +271,13 @@
 	if known && (current == counts || !current) {
 		return
 	}
+	if known {
+		t.digest ^= deathHash(fingerprint, deathID, current)
+	}
+	t.digest ^= deathHash(fingerprint, deathID, counts)
 	s.deaths[deathID] = counts
 	t.version++
+	s.changed = t.version
 	if counts {
 		s.crashes++
 	} else if known {
@@ -253,8 +289,7 @@
 func (t *Tracker) Expire(now time.Time) {
 	for f, s := range t.suspects {
 		if !now.Before(s.expires) {
-			delete(t.suspects, f)
-			t.version++
+			t.remove(f)
 		}
 	}
 	for id, d := range t.deaths {
@@ -265,10 +300,17 @@
 }
 
 // Export returns the unexpired state, sorted by fingerprint.
-func (t *Tracker) Export(now time.Time) []Record {
-	records := make([]Record, 0, len(t.suspects))
+func (t *Tracker) Export(now time.Time) []Record { return t.Changes(0, now) }
+
+// Changes returns the unexpired suspects whose deaths changed after a version of the tracker,
+// sorted by fingerprint. A suspect is returned with all its deaths.
+func (t *Tracker) Changes(since uint64, now time.Time) []Record {
+	if since >= t.version {
+		return nil
+	}
+	var records []Record
 	for f, s := range t.suspects {
-		if !now.Before(s.expires) {
+		if s.changed <= since || !now.Before(s.expires) {
 			continue
 		}
 		r := Record{Fingerprint: f, Expires: s.expires}
@@ -330,9 +372,8 @@
 		return fingerprints[i] < fingerprints[j]
 	})
 	for _, f := range fingerprints[:len(fingerprints)-maxRecords+evictBatch] {
-		delete(t.suspects, f)
+		t.remove(f)
 	}
-	t.version++
 }
 
 // evictDeaths evicts the oldest deaths.
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -87,12 +87,13 @@
 	return c
 }
 
-// addSuspects makes requests suspects on this gateway.
-func (c *controlGateway) addSuspects(first, n int) {
+// addSuspects makes requests suspects on this gateway, by crashes of targets in a zone. Crashes of
+// several targets of one zone do not count; with an empty zone, all count.
+func (c *controlGateway) addSuspects(zone string, first, n int) {
 	now := time.Now()
 	for i := range n {
 		c.st.suspects.Report(suspect.Death{
-			ID: controlTargetID(first+i) + "@10.9.0.1:8080", Target: controlTargetID(first + i), Zone: "zone-0", At: now,
+			ID: controlTargetID(first+i) + "@10.9.0.1:8080", Target: controlTargetID(first + i), Zone: zone, At: now,
 			Fingerprints: []uint64{uint64(first+i) * 0x9e3779b97f4a7c15},
 		}, now)
 	}
@@ -134,13 +135,12 @@
 	}
 	var request, answer []byte
 	requestedAt := time.Now()
-	charge(from, func() { request = encode(from.peers.exportState(from.st, nil)) })
+	charge(from, func() { request = encode(from.peers.request(from.st, toName)) })
 	charge(to, func() {
 		remote := receive(request, fromName)
-		to.peers.mergeState(to.st, remote, time.Time{})
-		answer = encode(to.peers.exportState(to.st, remote))
+		answer = encode(to.peers.answer(to.st, remote))
 	})
-	charge(from, func() { from.peers.mergeState(from.st, receive(answer, toName), requestedAt) })
+	charge(from, func() { from.peers.mergeAnswer(from.st, receive(answer, toName), toName, requestedAt) })
 	cost.bytes += len(request) + len(answer)
 }
 
@@ -162,7 +162,7 @@
 		others[i] = newControlGateway(size, i+1)
 	}
 	for _, g := range append([]*controlGateway{self}, others...) {
-		g.addSuspects(0, size.suspects)
+		g.addSuspects("zone-0", 0, size.suspects)
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
 	rounds := int(time.Second / exchangeInterval)
@@ -172,10 +172,13 @@
 	seconds := 0
 	second := func(cost *controlCost) {
 		for range size.newSuspects {
-			others[rng.IntN(len(others))].addSuspects(added, 1)
+			others[rng.IntN(len(others))].addSuspects("zone-0", added, 1)
 			added++
 		}
 		for range rounds {
+			for _, g := range append(others, self) {
+				g.st.beginSuspectRound()
+			}
 			for range perRound {
 				i := rng.IntN(size.gateways - 1)
 				other, name := others[i%len(others)], fmt.Sprintf("edge-%d", i+1)
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -62,6 +62,7 @@
 	inflightStreams map[string]int
 	latencies       map[string]*retry.Estimate
 	suspects        *suspect.Tracker
+	suspectExchange suspectExchange
 	// attempts holds the open attempts of this gateway by target ID.
 	attempts map[string]map[*attemptHandle]struct{}
 	// confirmedAt is when the local copy of a table was last known to match the store.
@@ -139,6 +140,7 @@
 		inflightStreams: map[string]int{},
 		latencies:       map[string]*retry.Estimate{},
 		suspects:        suspect.NewTracker(),
+		suspectExchange: suspectExchange{merged: map[string]mergedSuspects{}},
 		attempts:        map[string]map[*attemptHandle]struct{}{},
 		outages:         placement.NewOutages(),
 		stopTimes:       map[string]time.Time{},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -144,6 +144,7 @@
 		if !listed[address] {
 			p.conns.Remove(address)
 			delete(p.byAddress, address)
+			p.g.loop.post(ctx, func(st *state) { delete(st.suspectExchange.merged, address) })
 		}
 	}
 }
@@ -181,6 +182,7 @@
 	slices.Sort(names)
 	known := len(p.byAddress) + 1
 	p.g.loop.post(ctx, func(st *state) {
+		st.beginSuspectRound()
 		st.peerAddresses = addresses
 		if !slices.Equal(st.liveGateways, names) {
 			st.liveGateways = names
@@ -262,7 +264,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.exportState(st, nil) })
+	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.request(st, address) })
 	if local == nil {
 		return "", ctx.Err()
 	}
@@ -272,24 +274,40 @@
 	if err != nil {
 		return "", err
 	}
-	p.g.loop.post(ctx, func(st *state) {
-		p.mergeState(st, remote, start)
-		p.wantOmittedTables(st, remote, address)
-	})
+	p.g.loop.post(ctx, func(st *state) { p.mergeAnswer(st, remote, address, start) })
 	return remote.Name, nil
 }
 
+// request returns the state to send to the gateway at an address.
+func (p *peers) request(st *state, address string) *wire.GatewayState {
+	msg := p.exportState(st, nil)
+	st.addRecentSuspects(msg, address, time.Now())
+	return msg
+}
+
+// answer merges the request of another gateway and returns the state to answer with.
+func (p *peers) answer(st *state, remote *wire.GatewayState) *wire.GatewayState {
+	// The request may have been delayed, so the ages of its confirmations are not usable.
+	p.mergeState(st, remote, time.Time{})
+	msg := p.exportState(st, remote)
+	st.addMissingSuspects(msg, remote, time.Now())
+	return msg
+}
+
+// mergeAnswer merges the answer of the gateway at an address to a request made at requestedAt.
+func (p *peers) mergeAnswer(st *state, remote *wire.GatewayState, address string, requestedAt time.Time) {
+	p.mergeState(st, remote, requestedAt)
+	p.wantOmittedTables(st, remote, address)
+	st.recordMergedSuspects(remote, address)
+}
+
 // Exchange implements wire.GatewayServer.
 func (p *peers) Exchange(ctx context.Context, remote *wire.GatewayState) (*wire.GatewayState, error) {
-	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState {
-		// The request may have been delayed, so the ages of its confirmations are not usable.
-		p.mergeState(st, remote, time.Time{})
-		return p.exportState(st, remote)
-	})
+	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.answer(st, remote) })
 	return local, ctx.Err()
 }
 
-// exportState returns the state to send to another gateway. requester is the state received in
+// exportState returns the state to send to another gateway, without suspects. requester is the state received in
 // that gateway's request, nil if the state to send is itself a request.
 func (p *peers) exportState(st *state, requester *wire.GatewayState) *wire.GatewayState {
 	now := time.Now()
@@ -306,16 +324,6 @@
 			Streams: uint32(load.Streams), Copies: uint32(load.Copies),
 		})
 	}
-	// Between gateways, ExpiresUnixMs carries the remaining time in milliseconds.
-	for _, r := range st.suspects.Export(now) {
-		msg.Suspects = append(msg.Suspects,
-			&wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExpiresUnixMs: r.Expires.Sub(now).Milliseconds()})
-		if len(r.Cleared) > 0 {
-			msg.Suspects = append(msg.Suspects, &wire.SuspectCount{
-				Fingerprint: r.Fingerprint, DeathIds: r.Cleared, ExpiresUnixMs: r.Expires.Sub(now).Milliseconds(), Cleared: true,
-			})
-		}
-	}
 	msg.Unreachable = st.outages.Targets()
 	msg.LeavingTargets = st.fleet.ReportedLeaving(now)
 	for id, replaces := range st.registry.Replacements() {
