Recompute preferred targets only for what joined or left

Cause: each change of one registration, and each gateway that came or went, recomputed the rendezvous hash of every gateway for every target. Change: a target keeps the gateway that prefers it and its hash. A new target is compared with all gateways, a gateway that joined with each target, and the targets of one that left anew with all. Which gateway prefers a target is unchanged.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -73,3 +73,24 @@
 		})
 	}
 }
+
+// BenchmarkFleetUpdate measures a change of one registration.
+func BenchmarkFleetUpdate(b *testing.B) {
+	for _, size := range []struct{ gateways, targets int }{{3, 18}, {23, 86}, {100, 400}, {370, 1100}} {
+		b.Run(fmt.Sprintf("%dx%d", size.gateways, size.targets), func(b *testing.B) {
+			list := engines(size.targets)
+			f := newFleet("g", list)
+			names := []string{"g"}
+			for i := range size.gateways - 1 {
+				names = append(names, fmt.Sprintf("edge-%d", i))
+			}
+			f.SetGateways(names)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				reg := &list[i%len(list)]
+				reg.Leaving = !reg.Leaving
+				f.Update(list, func(string) int { return 55000 })
+			}
+		})
+	}
+}
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -144,10 +144,13 @@
 	goneAt time.Time
 	// reportedGone is set once another gateway has reported that the instance no longer exists.
 	reportedGone bool
-	// preferred is set if this gateway is the one that prefers the target.
-	preferred    bool
-	leavingUntil time.Time
-	activeCalls  int
+	// preferredBy is the gateway that prefers the target, and preferredHash its rendezvous hash.
+	// preferred is set if that is this gateway.
+	preferredBy   string
+	preferredHash uint64
+	preferred     bool
+	leavingUntil  time.Time
+	activeCalls   int
 	// reported is the load from other gateways. Its expired reports are removed by expireReports.
 	reported *reportedLoad
 	streams  map[uint64]*stream
@@ -237,6 +240,7 @@
 				slowness:           decayingAverage{baseline: 1, halfLife: slownessHalfLife},
 				failures:           decayingAverage{halfLife: failureHalfLife},
 			}
+			f.assignPreferred(t, reg.ID, f.gateways)
 		}
 		t.reg, t.memoryCapacity, t.reported = reg, capacity(reg.Service), f.reportedLoad(reg.ID)
 		next[reg.ID] = t
@@ -249,7 +253,6 @@
 	f.targets = next
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
-	f.assignPreferred()
 }
 
 // detectReplaced marks targets whose address is also registered by a newer instance.
@@ -269,31 +272,55 @@
 	}
 }
 
-// SetGateways sets the names of the gateways that share the targets, including this one.
+// SetGateways sets the names of the gateways that share the targets, including this one. Only the
+// gateways that joined are compared for each target, and all of them for the targets of those that
+// left: the number of targets times that of gateways is large.
 func (f *Fleet) SetGateways(names []string) {
+	before := make(map[string]bool, len(f.gateways))
+	for _, name := range f.gateways {
+		before[name] = true
+	}
+	var joined []string
+	for _, name := range names {
+		if !before[name] {
+			joined = append(joined, name)
+		}
+		delete(before, name)
+	}
 	f.gateways = names
-	f.assignPreferred()
+	for id, t := range f.targets {
+		if before[t.preferredBy] {
+			t.preferredBy, t.preferredHash = "", 0
+			f.assignPreferred(t, id, names)
+			continue
+		}
+		f.assignPreferred(t, id, joined)
+	}
 }
 
-// assignPreferred recomputes which targets this gateway prefers. Rendezvous hashing
-// reassigns few targets when a gateway joins or leaves.
-func (f *Fleet) assignPreferred() {
-	for id, t := range f.targets {
-		t.preferred = f.Prefers(id)
+// assignPreferred updates which gateway prefers a target, given gateways that it has not been
+// compared for. Rendezvous hashing reassigns few targets when a gateway joins or leaves.
+func (f *Fleet) assignPreferred(t *targetState, id string, gateways []string) {
+	for _, name := range gateways {
+		if h := preferenceHash(name, id); h > t.preferredHash || t.preferredBy == "" {
+			t.preferredHash, t.preferredBy = h, name
+		}
 	}
+	t.preferred = t.preferredBy == f.name
 }
 
+// preferenceHash returns the rendezvous hash of a gateway for a target.
+func preferenceHash(gateway, id string) uint64 { return xxhash.Sum64String(gateway + "\x00" + id) }
+
 // Prefers reports whether this gateway prefers a target, that is, has the highest rendezvous
-// hash for it.
+// hash for it. The target need not be registered.
 func (f *Fleet) Prefers(id string) bool {
-	var best uint64
-	preferredBy := f.name
-	for _, name := range f.gateways {
-		if h := xxhash.Sum64String(name + "\x00" + id); h > best || best == 0 {
-			best, preferredBy = h, name
-		}
+	if t := f.targets[id]; t != nil {
+		return t.preferred
 	}
-	return preferredBy == f.name
+	var t targetState
+	f.assignPreferred(&t, id, f.gateways)
+	return t.preferred
 }
 
 // MarkLeaving records for leavingReportTTL that a target reported itself as leaving.
