--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -205,3 +205,19 @@
 	b.ReportMetric(cost.busy.Seconds()*1000/float64(seconds), "ms/s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkRegistrationChange measures what a change of one registration costs a gateway.
+func BenchmarkRegistrationChange(b *testing.B) {
+	for _, size := range controlSizes {
+		size.run(b, func(b *testing.B, size controlSize) {
+			c := newControlGateway(size, 0)
+			now, revision := time.Now(), uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				row := replica.Row{Key: controlTargetID(int(revision) % size.targets), Value: fmt.Appendf(nil, "10.8.0.1:%d", revision), Revision: revision + 1}
+				c.peers.g.loop.applyChanges(c.st, now, TableTargets, []replica.Row{row}, revision, revision+1)
+				revision++
+			}
+		})
+	}
+}
