Choose readers and list gateways once for each change

What was seen: as before, processor time that grows with the number of gateways. Cause: each round decoded and sorted the table of gateways; each choice of a reader ranked all gateways once for each of them (gateways squared); each report of a leaving target in a message went over all targets to find whether it was known. Change: the readers are chosen when the set of live gateways changes, the list of gateways is kept for a revision of the table, and a report is looked up at its target. Which gateways are readers is unchanged.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -354,14 +354,24 @@
 // whose registration does not say so.
 func (f *Fleet) ReportedLeaving(now time.Time) []string {
 	var ids []string
-	for id, t := range f.targets {
-		if now.Before(t.leavingUntil) && !t.reg.Leaving {
-			ids = append(ids, id)
+	for _, t := range f.order {
+		if t.hasReportedLeaving(now) {
+			ids = append(ids, t.reg.ID)
 		}
 	}
 	return ids
 }
 
+// HasReportedLeaving reports whether ReportedLeaving has a target.
+func (f *Fleet) HasReportedLeaving(now time.Time, id string) bool {
+	t := f.targets[id]
+	return t != nil && t.hasReportedLeaving(now)
+}
+
+func (t *targetState) hasReportedLeaving(now time.Time) bool {
+	return now.Before(t.leavingUntil) && !t.reg.Leaving
+}
+
 func (t *targetState) leavingPenalty(now time.Time) time.Duration {
 	if now.Before(t.leavingUntil) {
 		return leavingCost
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -221,3 +221,31 @@
 		})
 	}
 }
+
+// BenchmarkPeerList measures the part of an exchange round that grows with the number of gateways:
+// the list of gateways and the choice of a reader.
+func BenchmarkPeerList(b *testing.B) {
+	for _, size := range controlSizes {
+		size.run(b, func(b *testing.B, size controlSize) {
+			c := newControlGateway(controlSize{gateways: size.gateways, targets: 3}, 0)
+			var rows []replica.Row
+			var names []string
+			for i := range size.gateways {
+				name := fmt.Sprintf("edge-zone-%d-%d", i%3, i)
+				names = append(names, name)
+				rows = append(rows, replica.Row{Key: name, Value: encode(&wire.GatewayState{Name: name, Address: fmt.Sprintf("10.%d.0.%d:7200", i/250, i%250), Zone: "zone-0"}), Revision: 1})
+			}
+			c.peers.g.loop.installSnapshot(c.st, time.Now(), TableGateways, rows, 1, "store")
+			c.st.setLiveGateways(names)
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(c.st.listedGateways()) != size.gateways {
+					b.Fatal("gateways are missing")
+				}
+				for _, name := range c.st.liveGateways {
+					_ = c.st.isReader(name)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -71,8 +73,13 @@
 	confirmedAt     [numReplicatedTables]time.Time
 	unconfirmed     [numReplicatedTables]bool
 	lastUnconfirmed [numReplicatedTables]time.Time
-	// liveGateways holds the sorted names of this gateway and the reachable other gateways.
+	// liveGateways holds the sorted names of this gateway and the reachable other gateways, and
+	// readers those of them that follow the store's tables.
 	liveGateways []string
+	readers      []string
+	// listed holds the addresses of the gateways in the store by name, as of listedRevision.
+	listed         map[string]string
+	listedRevision uint64
 	// peerAddresses holds the addresses of the reachable other gateways by name.
 	peerAddresses map[string]string
 	// runIndex holds the run records of this gateway and those replicated to it.
@@ -147,7 +154,6 @@
 		orders:          map[string]*trackedOrder{},
 		baselines:       map[string]*evidence.Baseline{},
 		evidence:        evidence.NewCounters(l.options.Settings.Name, rng.Uint64()),
-		liveGateways:    []string{l.options.Settings.Name},
 		runIndex:        runindex.New(),
 		activeRuns:      map[uint64]runindex.Record{},
 		lastTick:        now,
@@ -155,6 +161,7 @@
 	for i := range st.tables {
 		st.tables[i] = replica.NewTable()
 	}
+	st.setLiveGateways([]string{l.options.Settings.Name})
 	return st
 }
 
@@ -332,20 +339,21 @@
 	return st.isReader(l.options.Settings.Name)
 }
 
-// isReader reports whether a gateway is among the readers, which are chosen by rendezvous
-// hashing. All tables have the same readers, so that one exchange with a reader brings all of
-// them up to date.
-func (st *state) isReader(gateway string) bool {
-	hash := xxhash.Sum64String("reader\x00" + gateway)
-	higher := 0
-	for _, name := range st.liveGateways {
-		if name != gateway && xxhash.Sum64String("reader\x00"+name) > hash {
-			higher++
-		}
-	}
-	return higher < readerCount
+// setLiveGateways sets the names of this gateway and the reachable other ones, and chooses the
+// readers among them by rendezvous hashing. All tables have the same readers, so that one exchange
+// with a reader brings all of them up to date.
+func (st *state) setLiveGateways(names []string) {
+	st.liveGateways = names
+	ranked := slices.Clone(names)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String("reader\x00"+b), xxhash.Sum64String("reader\x00"+a))
+	})
+	st.readers = ranked[:min(readerCount, len(ranked))]
 }
 
+// isReader reports whether a gateway is among the readers.
+func (st *state) isReader(gateway string) bool { return slices.Contains(st.readers, gateway) }
+
 // installSnapshot replaces a table by a snapshot from the store or another gateway, unless the
 // local copy is newer.
 func (l *eventLoop) installSnapshot(st *state, now time.Time, table Table, rows []replica.Row, revision uint64, source string) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -149,8 +149,13 @@
 	}
 }
 
-// listedGateways returns the addresses of the gateways in the store by name.
+// listedGateways returns the addresses of the gateways in the store by name. The caller must not
+// change the map.
 func (st *state) listedGateways() map[string]string {
+	revision := st.tables[TableGateways].Revision()
+	if st.listed != nil && st.listedRevision == revision {
+		return st.listed
+	}
 	listed := map[string]string{}
 	for _, row := range st.tables[TableGateways].Rows() {
 		var state wire.GatewayState
@@ -160,6 +165,7 @@
 		}
 		listed[state.Name] = state.Address
 	}
+	st.listed, st.listedRevision = listed, revision
 	return listed
 }
 
@@ -185,7 +191,7 @@
 		st.beginSuspectRound()
 		st.peerAddresses = addresses
 		if !slices.Equal(st.liveGateways, names) {
-			st.liveGateways = names
+			st.setLiveGateways(names)
 			st.fleet.SetGateways(names)
 		}
 		st.setGatewayCount(now, len(names), known)
@@ -237,9 +243,7 @@
 		return due
 	}
 	if now.Sub(p.lastReaderExchange) >= readerExchangeInterval(len(p.byAddress)+1) {
-		readers := query(ctx, p.g.loop, func(st *state) []string {
-			return slices.DeleteFunc(slices.Clone(st.liveGateways), func(name string) bool { return !st.isReader(name) })
-		})
+		readers := query(ctx, p.g.loop, func(st *state) []string { return st.readers })
 		for i, other := range due {
 			if slices.Contains(readers, other.name) {
 				due[0], due[i] = due[i], due[0]
@@ -427,7 +431,8 @@
 		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
 	}
 	for _, id := range remote.LeavingTargets {
-		if _, ok := st.fleet.Target(id); ok && !slices.Contains(st.fleet.ReportedLeaving(now), id) {
+		// A report that another gateway passes on does not prolong the one that is known.
+		if !st.fleet.HasReportedLeaving(now, id) {
 			st.fleet.MarkLeaving(now, id)
 		}
 	}
