--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -93,13 +93,66 @@
 	Memory, Streams, Copies int
 }
 
+// TargetKey stands for the ID of a target in the loads that gateways report. The keys of two targets
+// are equal in one of 4 billion cases; each then seems to have the reported loads of both.
+type TargetKey uint32
+
+// KeyOf returns the key of a target.
+func KeyOf(id string) TargetKey { return TargetKey(xxhash.Sum64String(id)) }
+
+// ReportedLoad is the load that one gateway has placed on one target.
+type ReportedLoad struct {
+	Target TargetKey
+	PeerLoad
+}
+
 type peerReport struct {
 	at    time.Time
-	loads map[string]PeerLoad
+	loads []ReportedLoad
+}
+
+// loadSums is the load of one target summed over the valid reports of other gateways, so that
+// a choice does not look at each report for each target.
+type loadSums struct {
+	memory, streams, copies int
+	// reports is the number of reports in the sums, registered whether a target uses them.
+	reports    int
+	registered bool
+	backlogs   []reportedBacklog
+}
+
+// reportedBacklog is when a target will have read the pending prompts of one other gateway.
+type reportedBacklog struct {
+	peer string
+	end  time.Time
+}
+
+func (r *loadSums) add(peer string, at time.Time, load PeerLoad) {
+	r.memory, r.streams, r.copies, r.reports = r.memory+load.Memory, r.streams+load.Streams, r.copies+load.Copies, r.reports+1
+	if load.Backlog > 0 {
+		r.backlogs = append(r.backlogs, reportedBacklog{peer, at.Add(load.Backlog)})
+	}
+}
+
+func (r *loadSums) remove(peer string, load PeerLoad) {
+	r.memory, r.streams, r.copies, r.reports = r.memory-load.Memory, r.streams-load.Streams, r.copies-load.Copies, r.reports-1
+	if load.Backlog > 0 {
+		r.backlogs = slices.DeleteFunc(r.backlogs, func(b reportedBacklog) bool { return b.peer == peer })
+	}
+}
+
+// backlog returns the time that the target needs to prefill the pending prompts of other gateways.
+func (r *loadSums) backlog(now time.Time) time.Duration {
+	var total time.Duration
+	for i := range r.backlogs {
+		total += max(0, r.backlogs[i].end.Sub(now))
+	}
+	return total
 }
 
 type targetState struct {
 	reg membership.Registration
+	key TargetKey
 	// memoryCapacity is the memory in tokens, 0 if unknown.
 	memoryCapacity int
 	downUntil      time.Time
@@ -110,11 +163,18 @@
 	goneAt time.Time
 	// reportedGone is set once another gateway has reported that the instance no longer exists.
 	reportedGone bool
-	// preferred is set if this gateway is the one that prefers the target.
-	preferred    bool
-	leavingUntil time.Time
-	activeCalls  int
-	streams      map[uint64]*stream
+	// preferredBy is the gateway that prefers the target, and preferredHash its rendezvous hash.
+	// preferred is set if that is this gateway.
+	preferredBy   string
+	preferredHash uint64
+	preferred     bool
+	leavingUntil  time.Time
+	activeCalls   int
+	// reported is the load from other gateways. Its expired reports are removed by expireReports.
+	reported *loadSums
+	streams  map[uint64]*stream
+	// streamMemory is the number of tokens reserved for streams.
+	streamMemory int
 	copies       int
 	// copiesBySourceZone counts the copies by the zone in which their streams run.
 	copiesBySourceZone map[string]int
@@ -171,14 +231,18 @@
 	rng      *rand.Rand
 	targets  map[string]*targetState
 	// order holds the targets sorted by id, so that choices are deterministic.
-	order        []*targetState
+	order []*targetState
+	// peers holds the reports of other gateways by name, and reported their sums, also
+	// of targets that are not registered yet. oldestReport is not after the oldest report.
 	peers        map[string]peerReport
+	reported     map[TargetKey]*loadSums
+	oldestReport time.Time
 	nextStreamID uint64
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
 func NewFleet(name, zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}}
+	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, reported: map[TargetKey]*loadSums{}}
 }
 
 // Update replaces the registered targets. The state of targets that are still registered is
@@ -190,19 +254,29 @@
 		t := f.targets[reg.ID]
 		if t == nil || !t.reg.SameInstance(&reg) {
 			t = &targetState{
+				key:                KeyOf(reg.ID),
 				streams:            map[uint64]*stream{},
 				copiesBySourceZone: map[string]int{},
 				slowness:           decayingAverage{baseline: 1, halfLife: slownessHalfLife},
 				failures:           decayingAverage{halfLife: failureHalfLife},
 			}
+			f.assignPreferred(t, reg.ID, f.gateways)
 		}
-		t.reg, t.memoryCapacity = reg, capacity(reg.Service)
+		t.reg, t.memoryCapacity, t.reported = reg, capacity(reg.Service), f.sumsOf(t.key)
 		next[reg.ID] = t
 	}
+	for _, t := range f.targets {
+		t.reported.registered = false
+	}
+	for _, t := range next {
+		t.reported.registered = true
+	}
+	for _, t := range f.targets {
+		f.dropUnused(t.key)
+	}
 	f.targets = next
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
-	f.assignPreferred()
 }
 
 // detectReplaced marks targets whose address is also registered by a newer instance.
@@ -222,31 +296,55 @@
 	}
 }
 
-// SetGateways sets the names of the gateways that share the targets, including this one.
+// SetGateways sets the names of the gateways that share the targets, including this one. Only the
+// gateways that joined are compared for each target, and all of them for the targets of those that
+// left: the number of targets times that of gateways is large.
 func (f *Fleet) SetGateways(names []string) {
+	before := make(map[string]bool, len(f.gateways))
+	for _, name := range f.gateways {
+		before[name] = true
+	}
+	var joined []string
+	for _, name := range names {
+		if !before[name] {
+			joined = append(joined, name)
+		}
+		delete(before, name)
+	}
 	f.gateways = names
-	f.assignPreferred()
+	for id, t := range f.targets {
+		if before[t.preferredBy] {
+			t.preferredBy, t.preferredHash = "", 0
+			f.assignPreferred(t, id, names)
+			continue
+		}
+		f.assignPreferred(t, id, joined)
+	}
 }
 
-// assignPreferred recomputes which targets this gateway prefers. Rendezvous hashing
-// reassigns few targets when a gateway joins or leaves.
-func (f *Fleet) assignPreferred() {
-	for id, t := range f.targets {
-		t.preferred = f.Prefers(id)
+// assignPreferred updates which gateway prefers a target, given gateways that it has not been
+// compared for. Rendezvous hashing reassigns few targets when a gateway joins or leaves.
+func (f *Fleet) assignPreferred(t *targetState, id string, gateways []string) {
+	for _, name := range gateways {
+		if h := preferenceHash(name, id); h > t.preferredHash || t.preferredBy == "" {
+			t.preferredHash, t.preferredBy = h, name
+		}
 	}
+	t.preferred = t.preferredBy == f.name
 }
 
+// preferenceHash returns the rendezvous hash of a gateway for a target.
+func preferenceHash(gateway, id string) uint64 { return xxhash.Sum64String(gateway + "\x00" + id) }
+
 // Prefers reports whether this gateway prefers a target, that is, has the highest rendezvous
-// hash for it.
+// hash for it. The target need not be registered.
 func (f *Fleet) Prefers(id string) bool {
-	var best uint64
-	preferredBy := f.name
-	for _, name := range f.gateways {
-		if h := xxhash.Sum64String(name + "\x00" + id); h > best || best == 0 {
-			best, preferredBy = h, name
-		}
+	if t := f.targets[id]; t != nil {
+		return t.preferred
 	}
-	return preferredBy == f.name
+	var t targetState
+	f.assignPreferred(&t, id, f.gateways)
+	return t.preferred
 }
 
 // MarkLeaving records for leavingReportTTL that a target reported itself as leaving.
@@ -260,14 +358,24 @@
 // whose registration does not say so.
 func (f *Fleet) ReportedLeaving(now time.Time) []string {
 	var ids []string
-	for id, t := range f.targets {
-		if now.Before(t.leavingUntil) && !t.reg.Leaving {
-			ids = append(ids, id)
+	for _, t := range f.order {
+		if t.hasReportedLeaving(now) {
+			ids = append(ids, t.reg.ID)
 		}
 	}
 	return ids
 }
 
+// HasReportedLeaving reports whether ReportedLeaving has a target.
+func (f *Fleet) HasReportedLeaving(now time.Time, id string) bool {
+	t := f.targets[id]
+	return t != nil && t.hasReportedLeaving(now)
+}
+
+func (t *targetState) hasReportedLeaving(now time.Time) bool {
+	return now.Before(t.leavingUntil) && !t.reg.Leaving
+}
+
 func (t *targetState) leavingPenalty(now time.Time) time.Duration {
 	if now.Before(t.leavingUntil) {
 		return leavingCost
@@ -275,9 +383,58 @@
 	return 0
 }
 
-// SetPeerLoads replaces the loads reported by another gateway.
-func (f *Fleet) SetPeerLoads(peer string, at time.Time, loads map[string]PeerLoad) {
+// SetPeerLoads replaces the loads reported by another gateway. The list must not be changed later.
+func (f *Fleet) SetPeerLoads(peer string, at time.Time, loads []ReportedLoad) {
+	f.removeReport(peer)
+	if len(f.peers) == 0 || at.Before(f.oldestReport) {
+		f.oldestReport = at
+	}
 	f.peers[peer] = peerReport{at: at, loads: loads}
+	for _, load := range loads {
+		f.sumsOf(load.Target).add(peer, at, load.PeerLoad)
+	}
+}
+
+// removeReport removes the loads reported by another gateway from the sums.
+func (f *Fleet) removeReport(peer string) {
+	for _, load := range f.peers[peer].loads {
+		f.reported[load.Target].remove(peer, load.PeerLoad)
+		f.dropUnused(load.Target)
+	}
+	delete(f.peers, peer)
+}
+
+// expireReports removes the reports that are older than peerLoadMaxAge.
+func (f *Fleet) expireReports(now time.Time) {
+	if len(f.peers) == 0 || now.Sub(f.oldestReport) <= peerLoadMaxAge {
+		return
+	}
+	f.oldestReport = now
+	for peer, report := range f.peers {
+		switch {
+		case now.Sub(report.at) > peerLoadMaxAge:
+			f.removeReport(peer)
+		case report.at.Before(f.oldestReport):
+			f.oldestReport = report.at
+		}
+	}
+}
+
+// sumsOf returns the sums of a target, creating them if necessary.
+func (f *Fleet) sumsOf(target TargetKey) *loadSums {
+	sums := f.reported[target]
+	if sums == nil {
+		sums = &loadSums{}
+		f.reported[target] = sums
+	}
+	return sums
+}
+
+// dropUnused drops the sums of a target that is not registered and has no reports.
+func (f *Fleet) dropUnused(target TargetKey) {
+	if sums := f.reported[target]; sums != nil && sums.reports == 0 && !sums.registered {
+		delete(f.reported, target)
+	}
 }
 
 // UsableCount returns the number of usable targets of a service.
@@ -350,6 +507,7 @@
 	if t := f.targets[id]; t != nil {
 		expected := f.timeToFirstEvent(now, t, size)
 		t.streams[f.nextStreamID] = &stream{size: size, started: now, expected: expected, prefilling: true}
+		t.streamMemory += size.memory()
 		start := t.prefillEnd
 		if start.Before(now) {
 			start = now
@@ -407,6 +565,7 @@
 // EndStream records the end of a generation at its target and releases its copy.
 func (f *Fleet) EndStream(now time.Time, id, copyHolder string, streamID uint64, size GenerationSize, failed bool) {
 	if t := f.targets[id]; t != nil && t.streams[streamID] != nil {
+		t.streamMemory -= t.streams[streamID].size.memory()
 		delete(t.streams, streamID)
 		sample := 0.0
 		if failed {
@@ -499,18 +658,17 @@
 	return list
 }
 
-// LocalLoads returns the load that this gateway has placed on each target, to be reported
-// to the other gateways.
-func (f *Fleet) LocalLoads(now time.Time) map[string]PeerLoad {
-	loads := map[string]PeerLoad{}
-	for id, t := range f.targets {
-		load := PeerLoad{Backlog: f.localBacklog(now, t), Memory: t.copyMemory, Streams: len(t.streams), Copies: t.copies}
-		for _, s := range t.streams {
-			load.Memory += s.size.memory()
-		}
-		if load != (PeerLoad{}) {
-			loads[id] = load
+// LocalLoads returns the load that this gateway has placed on each target, to be reported to the
+// other gateways, without targets that have none.
+func (f *Fleet) LocalLoads(now time.Time) []ReportedLoad {
+	var loads []ReportedLoad
+	for _, t := range f.order {
+		if len(t.streams) == 0 && t.copies == 0 {
+			continue
 		}
+		loads = append(loads, ReportedLoad{t.key, PeerLoad{
+			Backlog: f.localBacklog(now, t), Memory: t.streamMemory + t.copyMemory, Streams: len(t.streams), Copies: t.copies,
+		}})
 	}
 	return loads
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -144,12 +144,18 @@
 		if !listed[address] {
 			p.conns.Remove(address)
 			delete(p.byAddress, address)
+			p.g.loop.post(ctx, func(st *state) { delete(st.suspectExchange.merged, address) })
 		}
 	}
 }
 
-// listedGateways returns the addresses of the gateways in the store by name.
+// listedGateways returns the addresses of the gateways in the store by name. The caller must not
+// change the map.
 func (st *state) listedGateways() map[string]string {
+	revision := st.tables[TableGateways].Revision()
+	if st.listed != nil && st.listedRevision == revision {
+		return st.listed
+	}
 	listed := map[string]string{}
 	for _, row := range st.tables[TableGateways].Rows() {
 		var state wire.GatewayState
@@ -159,6 +165,7 @@
 		}
 		listed[state.Name] = state.Address
 	}
+	st.listed, st.listedRevision = listed, revision
 	return listed
 }
 
@@ -181,9 +188,10 @@
 	slices.Sort(names)
 	known := len(p.byAddress) + 1
 	p.g.loop.post(ctx, func(st *state) {
+		st.beginSuspectRound()
 		st.peerAddresses = addresses
 		if !slices.Equal(st.liveGateways, names) {
-			st.liveGateways = names
+			st.setLiveGateways(names)
 			st.fleet.SetGateways(names)
 		}
 		st.setGatewayCount(now, len(names), known)
@@ -235,9 +243,7 @@
 		return due
 	}
 	if now.Sub(p.lastReaderExchange) >= readerExchangeInterval(len(p.byAddress)+1) {
-		readers := query(ctx, p.g.loop, func(st *state) []string {
-			return slices.DeleteFunc(slices.Clone(st.liveGateways), func(name string) bool { return !st.isReader(name) })
-		})
+		readers := query(ctx, p.g.loop, func(st *state) []string { return st.readers })
 		for i, other := range due {
 			if slices.Contains(readers, other.name) {
 				due[0], due[i] = due[i], due[0]
@@ -262,7 +268,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.exportState(st, nil) })
+	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.request(st, address) })
 	if local == nil {
 		return "", ctx.Err()
 	}
@@ -272,24 +278,40 @@
 	if err != nil {
 		return "", err
 	}
-	p.g.loop.post(ctx, func(st *state) {
-		p.mergeState(st, remote, start)
-		p.wantOmittedTables(st, remote, address)
-	})
+	p.g.loop.post(ctx, func(st *state) { p.mergeAnswer(st, remote, address, start) })
 	return remote.Name, nil
 }
 
+// request returns the state to send to the gateway at an address.
+func (p *peers) request(st *state, address string) *wire.GatewayState {
+	msg := p.exportState(st, nil)
+	st.addRecentSuspects(msg, address, time.Now())
+	return msg
+}
+
+// answer merges the request of another gateway and returns the state to answer with.
+func (p *peers) answer(st *state, remote *wire.GatewayState) *wire.GatewayState {
+	// The request may have been delayed, so the ages of its confirmations are not usable.
+	p.mergeState(st, remote, time.Time{})
+	msg := p.exportState(st, remote)
+	st.addMissingSuspects(msg, remote, time.Now())
+	return msg
+}
+
+// mergeAnswer merges the answer of the gateway at an address to a request made at requestedAt.
+func (p *peers) mergeAnswer(st *state, remote *wire.GatewayState, address string, requestedAt time.Time) {
+	p.mergeState(st, remote, requestedAt)
+	p.wantOmittedTables(st, remote, address)
+	st.recordMergedSuspects(remote, address)
+}
+
 // Exchange implements wire.GatewayServer.
 func (p *peers) Exchange(ctx context.Context, remote *wire.GatewayState) (*wire.GatewayState, error) {
-	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState {
-		// The request may have been delayed, so the ages of its confirmations are not usable.
-		p.mergeState(st, remote, time.Time{})
-		return p.exportState(st, remote)
-	})
+	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.answer(st, remote) })
 	return local, ctx.Err()
 }
 
-// exportState returns the state to send to another gateway. requester is the state received in
+// exportState returns the state to send to another gateway, without suspects. requester is the state received in
 // that gateway's request, nil if the state to send is itself a request.
 func (p *peers) exportState(st *state, requester *wire.GatewayState) *wire.GatewayState {
 	now := time.Now()
@@ -300,22 +322,7 @@
 	if end := p.g.stopDeadline.Load(); end != nil {
 		msg.StopsInMs = uint32(max(1, end.Sub(now).Milliseconds()))
 	}
-	for id, load := range st.fleet.LocalLoads(now) {
-		msg.Loads = append(msg.Loads, &wire.TargetLoad{
-			Target: id, BacklogMs: uint32(load.Backlog.Milliseconds()), MemoryTokens: uint32(load.Memory),
-			Streams: uint32(load.Streams), Copies: uint32(load.Copies),
-		})
-	}
-	// Between gateways, ExpiresUnixMs carries the remaining time in milliseconds.
-	for _, r := range st.suspects.Export(now) {
-		msg.Suspects = append(msg.Suspects,
-			&wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExpiresUnixMs: r.Expires.Sub(now).Milliseconds()})
-		if len(r.Cleared) > 0 {
-			msg.Suspects = append(msg.Suspects, &wire.SuspectCount{
-				Fingerprint: r.Fingerprint, DeathIds: r.Cleared, ExpiresUnixMs: r.Expires.Sub(now).Milliseconds(), Cleared: true,
-			})
-		}
-	}
+	msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
 	msg.Unreachable = st.outages.Targets()
 	msg.LeavingTargets = st.fleet.ReportedLeaving(now)
 	for id, replaces := range st.registry.Replacements() {
@@ -403,14 +410,7 @@
 // requestedAt, when the state was requested. If requestedAt is zero, they are ignored.
 func (p *peers) mergeState(st *state, remote *wire.GatewayState, requestedAt time.Time) {
 	now := time.Now()
-	loads := make(map[string]placement.PeerLoad, len(remote.Loads))
-	for _, l := range remote.Loads {
-		loads[l.Target] = placement.PeerLoad{
-			Backlog: time.Duration(l.BacklogMs) * time.Millisecond, Memory: int(l.MemoryTokens),
-			Streams: int(l.Streams), Copies: int(l.Copies),
-		}
-	}
-	st.fleet.SetPeerLoads(remote.Name, now, loads)
+	st.fleet.SetPeerLoads(remote.Name, now, unpackLoads(remote))
 	st.stopTimes[remote.Name] = time.Time{}
 	if remote.StopsInMs > 0 {
 		st.stopTimes[remote.Name] = now.Add(time.Duration(remote.StopsInMs) * time.Millisecond)
@@ -431,7 +431,8 @@
 		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
 	}
 	for _, id := range remote.LeavingTargets {
-		if _, ok := st.fleet.Target(id); ok && !slices.Contains(st.fleet.ReportedLeaving(now), id) {
+		// A report that another gateway passes on does not prolong the one that is known.
+		if !st.fleet.HasReportedLeaving(now, id) {
 			st.fleet.MarkLeaving(now, id)
 		}
 	}
