--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -289,7 +289,7 @@
 	f.MoveCopy("e00", "e01", "e02", typicalSize)
 	c.Check(f.Load(now, "e01"), qt.Equals, Load{})
 	c.Check(f.Load(now, "e02"), qt.Equals, Load{Memory: typicalSize.memory(), Copies: 1})
-	c.Check(f.LocalLoads(now)["e02"].Memory, qt.Equals, typicalSize.memory())
+	c.Check(f.LocalLoads(now), qt.Contains, ReportedLoad{KeyOf("e02"), PeerLoad{Memory: typicalSize.memory(), Copies: 1}})
 	f.EndStream(now, "e00", "e02", id, typicalSize, false)
 	c.Check(f.LocalLoads(now), qt.HasLen, 0)
 	f.MoveCopy("e00", "", "e01", typicalSize)
@@ -312,7 +312,7 @@
 	}
 	f.Update(list, func(string) int { return 55000 })
 	c.Check(f.CopiesFit(now, "s"), qt.IsTrue, qt.Commentf("40,000 of 110,000 tokens"))
-	f.SetPeerLoads("h", now, map[string]PeerLoad{"e02": {Memory: 25000}, "e03": {Memory: 20000}})
+	f.SetPeerLoads("h", now, []ReportedLoad{{KeyOf("e02"), PeerLoad{Memory: 25000}}, {KeyOf("e03"), PeerLoad{Memory: 20000}}})
 	c.Check(f.CopiesFit(now, "s"), qt.IsFalse, qt.Commentf("85,000 of 110,000 tokens"))
 	c.Check(f.CopiesFit(now, "other"), qt.IsTrue)
 }
