Take no repeated refusal of a target for the response to a request

Cause: a response without an id was accepted as a refusal on any connection; a response with the id of the request was accepted although it can be the copy of the response to an earlier attempt, when a restarted target is registered at the same address under a new id; and a stream accepted a refusal before its id was compared.

A response without an id now counts only on a connection that has carried no other request, a request that is sent to the same address again gets a new connection, and streams compare ids first. Probes, copy requests and streams use a new connection for each request and are not affected.

Evidence: TestRepeatedRefusalOnKeptConnection ("without ID", one and two targets), TestRepeatedRefusalOfTheSameRequest and TestRefusalOfAnotherRequestInPlaceOfStream fail without the change (503 for a request that ran, or two runs) and pass with it. The case "with the earlier ID" passed before.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -48,6 +48,8 @@
 	attemptsCtx    context.Context
 	cancelAttempts context.CancelFunc
 	sendCount      int
+	// sentTo holds the addresses to which the request has been sent.
+	sentTo map[string]bool
 }
 
 // serveCall forwards a non-streaming request and responds to the client.
@@ -57,7 +59,7 @@
 		return st.latency(c.service).Mean()
 	})
 	f := &callForwarder{
-		g: g, req: c, results: make(chan attemptResult, 8), byAttempt: map[int]attemptResult{},
+		g: g, req: c, results: make(chan attemptResult, 8), byAttempt: map[int]attemptResult{}, sentTo: map[string]bool{},
 		machine: forward.New(forward.Options{
 			Idempotent: c.route.Repeatable(), MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
 			TypicalLatency: typicalLatency, TargetLatency: c.route.TargetLatency,
@@ -118,9 +120,11 @@
 		if ok {
 			f.sendCount++
 			f.machine.TargetChosen(reg.ID)
+			connect := f.connector(reg.Address)
+			f.sentTo[reg.Address] = true
 			go func() {
 				defer cancel()
-				f.attempt(ctx, e, reg, handle)
+				f.attempt(ctx, e, reg, handle, connect)
 			}()
 			return nil
 		}
@@ -162,10 +166,25 @@
 	return c.reg, c.ok
 }
 
+// connector returns how an attempt connects to an address. The request uses a kept connection once
+// per address: its first attempt may have used any of them, and a late copy of that response would
+// carry the ID of this request too. A restarted target has a new ID, so that the same address can
+// be chosen again.
+func (f *callForwarder) connector(address string) func(context.Context) (*target.Conn, error) {
+	if f.sentTo[address] {
+		return func(ctx context.Context) (*target.Conn, error) { return f.g.pool.Dial(ctx, address) }
+	}
+	idleLimit := maxIdle
+	if !f.req.route.Repeatable() {
+		idleLimit = maxIdleNonRepeatable
+	}
+	return func(ctx context.Context) (*target.Conn, error) { return f.g.pool.Get(ctx, address, idleLimit) }
+}
+
 // attempt sends the request to a target, records the outcome and delivers the result.
-func (f *callForwarder) attempt(ctx context.Context, e forward.Send, reg membership.Registration, handle *attemptHandle) {
+func (f *callForwarder) attempt(ctx context.Context, e forward.Send, reg membership.Registration, handle *attemptHandle, connect func(context.Context) (*target.Conn, error)) {
 	start := time.Now()
-	r := f.sendOnce(ctx, reg, handle)
+	r := f.sendOnce(ctx, reg, handle, connect)
 	r.attempt, r.target = e.Attempt, reg.ID
 	took := time.Since(start)
 	latency := took
@@ -202,12 +221,8 @@
 }
 
 // sendOnce sends the request to a target and reads the response.
-func (f *callForwarder) sendOnce(ctx context.Context, reg membership.Registration, handle *attemptHandle) attemptResult {
-	idleLimit := maxIdle
-	if !f.req.route.Repeatable() {
-		idleLimit = maxIdleNonRepeatable
-	}
-	conn, err := f.g.pool.Get(ctx, reg.Address, idleLimit)
+func (f *callForwarder) sendOnce(ctx context.Context, reg membership.Registration, handle *attemptHandle, connect func(context.Context) (*target.Conn, error)) attemptResult {
+	conn, err := connect(ctx)
 	if err != nil {
 		f.g.handleDialError(reg, err)
 		return attemptResult{result: forward.Unsent}
@@ -261,7 +276,7 @@
 			return attemptResult{}, false, err
 		}
 		header := f.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
-		if header.RequestID != f.req.head.ID && (header.RequestID != "" || !header.NotRun) {
+		if !header.answers(f.req.head.ID, conn.Reused) {
 			f.g.metrics.strayResponses.Inc()
 			f.req.log.Info().Str("answered_id", header.RequestID).Int("status", header.Status).Msg("response to another request dropped")
 			if response.Close {
@@ -273,6 +288,13 @@
 	}
 }
 
+// answers reports whether the response belongs to the request with an ID. A response without an ID
+// does only if it says that the request was not run and its connection has carried no other
+// request: on a connection used before, a target may repeat an earlier response.
+func (r *TargetResponse) answers(requestID string, reused bool) bool {
+	return r.RequestID == requestID || r.RequestID == "" && r.NotRun && !reused
+}
+
 // classify maps a response to the result of its attempt.
 func classify(r *TargetResponse) forward.Result {
 	switch {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -361,12 +361,12 @@
 // checkResponse returns how the attempt failed according to its response, or 0 if it did not.
 func (s *stream) checkResponse(header *TargetResponse, response *http.Response) relay.Loss {
 	switch {
+	case !header.answers(s.req.head.ID, false):
+		return relay.Interrupted
 	case header.InstanceMismatch:
 		return relay.Replaced
 	case header.NotRun:
 		return relay.Refused
-	case header.RequestID != s.req.head.ID:
-		return relay.Interrupted
 	case header.Status != http.StatusOK:
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxFailureBytes+1))
 		if err != nil || len(body) > maxFailureBytes {
