Reject a switch to another protocol in a response

Receive passed over "101 Switching Protocols" like an interim response and took what followed for the response. No request asks for a switch, and what follows one is not HTTP.

TestSwitchedProtocol fails without the change.

--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -39,6 +39,10 @@
 // ErrHeadTooLong means that a target sent more than maxHeadBytes without beginning a body.
 var ErrHeadTooLong = errors.New("response head exceeds 64 KiB")
 
+// ErrProtocolSwitched means that a target sent "101 Switching Protocols", which no request asks for.
+// What follows on the connection is not HTTP.
+var ErrProtocolSwitched = errors.New("target switched to another protocol")
+
 // Conn is a connection to a target. It carries one request at a time.
 type Conn struct {
 	net.Conn
@@ -305,7 +309,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrProtocolSwitched
+		case response.StatusCode >= http.StatusOK:
 			c.applyKeepAlive(response.Header)
 			return response, nil
 		}
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -140,6 +140,21 @@
 	c.Check(sent, qt.IsTrue)
 }
 
+// Guards against taking what follows a switch to another protocol for a response.
+func TestSwitchedProtocol(t *testing.T) {
+	c := qt.New(t)
+	address := startServer(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"+okResponse)
+	})
+	conn, err := NewPool(func() {}, func(int, int) {}).Dial(t.Context(), address)
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Send(getRequest())
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Receive(http.MethodGet)
+	c.Check(err, qt.ErrorIs, ErrProtocolSwitched)
+}
+
 // Guards against a pause that ends a read: decoders that read from the connection cannot
 // continue after an error.
 func TestReadContinuesAfterIdle(t *testing.T) {
