Take no error in place of a stream for its end

- a stream had begun and broken off, and the next engine answered 200 with an empty body, a text or an error event without a number: the caller's stream ended as complete;
- the first engine did so, or ended a stream without an event: the caller got 200 with an empty body;
- the first event had a number beyond 1: the caller got a stream without its begin.

Cause: any 200 with signature and id counted as a stream, events without a number were dropped, every clean end was the end of the run, and the first event of a run could have any number.

Now a success must be an event stream (TargetResponse.EventStream); an event without a number ends the attempt, unless it is a comment; the first event of a run has number 1; and a stream without any event is not complete. No event marks the end of a run, and the number of output tokens is only an upper bound, so that the clean end of a valid stream stays its end, also if a resumed attempt sends nothing: the earlier connection may have broken after the last event.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -286,16 +286,21 @@
 	return m.finish(NoTarget)
 }
 
-// Event reports an event of the open attempt.
+// Event reports an event of the open attempt. The events of a run are numbered from 1. Number 0
+// means an event without a number, such as an error in place of the next event, which is not part
+// of a run.
 func (m *Machine) Event(now time.Time, number uint64) []Effect {
 	if !m.open {
 		return nil
 	}
+	if number == 0 {
+		return m.AttemptFailed(now, Interrupted)
+	}
 	m.ran, m.attemptRan = true, true
 	if number <= m.lastEvent {
 		return nil
 	}
-	if number != m.lastEvent+1 && (m.events > 0 || m.options.After > 0) {
+	if number != m.lastEvent+1 {
 		return m.AttemptFailed(now, Interrupted)
 	}
 	if m.attemptEvents > 0 {
@@ -320,11 +325,17 @@
 	m.averageGap += time.Duration(gapWeight * float64(gap-m.averageGap))
 }
 
-// AttemptCompleted reports that the open attempt's stream ended normally.
-func (m *Machine) AttemptCompleted() []Effect {
+// AttemptCompleted reports that the open attempt's stream ended normally. No event marks the end of
+// a run, so that this is its end, also if the attempt resumed a run and sent no event: the earlier
+// connection may have broken after the last one. Only a stream of which no target ever sent an
+// event cannot be a whole run.
+func (m *Machine) AttemptCompleted(now time.Time) []Effect {
 	if !m.open {
 		return nil
 	}
+	if m.lastEvent == 0 {
+		return m.AttemptFailed(now, Interrupted)
+	}
 	m.open = false
 	return m.finish(Complete)
 }
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -87,17 +87,22 @@
 			if queue = next; len(queue) > 0 || m.Done() {
 				continue
 			}
-			switch rapid.IntRange(0, 6).Draw(t, "message") {
+			switch rapid.IntRange(0, 7).Draw(t, "message") {
 			case 0:
 				queue = m.AttemptFailed(now, rapid.SampledFrom([]Loss{Unsent, Refused, Replaced, Interrupted, TargetDown, Failed}).Draw(t, "loss"))
 			case 1:
 				queue = m.Check(now)
+			case 2:
+				queue = m.AttemptCompleted(now)
+				if finishOutcome(queue) == Complete && last == 0 {
+					t.Fatal("a stream without an event is complete")
+				}
 			default:
 				number := last + uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 0, 2}).Draw(t, "delta"))
 				queue = m.Event(now, number)
 				if len(queue) == 1 {
 					if _, ok := queue[0].(Deliver); ok {
-						if number != last+1 && last != 0 {
+						if number != last+1 {
 							t.Fatalf("event %d delivered after event %d", number, last)
 						}
 						last, queue = number, nil
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -236,7 +236,7 @@
 			s.scheduleCheck(s.machine.Attempts())
 		}
 	case signalCompleted:
-		s.apply(s.machine.AttemptCompleted())
+		s.apply(s.machine.AttemptCompleted(now))
 	case signalRefused:
 		s.apply(s.machine.AttemptFailed(now, relay.Refused))
 	case signalDisconnected:
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -163,6 +163,8 @@
 	RequestID string
 	// Signed is set if the response carries the target's signature.
 	Signed bool
+	// EventStream is set if the body is a stream of events.
+	EventStream bool
 	// NotRun is set if the target states that it did not execute the request.
 	NotRun bool
 	// InstanceMismatch is set if another instance than the expected one responded.
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -374,7 +374,7 @@
 		}
 		s.response, s.failureBody = *header, body
 		return relay.Failed
-	case !header.Signed:
+	case !header.Signed, !header.EventStream:
 		return relay.Interrupted
 	}
 	return 0
@@ -390,7 +390,7 @@
 		event, err := reader.Read()
 		now := time.Now()
 		if errors.Is(err, io.EOF) {
-			return s.machine.AttemptCompleted(), false
+			return s.machine.AttemptCompleted(now), s.machine.LastEvent() == 0
 		}
 		if err != nil {
 			return s.connectionLost(handle, err)
@@ -402,7 +402,10 @@
 			s.req.observeFirstEvent(now)
 			s.copies.markStarted()
 		}
-		effects := s.machine.Event(now, event.ID)
+		var effects []relay.Effect
+		if !event.Comment {
+			effects = s.machine.Event(now, event.ID)
+		}
 		if len(effects) == 1 {
 			if _, deliver := effects[0].(relay.Deliver); deliver {
 				if err := s.deliver(event.Raw); err != nil {
--- a/internal/gateway/target/events.go
+++ b/internal/gateway/target/events.go
@@ -22,6 +22,8 @@
 type Event struct {
 	// ID is the numeric ID of the event, 0 if it has none.
 	ID uint64
+	// Comment is set if the event has only comment lines, which keep a connection open.
+	Comment bool
 	// Raw is the event with its terminating empty line. It is valid until the next Read.
 	Raw []byte
 }
@@ -58,7 +60,7 @@
 			return Event{}, err
 		}
 		if endsEvent(r.event) {
-			return Event{ID: eventID(r.event), Raw: r.event}, nil
+			return Event{ID: eventID(r.event), Comment: isComment(r.event), Raw: r.event}, nil
 		}
 	}
 }
@@ -68,6 +70,16 @@
 	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n"))
 }
 
+// isComment reports whether all lines of raw are comments or empty.
+func isComment(raw []byte) bool {
+	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		if line = bytes.TrimSuffix(line, []byte{'\r'}); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 func eventID(raw []byte) uint64 {
 	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against events that are truncated, merged with the next one or given a wrong ID,
-// regardless of how the bytes are split into reads.
+// Guards against events that are truncated, merged with the next one, given a wrong ID or taken for
+// comments, regardless of how the bytes are split into reads.
 func TestEventReader(t *testing.T) {
 	c := qt.New(t)
 	text := "id: 1\ndata: a\n\nweights: 2\nid: 2\r\ndata: b\r\n\r\ndata: no number\n\nid: 4\ndata: c"
@@ -32,6 +32,12 @@
 	}
 	_, err := NewEventReader(strings.NewReader("")).Read()
 	c.Check(err, qt.ErrorIs, io.EOF)
+	events := NewEventReader(strings.NewReader(": a\n:\r\n\r\n: a\ndata: b\n\n"))
+	for _, want := range []bool{true, false} {
+		event, err := events.Read()
+		c.Assert(err, qt.IsNil)
+		c.Check(event.Comment, qt.Equals, want)
+	}
 	_, err = NewEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Read()
 	c.Check(err, qt.ErrorIs, ErrEventTooLong)
 }
