Count and log panics of request handlers

The gateway now logs the panic with its stack, counts it in bramleygap_gateway_handler_panics_total, and closes the connection as before: a part of the response may have been written. http.ErrAbortHandler, with which a lost stream ends, is not counted. Each of its HTTP servers has an ErrorLog that writes log lines.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,18 +117,18 @@
 func (g *Gateway) serve(group *errgroup.Group, ctx context.Context) error {
 	s := g.options.Settings
 	clients := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout,
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout, ErrorLog: g.httpErrorLog("clients"),
 	}
 	if err := listen(group, s.ClientListen, clients, &g.loop.traffic.clients); err != nil {
 		return err
 	}
-	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: readHeaderTimeout}
+	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReadiness), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.httpErrorLog("readiness")}
 	if err := listen(group, s.ReadinessListen, readiness, nil); err != nil {
 		return err
 	}
 	if s.AdminListen != "" {
 		handler := obs.AdminHandler(g.options.Registerer, g.unreadyReason)
-		admin := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+		admin := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.httpErrorLog("admin")}
 		if err := listen(group, s.AdminListen, admin, nil); err != nil {
 			return err
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,7 @@
 	targetStates   *prometheus.GaugeVec
 	storeSeconds   *prometheus.HistogramVec
 	targetCrashes  prometheus.Counter
+	handlerPanics  prometheus.Counter
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -66,6 +67,7 @@
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
+		handlerPanics:  counter("handler_panics_total", "Client requests whose handler panicked; their connections were closed."),
 		lateTicks:      counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
 		targets:        gauge("targets", "Registered targets."),
 		configVersion:  gauge("config_version", "Version of the desired state in force."),
@@ -84,6 +86,6 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.handlerPanics)
 	return m
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
+	stdlog "log"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -89,6 +92,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
+	defer func() { g.recordPanic(recover(), r) }()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -121,6 +125,34 @@
 	g.serveCall(w, c)
 }
 
+// recordPanic logs and counts the panic of a handler, nil for none, and has net/http close the
+// connection. A part of the response may have been written, so that no other one can follow.
+// http.ErrAbortHandler is how handlers close a connection on purpose.
+func (g *Gateway) recordPanic(value any, r *http.Request) {
+	if value == nil {
+		return
+	}
+	if value != http.ErrAbortHandler {
+		g.metrics.handlerPanics.Inc()
+		g.log.Error().Str("host", r.Host).Str("path", r.URL.Path).Interface("panic", value).Bytes("stack", debug.Stack()).
+			Msg("request handler panicked; closing the client's connection")
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// httpErrorLog returns the logger for what net/http reports about a server's connections.
+func (g *Gateway) httpErrorLog(server string) *stdlog.Logger {
+	return stdlog.New(httpErrorWriter{g.log.With().Str("server", server).Logger()}, "", 0)
+}
+
+type httpErrorWriter struct{ log zerolog.Logger }
+
+// Write implements io.Writer. Each call is one message.
+func (w httpErrorWriter) Write(message []byte) (int, error) {
+	w.log.Warn().Bytes("error", bytes.TrimSpace(message)).Msg("HTTP server reported an error")
+	return len(message), nil
+}
+
 // awaitDesiredState waits up to desiredStateWait for the first desired state. It usually arrives
 // a few ms after the start, and clients of a restarted gateway return to it immediately.
 func (g *Gateway) awaitDesiredState(ctx context.Context) {
