Send no empty success to a client that has half-closed

Cause: net/http cancels a request's context at the end of the client's input; the request ends as "caller left", and a handler that returns without a response sends an empty success, or the last chunk of a begun one.

The handler now aborts the connection. A close and a half-close look the same to the gateway, and the work for a client that has left must end, so that the request still ends without a response.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -323,7 +323,9 @@
 	return false
 }
 
-// respond sends the final response to the client.
+// respond sends the final response to the client. If the client has left, it aborts the connection:
+// a handler that returns without a response sends an empty success, and the client may have closed
+// only its sending side.
 func (f *callForwarder) respond(w http.ResponseWriter, finish forward.Finish) {
 	r, answered := f.byAttempt[finish.Attempt]
 	names := map[forward.Outcome]string{
@@ -337,6 +339,7 @@
 	f.req.logEnd(name, f.sendCount, r.target, nil)
 	switch {
 	case finish.Outcome == forward.CallerLeft:
+		panic(http.ErrAbortHandler)
 	case finish.Outcome == forward.Answered && r.result == forward.TargetError,
 		finish.Outcome == forward.TimedOut && answered:
 		f.g.forwardFailure(w, r.response, r.body)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -517,8 +517,9 @@
 	s.g.writeResponseHeader(s.w, s.response)
 }
 
-// respond ends the response to the client. If the response has begun but is incomplete, the
-// connection is aborted, so that the client cannot mistake the response for a complete one.
+// respond ends the response to the client. If the response has begun but is incomplete, or if the
+// client has left, the connection is aborted, so that the client cannot mistake the response for a
+// complete one. A client that has left may have closed only its sending side.
 func (s *stream) respond() {
 	s.req.logEnd(s.outcomeName(), s.machine.Attempts(), s.reg.ID, s.machine)
 	switch s.outcome {
@@ -526,7 +527,7 @@
 		s.writeHeaderOnce()
 		return
 	case relay.CallerLeft:
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if s.headerSent {
 		panic(http.ErrAbortHandler)
