--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -415,18 +415,33 @@
 // the current attempt.
 func (m *Machine) SuccessorEvent(now time.Time, number uint64) []Effect {
 	switch {
-	case m.successor == nil || m.done || number <= m.lastEvent:
+	case m.successor == nil || m.done:
 		return nil
-	case m.skipsEvent(number):
+	case number == 0, m.skipsEvent(number):
 		m.SuccessorFailed(Interrupted)
 		return []Effect{EndSuccessor{Interrupted}}
+	case number <= m.lastEvent:
+		return nil
 	}
 	return append(m.switchAttempt(now, m.successor.loss), m.Event(now, number)...)
 }
 
+// SuccessorCompleted reports that the successor's stream ended normally. If it resumed the run after
+// the last event, that is the end of the stream.
+func (m *Machine) SuccessorCompleted(now time.Time) []Effect {
+	if m.successor == nil || m.done {
+		return nil
+	}
+	if m.lastEvent == 0 {
+		m.SuccessorFailed(Interrupted)
+		return []Effect{EndSuccessor{Interrupted}}
+	}
+	return append(m.switchAttempt(now, m.successor.loss), m.AttemptCompleted(now)...)
+}
+
 // skipsEvent reports whether an event number leaves out events that the caller lacks.
 func (m *Machine) skipsEvent(number uint64) bool {
-	return number > m.lastEvent+1 && (m.events > 0 || m.options.After > 0)
+	return number > m.lastEvent+1
 }
 
 // switchAttempt ends the current attempt and makes the successor the current one.
@@ -475,11 +490,16 @@
 	return m.finish(NoTarget)
 }
 
-// Event reports an event of the open attempt.
+// Event reports an event of the open attempt. The events of a run are numbered from 1. Number 0
+// means an event without a number, such as an error in place of the next event, which is not part
+// of a run.
 func (m *Machine) Event(now time.Time, number uint64) []Effect {
 	if !m.open {
 		return nil
 	}
+	if number == 0 {
+		return m.AttemptFailed(now, Interrupted)
+	}
 	m.ran, m.attemptRan = true, true
 	if number <= m.lastEvent {
 		return nil
@@ -509,11 +529,17 @@
 	m.averageGap += time.Duration(gapWeight * float64(gap-m.averageGap))
 }
 
-// AttemptCompleted reports that the open attempt's stream ended normally.
-func (m *Machine) AttemptCompleted() []Effect {
+// AttemptCompleted reports that the open attempt's stream ended normally. No event marks the end of
+// a run, so that this is its end, also if the attempt resumed a run and sent no event: the earlier
+// connection may have broken after the last one. Only a stream of which no target ever sent an
+// event cannot be a whole run.
+func (m *Machine) AttemptCompleted(now time.Time) []Effect {
 	if !m.open {
 		return nil
 	}
+	if m.lastEvent == 0 {
+		return m.AttemptFailed(now, Interrupted)
+	}
 	return m.finish(Complete)
 }
 
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -69,6 +69,9 @@
 			if s.open || s.successorOpen || len(queue) > 0 {
 				s.t.Fatal("Finish with an open attempt or before another effect")
 			}
+			if effect == (Finish{Complete}) && s.last == 0 {
+				s.t.Fatal("a stream without an event is complete")
+			}
 		}
 	}
 }
@@ -116,7 +119,7 @@
 	case Probe:
 		return s.m.Probed(s.now, rapid.IntRange(0, 19).Draw(s.t, "alive") < 19, rapid.Bool().Draw(s.t, "copy"))
 	case Deliver:
-		if s.received != s.last+1 && s.last != 0 {
+		if s.received != s.last+1 {
 			s.t.Fatalf("event %d delivered after event %d", s.received, s.last)
 		}
 		s.last = s.received
@@ -151,7 +154,9 @@
 	case kind > 2 && kind < 9:
 		s.apply(s.m.Event(s.now, s.received))
 	case s.successorOpen && kind == 16:
-		s.apply(s.m.AttemptCompleted())
+		s.apply(s.m.AttemptCompleted(s.now))
+	case s.successorOpen && !s.sentAt.IsZero() && kind == 15:
+		s.apply(s.m.SuccessorCompleted(s.now))
 	case kind == 17:
 		s.apply(s.m.CallerDisconnected())
 	case kind == 18:
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -315,7 +315,7 @@
 			s.scheduleCheck()
 		}
 	case signalCompleted:
-		s.apply(s.machine.AttemptCompleted())
+		s.apply(s.machine.AttemptCompleted(now))
 	case signalRefused:
 		a.failed(relay.Refused)
 	case signalDisconnected:
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -242,19 +242,19 @@
 // body of a failure.
 func (a *attempt) checkResponse(response *http.Response) (relay.Loss, []byte) {
 	switch {
+	case !a.response.answers(a.s.req.head.ID, false):
+		return relay.Interrupted, nil
 	case a.response.InstanceMismatch:
 		return relay.Replaced, nil
 	case a.response.NotRun:
 		return relay.Refused, nil
-	case a.response.RequestID != a.s.req.head.ID:
-		return relay.Interrupted, nil
 	case a.response.Status != http.StatusOK:
 		body, err := io.ReadAll(io.LimitReader(response.Body, maxFailureBytes+1))
 		if err != nil || len(body) > maxFailureBytes {
 			return relay.Interrupted, nil
 		}
 		return relay.Failed, body
-	case !a.response.Signed:
+	case !a.response.Signed, !a.response.EventStream:
 		return relay.Interrupted, nil
 	}
 	return 0, nil
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -198,7 +198,7 @@
 		if !s.headerSent {
 			s.response = m.attempt.response
 		}
-		s.apply(s.machine.AttemptCompleted(), nil)
+		s.apply(s.machine.AttemptCompleted(time.Now()), nil)
 	case attemptFailed:
 		if m.loss == relay.Failed && !s.headerSent {
 			s.response, s.failureBody = m.attempt.response, m.failureBody
@@ -218,7 +218,10 @@
 	if !s.headerSent {
 		s.response = a.response
 	}
-	effects := s.machine.Event(m.at, m.event.ID)
+	var effects []relay.Effect
+	if !m.event.Comment {
+		effects = s.machine.Event(m.at, m.event.ID)
+	}
 	if len(effects) > 0 {
 		a.dropped = 0
 		s.apply(effects, m.event.Raw)
@@ -235,28 +238,26 @@
 	case attemptSent:
 		s.machine.SuccessorSent(m.at)
 	case attemptEvent:
-		if effects := s.machine.SuccessorEvent(m.at, m.event.ID); len(effects) > 0 {
+		if !m.event.Comment {
 			if !s.headerSent {
 				s.response = a.response
 			}
-			s.apply(effects, m.event.Raw)
+			s.apply(s.machine.SuccessorEvent(m.at, m.event.ID), m.event.Raw)
 		}
 		if s.current == a {
 			a.recordFirstEvent(m.at)
 			a.copies.markStarted()
 		}
 		a.acknowledge()
-	case attemptFailed, attemptCompleted:
-		loss := m.loss
-		if m.kind == attemptCompleted {
-			loss = relay.Interrupted
-		}
-		s.logLoss(a, loss)
-		s.machine.SuccessorFailed(loss)
-		if loss == relay.Unsent && a.resumeFrom != nil {
+	case attemptCompleted:
+		s.apply(s.machine.SuccessorCompleted(m.at), nil)
+	case attemptFailed:
+		s.logLoss(a, m.loss)
+		s.machine.SuccessorFailed(m.loss)
+		if m.loss == relay.Unsent && a.resumeFrom != nil {
 			s.current.copies.restore(a.resumeFrom)
 		}
-		a.end(loss)
+		a.end(m.loss)
 		s.successor = nil
 	}
 }
@@ -482,8 +483,9 @@
 	s.g.writeResponseHeader(s.w, s.response)
 }
 
-// respond ends the response to the client. If the response has begun but is incomplete, the
-// connection is aborted, so that the client cannot mistake the response for a complete one.
+// respond ends the response to the client. If the response has begun but is incomplete, or if the
+// client has left, the connection is aborted, so that the client cannot mistake the response for a
+// complete one. A client that has left may have closed only its sending side.
 func (s *stream) respond() {
 	s.req.logEnd(s.outcomeName(), s.machine.Attempts(), s.lastTarget, s.machine)
 	switch s.outcome {
@@ -491,7 +493,7 @@
 		s.writeHeaderOnce()
 		return
 	case relay.CallerLeft:
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if s.headerSent {
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -13,8 +13,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against events that are truncated, merged with the next one or given a wrong ID,
-// regardless of how the bytes are split into reads.
+// Guards against events that are truncated, merged with the next one, given a wrong ID or taken for
+// comments, regardless of how the bytes are split into reads.
 func TestEventReader(t *testing.T) {
 	c := qt.New(t)
 	text := "id: 1\ndata: a\n\nweights: 2\nid: 2\r\ndata: b\r\n\r\ndata: no number\n\nid: 4\ndata: c"
@@ -30,6 +30,12 @@
 	}
 	_, err := NewEventReader(strings.NewReader("")).Read()
 	c.Check(err, qt.ErrorIs, io.EOF)
+	events := NewEventReader(strings.NewReader(": a\n:\r\n\r\n: a\ndata: b\n\n"))
+	for _, want := range []bool{true, false} {
+		event, err := events.Read()
+		c.Assert(err, qt.IsNil)
+		c.Check(event.Comment, qt.Equals, want)
+	}
 	_, err = NewEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Read()
 	c.Check(err, qt.ErrorIs, ErrEventTooLong)
 }
@@ -137,3 +143,18 @@
 	c.Check(err, qt.IsNotNil)
 	c.Check(sent, qt.IsTrue)
 }
+
+// Guards against taking what follows a switch to another protocol for a response.
+func TestSwitchedProtocol(t *testing.T) {
+	c := qt.New(t)
+	address := startServer(t, func(conn net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"+okResponse)
+	})
+	conn, err := NewPool(func() {}, func(int, int) {}).Dial(t.Context(), address)
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Send(getRequest())
+	c.Assert(err, qt.IsNil)
+	_, err = conn.Receive(http.MethodGet)
+	c.Check(err, qt.ErrorIs, ErrProtocolSwitched)
+}
