Do not pass on another gateway's report that a target leaves

While the store is silent, gateways ask targets for their health and tell each other which ones leave, for 4 s. A gateway passed on what it had from others, so two gateways whose reports ended at different times renewed each other's report without end: the target was avoided for as long as they ran. Only a target's own answer to this gateway is passed on now.

TestLeavingReportsAreNotRenewedByPeers fails without the change: 12 s after a single report, both gateways still avoid the target.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -107,11 +107,14 @@
 	// reportedGone is set once another gateway has reported that the instance no longer exists.
 	reportedGone bool
 	// preferred is set if this gateway is the one that prefers the target.
-	preferred    bool
-	leavingUntil time.Time
-	activeCalls  int
-	streams      map[uint64]*stream
-	copies       int
+	preferred bool
+	// leavingUntil is the end of a report that the target leaves, and leavingFirstHand is set if the
+	// target told this gateway itself.
+	leavingUntil     time.Time
+	leavingFirstHand bool
+	activeCalls      int
+	streams          map[uint64]*stream
+	copies           int
 	// copiesBySourceZone counts the copies by the zone in which their streams run.
 	copiesBySourceZone map[string]int
 	// copyMemory is the number of tokens reserved for copies.
@@ -248,16 +251,24 @@
 // MarkLeaving records for leavingReportTTL that a target reported itself as leaving.
 func (f *Fleet) MarkLeaving(now time.Time, id string) {
 	if t := f.targets[id]; t != nil {
-		t.leavingUntil = now.Add(leavingReportTTL)
+		t.leavingUntil, t.leavingFirstHand = now.Add(leavingReportTTL), true
 	}
 }
 
-// ReportedLeaving returns the targets with an unexpired report that they are leaving and
-// whose registration does not say so.
+// ReportLeaving records for leavingReportTTL that another gateway reports a target as leaving.
+func (f *Fleet) ReportLeaving(now time.Time, id string) {
+	if t := f.targets[id]; t != nil && !now.Before(t.leavingUntil) {
+		t.leavingUntil, t.leavingFirstHand = now.Add(leavingReportTTL), false
+	}
+}
+
+// ReportedLeaving returns the targets with an unexpired report to this gateway that they are leaving
+// and whose registration does not say so. Reports of other gateways are not passed on: gateways would
+// renew each other's reports without end.
 func (f *Fleet) ReportedLeaving(now time.Time) []string {
 	var ids []string
 	for id, t := range f.targets {
-		if now.Before(t.leavingUntil) && !t.reg.Leaving {
+		if t.leavingFirstHand && now.Before(t.leavingUntil) && !t.reg.Leaving {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -224,3 +224,23 @@
 	other.ReportGone(later, gone[0])
 	c.Check(other.Usable(later, "e00"), qt.IsTrue)
 }
+
+// Guards against gateways that renew each other's reports that a target leaves: the target would
+// be avoided for as long as the gateways run.
+func TestLeavingReportsAreNotRenewedByPeers(t *testing.T) {
+	c := qt.New(t)
+	a, b := newFleet("a", engines(3)), newFleet("b", engines(3))
+	a.MarkLeaving(now, "e00")
+	end := now.Add(3 * leavingReportTTL)
+	for at := now.Add(150 * time.Millisecond); at.Before(end); at = at.Add(200 * time.Millisecond) {
+		for _, id := range a.ReportedLeaving(at) {
+			b.ReportLeaving(at, id)
+		}
+		later := at.Add(100 * time.Millisecond)
+		for _, id := range b.ReportedLeaving(later) {
+			a.ReportLeaving(later, id)
+		}
+	}
+	c.Check(a.CanHoldCopy(end, "e00"), qt.IsTrue)
+	c.Check(b.CanHoldCopy(end, "e00"), qt.IsTrue)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -431,9 +431,7 @@
 		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
 	}
 	for _, id := range remote.LeavingTargets {
-		if _, ok := st.fleet.Target(id); ok && !slices.Contains(st.fleet.ReportedLeaving(now), id) {
-			st.fleet.MarkLeaving(now, id)
-		}
+		st.fleet.ReportLeaving(now, id)
 	}
 	for _, restarted := range remote.Met {
 		p.g.loop.addRestartedTarget(st, restarted.Id, restarted.Replaces)
