Model targets that leave or ask for a pause

A target says in its answers that it leaves, or rejects a request and wants nothing for a time. Callers lost requests at engines in their last moments when the gateway's copy of the registrations was old, and an engine that shed load was asked again at once by everybody.

placement.Fleet records both as notices of one instance (id and start), with the kind of answer and the time. Leaving has no end while the instance lives: a row that still says ready may be written by something else than the process that answers, and the platform's rule knows no exception for it. Notices survive an expired row for 10 min and pass from an estimated start time to the registered one; another id or start has none. A pause is never shortened, at most 60 s long, and ends with a jitter of a quarter of it (at most 1 s) for each gateway. Calls, placements, holders of copies and health checks of the gateway's own choice respect them; a paused target may be probed once in a pause.

With the notices ignored in choices, TestArrivalsInsidePauses counts 7, 8 and 9 arrivals of one gateway inside a pause and fails, as do TestLeavingByOwnWord, TestNoticesBelongToOneInstance and TestPauseLength.

--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -17,6 +17,8 @@
 	Leaving bool
 	// StartUnixMS is the start time of the instance in Unix milliseconds, 0 if not reported.
 	StartUnixMS uint64
+	// StartEstimated is set if StartUnixMS is not from the instance's own registration.
+	StartEstimated bool
 	// Model is set for targets that run a model.
 	Model bool
 }
@@ -104,7 +106,7 @@
 			delete(r.replacements, other)
 		}
 	}
-	old.ID, old.Leaving, old.StartUnixMS = id, false, old.StartUnixMS+1
+	old.ID, old.Leaving, old.StartUnixMS, old.StartEstimated = id, false, old.StartUnixMS+1, true
 	r.replacements[id] = replacement{reg: old, replaces: replaces}
 	return true
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -23,7 +23,12 @@
 }
 
 func (q *FleetQuery) admits(t *targetState, now time.Time) bool {
-	if t.reg.Service != q.Service || q.Version != "" && t.reg.Version != q.Version || !t.usable(now) {
+	return t.accepts(now) && q.matches(t)
+}
+
+// matches is admits without regard to whether the target is usable now.
+func (q *FleetQuery) matches(t *targetState) bool {
+	if t.reg.Service != q.Service || q.Version != "" && t.reg.Version != q.Version {
 		return false
 	}
 	if q.ExcludeVersion != "" && t.reg.Version == q.ExcludeVersion {
@@ -245,12 +250,12 @@
 	Expected time.Duration
 }
 
-// Place chooses where a generation runs: at the holder of its copy if that target is usable,
+// Place chooses where a generation runs: at the holder of its copy if that target accepts work,
 // otherwise at the best engine. With keepCopy it also chooses an engine for the next copy.
 // It returns false if there is no target.
 func (f *Fleet) Place(now time.Time, q FleetQuery, holder string, size GenerationSize, keepCopy bool) (Placement, bool) {
 	var chosen Placement
-	if holder != "" && f.Usable(now, holder) {
+	if holder != "" && f.Accepts(now, holder) {
 		chosen.Target, chosen.FromCopy = f.Target(holder)
 	}
 	if !chosen.FromCopy {
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -108,8 +108,10 @@
 	reportedGone bool
 	// preferred is set if this gateway is the one that prefers the target.
 	preferred bool
-	// leavingUntil is the end of a report that the target leaves, and leavingFirstHand is set if the
-	// target told this gateway itself.
+	// notice is what the instance said about itself, nil if nothing.
+	notice *noticeState
+	// leavingUntil is the end of a report that the target is unhealthy, by its health check or by
+	// another gateway. leavingFirstHand is set if it was this gateway's health check.
 	leavingUntil     time.Time
 	leavingFirstHand bool
 	activeCalls      int
@@ -172,12 +174,13 @@
 	// order holds the targets sorted by id, so that choices are deterministic.
 	order        []*targetState
 	peers        map[string]peerReport
+	notices      *notices
 	nextStreamID uint64
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
 func NewFleet(name, zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}}
+	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, notices: newNotices()}
 }
 
 // Update replaces the registered targets. The state of targets that are still registered is
@@ -198,7 +201,9 @@
 		t.reg, t.memoryCapacity = reg, capacity(reg.Service)
 		next[reg.ID] = t
 	}
+	previous := f.targets
 	f.targets = next
+	f.attachNotices(previous)
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
 	f.assignPreferred()
@@ -248,7 +253,8 @@
 	return preferredBy == f.name
 }
 
-// MarkLeaving records for leavingReportTTL that a target reported itself as leaving.
+// MarkLeaving records for leavingReportTTL that the health check of a target failed: it leaves or is
+// unhealthy. A target that states that it leaves is recorded by Observe, without an end.
 func (f *Fleet) MarkLeaving(now time.Time, id string) {
 	if t := f.targets[id]; t != nil {
 		t.leavingUntil, t.leavingFirstHand = now.Add(leavingReportTTL), true
@@ -262,14 +268,15 @@
 	}
 }
 
-// ReportedLeaving returns the targets with an unexpired report to this gateway that they are leaving
-// and whose registration does not say so. Reports of other gateways are not passed on: gateways would
-// renew each other's reports without end.
+// ReportedLeaving returns the targets that told this gateway that they leave and whose registration
+// does not say so. Reports of other gateways are not passed on: gateways would renew each other's
+// reports without end.
 func (f *Fleet) ReportedLeaving(now time.Time) []string {
 	var ids []string
-	for id, t := range f.targets {
-		if t.leavingFirstHand && now.Before(t.leavingUntil) && !t.reg.Leaving {
-			ids = append(ids, id)
+	for _, t := range f.order {
+		told := t.leavingFirstHand && now.Before(t.leavingUntil) || t.leaving() && now.Sub(t.notice.LeavingSince) < leavingShareTime
+		if told && !t.reg.Leaving {
+			ids = append(ids, t.reg.ID)
 		}
 	}
 	return ids
@@ -307,24 +314,42 @@
 	return t.reg, true
 }
 
-// Usable reports whether a target may receive work: it is registered, and neither leaving,
-// replaced nor down.
+// Usable reports whether a target can be reached: it is registered, and neither registered as
+// leaving, replaced nor down. Its notices may keep it from receiving new work.
 func (f *Fleet) Usable(now time.Time, id string) bool {
 	t := f.targets[id]
 	return t != nil && t.usable(now)
 }
 
 // CanHoldCopy reports whether a target is usable and has not reported itself as leaving: a
-// leaving engine refuses to resume from a copy.
+// leaving engine refuses to resume from a copy. A paused engine keeps its copies, since moving them
+// takes longer than most pauses.
 func (f *Fleet) CanHoldCopy(now time.Time, id string) bool {
 	t := f.targets[id]
-	return t != nil && t.usable(now) && !now.Before(t.leavingUntil)
+	return t != nil && t.usable(now) && !t.leaving() && !now.Before(t.leavingUntil)
 }
 
 func (t *targetState) usable(now time.Time) bool {
 	return !t.reg.Leaving && !t.replaced && !now.Before(t.downUntil)
 }
 
+// leaving reports whether the instance itself has said that it leaves.
+func (t *targetState) leaving() bool { return t.notice != nil && t.notice.Leaving() }
+
+// accepts reports whether the target may receive new work: it is usable, and its notices do not hold
+// requests back.
+func (t *targetState) accepts(now time.Time) bool {
+	return t.usable(now) && (t.notice == nil || !t.notice.Holds(now))
+}
+
+func (t *targetState) instance() Instance { return Instance{t.reg.ID, t.reg.StartUnixMS} }
+
+// Accepts reports whether a target may receive new work now.
+func (f *Fleet) Accepts(now time.Time, id string) bool {
+	t := f.targets[id]
+	return t != nil && t.accepts(now)
+}
+
 // BeginCall records the start of a short call at a target.
 func (f *Fleet) BeginCall(id string) {
 	if t := f.targets[id]; t != nil {
@@ -477,14 +502,14 @@
 }
 
 // DownTargets returns the targets to be checked because they are excluded as unreachable. Those
-// that only other gateways found gone are left to them.
+// that only other gateways found gone are left to them, and paused ones are checked after the pause.
 func (f *Fleet) DownTargets(now time.Time) []membership.Registration {
 	var list []membership.Registration
 	for _, t := range f.targets {
 		if t.reportedGone && t.goneAt.IsZero() && !t.preferred {
 			continue
 		}
-		if now.Before(t.downUntil) && !t.replaced && !t.reg.Leaving {
+		if now.Before(t.downUntil) && !t.replaced && !t.reg.Leaving && (t.notice == nil || !t.notice.Paused(now)) {
 			list = append(list, t.reg)
 		}
 	}
