Hold requests from targets that say that they leave or ask for a pause

An engine says in any answer that it leaves (Server-Leaving: 1), or rejects a request with 503 and Retry-After. The gateway ignored both: cut off from the store it went on to send requests to engines that had told it that they leave, and rejected requests came back to the same engine at once.

Target connections check the notices right before the first byte leaves, so that a target that was chosen earlier gets nothing; the attempt counts as unsent, its token goes back and the connection stays in the pool. Paused targets get no orders for copies and no health checks of the gateway's own choice, and one probe in a pause for the requests that they run; leaving ones may be probed and asked for copies of their runs. If all targets of a service leave or are paused beyond the time that a request could wait, it is refused at once with the time at which the first one returns, plus a jitter. Both notices and withheld requests are logged and counted.

A response to another request, of another instance, or to a probe or health check that does not name its instance says nothing.

--- a/internal/gateway/cache_copies.go
+++ b/internal/gateway/cache_copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,7 @@
 // release frees a requested copy, which would otherwise occupy memory until it expires.
 func (m *copyManager) release() {
 	request := m.s.g.options.Protocol.EncodeCopyRelease(m.current.Load().Handle)
+	request.Permit = m.s.g.pausePermit(m.s.reg)
 	response, err := m.s.g.pool.Do(m.s.g.ctx, m.current.Load().Address, &request, copyRequestTimeout)
 	if err != nil {
 		m.s.req.log.Debug().Str("target", m.current.Load().Holder).Err(err).Msg("KV cache copy not released; it occupies memory until it expires")
@@ -163,10 +165,22 @@
 func (m *copyManager) requestCopy(id, address string) {
 	source := m.s.reg.Address
 	request := m.s.g.options.Protocol.EncodeCopyRequest(m.s.req.head.ID, address)
+	request.Permit = m.s.g.pausePermit(m.s.reg)
 	response, err := m.s.g.pool.Do(m.ctx, source, &request, copyRequestTimeout)
 	if m.ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, target.ErrNotPermitted) {
+		m.s.g.metrics.copyOrders.WithLabelValues("held").Inc()
+		return
+	}
+	if err == nil {
+		// The stream of the run is open, so that its instance still has the address.
+		header := m.s.g.options.Protocol.DecodeResponse(response.Status, response.Header)
+		if header.InstanceID == "" || header.InstanceID == m.s.reg.ID {
+			m.s.g.observe(m.s.reg, &header, placement.FromCopyOrder)
+		}
+	}
 	handle := ""
 	if err == nil && response.Status == http.StatusOK {
 		handle, err = m.s.g.options.Protocol.DecodeCopyResponse(response.Body)
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -34,6 +34,8 @@
 	response TargetResponse
 	body     []byte
 	target   string
+	// withheld is set if the request was not sent because the target leaves or asked for a pause.
+	withheld bool
 }
 
 // callForwarder forwards one non-streaming request.
@@ -114,7 +116,7 @@
 	handle := &attemptHandle{fingerprint: f.req.fingerprint, cancel: cancel}
 	waitUntil := time.Now().Add(time.Duration(placementWaitFraction * float64(f.req.route.TargetLatency)))
 	for {
-		reg, ok := f.chooseTarget(e, handle)
+		reg, held, ok := f.chooseTarget(e, handle)
 		if ok {
 			f.sendCount++
 			f.machine.TargetChosen(reg.ID)
@@ -124,6 +126,14 @@
 			}()
 			return nil
 		}
+		f.req.heldDelay = held.delay
+		if held.hopeless(waitUntil) {
+			if !e.Hedge {
+				f.req.logHeld(&held)
+			}
+			cancel()
+			return f.machine.NoTarget(time.Now(), e.Attempt)
+		}
 		if e.Retry || f.req.rejected || !time.Now().Before(waitUntil) || f.req.ctx.Err() != nil {
 			cancel()
 			return f.machine.NoTarget(time.Now(), e.Attempt)
@@ -132,10 +142,11 @@
 	}
 }
 
-func (f *callForwarder) chooseTarget(e forward.Send, handle *attemptHandle) (membership.Registration, bool) {
+func (f *callForwarder) chooseTarget(e forward.Send, handle *attemptHandle) (membership.Registration, heldPlacement, bool) {
 	type choice struct {
-		reg membership.Registration
-		ok  bool
+		reg  membership.Registration
+		held heldPlacement
+		ok   bool
 	}
 	c := query(f.req.ctx, f.g.loop, func(st *state) choice {
 		now := time.Now()
@@ -146,7 +157,10 @@
 		fleetQuery := placement.FleetQuery{Service: f.req.service, Exclude: e.Exclude}
 		st.restrictVersion(now, &fleetQuery, f.req.versionDraw)
 		reg, ok := st.fleet.ChooseCall(now, fleetQuery)
-		if ok && e.Repeat && !f.g.loop.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
+		if !ok {
+			return choice{held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
+		}
+		if e.Repeat && !f.g.loop.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
 			f.g.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
 			ok = false
 		}
@@ -154,12 +168,12 @@
 			st.fleet.BeginCall(reg.ID)
 			st.addAttempt(reg.ID, handle)
 		}
-		return choice{reg, ok}
+		return choice{reg: reg, ok: ok}
 	})
 	if c.ok && e.Retry {
 		f.req.log.Info().Str("target", c.reg.ID).Bool("hedge", e.Hedge).Int("attempt", e.Attempt).Msg("request sent to another target")
 	}
-	return c.reg, c.ok
+	return c.reg, c.held, c.ok
 }
 
 // attempt sends the request to a target, records the outcome and delivers the result.
@@ -169,7 +183,7 @@
 	r.attempt, r.target = e.Attempt, reg.ID
 	took := time.Since(start)
 	latency := took
-	failed := r.result == forward.TargetError || r.result == forward.Unknown || r.result == forward.Unsent
+	failed := r.result == forward.TargetError || r.result == forward.Unknown || r.result == forward.Unsent && !r.withheld
 	f.g.loop.post(f.g.ctx, func(st *state) {
 		now := time.Now()
 		st.removeAttempt(reg.ID, handle)
@@ -217,8 +231,16 @@
 	msg := f.req.targetRequest(f.g.options.Protocol.EncodeAttempt(&Attempt{
 		Request: &f.req.head, Target: reg, Account: f.req.account, Timeout: time.Until(f.req.deadline), Priority: -1,
 	}))
+	msg.Permit = f.g.sendPermit(reg)
 	handle.sent.Store(true)
 	sent, err := conn.Send(msg)
+	if f.req.withheld(reg, err) {
+		handle.sent.Store(false)
+		if stop() {
+			f.g.pool.Put(conn)
+		}
+		return attemptResult{result: forward.Unsent, withheld: true}
+	}
 	if err != nil {
 		_ = conn.Close()
 		if !sent {
@@ -226,7 +248,7 @@
 		}
 		return f.connectionLost(ctx, reg, err)
 	}
-	r, reusable, err := f.receive(conn)
+	r, reusable, err := f.receive(conn, reg)
 	if err != nil {
 		_ = conn.Close()
 		return f.connectionLost(ctx, reg, err)
@@ -250,7 +272,7 @@
 
 // receive reads the response to this request and reports whether the connection can be reused.
 // It drops late responses to earlier requests.
-func (f *callForwarder) receive(conn *target.Conn) (attemptResult, bool, error) {
+func (f *callForwarder) receive(conn *target.Conn, reg membership.Registration) (attemptResult, bool, error) {
 	for {
 		response, err := conn.Receive(f.req.head.Method)
 		if err != nil {
@@ -261,7 +283,7 @@
 			return attemptResult{}, false, err
 		}
 		header := f.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
-		if header.RequestID != f.req.head.ID && (header.RequestID != "" || !header.NotRun) {
+		if !header.answers(f.req.head.ID) {
 			f.g.metrics.strayResponses.Inc()
 			f.req.log.Info().Str("answered_id", header.RequestID).Int("status", header.Status).Msg("response to another request dropped")
 			if response.Close {
@@ -269,6 +291,7 @@
 			}
 			continue
 		}
+		f.g.observeResponse(reg, &header, f.req.head.ID)
 		return attemptResult{result: classify(&header), response: header, body: body}, !response.Close && !header.Close, nil
 	}
 }
@@ -323,7 +346,7 @@
 	case f.req.rejected:
 		f.g.refuse(w, f.req, result.CrashesTargets, 0)
 	case finish.Outcome == forward.NotRun:
-		f.g.refuse(w, f.req, result.NoTarget, callRetryAfter)
+		f.g.refuse(w, f.req, result.NoTarget, f.req.retryDelay(callRetryAfter))
 	case finish.Outcome == forward.TimedOut:
 		f.g.refuse(w, f.req, result.TargetSilent, 0)
 	default:
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -110,6 +110,8 @@
 	// configConfirmedAt is when the desired state in use was last known to match the store, nil
 	// before the first confirmation.
 	configConfirmedAt atomic.Pointer[time.Time]
+	// heldTargets holds the targets to which no new requests may be sent, nil before the first one.
+	heldTargets atomic.Pointer[heldTargets]
 	// probe starts a background probe of a target.
 	probe func(target membership.Registration)
 }
@@ -212,6 +214,7 @@
 	if expired {
 		l.updateFleet(st)
 	}
+	l.expireNotices(st, now)
 	st.suspects.Expire(now)
 	st.runIndex.Expire(now)
 	st.outages.Expire(now)
@@ -273,11 +276,14 @@
 			l.metrics.tableAge.WithLabelValues(Table(i).String()).Set(now.Sub(confirmed).Seconds())
 		}
 	}
-	states := map[string]int{"usable": 0, "leaving": 0, "avoided": 0}
+	states := map[string]int{"usable": 0, "leaving": 0, "paused": 0, "avoided": 0}
 	for _, reg := range st.registry.Targets() {
+		notice := st.fleet.Notice(reg.ID)
 		switch {
-		case reg.Leaving:
+		case reg.Leaving, notice.Leaving():
 			states["leaving"]++
+		case notice.Paused(now):
+			states["paused"]++
 		case st.fleet.Usable(now, reg.ID):
 			states["usable"]++
 		default:
@@ -461,6 +467,7 @@
 		return 0
 	})
 	l.metrics.targets.Set(float64(len(st.registrations)))
+	l.publishNotices(st, time.Now())
 }
 
 // budget returns the retry budget of a service, refilled up to now.
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -169,12 +169,23 @@
 	InstanceMismatch bool
 	// InstanceID is the ID of the instance that responded, empty if it is not stated.
 	InstanceID string
+	// Leaving is set if the target states that it leaves.
+	Leaving bool
+	// Pause is how long the target wants no requests from this gateway: it rejected the request and
+	// stated when to come back. It is 0 if it did not.
+	Pause time.Duration
 	// Header holds the headers that are forwarded to the client.
 	Header http.Header
 	// Close is set if the target closes the connection after the response.
 	Close bool
 }
 
+// answers reports whether the response belongs to a request. A target that did not run a request may
+// omit its ID.
+func (r *TargetResponse) answers(requestID string) bool {
+	return r.RequestID == requestID || r.RequestID == "" && r.NotRun
+}
+
 // EngineReport is the load report of an engine. MemoryUsed and Capacity are in tokens.
 type EngineReport struct {
 	Queued, Running      int
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,8 @@
 	targetStates   *prometheus.GaugeVec
 	storeSeconds   *prometheus.HistogramVec
 	targetCrashes  prometheus.Counter
+	notices        *prometheus.CounterVec
+	withheld       *prometheus.CounterVec
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -63,6 +65,8 @@
 		probes:         counterVec("probes_total", "Probes of targets by outcome.", "outcome"),
 		runLookups:     counterVec("runs_sought_total", "Searches for the run of a returning client by where it was found.", "from"),
 		copyOrders:     counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
+		notices:        counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
+		withheld:       counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, by kind of route.", "kind"),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
@@ -84,6 +88,6 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.notices, m.withheld)
 	return m
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/gateway/target"
 )
@@ -22,13 +23,20 @@
 	recheckInterval = 700 * time.Millisecond
 )
 
-// probeTarget probes a target and reports whether it responded. If not, it marks the target down.
+// probeTarget probes a target and reports whether it responded. If not, it marks the target down. A
+// target whose pause permits no further probe counts as alive: the streams that it runs still end by
+// their own limits.
 func (g *Gateway) probeTarget(reg membership.Registration) (response target.Response, alive bool) {
+	if !g.mayProbe(reg) {
+		g.metrics.probes.WithLabelValues("held").Inc()
+		return target.Response{}, true
+	}
 	var err error
 	for range maxProbeAttempts {
 		response, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
 			g.metrics.probes.WithLabelValues("alive").Inc()
+			g.observeUnbound(reg, response, placement.FromProbe)
 			return response, true
 		}
 		if connRefused(err) {
@@ -141,13 +149,18 @@
 	if path == "" {
 		return
 	}
-	health, err := g.pool.Probe(g.ctx, reg.Address, path, probeTimeout)
+	health, err := g.probeOnce(g.ctx, reg, path)
+	if errors.Is(err, target.ErrNotPermitted) {
+		g.metrics.probes.WithLabelValues("held").Inc()
+		return
+	}
 	if err != nil {
 		g.metrics.probes.WithLabelValues("no_answer").Inc()
 		return
 	}
 	resp := g.options.Protocol.DecodeResponse(health.Status, health.Header)
 	g.metrics.probes.WithLabelValues("health").Inc()
+	g.observeUnbound(reg, health, placement.FromProbe)
 	if resp.InstanceID != "" && resp.InstanceID != reg.ID {
 		g.handleRestartedTarget(reg, resp.InstanceID)
 		return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -54,6 +54,9 @@
 	configAge        time.Duration
 	rejected         bool
 	deadlineTooShort bool
+	// heldDelay is the delay to state to the client because all targets leave or are paused, 0 if
+	// they do not.
+	heldDelay time.Duration
 	// versionDraw is a random number that selects the version of the service during a rollout.
 	versionDraw uint64
 	firstEvent  time.Duration
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -85,6 +85,8 @@
 	// tookRepeat is set if the current attempt took a token of the retry budget, and budgetSpent if
 	// the last placement failed because there was none.
 	tookRepeat, budgetSpent bool
+	// held is set if the last placement failed because all targets leave or are paused.
+	held heldPlacement
 	// firstEventAt is when the current attempt produced its first event, zero if it has not.
 	firstEventAt time.Time
 }
@@ -146,6 +148,9 @@
 			return s.machine.CallerDisconnected()
 		case ok:
 			return s.machine.Placed(time.Now(), placed)
+		case s.held.hopeless(waitUntil):
+			s.req.logHeld(&s.held)
+			return s.machine.PlacementFailed()
 		case s.req.rejected, s.req.deadlineTooShort:
 			return s.machine.PlacementFailed()
 		case !time.Now().Before(waitUntil):
@@ -164,6 +169,7 @@
 	deadlineTooShort bool
 	// budgetSpent is set if the retry budget does not permit another attempt now.
 	budgetSpent bool
+	held        heldPlacement
 }
 
 // requestPlacement requests a target from the event loop: the holder of the KV cache copy if it
@@ -183,6 +189,9 @@
 			return placementResult{deadlineTooShort: true}
 		}
 		placed := st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
+		if !placed.ok {
+			placed.held = st.heldPlacement(now, fleetQuery, streamRetryAfter)
+		}
 		if placed.ok && s.machine.Arrived() {
 			placed.ok = s.takeRepeat(st, now)
 			placed.budgetSpent = !placed.ok
@@ -194,6 +203,7 @@
 	}
 	s.budgetSpent = p.budgetSpent
 	s.req.deadlineTooShort = p.deadlineTooShort
+	s.held, s.req.heldDelay = p.held, p.held.delay
 	if p.rejected {
 		s.req.log.Warn().Msg("request rejected because it crashed too many targets")
 		s.req.rejected = true
@@ -332,8 +342,15 @@
 		attempt.CopyFrom = s.resumeFrom
 	}
 	defer s.manageCopy(e.Placement, info.copyAddress).stop()
+	msg := s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&attempt))
+	msg.Permit = s.g.sendPermit(s.reg)
 	handle.sent.Store(true)
-	sent, err := conn.Send(s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&attempt)))
+	sent, err := conn.Send(msg)
+	if s.req.withheld(s.reg, err) {
+		handle.sent.Store(false)
+		s.unsent = true
+		return s.machine.AttemptFailed(time.Now(), relay.Unsent), false
+	}
 	if err != nil && !sent {
 		s.unsent = true
 		return s.machine.AttemptFailed(time.Now(), relay.Unsent), true
@@ -346,6 +363,7 @@
 		return s.connectionLost(handle, err)
 	}
 	header := s.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
+	s.g.observeResponse(s.reg, &header, s.req.head.ID)
 	if loss := s.checkResponse(&header, response); loss != 0 {
 		if loss == relay.Replaced {
 			s.g.loop.post(s.g.ctx, func(st *state) { st.fleet.MarkReplaced(time.Now(), s.reg.ID) })
@@ -543,7 +561,7 @@
 	case s.req.deadlineTooShort:
 		s.g.refuse(s.w, s.req, result.DeadlineTooShort, streamRetryAfter)
 	default:
-		s.g.refuse(s.w, s.req, result.NoTarget, streamRetryAfter)
+		s.g.refuse(s.w, s.req, result.NoTarget, s.req.retryDelay(streamRetryAfter))
 	}
 }
 
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -36,6 +36,9 @@
 // ErrUnexpectedBytes means that a target sent data without a request.
 var ErrUnexpectedBytes = errors.New("target sent data without a request")
 
+// ErrNotPermitted means that Request.Permit did not permit a request when it was to be sent.
+var ErrNotPermitted = errors.New("target accepts no requests now")
+
 // ErrHeadTooLong means that a target sent more than maxHeadBytes without beginning a body.
 var ErrHeadTooLong = errors.New("response head exceeds 64 KiB")
 
@@ -243,6 +246,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Permit, if set, is called right before the first byte is sent. If it returns false, nothing is
+	// sent.
+	Permit func() bool
 }
 
 func (r *Request) encodeHead() []byte {
@@ -259,10 +265,14 @@
 }
 
 // Send writes a request. If it returns an error, sent reports whether a part of the request may
-// have reached the target.
+// have reached the target. It returns ErrNotPermitted if the request was not permitted; the connection
+// can then be used for another one.
 func (c *Conn) Send(req *Request) (sent bool, err error) {
 	c.bodyWritten, c.writeErr = nil, nil
 	head := req.encodeHead()
+	if req.Permit != nil && !req.Permit() {
+		return false, ErrNotPermitted
+	}
 	if len(head)+len(req.Body) <= maxInlineRequest {
 		n, err := c.Write(append(head, req.Body...))
 		return n > 0, err
