Show in explain which targets were leaving or paused

The refusal of a request for lack of a target names none, and a target may have said that it leaves long before the 3 s of context that explain prints. Notices of targets of the request's services are now printed for as long as they hold. TestTimelineShowsNotices fails without the change.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -26,6 +26,10 @@
 	messageEnded   = "request ended"
 	messageRefused = "request refused"
 	messageStarted = "gateway started"
+	// messageLeaving and messagePause are the notices of targets. They are printed for as long as they
+	// hold, since they decide where a request is not sent.
+	messageLeaving = "target says that it leaves; sending it no new requests"
+	messagePause   = "target asks for a pause; sending it no requests until it ends"
 	// maxLineBytes bounds one line; Read fails on a longer one.
 	maxLineBytes = 1 << 20
 )
@@ -116,10 +120,11 @@
 
 // WriteTimeline prints the lines of a request in order of time. It adds, marked with "~",
 // lines without a request that the same processes logged around that time and that concern
-// one of the request's targets, a table of the store, or no target.
+// one of the request's targets, a table of the store, or no target. Of the request's services it adds
+// the notices of targets that leave or are paused at that time.
 func WriteTimeline(w io.Writer, request string, lines []LogLine, skipped int) error {
 	slices.SortStableFunc(lines, func(a, b LogLine) int { return a.Time.Compare(b.Time) })
-	processes, targets := map[string]bool{}, map[string]bool{}
+	processes, targets, services := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var first, last time.Time
 	for _, line := range lines {
 		if line.Request != request {
@@ -133,6 +138,9 @@
 		if line.Target != "" {
 			targets[line.Target] = true
 		}
+		if service, ok := line.Fields["service"].(string); ok {
+			services[service] = true
+		}
 	}
 	if first.IsZero() {
 		return fmt.Errorf("%w: %q", ErrNotFound, request)
@@ -140,6 +148,8 @@
 	for _, line := range lines {
 		isContext := line.Request == "" && processes[line.Process] && (targets[line.Target] || line.Table != "" || line.Target == "") &&
 			!line.Time.Before(first.Add(-contextBefore)) && !line.Time.After(last.Add(contextAfter))
+		service, _ := line.Fields["service"].(string)
+		isContext = isContext || processes[line.Process] && (targets[line.Target] || services[service]) && line.holdsBetween(first, last)
 		if line.Request != request && !isContext {
 			continue
 		}
@@ -162,6 +172,22 @@
 	return nil
 }
 
+// holdsBetween reports whether the line is a notice of a target that holds at some time between first
+// and last.
+func (l *LogLine) holdsBetween(first, last time.Time) bool {
+	if l.Time.After(last) {
+		return false
+	}
+	switch l.Message {
+	case messageLeaving:
+		return true
+	case messagePause:
+		ms, _ := l.Fields["pause"].(float64)
+		return l.Time.Add(time.Duration(ms * float64(time.Millisecond))).After(first)
+	}
+	return false
+}
+
 // reportMissingEnd prints, if the end of the request is not logged, whether the process has
 // restarted. The end is missing if the process was killed or lost power or lines were dropped.
 func reportMissingEnd(w io.Writer, request string, lines []LogLine, first time.Time) error {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -61,3 +61,26 @@
 		}
 	})
 }
+
+// Guards against a refused or moved request whose timeline does not show which targets were leaving or
+// paused: they may have said so long before, and the refusal names none of them.
+func TestTimelineShowsNotices(t *testing.T) {
+	c := qt.New(t)
+	const log = `{"gateway":"g1","target":"t1","service":"s","source":"response","time":"2026-01-01T00:00:00.000Z","message":"target says that it leaves; sending it no new requests"}
+{"gateway":"g1","target":"t2","service":"s","pause":5000,"time":"2026-01-01T00:00:01.000Z","message":"target asks for a pause; sending it no requests until it ends"}
+{"gateway":"g1","target":"t3","service":"s","pause":20000,"time":"2026-01-01T00:00:02.000Z","message":"target asks for a pause; sending it no requests until it ends"}
+{"gateway":"g2","target":"t4","service":"s","pause":20000,"time":"2026-01-01T00:00:02.000Z","message":"target asks for a pause; sending it no requests until it ends"}
+{"gateway":"g1","target":"t5","service":"other","time":"2026-01-01T00:00:03.000Z","message":"target says that it leaves; sending it no new requests"}
+{"gateway":"g1","request":"r1","service":"s","leaving":1,"paused":1,"time":"2026-01-01T00:00:10.000Z","message":"no target accepts the request: all leave or asked for a pause"}
+{"gateway":"g1","request":"r1","time":"2026-01-01T00:00:10.100Z","message":"request refused"}
+`
+	lines, _, err := Read(strings.NewReader(log))
+	c.Assert(err, qt.IsNil)
+	var out strings.Builder
+	c.Assert(WriteTimeline(&out, "r1", lines, 0), qt.IsNil)
+	c.Check(out.String(), qt.Equals, `~   -10.000 s g1: target says that it leaves; sending it no new requests service=s source=response target=t1
+~    -8.000 s g1: target asks for a pause; sending it no requests until it ends pause=20000 service=s target=t3
+      0.000 s g1: no target accepts the request: all leave or asked for a pause leaving=1 paused=1 service=s
+      0.100 s g1: request refused
+`)
+}
