Emulate engines that shed load or leave by their own word

Two load patterns: "shedding" (four engines reject everything for 6 s and want no requests for 2 s) and "leave-untold" (eight engines say only in their answers that they leave, serve for 3 s and restart).

TestNoticesOfEngines fails without the notices.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -209,3 +209,19 @@
 	c.Check((&Command{Pattern: "unknown", Seeds: 1}).print(&table), qt.ErrorMatches, `no pattern "unknown".*`)
 	c.Check((&Command{Pattern: "grey"}).print(&table), qt.ErrorMatches, "at least one seed.*")
 }
+
+// Engines shed load or leave by their own word. Guards against requests that go on to arrive where they
+// are not wanted, and against streams that are lost with engines that had said that they leave.
+func TestNoticesOfEngines(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	shedding := simulateAll(t, "shedding")
+	product, roundRobin := shedding["product"], shedding["round robin"]
+	t.Logf("rejections: product %d, round robin %d; refused %d and %d", product.Rejections, roundRobin.Rejections, product.Refused, roundRobin.Refused)
+	// Without the notices, 47 arrive.
+	c.Check(product.Rejections <= 30, qt.IsTrue, qt.Commentf("%d rejections", product.Rejections))
+	c.Check(product.Lost+product.Refused, qt.Equals, 0)
+	untold := simulateAll(t, "leave-untold")["product"]
+	t.Logf("leaving: %d lost, %d refused, %d late of %d", untold.Lost, untold.Refused, untold.Late, untold.Requests)
+	c.Check(untold.Lost+untold.Refused, qt.Equals, 0)
+}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
 )
 
 // The engine parameters are those that the users state for their engines.
@@ -66,6 +67,8 @@
 	prefillTokens *int
 	// deliver receives each signal with the number of its event, 0 for none.
 	deliver func(signal, int)
+	// answer is what the engine's answer says about the engine.
+	answer placement.Response
 
 	toPrefill     int
 	pendingTokens int
@@ -93,7 +96,13 @@
 	// An engine that is not up refuses connections or, if unresponsive, does not respond.
 	up, unresponsive bool
 	leaving          bool
-	slowdown         float64
+	// saysLeaving is set if the engine says in its answers that it leaves, shedPause is the time to
+	// come back that it states when it rejects all requests, 0 if it does not. The store knows neither.
+	saysLeaving bool
+	shedPause   time.Duration
+	// rejections counts the requests rejected because of shedPause.
+	rejections int
+	slowdown   float64
 	// hangProbability is the fraction of the requests that the engine accepts but never
 	// processes.
 	hangProbability float64
@@ -156,6 +165,12 @@
 // submit queues a job; a resumed job goes first. It refuses a job whose cache copy is missing or
 // expired, and every resumed job while the engine is leaving.
 func (e *engine) submit(j *job) {
+	j.answer = placement.Response{Leaving: e.saysLeaving, Pause: e.shedPause}
+	if e.shedPause > 0 {
+		e.rejections++
+		j.deliver(signalRefused, 0)
+		return
+	}
 	if e.leaving && j.resumeFrom != "" {
 		j.deliver(signalRefused, 0)
 		return
@@ -387,6 +402,6 @@
 
 // start restarts a stopped engine.
 func (e *engine) start() {
-	e.up, e.unresponsive, e.leaving = true, false, false
+	e.up, e.unresponsive, e.leaving, e.saysLeaving = true, false, false, false
 	e.recordLoad()
 }
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -81,6 +81,15 @@
 				sim.at(8+float64(i), func() { sim.restart(sim.engines[2*i]) })
 			}
 		}},
+		{"leave-untold", "eight engines, one each second, say only in their answers that they leave, serve for 3 s and restart", func(sim *simulation) {
+			for i := range 8 {
+				sim.at(8+float64(i), func() { sim.restartUntold(sim.engines[2*i]) })
+			}
+		}},
+		{"shedding", "four engines reject everything for 6 s and state that they want no requests for 2 s", func(sim *simulation) {
+			sim.at(8, func() { sim.forEngines(4, func(e *engine) { e.shedPause = 2 * time.Second }) })
+			sim.at(14, func() { sim.forEngines(4, func(e *engine) { e.shedPause = 0 }) })
+		}},
 		{"gateways", "each gateway in turn is killed and restarts after 1 s", func(sim *simulation) {
 			for i, g := range sim.gateways {
 				sim.at(8+4*float64(i), g.kill)
@@ -137,3 +146,16 @@
 		})
 	})
 }
+
+// restartUntold makes an engine say in its answers that it leaves, without the store's knowledge,
+// stops it 3 s later and restarts it after outageDuration.
+func (sim *simulation) restartUntold(e *engine) {
+	e.saysLeaving = true
+	sim.clock.after(3*time.Second, func() {
+		e.stop(false)
+		sim.clock.after(outageDuration, func() {
+			e.start()
+			sim.register(e)
+		})
+	})
+}
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -19,6 +19,8 @@
 	// WastedPrefillTokens counts the tokens prefilled beyond the prompt of a request, and all
 	// prefilled tokens of a request that received no event.
 	WastedPrefillTokens int
+	// Rejections counts the requests that arrived at engines that reject everything.
+	Rejections int
 	// OnTimeBySecond is the fraction on time of the requests that arrived in each second, 1
 	// if none did.
 	OnTimeBySecond []float64
@@ -48,6 +50,9 @@
 	for seed := range n {
 		sim := newSimulation(policy, uint64(seed+1))
 		sim.run(p)
+		for _, e := range sim.engines {
+			s.Rejections += e.rejections
+		}
 		before := s
 		for _, c := range sim.clients {
 			s.add(c)
