Do not take a target for reachable because its pause permits no probe

After a connection attempt that timed out, the target is marked down until a probe finds it alive. A probe that the target's pause did not permit counted as alive and cleared the mark. TestHeldProbeDoesNotClearDown fails without the change. The emulator takes no notice from a broken connection.

--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -223,7 +223,9 @@
 
 func (s *stream) handleSignal(kind signal, number int) {
 	now := s.gateway.sim.clock.now
-	s.gateway.fleet.Observe(now, placement.Instance{ID: s.target.ID, StartUnixMS: s.target.StartUnixMS}, s.job.answer, placement.FromResponse)
+	if kind != signalDisconnected {
+		s.gateway.fleet.Observe(now, placement.Instance{ID: s.target.ID, StartUnixMS: s.target.StartUnixMS}, s.job.answer, placement.FromResponse)
+	}
 	switch kind {
 	case signalEvent:
 		if !s.hasFirstEvent {
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"testing"
@@ -199,3 +200,16 @@
 func (leavingProtocol) DecodeResponse(status int, h http.Header) TargetResponse {
 	return TargetResponse{Status: status, InstanceID: h.Get("Instance"), Leaving: true}
 }
+
+// Guards against a target that is taken for reachable because its pause permits no probe: it did not
+// accept a connection.
+func TestHeldProbeDoesNotClearDown(t *testing.T) {
+	c := qt.New(t)
+	g, reg, _ := startNoticeGateway(t)
+	g.observe(reg, &TargetResponse{Pause: time.Minute}, placement.FromResponse)
+	c.Check(g.mayProbe(reg), qt.IsTrue)
+	g.handleDialError(reg, errors.New("connect timed out"))
+	g.tasks.Wait()
+	usable := query(t.Context(), g.loop, func(st *state) bool { return st.fleet.Usable(time.Now(), reg.ID) })
+	c.Check(usable, qt.IsFalse)
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -94,7 +94,8 @@
 		// Avoid the target until a probe succeeds.
 		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
 		g.background(func() {
-			if _, alive := g.probeTarget(reg); alive {
+			// A probe that the target's pause does not permit has no response.
+			if response, alive := g.probeTarget(reg); alive && response.Status != 0 {
 				g.loop.post(g.ctx, func(st *state) { st.fleet.MarkUp(reg.ID) })
 			}
 		})
