--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -298,6 +298,9 @@
 
 func (a *attempt) handleSignal(kind signal, number int) {
 	s, now := a.s, a.s.gateway.sim.clock.now
+	if kind != signalDisconnected {
+		s.gateway.fleet.Observe(now, placement.Instance{ID: a.target.ID, StartUnixMS: a.target.StartUnixMS}, a.job.answer, placement.FromResponse)
+	}
 	switch kind {
 	case signalEvent:
 		if s.successor == a {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -431,10 +431,7 @@
 		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
 	}
 	for _, id := range remote.LeavingTargets {
-		// A report that another gateway passes on does not prolong the one that is known.
-		if !st.fleet.HasReportedLeaving(now, id) {
-			st.fleet.MarkLeaving(now, id)
-		}
+		st.fleet.ReportLeaving(now, id)
 	}
 	for _, restarted := range remote.Met {
 		p.g.loop.addRestartedTarget(st, restarted.Id, restarted.Replaces)
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -52,6 +52,8 @@
 	response TargetResponse
 	// firstEventAt is when the first event arrived, zero before.
 	firstEventAt time.Time
+	// withheld is set if the attempt says nothing about its target because nothing was sent to it.
+	withheld bool
 	// dropped counts the bytes of events that did not continue the stream since the last that did.
 	dropped int
 	// processed receives a value when the stream has processed an event, and ended is closed when
@@ -80,6 +82,8 @@
 	loss        relay.Loss
 	failureBody []byte
 	alive       bool
+	// withheld is set if the request was not sent because the target leaves or is paused.
+	withheld bool
 }
 
 // startAttempt starts an attempt at the target of the last placement.
@@ -131,7 +135,7 @@
 	if !a.firstEventAt.IsZero() {
 		latency = a.firstEventAt.Sub(a.startedAt)
 	}
-	failed := loss != 0 && loss != relay.Refused
+	failed := loss != 0 && loss != relay.Refused && !a.withheld
 	unsent := loss == relay.Unsent || !a.handle.sent.Load()
 	s, placed, copyHolder := a.s, a.start.Placement, a.copyHolder
 	s.g.loop.post(s.g.ctx, func(st *state) {
@@ -189,13 +193,17 @@
 	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	a.handle.sent.Store(true)
-	sent, err := conn.Send(s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&Attempt{
+	msg := s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&Attempt{
 		Request: &s.req.head, Target: a.reg, Account: s.req.account, Timeout: time.Until(s.req.deadline),
 		LastEventID: a.start.After, Priority: -1, CopyTo: a.copyTarget, CopyFrom: a.resumeFrom,
-	})))
+	}))
+	msg.Permit = s.g.sendPermit(a.reg)
+	a.handle.sent.Store(true)
+	sent, err := conn.Send(msg)
+	withheld := s.req.withheld(a.reg, err)
 	if err != nil && !sent {
-		a.send(attemptMessage{kind: attemptFailed, loss: relay.Unsent})
+		a.handle.sent.Store(false)
+		a.send(attemptMessage{kind: attemptFailed, loss: relay.Unsent, withheld: withheld})
 		return
 	}
 	if err == nil {
@@ -215,6 +223,7 @@
 		return err
 	}
 	a.response = a.s.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
+	a.s.g.observeResponse(a.reg, &a.response, a.s.req.head.ID, false)
 	if loss, body := a.checkResponse(response); loss != 0 {
 		a.send(attemptMessage{kind: attemptFailed, loss: loss, failureBody: body})
 		return nil
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -55,6 +55,8 @@
 	previousTarget string
 	// budgetSpent is set if the last placement failed because the retry budget had no token.
 	budgetSpent bool
+	// held is set if the last placement failed because all targets leave or are paused.
+	held heldPlacement
 }
 
 // serveStream relays a stream until it ends.
@@ -182,6 +184,7 @@
 
 // handle handles a message of an attempt. Messages of attempts that have ended are dropped.
 func (s *stream) handle(m attemptMessage) {
+	m.attempt.withheld = m.withheld
 	switch m.attempt {
 	case s.current:
 		s.handleCurrent(m)
@@ -279,6 +282,9 @@
 			return s.machine.CallerDisconnected()
 		case ok:
 			return s.machine.Placed(time.Now(), placed)
+		case s.held.hopeless(waitUntil):
+			s.req.logHeld(&s.held)
+			return s.machine.PlacementFailed()
 		case s.req.rejected, s.req.deadlineTooShort:
 			return s.machine.PlacementFailed()
 		case !time.Now().Before(waitUntil):
@@ -306,6 +312,7 @@
 	deadlineTooShort bool
 	// tookRepeat is set if a token of the retry budget was taken, and budgetSpent if there was none.
 	tookRepeat, budgetSpent bool
+	held                    heldPlacement
 }
 
 // requestPlacement requests a target from the event loop: the holder of the KV cache copy if it
@@ -326,6 +333,9 @@
 			return placementResult{deadlineTooShort: true}
 		}
 		placed := st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
+		if !placed.ok {
+			placed.held = st.heldPlacement(now, fleetQuery, streamRetryAfter)
+		}
 		if placed.ok && s.machine.Arrived() {
 			placed.tookRepeat = s.takeRepeat(st, now)
 			placed.ok, placed.budgetSpent = placed.tookRepeat, !placed.tookRepeat
@@ -337,6 +347,7 @@
 	}
 	s.budgetSpent = p.budgetSpent
 	s.req.deadlineTooShort = p.deadlineTooShort
+	s.held, s.req.heldDelay = p.held, p.held.delay
 	if p.rejected {
 		s.req.log.Warn().Msg("request rejected because it crashed too many targets")
 		s.req.rejected = true
@@ -513,7 +524,7 @@
 	case s.req.deadlineTooShort:
 		s.g.refuse(s.w, s.req, result.DeadlineTooShort, streamRetryAfter)
 	default:
-		s.g.refuse(s.w, s.req, result.NoTarget, streamRetryAfter)
+		s.g.refuse(s.w, s.req, result.NoTarget, s.req.retryDelay(streamRetryAfter))
 	}
 }
 
