Return a stream to a recovered target when no other is left

Cause: each target that failed a stream was excluded for the rest of that stream. That holds for an engine that did not answer two probes of 110 ms, as on a busy machine, and for an engine that refused only to resume from a copy that it lacked. If the others were down, the stream waited 3 s for a target and was given up. Change: relay.Machine.LastResort names the excluded targets that may be tried again: those that were unreachable, broke or were slow, and those that refused only the resumption. Fleet.Place chooses among them if there is no other target. A target that rejects or fails the request itself, and an instance that was replaced, stay excluded; the bounds on runs and attempts and the retry budget hold as before. TestLastResort and TestExcludedTargetIsLastResort guard the decision in core.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -16,6 +16,8 @@
 	ExcludeVersion string
 	// Exclude lists the ids of targets that must not be chosen.
 	Exclude []string
+	// LastResort lists the ids in Exclude that Place may choose if there is no other target.
+	LastResort []string
 	// AvoidZone is a zone to avoid as long as another zone has an admitted target.
 	AvoidZone string
 	// WarmTarget is the id of a target that may still have the prompt cached; empty for none.
@@ -246,8 +248,8 @@
 }
 
 // Place chooses where a generation runs: at the holder of its copy if that target is usable,
-// otherwise at the best engine. With keepCopy it also chooses an engine for the next copy.
-// It returns false if there is no target.
+// otherwise at the best engine, or at the best of q.LastResort if there is no other. With keepCopy
+// it also chooses an engine for the next copy. It returns false if there is no target.
 func (f *Fleet) Place(now time.Time, q FleetQuery, holder string, size GenerationSize, keepCopy bool) (Placement, bool) {
 	var chosen Placement
 	if holder != "" && f.Usable(now, holder) {
@@ -255,7 +257,12 @@
 	}
 	if !chosen.FromCopy {
 		var ok bool
-		if chosen.Target, ok = f.ChooseEngine(now, q, size); !ok {
+		chosen.Target, ok = f.ChooseEngine(now, q, size)
+		if !ok && len(q.LastResort) > 0 {
+			q.Exclude = slices.DeleteFunc(slices.Clone(q.Exclude), func(id string) bool { return slices.Contains(q.LastResort, id) })
+			chosen.Target, ok = f.ChooseEngine(now, q, size)
+		}
+		if !ok {
 			return Placement{}, false
 		}
 		t := f.targets[chosen.Target.ID]
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -224,3 +224,22 @@
 	other.ReportGone(later, gone[0])
 	c.Check(other.Usable(later, "e00"), qt.IsTrue)
 }
+
+// Guards against a stream that finds no target because the only usable one failed it before, and
+// against one that returns to such a target while another one is usable.
+func TestExcludedTargetIsLastResort(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g", engines(3))
+	q := FleetQuery{Service: "s", Exclude: []string{"e00", "e01"}, LastResort: []string{"e01"}}
+	placed, ok := f.Place(now, q, "", typicalSize, true)
+	c.Check(ok, qt.IsTrue)
+	c.Check(placed.Target.ID, qt.Equals, "e02")
+	c.Check(placed.Copy, qt.Equals, "", qt.Commentf("a copy needs an engine that did not fail the stream"))
+	f.MarkDown(now, "e02")
+	placed, ok = f.Place(now, q, "", typicalSize, true)
+	c.Check(ok, qt.IsTrue)
+	c.Check(placed.Target.ID, qt.Equals, "e01")
+	f.MarkDown(now, "e01")
+	_, ok = f.Place(now, q, "", typicalSize, true)
+	c.Check(ok, qt.IsFalse, qt.Commentf("e00 rejected the request, the others are down"))
+}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -10,7 +10,10 @@
 //   - Finish is the last effect.
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minProbeDelay and maxProbeDelay bound the pause after an event until the target is
@@ -190,12 +193,14 @@
 	attempts int
 	// arrivals counts the ended attempts that may have reached their target, and runs those that
 	// may have run the request.
-	arrivals  int
-	runs      int
-	excluded  []string
-	placement Placement
-	open      bool // an attempt is open
-	done      bool
+	arrivals int
+	runs     int
+	excluded []string
+	// lastResort holds those of the excluded targets that LastResort returns.
+	lastResort []string
+	placement  Placement
+	open       bool // an attempt is open
+	done       bool
 	// ran is set once a target may have begun to run the request.
 	ran           bool
 	lastEvent     uint64
@@ -244,6 +249,9 @@
 // request.
 func (m *Machine) Arrived() bool { return m.arrivals > 0 }
 
+// LastResort returns the excluded targets that may be tried again if no other target is available.
+func (m *Machine) LastResort() []string { return m.lastResort }
+
 // Silence returns how long the open attempt has sent no event.
 func (m *Machine) Silence(now time.Time) time.Duration { return now.Sub(m.lastActivity) }
 
@@ -344,7 +352,7 @@
 		m.runs++
 	}
 	effects := []Effect{EndAttempt{loss}}
-	m.excluded = append(m.excluded, m.placement.Target)
+	m.excludeTarget(loss)
 	switch {
 	case !now.Before(m.options.Deadline):
 		return append(effects, m.finish(TimedOut)...)
@@ -358,6 +366,24 @@
 	return append(effects, ChooseTarget{Exclude: m.excluded, MayHaveCopy: m.attemptRan})
 }
 
+// excludeTarget excludes the target of the attempt that just ended. A target that refused only to
+// resume from a copy may lack the copy and be able to run the request, and one that was unreachable
+// or slow may have recovered. Other losses would repeat: another instance runs at the address, or
+// the target rejects or fails the request itself.
+func (m *Machine) excludeTarget(loss Loss) {
+	id := m.placement.Target
+	m.excluded = append(m.excluded, id)
+	m.lastResort = slices.DeleteFunc(m.lastResort, func(other string) bool { return other == id })
+	switch loss {
+	case Unsent, Interrupted, TargetDown, Stalled, FirstEventLate:
+		m.lastResort = append(m.lastResort, id)
+	case Refused:
+		if m.placement.Resume {
+			m.lastResort = append(m.lastResort, id)
+		}
+	}
+}
+
 // CallerDisconnected reports that the caller closed its connection.
 func (m *Machine) CallerDisconnected() []Effect { return m.finish(CallerLeft) }
 
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -143,6 +143,30 @@
 	c.Check(chooseTarget(c, m.AttemptFailed(start, Interrupted)).MayHaveCopy, qt.IsTrue, qt.Commentf("the resumed run repeated an event"))
 }
 
+// Scenario: the only live engine lacks the copy that a stream looks for there, or was unreachable
+// for a moment. Guards against a stream that is given up although this engine could run it, and
+// against repeated attempts at a target that rejects or fails the request itself.
+func TestLastResort(t *testing.T) {
+	c := qt.New(t)
+	for loss, want := range map[Loss][]string{
+		Unsent: {"a"}, Interrupted: {"a"}, TargetDown: {"a"}, Stalled: {"a"}, FirstEventLate: {"a"},
+		Refused: nil, Replaced: nil, Failed: nil,
+	} {
+		m := newOpenMachine(options(), Placement{Target: "a"})
+		c.Check(chooseTarget(c, m.AttemptFailed(start, loss)).Exclude, qt.DeepEquals, []string{"a"})
+		c.Check(m.LastResort(), qt.DeepEquals, want, qt.Commentf("%v", loss))
+	}
+	m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+	m.Event(start, 1)
+	m.AttemptFailed(start, TargetDown)
+	m.Placed(start, Placement{Target: "b", Resume: true})
+	m.AttemptFailed(start, Refused)
+	c.Check(m.LastResort(), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("b lacks the copy"))
+	m.Placed(start, Placement{Target: "b"})
+	m.AttemptFailed(start, Refused)
+	c.Check(m.LastResort(), qt.DeepEquals, []string{"a"}, qt.Commentf("b rejected the request itself"))
+}
+
 // Guards against a stream that ends as NoTarget because several restarted targets refused
 // it one after the other, as when a zone returns with new ids, and against unlimited attempts.
 func TestRefusalsDoNotCountAsRuns(t *testing.T) {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -127,7 +127,7 @@
 
 // chooseTarget returns the placement of the stream's next attempt, false if no target is usable.
 func (g *gateway) chooseTarget(now time.Time, exclude []string, copyHolder string, s *stream) (placement.Placement, bool) {
-	q := placement.FleetQuery{Service: service, Exclude: exclude, WarmTarget: s.warmTarget}
+	q := placement.FleetQuery{Service: service, Exclude: exclude, LastResort: s.machine.LastResort(), WarmTarget: s.warmTarget}
 	if g.sim.policy.Placement == ByCost {
 		return g.fleet.Place(now, q, copyHolder, s.size, g.sim.policy.CopyCaches)
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -178,7 +178,7 @@
 		if st.suspects.Rejected(s.req.fingerprint, now) {
 			return placementResult{rejected: true}
 		}
-		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude, WarmTarget: s.previousTarget}
+		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude, LastResort: s.machine.LastResort(), WarmTarget: s.previousTarget}
 		if !s.machine.Ran() && holder == "" && st.deadlineTooShort(now, s.req, fleetQuery, s.prompt) {
 			return placementResult{deadlineTooShort: true}
 		}
