Require a large degradation to withdraw a version that has no reference

Cause: when a rollout completes, the previous version loses its traffic. Its decayed rates still counted as recent for minutes, so that the test for small degradations went on against figures of before; and each request slower than 1.5 times its last 95th percentile counted as slow. A machine that gets busy just then slows down every request. Change: the evaluator is told of the completion, after which the previous version's traffic is not recent and only a large degradation counts, as documented; a request counts as slow then if it takes four times the previous version's 95th percentile. Not covered: a version whose requests take up to four times as long after completion stays. Telling that from a busy machine would need requests at the previous version.

--- a/internal/core/evidence/baseline.go
+++ b/internal/core/evidence/baseline.go
@@ -13,7 +13,11 @@
 	minBaselineSamples = 20
 	// slowFactor is the multiple of the old version's 95th percentile above which a
 	// request is slow.
-	slowFactor        = 1.5
+	slowFactor = 1.5
+	// muchSlowerFactor is the multiple above which a request is slow if the percentile dates from
+	// before the old version lost its traffic: a busy machine or larger requests may have slowed
+	// down that version too.
+	muchSlowerFactor  = 4
 	slowPercentile    = 95
 	maxLatencyMicros  = int64(10 * time.Minute / time.Microsecond)
 	significantDigits = 2
@@ -72,10 +76,20 @@
 // Slow reports whether a request is slower than the old version by more than slowFactor.
 // Without enough samples no request is slow.
 func (b *Baseline) Slow(now time.Time, firstToken, tokenInterval time.Duration) bool {
+	return b.exceeded(now, firstToken, tokenInterval, slowFactor)
+}
+
+// MuchSlower is Slow for an old version that has no traffic any more, with muchSlowerFactor.
+func (b *Baseline) MuchSlower(now time.Time, firstToken, tokenInterval time.Duration) bool {
+	return b.exceeded(now, firstToken, tokenInterval, muchSlowerFactor)
+}
+
+func (b *Baseline) exceeded(now time.Time, firstToken, tokenInterval time.Duration, factor float64) bool {
 	b.rotate(now)
-	return exceeds(firstToken, percentile(b.firstToken, b.firstTokenP95)) || exceeds(tokenInterval, percentile(b.tokenInterval, b.tokenIntervalP95))
+	return exceeds(firstToken, percentile(b.firstToken, b.firstTokenP95), factor) ||
+		exceeds(tokenInterval, percentile(b.tokenInterval, b.tokenIntervalP95), factor)
 }
 
-func exceeds(d time.Duration, reference int64) bool {
-	return reference > 0 && float64(d.Microseconds()) > slowFactor*float64(reference)
+func exceeds(d time.Duration, reference int64, factor float64) bool {
+	return reference > 0 && float64(d.Microseconds()) > factor*float64(reference)
 }
--- a/internal/core/evidence/evaluator.go
+++ b/internal/core/evidence/evaluator.go
@@ -140,6 +140,8 @@
 	stepRatios     [numSignals]float64
 	totalRatios    [numSignals]float64
 	withdrawReason string
+	// completed is set once the old version gets no more traffic.
+	completed bool
 	// primed is set by the first evaluation: the old version's counts from before the rollout
 	// count for its overall rate, but not as recent traffic.
 	primed bool
@@ -157,6 +159,10 @@
 // StartStep discards the evidence of earlier steps that counts towards StepPassed.
 func (e *Evaluator) StartStep() { e.stepRatios = [numSignals]float64{} }
 
+// Complete records that the version gets all traffic: the old version's last rates stay the
+// reference, but no longer count as recent.
+func (e *Evaluator) Complete() { e.completed = true }
+
 // Evaluate processes the increments of the counters since the last call and returns the
 // verdict.
 func (e *Evaluator) Evaluate(now time.Time, counters *Counters) Verdict {
@@ -323,7 +329,7 @@
 	}
 	long := upper(r.longHits[s], r.long[s], overall)
 	short := upper(r.shortHits[s], r.short[s], overall)
-	return max(long, short), r.long[s] >= minReferenceWeight
+	return max(long, short), !e.completed && r.long[s] >= minReferenceWeight
 }
 
 // withdrawBound returns the log-likelihood ratio for a withdrawal. It divides
--- a/internal/core/evidence/evidence_test.go
+++ b/internal/core/evidence/evidence_test.go
@@ -83,6 +83,35 @@
 	c.Check(evaluate(5, 60, false).Passed, qt.IsFalse)
 }
 
+// Scenario: failures rise when the old version has just lost its traffic. Guards against counting
+// them against the new version as if the old one had failed less at the same time, and against
+// keeping a version that fails far more.
+func TestCompletedVersionNeedsLargeDegradation(t *testing.T) {
+	c := qt.New(t)
+	withdrawn := func(failures int) bool {
+		counters, e := NewCounters("e", 1), NewEvaluator("s", "v2", "v1")
+		now := time.Unix(1000, 0)
+		serve := func(version string, failed bool) Verdict {
+			now = now.Add(50 * time.Millisecond)
+			counters.Add(Key{Service: "s", Version: version, Zone: "a"}, failed, false, false)
+			return e.Evaluate(now, counters)
+		}
+		for range 600 {
+			serve("v1", false)
+			serve("v2", false)
+		}
+		e.Complete()
+		for i := range 600 {
+			if serve("v2", (i*37)%100 < failures).Withdraw {
+				return true
+			}
+		}
+		return false
+	}
+	c.Check(withdrawn(7), qt.IsFalse)
+	c.Check(withdrawn(40), qt.IsTrue)
+}
+
 // Guards against completing a version that got no requests on a route that carries much of
 // the traffic.
 func TestUncoveredRouteIsNotPassed(t *testing.T) {
@@ -112,5 +141,7 @@
 		c.Check(b.Slow(at, 140*time.Millisecond, 14*time.Millisecond), qt.IsFalse)
 		c.Check(b.Slow(at, 160*time.Millisecond, 0), qt.IsTrue)
 		c.Check(b.Slow(at, 0, 16*time.Millisecond), qt.IsTrue)
+		c.Check(b.MuchSlower(at, 390*time.Millisecond, 39*time.Millisecond), qt.IsFalse)
+		c.Check(b.MuchSlower(at, 0, 41*time.Millisecond), qt.IsTrue)
 	}
 }
--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -140,6 +140,9 @@
 			if m.row.Step != r.row.Step {
 				m.evaluator.StartStep()
 			}
+			if r.row.State == Done {
+				m.evaluator.Complete()
+			}
 			m.row, m.revision, m.readAt = r.row, r.revision, r.now
 		}
 		if m.readAt.IsZero() {
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -126,6 +126,9 @@
 	} else if t.row.Step != row.Step {
 		t.evaluator.StartStep()
 	}
+	if row.State == rollout.Done {
+		t.evaluator.Complete()
+	}
 	s.recordTransition(t, &row)
 	t.row, t.revision, t.readAt = row, revision, at
 	s.manager.metrics.share.WithLabelValues(row.Service, row.Version).Set(row.Share())
@@ -242,7 +245,7 @@
 	if !o.Failed {
 		// Any version may be the previous one of the next rollout.
 		s.baseline(now, key, key.Version).Observe(now, o.FirstToken, o.TokenInterval)
-		slow = s.baseline(now, key, s.referenceOf(key.Service, key.Version)).Slow(now, o.FirstToken, o.TokenInterval)
+		slow = s.isSlow(now, key, o)
 	}
 	s.counters.Add(key, o.Failed, slow, suspectPresent)
 	outcome := "ok"
@@ -257,6 +260,16 @@
 	s.manager.metrics.requests.WithLabelValues(key.Service, key.Version, outcome).Inc()
 }
 
+// isSlow reports whether a request was slower than those of its version's reference.
+func (s *state) isSlow(now time.Time, key evidence.Key, o placement.Outcome) bool {
+	reference := s.referenceOf(key.Service, key.Version)
+	b := s.baseline(now, key, reference)
+	if t := s.rollouts[versionKey{key.Service, key.Version}]; t != nil && t.row.State == rollout.Done && reference != key.Version {
+		return b.MuchSlower(now, o.FirstToken, o.TokenInterval)
+	}
+	return b.Slow(now, o.FirstToken, o.TokenInterval)
+}
+
 // referenceOf returns the version whose latencies decide which requests of the given version
 // are slow: the previous version of its rollout, or the version itself while a later rollout
 // replaces it, since that rollout needs the version's own rate of slow requests.
