Order targets to load a completed version that they lack

What callers saw: an engine that restarted after a rollout, with the version of its command line, never got the completed version again. Cause: loads were ordered only while a rollout of the service ran, and nobody held a lease afterwards. Change: the last completed rollout of a service is worked on again while a usable target lacks its version: an entry takes the lease, with a new fencing token, and orders the loads, staggered as in a rollout. Running rollouts and pending unloads go first. The time of a load order is forgotten once the version is loaded, so that a target that restarts soon after is not taken for one that is loading. TestMissingVersionIsLoadedAfterCompletion guards the decision in core.

--- a/internal/core/rollout/decide.go
+++ b/internal/core/rollout/decide.go
@@ -42,6 +42,8 @@
 	Fenced bool
 	// PreviousLoaded is set while a usable target still has the previous version loaded.
 	PreviousLoaded bool
+	// Missing is set if a usable target lacks the version.
+	Missing bool
 }
 
 // Output is the next action of an entry.
@@ -102,13 +104,14 @@
 	if in.Verdict.Withdraw && in.Now.Before(PreviousKeptUntil(&in.Row)) {
 		return Output{Withdraw: in.Verdict.Reason, Put: endedRow(in, Withdrawn, in.Verdict.Reason)}
 	}
-	if !Retiring(&in.Row, in.Now) || !in.Current || in.Now.Sub(in.ReadAt) > in.Times.maxRowAge() {
+	retiring := Retiring(&in.Row, in.Now)
+	if !retiring && !in.Missing || !in.Current || in.Now.Sub(in.ReadAt) > in.Times.maxRowAge() {
 		return Output{}
 	}
 	if !in.holdsLease() {
 		return in.acquire()
 	}
-	if !in.PreviousLoaded {
+	if retiring && !in.PreviousLoaded {
 		row := in.Row
 		row.Retired = true
 		return Output{Put: &row}
--- a/internal/core/rollout/load.go
+++ b/internal/core/rollout/load.go
@@ -57,6 +57,17 @@
 	return usable > 0 && loaded >= min(NeededTargets(r, usable), max(1, usable*loadedPercent/100))
 }
 
+// Missing reports whether a usable target of the service lacks the version, for example because
+// it restarted after the rollout.
+func Missing(r *Row, targets []membership.Target) bool {
+	for i := range targets {
+		if t := &targets[i]; t.Service == r.Service && t.Usable() && !t.HasVersion(r.Version) {
+			return true
+		}
+	}
+	return false
+}
+
 // NextLoads returns the targets on which to order a load now. ordered maps target names to
 // the time of the last order. Loads are spread over the zones, so that a version does not
 // depend on a single one.
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -96,6 +96,44 @@
 	c.Check(decide(func(in *Input) { withdrawAfterDone(in); in.Row.KeepPrevious = time.Hour.Milliseconds() }).Withdraw, qt.Equals, "failures")
 }
 
+// Scenario: an engine restarts with the version of its command line after a rollout has completed.
+// Guards against an engine that never gets the completed version, and against loading a version
+// that was withdrawn or replaced since.
+func TestMissingVersionIsLoadedAfterCompletion(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000_000)
+	targets := []membership.Target{
+		{Name: "restarted", Service: "s", Ready: true, Versions: []string{"v1"}},
+		{Name: "kept", Service: "s", Ready: true, Versions: []string{"v1", "v2", "v3"}},
+	}
+	rows := []Row{
+		{Service: "s", Version: "v2", Previous: "v1", State: Done, Step: 4, Started: 1},
+		{Service: "s", Version: "v3", Previous: "v2", State: Withdrawn, Step: 2, Started: 2},
+	}
+	current := func(targets []membership.Target, withdrawn func(string) bool) string {
+		if r := Current(rows, withdrawn, targets, now); r != nil {
+			return r.Version
+		}
+		return ""
+	}
+	c.Check(current(targets, noneWithdrawn), qt.Equals, "v2")
+	c.Check(current(targets[1:], noneWithdrawn), qt.Equals, "")
+	c.Check(current(targets, func(v string) bool { return v == "v2" }), qt.Equals, "")
+	in := Input{Times: DefaultTimes(), Now: now, ReadAt: now, Row: rows[0], Self: Owner{"e1", 1}, Current: true, Missing: true}
+	acquired := Decide(&in)
+	c.Assert(acquired.Acquire, qt.IsTrue)
+	in.Row = *acquired.Put
+	c.Check(Decide(&in), qt.Equals, Output{}, qt.Commentf("the lease is held"))
+	next := NextLoads(&in.Row, targets, nil, now)
+	c.Assert(next, qt.HasLen, 1)
+	c.Check(next[0].Name, qt.Equals, "restarted")
+	rows[1].State = Done
+	c.Check(current(targets, noneWithdrawn), qt.Equals, "v3", qt.Commentf("the last completed version"))
+	in.Row = rows[0]
+	in.Missing = false
+	c.Check(Decide(&in), qt.Equals, Output{})
+}
+
 // Guards against loading a version on all targets at once, and in one zone only.
 func TestLoadsAreStaggered(t *testing.T) {
 	c := qt.New(t)
--- a/internal/core/rollout/row.go
+++ b/internal/core/rollout/row.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bramleygap/internal/core/membership"
 )
 
 // State is the state of a rollout.
@@ -116,8 +118,9 @@
 }
 
 // Current returns the row of sorted rows that is worked on: the first running one, else the
-// first completed one whose previous version is to be unloaded, or nil.
-func Current(rows []Row, withdrawn func(version string) bool, now time.Time) *Row {
+// first completed one whose previous version is to be unloaded, else the last completed one if
+// a target lacks its version, or nil.
+func Current(rows []Row, withdrawn func(version string) bool, targets []membership.Target, now time.Time) *Row {
 	if active := Active(rows, withdrawn); active != nil {
 		return active
 	}
@@ -126,6 +129,14 @@
 			return &rows[i]
 		}
 	}
+	for i := len(rows) - 1; i >= 0; i-- {
+		if r := &rows[i]; r.State == Done && !withdrawn(r.Version) {
+			if Missing(r, targets) {
+				return r
+			}
+			return nil
+		}
+	}
 	return nil
 }
 
--- a/internal/e2e/versions_test.go
+++ b/internal/e2e/versions_test.go
@@ -370,6 +370,7 @@
 	qt.Assert(t, after[good] > before[good], qt.IsTrue)
 	r.assertNoMixedVersions()
 	qt.Assert(t, r.failures(), qt.Equals, 0)
+	r.assertRestartedEngineLoads("engine0", good)
 
 	r.setFaults(map[string]any{"fail_rate": map[string]float64{"v3": 0.9}})
 	output, err := r.startAndWait("v3", 30*time.Second)
@@ -512,6 +513,24 @@
 	qt.Assert(r.t, crashes >= 2, qt.IsTrue, qt.Commentf("%d crashes", crashes))
 }
 
+// assertRestartedEngineLoads restarts an engine with v1 only and checks that it gets requests for
+// the completed version again.
+func (r *rolloutTest) assertRestartedEngineLoads(engine, version string) {
+	r.t.Helper()
+	r.processes[engine].kill()
+	<-r.processes[engine].exited
+	r.startEngine(engine, engineOptions{version: "v1"})
+	r.eventually(engine+" gets requests for "+version+" again", func() bool {
+		counts := map[string]int{}
+		response, err := http.Get("http://" + r.address[engine] + "/received")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		return json.NewDecoder(response.Body).Decode(&counts) == nil && counts[version] > 0
+	})
+}
+
 // waitOwner waits until an entry other than except holds the lease with a higher fencing
 // token than *fence, and stores that token in *fence.
 func (r *rolloutTest) waitOwner(version, except string, fence *uint64) (owner string) {
--- a/internal/entry/rollouts/manager_test.go
+++ b/internal/entry/rollouts/manager_test.go
@@ -215,6 +215,24 @@
 	c.Assert(highest, qt.Equals, uint64(4))
 }
 
+// Scenario: an engine restarts without the version of a rollout that completed earlier. Guards
+// against an engine that gets no order to load it, since no rollout runs, and against an order
+// without a fencing token of a lease.
+func TestRestartedTargetLoadsCompletedVersion(t *testing.T) {
+	c := qt.New(t)
+	store := newTable()
+	row := rollout.Row{Service: "s", Version: "v2", Previous: "v1", State: rollout.Done, Step: 4, Started: 1, Ended: 2, Fence: 7}
+	_, err := store.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "rollout/s/v2", Value: row.Encode()}}})
+	c.Assert(err, qt.IsNil)
+	f := start(t, "e1", store)
+	order := <-f.agent.orders
+	c.Check(order.Kind, qt.Equals, wire.OrderKind_ORDER_KIND_LOAD)
+	c.Check([]any{order.Fence, order.Owner, order.Version}, qt.DeepEquals, []any{uint64(8), "e1", "v2"})
+	stored, err := rollout.Parse(store.rowOf("rollout/s/v2"))
+	c.Assert(err, qt.IsNil)
+	c.Check([]any{stored.State, stored.Owner, stored.Fence}, qt.DeepEquals, []any{rollout.Done, "e1", uint64(8)})
+}
+
 func (t *fakeTable) rowOf(key string) (value []byte) {
 	t.withLock(func() { value = t.rows[key].Value })
 	return value
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -303,12 +303,14 @@
 		t.verdict = t.evaluator.Evaluate(now, s.counters)
 	}
 	targets := s.targets()
+	t.forgetLoads(targets, now)
 	active := s.active(service)
 	out := rollout.Decide(&rollout.Input{
 		Times: s.options.Times,
 		Now:   now, Row: t.row, ReadAt: t.readAt, Self: s.self, Withdrawn: withdrawn, Verdict: t.verdict,
 		Loaded:         active == t && rollout.Loaded(&t.row, targets),
 		Current:        s.isCurrent(now, t),
+		Missing:        rollout.Missing(&t.row, targets),
 		Fenced:         t.refusedFence > 0 && t.refusedFence >= t.row.Fence,
 		PreviousLoaded: len(rollout.NextUnloads(&t.row, targets, nil, now)) > 0 || s.inUse(service, t.row.Previous),
 	})
@@ -330,6 +332,22 @@
 		s.sendOrders(now, t, wire.OrderKind_ORDER_KIND_LOAD, t.row.Version, rollout.NextLoads(&t.row, targets, t.orderedAt, now))
 	case s.isCurrent(now, t) && rollout.Retiring(&t.row, now) && !s.inUse(service, t.row.Previous):
 		s.sendOrders(now, t, wire.OrderKind_ORDER_KIND_UNLOAD, t.row.Previous, rollout.NextUnloads(&t.row, targets, t.orderedAt, now))
+	case s.isCurrent(now, t) && !rollout.Retiring(&t.row, now):
+		// Targets that restarted or joined after the rollout lack the version.
+		s.sendOrders(now, t, wire.OrderKind_ORDER_KIND_LOAD, t.row.Version, rollout.NextLoads(&t.row, targets, t.orderedAt, now))
+	}
+}
+
+// forgetLoads discards the times of load orders that have taken effect, so that a target that then
+// restarts without the version is ordered to load it again at once.
+func (t *trackedRollout) forgetLoads(targets []membership.Target, now time.Time) {
+	if rollout.Retiring(&t.row, now) {
+		return // the times are those of unload orders
+	}
+	for i := range targets {
+		if targets[i].HasVersion(t.row.Version) {
+			delete(t.orderedAt, targets[i].Name)
+		}
 	}
 }
 
@@ -362,7 +380,7 @@
 	if rows == nil {
 		return false
 	}
-	row := rollout.Current((*rows)[t.row.Service], s.manager.withdrawnIn(t.row.Service), now)
+	row := rollout.Current((*rows)[t.row.Service], s.manager.withdrawnIn(t.row.Service), s.targets(), now)
 	return row != nil && row.Version == t.row.Version
 }
 
