Withstand external failures of 3% after a version took over

Cause: without requests at the previous version, the good hypothesis was a failure rate of 2%. The error bound of the sequential test holds up to that rate only; at 3% each excursion of the ratio is likelier, and the test goes on, with a lower bound on the ratio, for as long as the previous version is kept. Change: without such requests the good rate is at least 3%, and the bad one 14 points more than twice the good one (20% with a faultless version; 24% before).

--- a/internal/core/evidence/evaluator.go
+++ b/internal/core/evidence/evaluator.go
@@ -54,14 +54,17 @@
 // rates returns the rates under the good and the bad hypothesis for a rate of the old
 // version. The floors set the smallest degradation that leads to a withdrawal: with a
 // faultless old version, 4% failures or 14% slow requests. Without recent traffic of the
-// old version only a large degradation counts, since it may have an external cause.
+// old version only a large degradation counts, since it may have an external cause. The
+// test then goes on for as long as the old version is kept, and over that time a rate above the
+// good one leads to a withdrawal even far below the bad one: the good rate is at least the 3% of
+// external failures that a version must withstand.
 func (s signal) rates(old float64, recent bool) (good, bad float64) {
 	floor, step := 0.005, 0.03
 	if s == slowness {
 		floor, step = 0.02, 0.1
 	}
 	if !recent {
-		floor, step = 0.02, 0.2
+		floor, step = 0.03, 0.14
 	}
 	good = min(0.6, max(floor, old))
 	return good, min(0.9, 2*good+step)
--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -418,7 +418,7 @@
 		{name: "good, store down 8 min", good: true, new: good, faults: storeDown(2*time.Minute, 10*time.Minute), rate: 20, minCorrect: 0.9},
 		{name: "bad later, store down", new: failsIf(func(d time.Duration, _, _ int) bool { return d > -4*time.Minute }), faults: storeDown(time.Minute, time.Hour), rate: 20, minCorrect: 1},
 		{name: "good, 1 h after completion", good: true, new: good, rate: 20, after: time.Hour, minCorrect: 0.9},
-		{name: "worse both, 1 h after", good: true, new: good, noise: drift, rate: 20, after: time.Hour},
+		{name: "worse both, 1 h after", good: true, new: good, noise: drift, rate: 20, after: time.Hour, minCorrect: 0.95},
 		{name: "bad after completion", new: failsIf(func(d time.Duration, _, _ int) bool { return d > 0 }), rate: 20, after: time.Hour, minCorrect: 0.9},
 		{name: "10% failures after completion", new: tenPercent, rate: 20, after: time.Hour},
 		{name: "slow after completion", new: slowLater, rate: 20, after: time.Hour},
