--- a/internal/core/evidence/evaluator.go
+++ b/internal/core/evidence/evaluator.go
@@ -54,14 +54,17 @@
 // rates returns the rates under the good and the bad hypothesis for a rate of the old
 // version. The floors set the smallest degradation that leads to a withdrawal: with a
 // faultless old version, 4% failures or 14% slow requests. Without recent traffic of the
-// old version only a large degradation counts, since it may have an external cause.
+// old version only a large degradation counts, since it may have an external cause. The
+// test then goes on for as long as the old version is kept, and over that time a rate above the
+// good one leads to a withdrawal even far below the bad one: the good rate is at least the 3% of
+// external failures that a version must withstand.
 func (s signal) rates(old float64, recent bool) (good, bad float64) {
 	floor, step := 0.005, 0.03
 	if s == slowness {
 		floor, step = 0.02, 0.1
 	}
 	if !recent {
-		floor, step = 0.02, 0.2
+		floor, step = 0.03, 0.14
 	}
 	good = min(0.6, max(floor, old))
 	return good, min(0.9, 2*good+step)
@@ -140,6 +143,8 @@
 	stepRatios     [numSignals]float64
 	totalRatios    [numSignals]float64
 	withdrawReason string
+	// completed is set once the old version gets no more traffic.
+	completed bool
 	// primed is set by the first evaluation: the old version's counts from before the rollout
 	// count for its overall rate, but not as recent traffic.
 	primed bool
@@ -157,6 +162,10 @@
 // StartStep discards the evidence of earlier steps that counts towards StepPassed.
 func (e *Evaluator) StartStep() { e.stepRatios = [numSignals]float64{} }
 
+// Complete records that the version gets all traffic: the old version's last rates stay the
+// reference, but no longer count as recent.
+func (e *Evaluator) Complete() { e.completed = true }
+
 // Evaluate processes the increments of the counters since the last call and returns the
 // verdict.
 func (e *Evaluator) Evaluate(now time.Time, counters *Counters) Verdict {
@@ -323,7 +332,7 @@
 	}
 	long := upper(r.longHits[s], r.long[s], overall)
 	short := upper(r.shortHits[s], r.short[s], overall)
-	return max(long, short), r.long[s] >= minReferenceWeight
+	return max(long, short), !e.completed && r.long[s] >= minReferenceWeight
 }
 
 // withdrawBound returns the log-likelihood ratio for a withdrawal. It divides
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -256,6 +256,8 @@
 	arrivals int
 	runs     int
 	excluded []string // targets that failed this stream
+	// lastResort holds those of the excluded targets that LastResort returns.
+	lastResort []string
 	// avoided lists live targets that the stream left or that refused to be its successor. They are
 	// not asked again to be its successor, but may be chosen after a loss.
 	avoided   []string
@@ -320,6 +322,9 @@
 // target.
 func (m *Machine) Delivery(now time.Time) { m.lastActivity, m.lastCheck = now, now }
 
+// LastResort returns the excluded targets that may be tried again if no other target is available.
+func (m *Machine) LastResort() []string { return m.lastResort }
+
 // Silence returns how long the open attempt has sent no event.
 func (m *Machine) Silence(now time.Time) time.Duration { return now.Sub(m.lastActivity) }
 
@@ -397,17 +402,18 @@
 		return
 	}
 	m.countLoss(loss)
-	m.exclude(m.successor.placement.Target, loss)
+	m.excludeLive(m.successor.placement, loss)
 	m.successor = nil
 }
 
-// exclude keeps the stream away from a target that ended an attempt because of loss.
-func (m *Machine) exclude(target string, loss Loss) {
+// excludeLive excludes the target of an attempt that has ended beside another one. If the target is
+// live, the stream may choose it again after a loss.
+func (m *Machine) excludeLive(placement Placement, loss Loss) {
 	switch loss {
 	case Refused, Stalled, FirstEventLate:
-		m.avoided = append(m.avoided, target)
+		m.avoided = append(m.avoided, placement.Target)
 	default:
-		m.excluded = append(m.excluded, target)
+		m.excludeTarget(placement, loss)
 	}
 }
 
@@ -449,7 +455,7 @@
 	next := m.successor
 	m.successor = nil
 	m.countLoss(loss)
-	m.exclude(m.placement.Target, loss)
+	m.excludeLive(m.placement, loss)
 	if loss == FirstEventLate {
 		m.leftBeforeFirstEvent = true
 	}
@@ -559,7 +565,7 @@
 	m.open, m.probing = false, false
 	m.countLoss(loss)
 	effects = append(effects, EndAttempt{loss})
-	m.excluded = append(m.excluded, m.placement.Target)
+	m.excludeTarget(m.placement, loss)
 	switch {
 	case !now.Before(m.options.Deadline):
 		return append(effects, m.finish(TimedOut)...)
@@ -573,6 +579,24 @@
 	return append(effects, ChooseTarget{Exclude: m.excluded, MayHaveCopy: m.attemptRan})
 }
 
+// excludeTarget excludes the target of an attempt that has ended. A target that refused only to
+// resume from a copy may lack the copy and be able to run the request, and one that was unreachable
+// or slow may have recovered. Other losses would repeat: another instance runs at the address, or
+// the target rejects or fails the request itself.
+func (m *Machine) excludeTarget(placement Placement, loss Loss) {
+	id := placement.Target
+	m.excluded = append(m.excluded, id)
+	m.lastResort = slices.DeleteFunc(m.lastResort, func(other string) bool { return other == id })
+	switch loss {
+	case Unsent, Interrupted, TargetDown, Stalled, FirstEventLate:
+		m.lastResort = append(m.lastResort, id)
+	case Refused:
+		if placement.Resume {
+			m.lastResort = append(m.lastResort, id)
+		}
+	}
+}
+
 // CallerDisconnected reports that the caller closed its connection.
 func (m *Machine) CallerDisconnected() []Effect { return m.finish(CallerLeft) }
 
--- a/internal/entry/rollouts/state.go
+++ b/internal/entry/rollouts/state.go
@@ -126,6 +126,9 @@
 	} else if t.row.Step != row.Step {
 		t.evaluator.StartStep()
 	}
+	if row.State == rollout.Done {
+		t.evaluator.Complete()
+	}
 	s.recordTransition(t, &row)
 	t.row, t.revision, t.readAt = row, revision, at
 	s.manager.metrics.share.WithLabelValues(row.Service, row.Version).Set(row.Share())
@@ -242,7 +245,7 @@
 	if !o.Failed {
 		// Any version may be the previous one of the next rollout.
 		s.baseline(now, key, key.Version).Observe(now, o.FirstToken, o.TokenInterval)
-		slow = s.baseline(now, key, s.referenceOf(key.Service, key.Version)).Slow(now, o.FirstToken, o.TokenInterval)
+		slow = s.isSlow(now, key, o)
 	}
 	s.counters.Add(key, o.Failed, slow, suspectPresent)
 	outcome := "ok"
@@ -257,6 +260,16 @@
 	s.manager.metrics.requests.WithLabelValues(key.Service, key.Version, outcome).Inc()
 }
 
+// isSlow reports whether a request was slower than those of its version's reference.
+func (s *state) isSlow(now time.Time, key evidence.Key, o placement.Outcome) bool {
+	reference := s.referenceOf(key.Service, key.Version)
+	b := s.baseline(now, key, reference)
+	if t := s.rollouts[versionKey{key.Service, key.Version}]; t != nil && t.row.State == rollout.Done && reference != key.Version {
+		return b.MuchSlower(now, o.FirstToken, o.TokenInterval)
+	}
+	return b.Slow(now, o.FirstToken, o.TokenInterval)
+}
+
 // referenceOf returns the version whose latencies decide which requests of the given version
 // are slow: the previous version of its rollout, or the version itself while a later rollout
 // replaces it, since that rollout needs the version's own rate of slow requests.
@@ -290,12 +303,14 @@
 		t.verdict = t.evaluator.Evaluate(now, s.counters)
 	}
 	targets := s.targets()
+	t.forgetLoads(targets, now)
 	active := s.active(service)
 	out := rollout.Decide(&rollout.Input{
 		Times: s.options.Times,
 		Now:   now, Row: t.row, ReadAt: t.readAt, Self: s.self, Withdrawn: withdrawn, Verdict: t.verdict,
 		Loaded:         active == t && rollout.Loaded(&t.row, targets),
 		Current:        s.isCurrent(now, t),
+		Missing:        rollout.Missing(&t.row, targets),
 		Fenced:         t.refusedFence > 0 && t.refusedFence >= t.row.Fence,
 		PreviousLoaded: len(rollout.NextUnloads(&t.row, targets, nil, now)) > 0 || s.inUse(service, t.row.Previous),
 	})
@@ -317,6 +332,22 @@
 		s.sendOrders(now, t, wire.OrderKind_ORDER_KIND_LOAD, t.row.Version, rollout.NextLoads(&t.row, targets, t.orderedAt, now))
 	case s.isCurrent(now, t) && rollout.Retiring(&t.row, now) && !s.inUse(service, t.row.Previous):
 		s.sendOrders(now, t, wire.OrderKind_ORDER_KIND_UNLOAD, t.row.Previous, rollout.NextUnloads(&t.row, targets, t.orderedAt, now))
+	case s.isCurrent(now, t) && !rollout.Retiring(&t.row, now):
+		// Targets that restarted or joined after the rollout lack the version.
+		s.sendOrders(now, t, wire.OrderKind_ORDER_KIND_LOAD, t.row.Version, rollout.NextLoads(&t.row, targets, t.orderedAt, now))
+	}
+}
+
+// forgetLoads discards the times of load orders that have taken effect, so that a target that then
+// restarts without the version is ordered to load it again at once.
+func (t *trackedRollout) forgetLoads(targets []membership.Target, now time.Time) {
+	if rollout.Retiring(&t.row, now) {
+		return // the times are those of unload orders
+	}
+	for i := range targets {
+		if targets[i].HasVersion(t.row.Version) {
+			delete(t.orderedAt, targets[i].Name)
+		}
 	}
 }
 
@@ -349,7 +380,7 @@
 	if rows == nil {
 		return false
 	}
-	row := rollout.Current((*rows)[t.row.Service], s.manager.withdrawnIn(t.row.Service), now)
+	row := rollout.Current((*rows)[t.row.Service], s.manager.withdrawnIn(t.row.Service), s.targets(), now)
 	return row != nil && row.Version == t.row.Version
 }
 
