Keep calls and flowing streams at a target that answers probes late

Callers got 502 OUTCOME_UNKNOWN for a call that its engine would have answered, for example a permit issue, and streams lost an engine whose events arrived.

Change: the handle of an attempt says whether its request can resume elsewhere and when data of its response last arrived. A target that does not answer gets no new work, and only the streams that can resume and have been silent since the probe began leave it, at once and all together as before. Calls and other streams stay until they are answered or their deadline passes. A refused or reset connection means that the process has ended, and still ends all attempts. "target is down" logs how many attempts it ended.

Evidence: TestLateProbeDoesNotEndCalls fails on (502 OUTCOME_UNKNOWN in place of 200). TestDownTargetLosesOnlyWhatCanMove fails if all attempts are ended (call, stream that cannot resume, stream with an event since) and if none is ended (silent streams). Both pass with the change.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -499,20 +499,43 @@
 	}
 }
 
-// markTargetDown records that a target is unreachable, interrupts its attempts on this gateway
-// and probes the targets that may be affected by the same outage.
-func (l *eventLoop) markTargetDown(st *state, now time.Time, id, reason string) {
+// targetDown says how a target was found to be down.
+type targetDown struct {
+	// probed is when the target was asked.
+	probed time.Time
+	// ended is set if the target's process has ended: it refused or reset the connection. Otherwise
+	// it did not answer, which may also be the network or a long queue.
+	ended bool
+}
+
+func (d targetDown) String() string {
+	if d.ended {
+		return "connection refused"
+	}
+	return "no answer"
+}
+
+// markTargetDown records that a target is unreachable, so that nothing is placed there, and probes
+// the targets that may be affected by the same outage. If the target's process has ended, it
+// interrupts all attempts there of this gateway, else only the silent ones that can move.
+func (l *eventLoop) markTargetDown(st *state, now time.Time, id string, down targetDown) {
 	reg, ok := st.fleet.Target(id)
 	if !ok {
 		return
 	}
+	var interrupted []*attemptHandle
+	for handle := range st.attempts[id] {
+		if down.ended || handle.leavesSilent(down.probed) {
+			interrupted = append(interrupted, handle)
+		}
+	}
 	if st.outages.Record(now, reg) {
-		l.log.Warn().Str("target", id).Str("address", reg.Address).Str("zone", reg.Zone).Str("reason", reason).
-			Int("attempts", len(st.attempts[id])).Msg("target is down")
+		l.log.Warn().Str("target", id).Str("address", reg.Address).Str("zone", reg.Zone).Stringer("reason", down).
+			Int("attempts", len(st.attempts[id])).Int("interrupted", len(interrupted)).Msg("target is down")
 		l.metrics.targetsDown.Inc()
 	}
 	st.fleet.MarkDown(now, id)
-	for handle := range st.attempts[id] {
+	for _, handle := range interrupted {
 		handle.interrupt()
 	}
 	usable := func(id string) bool { return st.fleet.Usable(now, id) }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -25,6 +25,7 @@
 // probeTarget probes a target and reports whether it responded. If not, it marks the target down.
 func (g *Gateway) probeTarget(reg membership.Registration) (response target.Response, alive bool) {
 	var err error
+	probed := time.Now()
 	for range maxProbeAttempts {
 		response, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
@@ -36,26 +37,24 @@
 		}
 	}
 	g.metrics.probes.WithLabelValues("no_answer").Inc()
-	g.reportDown(reg, err)
+	g.reportDown(reg, probed, err)
 	return target.Response{}, false
 }
 
-// reportDown marks a target down. If its port is closed, it has crashed, and its running
-// requests become suspects. If it does not respond, only the network may have failed.
-func (g *Gateway) reportDown(reg membership.Registration, err error) {
-	reason := "no answer"
-	if connRefused(err) {
-		reason = "connection refused"
-	}
+// reportDown marks a target down that did not accept a connection or answer a probe at the given
+// time. If its port is closed, it has crashed, and its running requests become suspects. If it does
+// not respond, only the network may have failed.
+func (g *Gateway) reportDown(reg membership.Registration, probed time.Time, err error) {
+	down := targetDown{probed: probed, ended: connRefused(err)}
 	g.loop.post(g.ctx, func(st *state) {
 		now := time.Now()
-		if connRefused(err) {
+		if down.ended {
 			g.loop.reportCrash(st, now, reg)
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			st.fleet.MarkGone(now, reg.ID)
 		}
-		g.loop.markTargetDown(st, now, reg.ID, reason)
+		g.loop.markTargetDown(st, now, reg.ID, down)
 	})
 }
 
@@ -80,7 +79,7 @@
 func (g *Gateway) handleDialError(reg membership.Registration, err error) {
 	switch {
 	case connRefused(err):
-		g.reportDown(reg, err)
+		g.reportDown(reg, time.Now(), err)
 	case errors.Is(err, context.Canceled), g.ctx.Err() != nil:
 	default:
 		// Avoid the target until a probe succeeds.
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -24,6 +24,21 @@
 	sent        atomic.Bool
 	interrupted atomic.Bool
 	cancel      context.CancelFunc
+	// movable is set if the request can go on at another target after the attempt has run.
+	movable   bool
+	startedAt time.Time
+	// heard is the time in ns from startedAt to the last data of the response, 0 before.
+	heard atomic.Int64
+}
+
+// recordHeard records that data of the response has arrived.
+func (h *attemptHandle) recordHeard(at time.Time) { h.heard.Store(int64(at.Sub(h.startedAt))) }
+
+// leavesSilent reports whether the attempt ends because its target did not answer a probe that was
+// sent at the given time: the request can move, and nothing has arrived since.
+func (h *attemptHandle) leavesSilent(probed time.Time) bool {
+	heard := time.Duration(h.heard.Load())
+	return h.movable && (heard == 0 || !h.startedAt.Add(heard).After(probed))
 }
 
 // interrupt cancels the attempt because its target is down.
@@ -88,7 +103,7 @@
 	a := &attempt{
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
 		copyHolder: e.Placement.CopyTarget,
-		handle:     &attemptHandle{fingerprint: s.req.fingerprint, cancel: cancel},
+		handle:     &attemptHandle{fingerprint: s.req.fingerprint, cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now()},
 		processed:  make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	if e.CopyHolder != "" {
@@ -216,6 +231,7 @@
 	if err != nil {
 		return err
 	}
+	a.handle.recordHeard(time.Now())
 	a.response = a.s.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 	if loss, body := a.checkResponse(response); loss != 0 {
 		a.send(attemptMessage{kind: attemptFailed, loss: loss, failureBody: body})
@@ -231,6 +247,7 @@
 		if err != nil {
 			return err
 		}
+		a.handle.recordHeard(time.Now())
 		a.send(attemptMessage{kind: attemptEvent, event: event})
 		select {
 		case <-a.processed:
@@ -286,6 +303,7 @@
 	lastEvent, expected := a.s.machine.LastEvent(), a.s.machine.ExpectedFirstEvent()
 	silence := a.s.machine.Silence(time.Now())
 	a.s.g.background(func() {
+		probed := time.Now()
 		response, alive := a.s.g.probeTarget(a.reg)
 		event := a.s.req.log.Info().Str("target", a.reg.ID).Bool("alive", alive).Uint64("last_event", lastEvent).
 			Dur("silence", silence).Dur("expected", expected)
@@ -300,6 +318,6 @@
 			}
 		}
 		event.Msg("target sent no events; probed it")
-		a.send(attemptMessage{kind: attemptProbed, alive: alive})
+		a.send(attemptMessage{kind: attemptProbed, alive: alive || !a.handle.leavesSilent(probed)})
 	})
 }
