Keep an inactive attempt of a generation until another one delivers

Callers saw their generation pause, or end with TARGET_DIED before the first token, although the agent had accepted the attempt and was only late.

Then no place was left; before the first token, a failed placement ended the generation.

Change: time alone no longer ends an attempt. It stays open until another attempt delivers the next token, its stream breaks (gRPC keepalive notices a lost VM after 12 s) or the deadline passes. While it is inactive, the entry asks for another target again, 100 ms after a failure, doubled up to 1 s. A speculative attempt that is itself inactive for 1 s is ended once a third target is reserved. An attempt that is overtaken after 1 s counts as an `inactive` loss, as before.

Tests that stated the former rule: TestInactivity required the end after 1 s; it now requires that the attempt is kept, that targets are asked for again with bounded pauses, and that the attempt ends as failed when another one delivers. TestSpeculativeRequestOutlivesFailedAttempt let the attempt fail by inactivity; now its stream breaks, the rest is the same.

--- a/internal/core/stream/stream.go
+++ b/internal/core/stream/stream.go
@@ -17,8 +17,9 @@
 	// speculateAfter is the inactivity after which a speculative attempt on another
 	// target is requested. Agents send Progress every 150 ms, so two are missing by then.
 	speculateAfter = 400 * time.Millisecond
-	// failAfter is the inactivity after which an attempt counts as failed. It leaves
-	// 2 s of the 3 s resume latency objective for placement and prefill.
+	// failAfter is the inactivity after which an attempt most likely has lost its VM. It leaves
+	// 2 s of the 3 s resume latency objective for placement and prefill. The attempt stays open
+	// until another one delivers, since it may only be late.
 	failAfter = time.Second
 	// maxTickDelay is the delay of a tick above which the inactivity timers restart:
 	// the entry itself was paused, so missing messages do not indicate a failed agent.
@@ -33,12 +34,15 @@
 	// exclusionTimeout bounds the wait for a target while failed targets are excluded.
 	// When it expires, a failed target may be used again.
 	exclusionTimeout = 500 * time.Millisecond
-	// placementRetryDelay is the delay after a failed placement.
+	// placementRetryDelay is the delay after a failed placement. For a speculative target it
+	// doubles with each further failure up to maxRetryDelay.
 	placementRetryDelay = 100 * time.Millisecond
 	// minRetryDelay is the backoff after the second attempt in a row that failed
 	// without a new token. It doubles with each further one up to maxRetryDelay.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
+	// maxRetryDoublings bounds the doublings of a delay, so that it does not overflow.
+	maxRetryDoublings = 8
 	// maxAttemptsWithoutProgress is the number of attempts in a row that may fail
 	// without a new token; the generation then ends.
 	maxAttemptsWithoutProgress = 8
@@ -74,8 +78,9 @@
 	version      string
 	adapter      string
 	accepted     bool
-	attached     bool // started by another connection
-	speculated   bool // a speculative target was requested since the last activity
+	attached     bool      // started by another connection
+	speculations int       // failed speculations since the last activity
+	speculateAt  time.Time // earliest next request for a speculative target
 	startedAt    time.Time
 	lastActivity time.Time
 	firstToken   time.Time
@@ -208,7 +213,7 @@
 
 func (m *Machine) recordActivity(a *attempt) {
 	a.lastActivity = m.now
-	a.speculated = false
+	a.speculations, a.speculateAt = 0, time.Time{}
 }
 
 func (m *Machine) onAccepted(msg Accepted) {
@@ -253,7 +258,12 @@
 	loser, label := m.speculative, "first"
 	if a == m.speculative {
 		loser, label = m.current, "speculative"
-		m.recordLoss(loser, reasonSpeculation)
+		reason := reasonSpeculation
+		if m.idle(loser) >= failAfter {
+			reason = reasonInactive
+			m.count(CountAttemptLosses, reason, 1)
+		}
+		m.recordLoss(loser, reason)
 	}
 	m.current, m.speculative = a, nil
 	m.count(CountSpeculationWinner, label, 1)
@@ -415,6 +425,7 @@
 		return
 	}
 	if !wasCurrent {
+		m.delaySpeculation()
 		return
 	}
 	m.recordLoss(a, reason)
--- a/internal/core/stream/stream_test.go
+++ b/internal/core/stream/stream_test.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// Guards against keeping an attempt after 1 s of inactivity, and against failing one whose
+// Guards against ending an inactive attempt before another one delivers, against asking for another
+// target only once or without a pause, and against an attempt that counts as inactive although its
 // agent sends Progress.
 func TestInactivity(t *testing.T) {
 	h := newRunningHarness(t, Options{})
@@ -98,10 +99,52 @@
 		h.step(Progress{Attempt: 1})
 	}
 	effects := h.advance(time.Second)
-	h.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 1)
-	h.c.Assert(effectsOf[EndAttempt](effects)[0].Outcome.Failed, qt.IsTrue)
-	resumed := effectsOf[StartAttempt](h.assign(2, "b", "v1"))
-	h.c.Assert(resumed[0].Resume, qt.IsTrue)
+	requests := effectsOf[RequestTarget](effects)
+	for pause := placementRetryDelay; pause < 8*maxRetryDelay; pause *= 2 {
+		h.c.Assert(requests, qt.HasLen, 1)
+		h.c.Assert(requests[0].Speculative, qt.IsTrue)
+		h.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
+		effects = h.step(PlacementFailed{Request: requests[0].Request, Code: result.NoTarget})
+		effects = append(effects, h.advance(min(pause, maxRetryDelay)-TickInterval)...)
+		h.c.Assert(effectsOf[RequestTarget](effects), qt.HasLen, 0)
+		effects = append(effects, h.advance(TickInterval)...)
+		requests = effectsOf[RequestTarget](effects)
+	}
+	effects = append(effects, h.assign(requests[0].Request, "b", "v1")...)
+	h.c.Assert(effectsOf[StartAttempt](effects)[0].Resume, qt.IsTrue)
+	h.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
+	ends := effectsOf[EndAttempt](h.tokens(2, 2, 12))
+	h.c.Assert(ends, qt.HasLen, 1)
+	h.c.Assert(ends[0].Attempt, qt.Equals, uint32(1))
+	h.c.Assert(ends[0].Outcome.Failed, qt.IsTrue)
+	h.c.Assert(ends[0].Cancel, qt.Equals, CancelNow)
+}
+
+// Guards against a lost speculative attempt that keeps the generation from a third target, and
+// against ending it before that target is reserved or while its agent sends Progress.
+func TestInactiveSpeculativeAttemptIsReplaced(t *testing.T) {
+	h := newRunningHarness(t, Options{})
+	h.advance(speculateAfter)
+	h.assign(2, "b", "v1")
+	effects := h.advance(failAfter - TickInterval)
+	h.c.Assert(effectsOf[RequestTarget](effects), qt.HasLen, 0)
+	effects = h.advance(TickInterval)
+	requests := effectsOf[RequestTarget](effects)
+	h.c.Assert(requests, qt.HasLen, 1)
+	h.c.Assert(requests[0].Exclude, qt.DeepEquals, []string{"a", "b"})
+	h.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
+	h.step(Progress{Attempt: 2})
+	effects = h.assign(3, "c", "v1")
+	h.c.Assert(effectsOf[ReleaseTarget](effects), qt.HasLen, 1)
+	h.c.Assert(effectsOf[EndAttempt](effects), qt.HasLen, 0)
+	effects = h.advance(failAfter)
+	h.c.Assert(effectsOf[RequestTarget](effects), qt.HasLen, 1)
+	effects = h.assign(4, "c", "v1")
+	ends := effectsOf[EndAttempt](effects)
+	h.c.Assert(ends, qt.HasLen, 1)
+	h.c.Assert(ends[0].Attempt, qt.Equals, uint32(2))
+	h.c.Assert(effectsOf[StartAttempt](effects)[0].Attempt, qt.Equals, uint32(3))
+	h.c.Assert(effectsOf[Deliver](h.tokens(1, 2, 12)), qt.HasLen, 1)
 }
 
 // Guards against treating agents as failed because the entry itself was paused.
@@ -199,6 +242,7 @@
 	h := newHarness(t, Options{})
 	h.assign(1, "a", "v1")
 	h.c.Assert(effectsOf[RequestTarget](h.advance(time.Second)), qt.HasLen, 1)
+	h.c.Assert(effectsOf[RequestTarget](h.step(StreamBroken{Attempt: 1})), qt.HasLen, 0)
 	effects := h.step(PlacementFailed{Request: 2, Code: result.NoTarget})
 	h.c.Assert(effectsOf[Finish](effects), qt.HasLen, 0)
 	h.c.Assert(effectsOf[RequestTarget](effects)[0].Wait, qt.Equals, defaultPlacementTimeout)
@@ -281,7 +325,11 @@
 		n.buffered -= msg.Events
 	}
 	wasDone := n.done
-	for _, effect := range n.m.Step(n.now, message) {
+	effects := n.m.Step(n.now, message)
+	if _, tick := message.(Tick); tick && len(effectsOf[Finish](effects)) == 0 {
+		n.check(len(effectsOf[EndAttempt](effects)) == 0, "attempt ended without a replacement because time passed")
+	}
+	for _, effect := range effects {
 		n.apply(effect, wasDone)
 	}
 }
@@ -388,7 +436,7 @@
 		}
 	case 8, 9:
 		n.assignTarget()
-	case 10: // inactivity that may start a speculative attempt or fail one
+	case 10: // inactivity that may start a speculative attempt
 		for range rapid.IntRange(1, 22).Draw(n.t, "ticks") {
 			n.now = n.now.Add(TickInterval)
 			n.step(Tick{})
@@ -473,8 +521,9 @@
 }
 
 // Checks that with delayed, duplicated, reordered and lost messages, the delivered ids are
-// a prefix of one generation, each attempt starts from exactly the delivered ids, and the
-// generation completes only with the matching terminal event.
+// a prefix of one generation, each attempt starts from exactly the delivered ids, no attempt
+// of a running generation ends because time passed, and the generation completes only with
+// the matching terminal event.
 func TestDeliveredIsPrefixOfOneGeneration(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		// Races of two attempts are rare, so each check runs several generations.
@@ -495,3 +544,37 @@
 		}
 	})
 }
+
+// Scenario: an agent sends nothing for a second, and no other target has room. Guards against an
+// attempt that is canceled before another one is secured: the generation could go on there.
+func TestInactiveAttemptIsKeptWithoutReplacement(t *testing.T) {
+	h := newRunningHarness(t, Options{})
+	requests := effectsOf[RequestTarget](h.advance(speculateAfter))
+	h.c.Assert(requests, qt.HasLen, 1)
+	h.step(PlacementFailed{Request: requests[0].Request, Code: result.NoTarget})
+	h.c.Check(effectsOf[EndAttempt](h.advance(failAfter)), qt.HasLen, 0)
+}
+
+// Scenario: as above, before the first token. Guards against a generation that ends though its
+// attempt was accepted and may only be late.
+func TestAcceptedAttemptDoesNotEndWithoutTarget(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.assign(1, "a", "v1")
+	h.step(Accepted{Attempt: 1, Epoch: 1, Incarnation: 1})
+	var finished []Finish
+	for range 40 {
+		for _, e := range h.advance(TickInterval) {
+			switch e := e.(type) {
+			case RequestTarget:
+				effects := h.step(PlacementFailed{Request: e.Request, Code: result.NoTarget})
+				finished = append(finished, effectsOf[Finish](effects)...)
+				for _, again := range effectsOf[RequestTarget](effects) {
+					finished = append(finished, effectsOf[Finish](h.step(PlacementFailed{Request: again.Request, Code: result.NoTarget}))...)
+				}
+			case Finish:
+				finished = append(finished, e)
+			}
+		}
+	}
+	h.c.Check(finished, qt.HasLen, 0)
+}
--- a/internal/core/stream/targets.go
+++ b/internal/core/stream/targets.go
@@ -25,6 +25,9 @@
 	}
 	if speculative {
 		r.Exclude = append(r.Exclude, m.current.target)
+		if m.speculative != nil {
+			r.Exclude = append(r.Exclude, m.speculative.target)
+		}
 		r.Wait = failAfter - speculateAfter
 	}
 	m.emit(r)
@@ -55,8 +58,9 @@
 		m.retryPlacement(result.VersionUnavailable, r.speculative)
 		return
 	}
-	if r.speculative && m.current != nil && msg.Target == m.current.target {
+	if r.speculative && m.current != nil && (msg.Target == m.current.target || !m.makeRoomForSpeculation()) {
 		m.emit(ReleaseTarget{Request: msg.Request})
+		m.delaySpeculation()
 		return
 	}
 	m.startAttempt(msg, r.speculative)
@@ -102,6 +106,9 @@
 	}
 	m.request = nil
 	if r.speculative {
+		// Targets that failed earlier may have recovered.
+		m.exclude = nil
+		m.delaySpeculation()
 		return
 	}
 	if msg.Code == result.CrashesTargets || msg.Code == result.CrashedMidway || msg.Code == result.DeadlineTooShort {
@@ -126,6 +133,7 @@
 func (m *Machine) retryPlacement(code result.Code, speculative bool) {
 	m.placementCode = code
 	if speculative && m.current != nil {
+		m.delaySpeculation()
 		return
 	}
 	if len(m.ids) == 0 || m.deadlinePassed() {
--- a/internal/core/stream/timers.go
+++ b/internal/core/stream/timers.go
@@ -39,27 +39,46 @@
 }
 
 func (m *Machine) checkInactivity() {
-	if s := m.speculative; s != nil && m.now.Sub(s.lastActivity) >= failAfter {
-		m.ran = true
-		m.failAttempt(s, reasonInactive, result.TargetDied, placement.Outcome{Failed: true}, CancelNow)
-	}
 	a := m.current
-	if a == nil || m.done {
+	if a == nil || m.request != nil || m.options.DisableResume {
 		return
 	}
-	idle := m.now.Sub(a.lastActivity)
-	if idle >= failAfter {
-		m.ran = true
-		m.failAttempt(a, reasonInactive, result.TargetDied, placement.Outcome{Failed: true}, CancelNow)
+	if m.idle(a) < speculateAfter || m.now.Before(a.speculateAt) {
 		return
 	}
-	maySpeculate := m.speculative == nil && m.request == nil && !a.speculated && !m.options.DisableResume
-	if idle >= speculateAfter && maySpeculate {
-		a.speculated = true
+	if m.speculative == nil || m.idle(m.speculative) >= failAfter {
 		m.requestTarget(true)
 	}
 }
 
+func (m *Machine) idle(a *attempt) time.Duration { return m.now.Sub(a.lastActivity) }
+
+// delaySpeculation sets when the next speculative target is requested if the current attempt stays
+// inactive.
+func (m *Machine) delaySpeculation() {
+	a := m.current
+	if a == nil {
+		return
+	}
+	a.speculateAt = m.now.Add(min(placementRetryDelay<<min(a.speculations, maxRetryDoublings), maxRetryDelay))
+	a.speculations++
+}
+
+// makeRoomForSpeculation ends a speculative attempt that is inactive, since another target is
+// reserved. It returns false if the speculative attempt is active and stays.
+func (m *Machine) makeRoomForSpeculation() bool {
+	s := m.speculative
+	if s == nil {
+		return true
+	}
+	if m.idle(s) < failAfter {
+		return false
+	}
+	m.ran = true
+	m.failAttempt(s, reasonInactive, result.TargetDied, placement.Outcome{Failed: true}, CancelNow)
+	return true
+}
+
 func (m *Machine) restartTimers() {
 	m.lastConsumed = m.now
 	for _, a := range []*attempt{m.current, m.speculative} {
