Leave a queued stream at its engine longer

Callers of an overloaded fleet waited longer for their first event than the queues required, and prompts were prefilled in vain.

Cause: a stream without a first event left a live engine after 2.7 s also when that engine had a queue, in which it gave up its place.

Change: while the engine's report says that requests wait there, the limit for the first event is twice as long. An engine that hangs reports none and is left as before.

TestQueueOfTargetPostponesMove.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -49,6 +49,9 @@
 	// an abandoned prefill is lost.
 	firstEventFraction = 0.6
 	firstEventFactor   = 2.5
+	// queueFactor multiplies that time while requests wait at the target: then its load delays the
+	// event, and the request has its place in the queue there.
+	queueFactor = 2
 	// resumeTimeout is how long a live target may take for the first event after a resumption
 	// from a copy. A working resumption takes about 30 ms.
 	resumeTimeout = 1500 * time.Millisecond
@@ -268,6 +271,7 @@
 	// SeekSuccessor is.
 	probing, seeking bool
 	probedAt         time.Time
+	queued           int // requests that wait at the target, as it last reported
 	successor        *successor
 	successors       int // successors placed
 	// ran is set once a target may have begun to run the request.
@@ -372,7 +376,7 @@
 	m.placement, m.open = placement, true
 	m.attemptEvents, m.attemptRan = 0, false
 	m.lastActivity, m.lastCheck = started, now
-	m.probing, m.seeking = false, false
+	m.probing, m.seeking, m.queued = false, false, 0
 }
 
 // SuccessorPlaced reports the target chosen for a SeekSuccessor.
@@ -644,7 +648,11 @@
 	case m.leftBeforeFirstEvent, m.options.FirstEventObjective <= 0:
 		return 0, false
 	}
-	return max(time.Duration(firstEventFraction*float64(m.options.FirstEventObjective)), time.Duration(firstEventFactor*float64(m.placement.ExpectedFirstEvent))), true
+	limit := max(time.Duration(firstEventFraction*float64(m.options.FirstEventObjective)), time.Duration(firstEventFactor*float64(m.placement.ExpectedFirstEvent)))
+	if m.queued > 0 {
+		limit *= queueFactor
+	}
+	return limit, true
 }
 
 // shortestLimit returns the limit with a copy or, if it has passed, without one.
@@ -700,6 +708,9 @@
 	return m.switchAttempt(now, m.successor.loss)
 }
 
+// TargetReported records how many requests wait at the current target according to its report.
+func (m *Machine) TargetReported(queued int) { m.queued = queued }
+
 // Probed reports the result of a Probe; hasCopy is whether a copy of the run's KV cache
 // exists now. If a live target has been silent for too long, the stream seeks a successor.
 func (m *Machine) Probed(now time.Time, alive, hasCopy bool) []Effect {
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -400,6 +400,22 @@
 	}
 }
 
+// Scenario: every engine has a queue. Guards against a stream that gives up its place in the queue of a
+// live engine for a prefill elsewhere, which delays the streams there, and against one that waits for
+// an engine that hangs for ever.
+func TestQueueOfTargetPostponesMove(t *testing.T) {
+	c := qt.New(t)
+	m := New(Options{Resumable: true, MaxAttempts: 5, Arrived: start, Deadline: start.Add(25 * time.Second), FirstEventObjective: 4500 * time.Millisecond})
+	m.Start()
+	m.Placed(start, Placement{Target: "a"})
+	m.TargetReported(2)
+	now, _ := awaitSeek(c, m, start.Add(10*time.Second), false)
+	c.Check(now.Sub(start), qt.Equals, queueFactor*2700*time.Millisecond)
+	m.NoSuccessor()
+	m.TargetReported(0)
+	c.Check(m.NextCheck().Sub(now) <= nextProbeDelay, qt.IsTrue)
+}
+
 // awaitSeek lets a live target be silent until the machine seeks a successor. It fails the test if
 // that has not happened at the given time.
 func awaitSeek(c *qt.C, m *Machine, end time.Time, hasCopy bool) (time.Time, SeekSuccessor) {
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -341,6 +341,9 @@
 		if s.done || s.current != a {
 			return
 		}
+		if alive && a.engine != nil {
+			s.machine.TargetReported(len(a.engine.waiting))
+		}
 		s.apply(s.machine.Probed(s.gateway.sim.clock.now, alive, a.copy != nil))
 		if !s.done {
 			s.scheduleCheck()
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -208,6 +208,7 @@
 		}
 		s.apply(s.machine.AttemptFailed(time.Now(), m.loss), nil)
 	case attemptProbed:
+		s.machine.TargetReported(m.queued)
 		s.apply(s.machine.Probed(time.Now(), m.alive, m.attempt.copies.current.Load() != nil), nil)
 	}
 }
