End the successor of a stream before its current attempt at the deadline

A client whose stream lost its target at the deadline, with a successor open, had its connection closed by a nil pointer in the stream's task: the machine ended the successor after the current attempt. By reading; TestLossAtDeadlineEndsSuccessorFirst failed before.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -559,11 +559,11 @@
 		return nil
 	}
 	var effects []Effect
-	if m.successor != nil && now.Before(m.options.Deadline) {
-		if m.successor.placement.Resume || !m.attemptRan {
+	if m.successor != nil {
+		// The copy of a lost run is sooner than the prefill of a successor without it.
+		if now.Before(m.options.Deadline) && (m.successor.placement.Resume || !m.attemptRan) {
 			return m.switchAttempt(now, loss)
 		}
-		// The copy of the lost run is sooner than the prefill of a successor without it.
 		effects = m.endSuccessor()
 	}
 	m.open, m.probing = false, false
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -107,6 +107,9 @@
 		}
 		s.open = false
 	case EndSuccessor:
+		if !s.successorOpen || !s.open {
+			s.t.Fatal("EndSuccessor without a successor or a current attempt")
+		}
 		s.successorOpen = false
 	case Switch:
 		if !s.successorOpen || s.sentAt.IsZero() && (e.Loss == Stalled || e.Loss == FirstEventLate) {
@@ -502,6 +505,17 @@
 	c.Check(m.Check(now.Add(successorSendTimeout)), qt.DeepEquals, []Effect{EndSuccessor{}}, qt.Commentf("never sent"))
 }
 
+// Guards against a successor that ends after its stream's current attempt: the gateway has no current
+// attempt then.
+func TestLossAtDeadlineEndsSuccessorFirst(t *testing.T) {
+	c := qt.New(t)
+	m, now, seek := newStalledMachine(c, true)
+	m.SuccessorPlaced(now, seek.Loss, Placement{Target: "b", Resume: true})
+	m.SuccessorSent(now)
+	effects := m.AttemptFailed(options().Deadline, Interrupted)
+	c.Check(effects, qt.DeepEquals, []Effect{EndSuccessor{}, EndAttempt{Interrupted}, Finish{TimedOut}})
+}
+
 // Guards against a probe that is answered after the target has sent an event, and then ends the
 // attempt at a target that works.
 func TestEventDuringProbeKeepsAttempt(t *testing.T) {
