Keep the attempts at a target that resets a probe's connection

Callers got 502 OUTCOME_UNKNOWN for calls that a live engine was working on, and streams that waited for their first event read their prompt again elsewhere, each time the engine had as many connections as it accepts. The requests were recorded as suspects of a crash that had not happened; three such records refuse a request.

Cause: a probe opens a new connection, and a reset of it counted as the end of the target's process, which ends all attempts there.

Change: only a refused connection means that the process has ended. A target that resets the probes gets no new work until a check succeeds, and its attempts go on under their own limits. A crashed process loses nothing by this: the kernel resets the connections of its attempts, and the next probe is refused.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -520,8 +520,8 @@
 type targetDown struct {
 	// probed is when the target was asked.
 	probed time.Time
-	// ended is set if the target's process has ended: it refused or reset the connection. Otherwise
-	// it did not answer, which may also be the network or a long queue.
+	// ended is set if the target's process has ended: it refused the connection. Otherwise it did not
+	// answer, which may also be the network or a long queue.
 	ended bool
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -25,7 +25,8 @@
 
 // probeTarget probes a target and reports whether it responded. If not, it marks the target down. A
 // target whose pause permits no further probe counts as alive: the streams that it runs still end by
-// their own limits.
+// their own limits. So does one that resets the probe's connection: targets reset the connections
+// beyond those that they accept and go on with their requests. It gets no new work until it answers.
 func (g *Gateway) probeTarget(reg membership.Registration) (response target.Response, alive bool) {
 	if !g.mayProbe(reg) {
 		g.metrics.probes.WithLabelValues("held").Inc()
@@ -44,6 +45,12 @@
 			break
 		}
 	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		g.metrics.probes.WithLabelValues("reset").Inc()
+		g.log.Info().Str("target", reg.ID).Str("zone", reg.Zone).Msg("target resets new connections; it gets no new requests until it answers")
+		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
+		return target.Response{}, true
+	}
 	g.metrics.probes.WithLabelValues("no_answer").Inc()
 	g.reportDown(reg, probed, err)
 	return target.Response{}, false
@@ -58,8 +65,6 @@
 		now := time.Now()
 		if down.ended {
 			g.loop.reportCrash(st, now, reg)
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
 			st.fleet.MarkGone(now, reg.ID)
 		}
 		g.loop.markTargetDown(st, now, reg.ID, down)
@@ -101,10 +106,8 @@
 	}
 }
 
-// connRefused reports whether a connection was refused or reset.
-func connRefused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
+// connRefused reports whether a connection was refused, as by the port of a process that has ended.
+func connRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // recheckTargets checks the health of targets that are marked down until ctx is canceled, so
 // that recovered ones are used again soon. While the registrations are unconfirmed, it checks
