Pass on the status of a successor that ends without an event

A client that resumed a stream after its last event got a closed connection in place of the end of the stream, and the gateway logged "invalid WriteHeader code 0".

Cause: the response header of a successor was kept with its first event only. If the successor's response ends without an event, it becomes the current attempt and the stream is complete; a client that has got no event in this connection then gets the header of a response that does not exist.

Change: the header is kept at the end of the response too, as for the current attempt.

Evidence: TestSuccessorsEndWithoutEvent fails without the change (panic, EOF at the client) and passes with it.

--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -254,6 +254,9 @@
 		}
 		a.acknowledge()
 	case attemptCompleted:
+		if !s.headerSent {
+			s.response = a.response
+		}
 		s.apply(s.machine.SuccessorCompleted(m.at), nil)
 	case attemptFailed:
 		s.logLoss(a, m.loss)
