Keep a stream at its live target if a successor ends without an event

A client got a stream that ended as complete before its last event, although the engine that ran it was live and would have gone on.

Cause: an engine whose stream was silent got a successor, and a successor whose response ended normally without an event counted as the end of the stream. An engine that answers with an empty success, which the operators have seen, then ended the stream of a sound one. For an attempt after a lost target there is no other word on the end of the run; a live target ends a whole run itself.

Change: a successor without an event is a failure of that target, and the current attempt goes on. A second one in a row ends the stream, so that a target that hangs after the last event does not keep it open until the deadline.

With maxAttempts below 4 no second successor is asked, and a stream whose target hangs after the last event stays open until the deadline; not measured.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -69,6 +69,10 @@
 	// without a copy must be expected to produce its first event, once the objective for the first
 	// event has passed.
 	successorWaitFraction = 0.5
+	// minEmptyEnds is the number of successors that must end without a new event until the stream
+	// counts as complete. A live target ends a whole run itself, and an engine that answers with an
+	// empty success would end a stream early.
+	minEmptyEnds = 2
 	// maxTotalAttempts bounds the attempts of one stream, including those that did not run.
 	// Targets that restarted together refuse one after the other until the gateway learns
 	// their new ids.
@@ -274,6 +278,7 @@
 	queued           int // requests that wait at the target, as it last reported
 	successor        *successor
 	successors       int // successors placed
+	emptyEnds        int // successors that ended normally since the last event, without a new one
 	// ran is set once a target may have begun to run the request.
 	ran           bool
 	lastEvent     uint64
@@ -436,13 +441,15 @@
 	return append(m.switchAttempt(now, m.successor.loss), m.Event(now, number)...)
 }
 
-// SuccessorCompleted reports that the successor's stream ended normally. If it resumed the run after
-// the last event, that is the end of the stream.
+// SuccessorCompleted reports that the successor's stream ended normally, without a new event: with one
+// it would be the current attempt. The current target is live and has not ended the run, so that only
+// minEmptyEnds successors together show that the last event was delivered.
 func (m *Machine) SuccessorCompleted(now time.Time) []Effect {
 	if m.successor == nil || m.done {
 		return nil
 	}
-	if m.lastEvent == 0 {
+	m.emptyEnds++
+	if m.lastEvent == 0 || m.emptyEnds < minEmptyEnds {
 		m.SuccessorFailed(Interrupted)
 		return []Effect{EndSuccessor{Interrupted}}
 	}
@@ -525,6 +532,7 @@
 	}
 	m.lastDelivery = now
 	m.lastEvent = number
+	m.emptyEnds = 0
 	m.events++
 	m.attemptEvents++
 	m.lastActivity, m.lastCheck = now, now
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -712,3 +713,22 @@
 	c.Check(finishOutcome(m.Check(options().Deadline)), qt.Equals, TimedOut)
 	c.Check(m.Ran(), qt.IsTrue)
 }
+
+// Scenario: a live target is silent, and its successors end normally without a new event. Guards against
+// a stream that ends as complete before its last event because one target answered with an empty
+// success, and against one that never ends because its target hangs after the last event.
+func TestSuccessorWithoutEventKeepsCurrentAttempt(t *testing.T) {
+	c := qt.New(t)
+	m, now := openSuccessor(c, options(), true)
+	c.Check(m.SuccessorCompleted(now.Add(10*time.Millisecond)), qt.DeepEquals, []Effect{EndSuccessor{Interrupted}})
+	c.Check(m.Event(now.Add(20*time.Millisecond), 2), qt.DeepEquals, []Effect{Deliver{}}, qt.Commentf("the current attempt goes on"))
+	for i, want := range [][]Effect{{EndSuccessor{Interrupted}}, {Switch{Stalled}, EndAttempt{}, Finish{Complete}}} {
+		now = now.Add(5 * time.Second)
+		m.Check(now)
+		seek := m.Probed(now, true, false)[0].(SeekSuccessor)
+		c.Check(slices.Contains(seek.Exclude, "b"), qt.IsTrue)
+		m.SuccessorPlaced(now, seek.Loss, Placement{Target: string(rune('e' + i))})
+		m.SuccessorSent(now)
+		c.Check(m.SuccessorCompleted(now), qt.DeepEquals, want)
+	}
+}
