Give back what is chosen for a client that leaves meanwhile

A gateway came to prefer some targets less and to have fewer tokens for repeats than it should, the more clients left while their request waited for the event loop. A lost stream that finds no token within 3 s is cut.

Cause: the event loop's choice of a target counts a call there, records its attempt and takes a token of the retry budget. If the client's context ended before the reply, the function still ran and its result was dropped, so that nothing gave these back. A stream dropped the token also if the reply arrived after the client had left.

Change: the choice is awaited with the gateway's context, and made only while the client is there. A stream that got a place begins its attempt, whose end refunds the token.

How often it happens under load was not measured.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -152,7 +152,12 @@
 		held heldPlacement
 		ok   bool
 	}
-	c := query(f.req.ctx, f.g.loop, func(st *state) choice {
+	// The choice is made or not, whether or not the client leaves meanwhile: what it takes is given back
+	// only if its result is known here.
+	c := query(f.g.ctx, f.g.loop, func(st *state) choice {
+		if f.req.ctx.Err() != nil {
+			return choice{}
+		}
 		now := time.Now()
 		if st.suspects.Rejected(f.req.fingerprint, now) {
 			f.req.rejected = true
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -282,10 +282,10 @@
 	for {
 		placed, ok := s.requestPlacement(e)
 		switch {
-		case s.req.ctx.Err() != nil:
-			return s.machine.CallerDisconnected()
 		case ok:
 			return s.machine.Placed(time.Now(), placed)
+		case s.req.ctx.Err() != nil:
+			return s.machine.CallerDisconnected()
 		case s.held.hopeless(waitUntil):
 			s.req.logHeld(&s.held)
 			return s.machine.PlacementFailed()
@@ -327,7 +327,11 @@
 	if e.MayHaveCopy && s.cacheCopy != nil {
 		resumeFrom, holder = s.cacheCopy, s.cacheCopy.Holder
 	}
-	p := query(s.req.ctx, s.g.loop, func(st *state) placementResult {
+	// As in callForwarder.chooseTarget, the result is needed also if the client leaves meanwhile.
+	p := query(s.g.ctx, s.g.loop, func(st *state) placementResult {
+		if s.req.ctx.Err() != nil {
+			return placementResult{}
+		}
 		now := time.Now()
 		if st.suspects.Rejected(s.req.fingerprint, now) {
 			return placementResult{rejected: true}
@@ -383,9 +387,9 @@
 		resumeFrom, holder = current, current.Holder
 	}
 	reg, silence := s.current.reg, s.machine.Silence(time.Now())
-	p := query(s.req.ctx, s.g.loop, func(st *state) placementResult {
+	p := query(s.g.ctx, s.g.loop, func(st *state) placementResult {
 		now := time.Now()
-		if st.suspects.Rejected(s.req.fingerprint, now) {
+		if s.req.ctx.Err() != nil || st.suspects.Rejected(s.req.fingerprint, now) {
 			return placementResult{}
 		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude}
