Hedge a call again if the second target did not run it

A call that may be repeated waited for a hanging target until its deadline and got 504, although other targets were free.

Cause: one hedged request was sent to a second target. If the retry budget did not permit it, it was tried again; if its target refused it, was replaced or could not be reached, it was not, and the open attempt was the only one until the deadline. A full engine next to a hanging one is enough.

Change: while an attempt is open, the next hedged request follows 100 ms after one that ended, within the bounds of runs, of sends and of the retry budget. The bound of six sends holds for hedged requests too: it was exceeded by one if five attempts ended before the first hedged request was due.

Evidence: TestHedgeThatDidNotRunIsSentElsewhere fails without the change (2 sends in place of 6). TestExecutionInvariants with 200,000 checks fails without it ("7 sends exceed the limit") and passes with it.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -18,7 +18,8 @@
 	// minHedgeDelay is the lower bound of the hedge delay, so that the retry budget is spent
 	// on hanging targets and not on normal latency variation.
 	minHedgeDelay = 45 * time.Millisecond
-	// hedgeRetryDelay is the pause after a hedged request that the retry budget did not permit.
+	// hedgeRetryDelay is the pause after a hedged request that the retry budget did not permit or its
+	// target did not answer with success.
 	hedgeRetryDelay = 100 * time.Millisecond
 )
 
@@ -173,11 +174,16 @@
 func (m *Machine) NoTarget(now time.Time, attempt int) []Effect {
 	delete(m.open, attempt)
 	m.unplaced++
+	m.hedgeAgain(now)
+	return m.conclude()
+}
+
+// hedgeAgain sets when a hedged request is tried again after one that did not start or has ended.
+func (m *Machine) hedgeAgain(now time.Time) {
 	m.hedgeAt = time.Time{}
-	if len(m.open) > 0 && m.options.Idempotent {
+	if len(m.open) > 0 && m.options.Idempotent && m.sends-m.unplaced < maxSends {
 		m.hedgeAt = now.Add(hedgeRetryDelay)
 	}
-	return m.conclude()
 }
 
 // NextCheck returns when Check must be called.
@@ -205,7 +211,7 @@
 		return nil
 	}
 	m.hedgeAt = time.Time{}
-	if m.runs+len(m.open) >= m.options.MaxAttempts {
+	if m.runs+len(m.open) >= m.options.MaxAttempts || m.sends-m.unplaced >= maxSends {
 		return nil
 	}
 	return m.send(true)
@@ -235,6 +241,8 @@
 		m.errorAttempt = attempt
 	}
 	if len(m.open) > 0 {
+		// The open attempt may hang until the deadline.
+		m.hedgeAgain(now)
 		return nil
 	}
 	mayRetry := m.runs+len(m.open) < m.options.MaxAttempts && m.sends-m.unplaced < maxSends && now.Before(m.options.Deadline)
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -133,6 +133,25 @@
 	}
 }
 
+// Guards against a call that waits for a hanging target until its deadline because the second target
+// did not run it; and against more sends than permitted while targets refuse one after the other.
+func TestHedgeThatDidNotRunIsSentElsewhere(t *testing.T) {
+	for _, r := range []Result{Unsent, Refused, Replaced} {
+		c := qt.New(t)
+		m := New(options(true, 2))
+		m.Start(start)
+		sends := 1
+		for now := m.NextCheck(); now.Before(start.Add(time.Second)); now = m.NextCheck() {
+			effects := m.Check(now)
+			c.Assert(countSends(effects), qt.Equals, 1)
+			sends++
+			c.Assert(m.AttemptEnded(now.Add(5*time.Millisecond), effects[0].(Send).Attempt, r), qt.HasLen, 0)
+		}
+		c.Check(sends, qt.Equals, maxSends, qt.Commentf("%v", r))
+		c.Check(finishOutcome(m.Check(start.Add(time.Second))), qt.Equals, TimedOut)
+	}
+}
+
 // Guards against returning a refusal although another target is available, and against NotRun
 // for a request whose response was lost.
 func TestNonIdempotentRequest(t *testing.T) {
