Keep the reported queue of a target when a probe has no report

Streams that waited in the queue of a paused or overloaded engine sought a successor after 2.7 s in place of 5.4 s, and their prompt was read again elsewhere.

Cause: the limit for the first event is doubled while the engine reports a queue. A probe that is held back by the engine's pause, whose connection is reset, or whose report can't be decoded set the queue to 0, though such an engine has one most likely.

Change: only a report changes the queue.

--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -98,7 +98,9 @@
 	failureBody []byte
 	alive       bool
 	// queued is the number of requests that wait at the target, as it reported in answer to a probe.
-	queued int
+	// It is valid if reported is set.
+	queued   int
+	reported bool
 	// withheld is set if the request was not sent because the target leaves or is paused.
 	withheld bool
 }
@@ -316,10 +318,10 @@
 		response, alive := a.s.g.probeTarget(a.reg)
 		event := a.s.req.log.Info().Str("target", a.reg.ID).Bool("alive", alive).Uint64("last_event", lastEvent).
 			Dur("silence", silence).Dur("expected", expected)
-		queued := 0
-		if alive {
+		queued, reported := 0, false
+		if alive && response.Status != 0 {
 			report, err := a.s.g.options.Protocol.DecodeReport(response.Body)
-			queued = report.Queued
+			queued, reported = report.Queued, err == nil
 			event = event.AnErr("error", err).Int("queued", report.Queued).Int("running", report.Running).
 				Int("memory", report.MemoryUsed).Int("capacity", report.Capacity)
 			for _, run := range report.Runs {
@@ -329,6 +331,6 @@
 			}
 		}
 		event.Msg("target sent no events; probed it")
-		a.send(attemptMessage{kind: attemptProbed, queued: queued, alive: alive || !a.handle.leavesSilent(probed)})
+		a.send(attemptMessage{kind: attemptProbed, queued: queued, reported: reported, alive: alive || !a.handle.leavesSilent(probed)})
 	})
 }
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -208,7 +208,9 @@
 		}
 		s.apply(s.machine.AttemptFailed(time.Now(), m.loss), nil)
 	case attemptProbed:
-		s.machine.TargetReported(m.queued)
+		if m.reported {
+			s.machine.TargetReported(m.queued)
+		}
 		s.apply(s.machine.Probed(time.Now(), m.alive, m.attempt.copies.current.Load() != nil), nil)
 	}
 }
