Count an engine that hangs as late, so that it attracts no streams

Cause: a request that hangs occupies no memory and is in no queue, and the stream that leaves takes its overdue time along. So the engine looked idle and was chosen first, by each gateway anew.

Change: an engine whose reports lack a request, or that has stopped, counts as 4 s behind while that evidence is fresh, in this gateway's choices and in the loads that it sends to the others.

Failing test first: TestHungTargetIsAvoided chose the hung engine at both gateways.

Why it works: the backlog is what placement compares, and it already reaches the other gateways with the loads.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -138,9 +138,13 @@
 }
 
 // localBacklog returns the part of the backlog that this gateway caused. It is at least the
-// time by which a prompt is overdue: what delays that prompt also delays those after it.
+// time by which a prompt is overdue: what delays that prompt also delays those after it. A target that
+// hangs looks idle and would attract streams.
 func (f *Fleet) localBacklog(now time.Time, t *targetState) time.Duration {
 	remaining := max(0, t.prefillEnd.Sub(now))
+	if t.hangs(now) {
+		remaining = max(remaining, hungBacklog)
+	}
 	for _, s := range t.streams {
 		if s.prefilling {
 			remaining = max(remaining, now.Sub(s.started)-s.expected)
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -690,11 +690,11 @@
 }
 
 // LocalLoads returns the load that this gateway has placed on each target, to be reported to the
-// other gateways, without targets that have none.
+// other gateways, without targets that have none and work.
 func (f *Fleet) LocalLoads(now time.Time) []ReportedLoad {
 	var loads []ReportedLoad
 	for _, t := range f.order {
-		if len(t.streams) == 0 && t.copies == 0 {
+		if len(t.streams) == 0 && t.copies == 0 && !t.hangs(now) {
 			continue
 		}
 		loads = append(loads, ReportedLoad{t.key, PeerLoad{
--- a/internal/core/placement/progress.go
+++ b/internal/core/placement/progress.go
@@ -16,6 +16,9 @@
 	// stoppedSlowness is the slowness that is allowed for in that time. Slow engines take 4 to 5 times
 	// as long.
 	stoppedSlowness = 5.0
+	// hungBacklog is the backlog of a target that does not work on all of its streams: about the time
+	// until a stream that is sent there and hangs has found another target and has its first event.
+	hungBacklog = 4 * time.Second
 	// maxReportGap is the longest pause between two reports that may be compared.
 	maxReportGap = 3 * time.Second
 )
@@ -124,6 +127,12 @@
 	return t.work.progress(now, t.slowness.get(now))
 }
 
+// hangs reports whether a target does not work on all streams that were sent to it.
+func (t *targetState) hangs(now time.Time) bool {
+	p := t.work.progress(now, t.slowness.get(now))
+	return p == Missing || p == Stopped
+}
+
 // knownStreams returns the number of streams at a target, from all gateways, that a report of the
 // target must contain.
 func (f *Fleet) knownStreams(now time.Time, t *targetState) int {
--- a/internal/core/placement/progress_test.go
+++ b/internal/core/placement/progress_test.go
@@ -119,3 +119,32 @@
 	f.Update(list, func(string) int { return 0 })
 	c.Check(f.Progress(at, engineID(0)), qt.Equals, ProgressUnknown)
 }
+
+// Scenario: an engine accepts requests and does not work on them, so that it looks idle. Guards against
+// streams that are sent there one after the other, by this gateway and by others, and hang too.
+func TestHungTargetIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	hung := engineID(0)
+	f, other := newFleet("g", engines(2)), newFleet("h", engines(2))
+	id := f.BeginStream(now, hung, "", typicalSize)
+	at := observe(c, f, hung, now.Add(reportLag), []workReport{{0, WorkReport{}, 0, 0, 0}, {time.Second, WorkReport{}, 0, 0, 0}})
+	c.Assert(f.Progress(at, hung), qt.Equals, Missing)
+	f.EndStream(at, hung, "", id, typicalSize, true)
+	other.SetPeerLoads("g", at, f.LocalLoads(at))
+	for range 2 {
+		// Each prompt is read in about a second.
+		f.BeginStream(at, engineID(1), "", typicalSize)
+		other.BeginStream(at, engineID(1), "", typicalSize)
+	}
+	for _, f := range []*Fleet{f, other} {
+		reg, ok := f.ChooseEngine(at, fleetQuery, typicalSize)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(reg.ID, qt.Equals, engineID(1))
+	}
+	// The evidence ages.
+	later := at.Add(maxReportGap + time.Second)
+	for _, f := range []*Fleet{f, other} {
+		reg, _ := f.ChooseEngine(later, fleetQuery, typicalSize)
+		c.Check(reg.ID, qt.Equals, hung)
+	}
+}
