--- a/internal/gateway/probed_queue_test.go
+++ b/internal/gateway/probed_queue_test.go
@@ -32,7 +32,7 @@
 	s.machine.Start()
 	s.machine.Placed(placed, relay.Placement{Target: "t"})
 	s.current = &attempt{s: s, copies: &copyManager{}}
-	s.handle(attemptMessage{attempt: s.current, kind: attemptProbed, alive: true, queued: 5, reported: true})
+	s.handle(attemptMessage{attempt: s.current, kind: attemptProbed, alive: true, report: relay.TargetReport{Queued: 5}, reported: true})
 	s.handle(attemptMessage{attempt: s.current, kind: attemptProbed, alive: true})
 	c.Check(s.machine.NextCheck().Sub(now) < time.Second, qt.IsTrue, qt.Commentf("next check in %v, limit of a queued stream in 0.4 s", s.machine.NextCheck().Sub(now)))
 }
