Leave a silent target only for a successor

Under load probes are late first. Change: an unanswered probe makes the stream seek a successor, with the tokens kept for losses and any target. Without a successor the stream stays and asks again with the next probe. A closed port still ends the attempts at once. A request that the engine's reports lack may also be sent to the same engine again when no other is available. TestInactiveTargetIsProbed and TestDownTargetLosesOnlyWhatCanMove stated that the attempt ends; they state now that the stream seeks another target, and that only a closed port ends it.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -3,11 +3,12 @@
 // an inactive target counts as failed, and where the stream resumes. Each event is
 // delivered once and in order.
 //
-// A target that fails is left at once. A live target is left only for a successor: a second
-// attempt that is opened beside the current one. A target that works on the stream, however late, is
+// A target that fails is left at once. A target that is live or only silent is left for a successor: a
+// second attempt that is opened beside the current one. A target that works on the stream, however late, is
 // left only once the successor, which resumes from a copy, has sent an event; another prefill costs
-// more than the wait. A target that accepts the stream and does nothing is left as soon as the
-// successor has been sent and not refused. Without a successor the stream stays where it is.
+// more than the wait. A target that accepts the stream and does nothing, or that answers no probe, is
+// left as soon as the successor has been sent and not refused. Without a successor the stream stays
+// where it is.
 //
 // Invariants:
 //   - an event is delivered only if its number is one above that of the previous event;
@@ -131,7 +132,7 @@
 	Replaced
 	// Interrupted means that the connection broke or the response was invalid.
 	Interrupted
-	// TargetDown means that the target was found unreachable.
+	// TargetDown means that the target answered no probe or has ended.
 	TargetDown
 	// Failed means that the target responded with an error.
 	Failed
@@ -170,6 +171,10 @@
 	return "none"
 }
 
+// Failed reports whether a target that is left for a successor because of the loss does not work on the
+// stream as far as known, so that leaving it is no matter of speed.
+func (l Loss) Failed() bool { return l == Hung || l == TargetDown }
+
 // Outcome is how a stream ended.
 type Outcome int
 
@@ -211,7 +216,7 @@
 // EndAttempt ends the open attempt.
 type EndAttempt struct{ Loss Loss }
 
-// Probe asks whether the target of the current attempt is reachable. The reply is Probed; if the
+// Probe asks whether the target of the current attempt answers. The reply is Probed; if the
 // attempt ends before it, there is none.
 type Probe struct{ Target string }
 
@@ -220,12 +225,14 @@
 type SeekSuccessor struct {
 	// Loss is why the stream is to leave the current target.
 	Loss Loss
-	// Exclude lists the targets that failed this stream and the current one.
-	Exclude []string
+	// Exclude lists the targets that failed this stream and the current one, and LastResort those of
+	// them that may be tried if no other target is available: the current one too if it answers and
+	// does not work on this stream.
+	Exclude, LastResort []string
 	// MayHaveCopy is set if the current attempt may have left a KV cache copy.
 	MayHaveCopy bool
 	// MaxExpected is the longest acceptable expected time to the first event on a target without
-	// the copy, 0 if only the holder of the copy is acceptable. After Hung, any target is.
+	// the copy, 0 if only the holder of the copy is acceptable. If Loss.Failed, any target is.
 	MaxExpected time.Duration
 }
 
@@ -289,6 +296,7 @@
 	probing, seeking bool
 	probedAt         time.Time
 	report           TargetReport // the last one of the current target
+	silent           bool         // the current target did not answer the last probe
 	successor        *successor
 	successors       int // successors placed
 	emptyEnds        int // successors that ended normally since the last event, without a new one
@@ -394,7 +402,7 @@
 	m.placement, m.open = placement, true
 	m.attemptEvents, m.attemptRan = 0, false
 	m.lastActivity, m.lastCheck = started, now
-	m.probing, m.seeking, m.report = false, false, TargetReport{}
+	m.probing, m.seeking, m.report, m.silent = false, false, TargetReport{}, false
 }
 
 // SuccessorPlaced reports the target chosen for a SeekSuccessor.
@@ -548,7 +556,7 @@
 	m.emptyEnds = 0
 	m.events++
 	m.attemptEvents++
-	m.lastActivity, m.lastCheck = now, now
+	m.lastActivity, m.lastCheck, m.silent = now, now, false
 	return append(m.endSuccessor(), Deliver{})
 }
 
@@ -700,6 +708,8 @@
 	first := m.lastCheck.Equal(m.lastActivity)
 	delay := maxProbeDelay
 	switch {
+	case m.silent:
+		return maxProbeDelay
 	case m.attemptEvents > 0:
 		delay = min(maxProbeDelay, max(minProbeDelay, probeDelayFactor*m.averageGap))
 	case m.placement.Resume:
@@ -734,7 +744,7 @@
 // the successor has not shown yet that it would be sooner. Otherwise it ends the current attempt, since
 // the successor's target did not refuse the stream.
 func (m *Machine) endOverlap(now time.Time) []Effect {
-	if m.successor.sentAt.IsZero() || m.successor.loss != Hung && m.report.Progress != placement.ProgressUnknown {
+	if m.successor.sentAt.IsZero() || !m.successor.loss.Failed() && m.report.Progress != placement.ProgressUnknown {
 		m.avoided = append(m.avoided, m.successor.placement.Target)
 		return m.endSuccessor()
 	}
@@ -785,12 +795,14 @@
 	}
 	m.probing = false
 	if !alive {
+		m.lastCheck = now
 		if m.lastActivity.After(m.probedAt) {
 			// An event that arrived meanwhile shows that the target works.
 			return nil
 		}
-		return m.AttemptFailed(now, TargetDown)
+		return m.TargetSilent(now, hasCopy)
 	}
+	m.silent = false
 	m.lastCheck = now
 	limit, ok := m.limit(hasCopy)
 	if !ok || now.Sub(m.lastActivity) < limit {
@@ -799,7 +811,7 @@
 	seek := SeekSuccessor{Loss: Stalled, MayHaveCopy: m.attemptRan && hasCopy, MaxExpected: m.maxExpected(now)}
 	switch {
 	case m.hung(now):
-		seek.Loss = Hung
+		seek.Loss, seek.LastResort = Hung, append(slices.Clone(m.lastResort), m.placement.Target)
 	case m.report.Progress != placement.ProgressUnknown && !seek.MayHaveCopy:
 		return nil
 	case m.report.Progress != placement.ProgressUnknown:
@@ -807,23 +819,45 @@
 	case m.attemptEvents == 0 && !m.placement.Resume:
 		seek.Loss = FirstEventLate
 	}
-	if !m.maySeekSuccessor(seek.Loss) {
+	seek.Exclude = slices.Concat(m.excluded, m.avoided, []string{m.placement.Target})
+	return m.seekSuccessor(seek)
+}
+
+// TargetSilent reports that the current target has answered no probe and sent nothing since. It may be
+// unreachable or only late, so that the stream seeks a successor at once and stays if there is none.
+func (m *Machine) TargetSilent(now time.Time, hasCopy bool) []Effect {
+	if !m.open || m.done {
 		return nil
 	}
-	m.seeking = true
-	seek.Exclude = slices.Concat(m.excluded, m.avoided, []string{m.placement.Target})
-	return []Effect{seek}
+	if !m.options.Resumable {
+		return m.AttemptFailed(now, TargetDown)
+	}
+	m.silent = true
+	if m.successor != nil {
+		m.successor.loss = TargetDown
+		return nil
+	}
+	return m.seekSuccessor(SeekSuccessor{
+		Loss: TargetDown, MayHaveCopy: m.attemptRan && hasCopy, Exclude: append(slices.Clone(m.excluded), m.placement.Target), LastResort: m.lastResort,
+	})
 }
 
-// maySeekSuccessor reports whether another target may run the stream beside the current one. One of
+// seekSuccessor returns the effect if another target may run the stream beside the current one. One of
 // the attempts is kept for a loss, unless leaving the current target is one.
-func (m *Machine) maySeekSuccessor(loss Loss) bool {
-	runs := m.runs + 2
-	if loss == Hung {
+func (m *Machine) seekSuccessor(seek SeekSuccessor) []Effect {
+	runs, successors := m.runs+2, m.successors
+	if seek.Loss.Failed() {
 		runs = m.runs + 1
 	}
-	return m.successor == nil && !m.seeking && m.successors < maxSuccessors &&
-		runs < m.options.MaxAttempts && m.attempts < maxTotalAttempts
+	if seek.Loss == TargetDown {
+		// Bounded by the attempts, as after a loss.
+		successors = 0
+	}
+	if m.successor != nil || m.seeking || successors >= maxSuccessors || runs >= m.options.MaxAttempts || m.attempts >= maxTotalAttempts {
+		return nil
+	}
+	m.seeking = true
+	return []Effect{seek}
 }
 
 // maxExpected returns the longest expected time to the first event with which another target is
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -64,7 +64,9 @@
 	// the successor is handled.
 	progress      placement.Progress
 	fromSuccessor bool
-	effects       map[string]int // number of effects by type
+	// silent is set while the last probe of the current target had no answer.
+	silent  bool
+	effects map[string]int // number of effects by type
 }
 
 func (s *modelStream) apply(queue []Effect) {
@@ -96,10 +98,13 @@
 		}
 		return s.m.Placed(s.now, s.nextPlacement())
 	case SeekSuccessor:
-		if e.Loss != Hung && !e.MayHaveCopy && s.progress != placement.ProgressUnknown {
+		if e.Loss == TargetDown && !s.silent {
+			s.t.Fatal("a stream seeks a successor for a target that answers as for one that does not")
+		}
+		if !e.Loss.Failed() && !e.MayHaveCopy && s.progress != placement.ProgressUnknown {
 			s.t.Fatal("a stream seeks another prefill although its target works")
 		}
-		if e.Loss != Hung && e.MaxExpected > 0 && s.progress != placement.ProgressUnknown {
+		if !e.Loss.Failed() && e.MaxExpected > 0 && s.progress != placement.ProgressUnknown {
 			s.t.Fatal("a stream accepts another prefill although its target works")
 		}
 		if rapid.IntRange(0, 3).Draw(s.t, "successor") == 3 {
@@ -108,7 +113,7 @@
 		}
 		return s.m.SuccessorPlaced(s.now, e.Loss, s.nextPlacement())
 	case StartAttempt:
-		s.progress = placement.ProgressUnknown
+		s.progress, s.silent = placement.ProgressUnknown, false
 		s.checkStart(e, s.open)
 		s.open = true
 	case StartSuccessor:
@@ -131,7 +136,7 @@
 		if (e.Loss == Stalled || e.Loss == FirstEventLate) && s.progress != placement.ProgressUnknown && !s.fromSuccessor {
 			s.t.Fatal("a target that works was left for a successor without an event")
 		}
-		s.progress = placement.ProgressUnknown
+		s.progress, s.silent = placement.ProgressUnknown, false
 		if s.successorAfter != s.last {
 			s.t.Fatalf("switched to an attempt that continues after event %d, last delivered event is %d", s.successorAfter, s.last)
 		}
@@ -141,7 +146,14 @@
 			s.progress = rapid.SampledFrom([]placement.Progress{placement.Working, placement.ProgressUnknown, placement.Suspect, placement.Missing, placement.Stopped}).Draw(s.t, "progress")
 			s.m.TargetReported(TargetReport{Progress: s.progress, RunListed: rapid.Bool().Draw(s.t, "listed")})
 		}
-		return s.m.Probed(s.now, rapid.IntRange(0, 19).Draw(s.t, "alive") < 19, rapid.Bool().Draw(s.t, "copy"))
+		s.silent = rapid.IntRange(0, 19).Draw(s.t, "alive") == 19
+		effects := s.m.Probed(s.now, !s.silent, rapid.Bool().Draw(s.t, "copy"))
+		for _, effect := range effects {
+			if _, ended := effect.(EndAttempt); ended && s.m.options.Resumable {
+				s.t.Fatal("a silent target was left without a successor")
+			}
+		}
+		return effects
 	case Deliver:
 		if s.received != s.last+1 {
 			s.t.Fatalf("event %d delivered after event %d", s.received, s.last)
@@ -185,6 +197,9 @@
 		s.fromSuccessor = true
 		s.apply(s.m.SuccessorCompleted(s.now))
 		s.fromSuccessor = false
+	case kind == 14 && s.open && s.m.options.Resumable:
+		s.silent = true
+		s.apply(s.m.TargetSilent(s.now, rapid.Bool().Draw(s.t, "copy")))
 	case kind == 17:
 		s.apply(s.m.CallerDisconnected())
 	case kind == 18:
@@ -334,7 +349,42 @@
 	probeAt := m.NextCheck()
 	c.Check(probeAt.Sub(now), qt.Equals, minProbeDelay)
 	c.Check(m.Check(probeAt), qt.DeepEquals, []Effect{Probe{"a"}})
-	c.Check(chooseTarget(c, m.Probed(probeAt, false, true)).MayHaveCopy, qt.IsTrue)
+	c.Check(m.Probed(probeAt, false, true), qt.DeepEquals, []Effect{SeekSuccessor{Loss: TargetDown, Exclude: []string{"a"}, MayHaveCopy: true}})
+}
+
+// Scenario: a target answers no probe, and no other one has room or all that are asked refuse. Guards
+// against a stream that gives up its place at a target that is only late: its client would be cut.
+func TestStreamStaysAtSilentTargetWithoutSuccessor(t *testing.T) {
+	c := qt.New(t)
+	m := newOpenMachine(options(), Placement{Target: "a"})
+	m.Event(start, 1)
+	now := start
+	for i := range 2 * maxSuccessors {
+		now = m.NextCheck()
+		c.Assert(m.Check(now), qt.DeepEquals, []Effect{Probe{"a"}})
+		seek := m.Probed(now, false, false)
+		c.Assert(seek, qt.HasLen, 1)
+		c.Assert(seek[0], qt.DeepEquals, SeekSuccessor{Loss: TargetDown, Exclude: []string{"a"}}, qt.Commentf("a target that refused may have room by now"))
+		if i%2 == 0 {
+			m.NoSuccessor()
+			continue
+		}
+		m.SuccessorPlaced(now, TargetDown, Placement{Target: "b"})
+		m.SuccessorFailed(Refused)
+	}
+	c.Check(now.Sub(start) < 6*time.Second, qt.IsTrue, qt.Commentf("asked until %v", now.Sub(start)))
+	c.Check(m.Event(now, 2), qt.DeepEquals, []Effect{Deliver{}})
+	c.Check(m.Probed(now, true, false), qt.HasLen, 0)
+}
+
+// Scenario: a target answers no probe while a successor is open, which was sought because the target
+// was late. Guards against a stream that goes back to the silent target when the overlap ends.
+func TestSilentTargetIsLeftForOpenSuccessor(t *testing.T) {
+	c := qt.New(t)
+	m, now := openSuccessor(c, options(), true)
+	m.TargetReported(TargetReport{Progress: placement.Working})
+	c.Check(m.TargetSilent(now, false), qt.HasLen, 0)
+	c.Check(m.Check(m.NextCheck()), qt.DeepEquals, []Effect{Switch{TargetDown}})
 }
 
 // stallDuration returns how long a machine waits for a live target without progress, 0 if
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -8,7 +8,6 @@
 
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
-	"bramleygap/internal/core/relay"
 	"bramleygap/internal/core/runindex"
 )
 
@@ -183,7 +182,8 @@
 	})
 }
 
-// handleTargetDown fails the streams at an unreachable target and probes other targets of its zone.
+// handleTargetDown lets the streams at an unreachable target seek another one, and probes other targets
+// of its zone.
 func (g *gateway) handleTargetDown(reg membership.Registration) {
 	now := g.sim.clock.now
 	if g.outages.RecentlyDown(reg.ID) {
@@ -200,7 +200,7 @@
 			}
 			busy[a.target.ID] = true
 			if a.target.ID == reg.ID {
-				a.failed(relay.TargetDown)
+				a.targetSilent()
 			}
 		}
 	}
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -193,8 +193,8 @@
 	q := placement.FleetQuery{Service: service, Exclude: e.Exclude}
 	var chosen placement.Placement
 	var ok bool
-	if e.Loss == relay.Hung {
-		q.LastResort = s.machine.LastResort()
+	if e.Loss.Failed() {
+		q.LastResort = e.LastResort
 		chosen, ok = s.gateway.fleet.Place(now, q, copyHolder, s.size, s.gateway.mayCopy(now))
 	} else {
 		chosen, ok = s.gateway.fleet.PlaceSuccessor(now, q, copyHolder, s.size, s.gateway.mayCopy(now), e.MaxExpected)
@@ -288,6 +288,18 @@
 	s.apply(s.machine.AttemptFailed(s.gateway.sim.clock.now, loss))
 }
 
+// targetSilent reports to the state machine that the target of the attempt answers no probe.
+func (a *attempt) targetSilent() {
+	s := a.s
+	if s.successor == a {
+		return
+	}
+	s.apply(s.machine.TargetSilent(s.gateway.sim.clock.now, a.copy != nil))
+	if !s.done {
+		s.scheduleCheck()
+	}
+}
+
 // scheduleCheck schedules the next check of the state machine in place of the scheduled one.
 func (s *stream) scheduleCheck() {
 	s.checkID++
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -534,27 +534,34 @@
 
 // markTargetDown records that a target is unreachable, so that nothing is placed there, and probes
 // the targets that may be affected by the same outage. If the target's process has ended, it
-// interrupts all attempts there of this gateway, else only the silent ones that can move.
+// interrupts all attempts there of this gateway. Otherwise the target may only be late, and the silent
+// ones that can move seek another target.
 func (l *eventLoop) markTargetDown(st *state, now time.Time, id string, down targetDown) {
 	reg, ok := st.fleet.Target(id)
 	if !ok {
 		return
 	}
-	var interrupted []*attemptHandle
+	var interrupted, silent []*attemptHandle
 	for handle := range st.attempts[id] {
-		if down.ended || handle.leavesSilent(down.probed) {
+		switch {
+		case down.ended:
 			interrupted = append(interrupted, handle)
+		case handle.leavesSilent(down.probed):
+			silent = append(silent, handle)
 		}
 	}
 	if st.outages.Record(now, reg) {
 		l.log.Warn().Str("target", id).Str("address", reg.Address).Str("zone", reg.Zone).Stringer("reason", down).
-			Int("attempts", len(st.attempts[id])).Int("interrupted", len(interrupted)).Msg("target is down")
+			Int("attempts", len(st.attempts[id])).Int("interrupted", len(interrupted)).Int("silent", len(silent)).Msg("target is down")
 		l.metrics.targetsDown.Inc()
 	}
 	st.fleet.MarkDown(now, id)
 	for _, handle := range interrupted {
 		handle.interrupt()
 	}
+	for _, handle := range silent {
+		handle.reportSilent()
+	}
 	usable := func(id string) bool { return st.fleet.Usable(now, id) }
 	busy := func(id string) bool { return len(st.attempts[id]) > 0 }
 	for _, other := range st.outages.TargetsToProbe(reg, st.registry.Targets(), usable, busy) {
--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -12,8 +12,8 @@
 )
 
 // Guards against a target that answers a probe late and loses its calls, which may not be repeated,
-// and the streams whose events arrive; and against streams of a silent or crashed target that are
-// left there.
+// and the streams whose events arrive; against streams of a silent target that seek no other one, or
+// that lose it before they have found one; and against attempts that stay at a crashed target.
 func TestDownTargetLosesOnlyWhatCanMove(t *testing.T) {
 	start := time.Unix(1000, 0)
 	probed := start.Add(time.Second)
@@ -21,7 +21,8 @@
 		movable   bool
 		startedAt time.Time
 		heardAt   time.Time // zero for never
-		// silent and ended say whether the attempt ends if the target is silent, or has crashed.
+		// silent says whether the attempt seeks another target if its own is silent, and ended whether it
+		// ends if its target has crashed.
 		silent, ended bool
 	}{
 		"call":                          {movable: false, startedAt: start, silent: false, ended: true},
@@ -38,20 +39,17 @@
 				loop.probe = func(membership.Registration) {}
 				st := loop.newState(start)
 				st.fleet.Update([]membership.Registration{{ID: "t", Service: "s", Zone: "a"}}, func(string) int { return 0 })
-				canceled := false
-				handle := &attemptHandle{movable: test.movable, startedAt: test.startedAt, cancel: func() { canceled = true }}
+				canceled, toldSilent := false, false
+				handle := &attemptHandle{movable: test.movable, startedAt: test.startedAt, cancel: func() { canceled = true }, reportSilent: func() { toldSilent = true }}
 				if !test.heardAt.IsZero() {
 					handle.recordHeard(test.heardAt)
 				}
 				st.addAttempt("t", handle)
 				now := probed.Add(maxProbeAttempts * probeTimeout)
 				loop.markTargetDown(st, now, "t", targetDown{probed: probed, ended: ended})
-				want := test.silent
-				if ended {
-					want = test.ended
-				}
-				c.Check(canceled, qt.Equals, want)
-				c.Check(handle.interrupted.Load(), qt.Equals, want)
+				c.Check(toldSilent, qt.Equals, test.silent && !ended)
+				c.Check(canceled, qt.Equals, test.ended && ended)
+				c.Check(handle.interrupted.Load(), qt.Equals, test.ended && ended)
 				c.Check(st.fleet.Usable(now, "t"), qt.IsFalse)
 			}
 		})
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -24,6 +24,8 @@
 	sent        atomic.Bool
 	interrupted atomic.Bool
 	cancel      context.CancelFunc
+	// reportSilent tells the stream that its target has answered no probe. It is set if movable is.
+	reportSilent func()
 	// movable is set if the request can go on at another target after the attempt has run.
 	movable   bool
 	startedAt time.Time
@@ -34,8 +36,8 @@
 // recordHeard records that data of the response has arrived.
 func (h *attemptHandle) recordHeard(at time.Time) { h.heard.Store(int64(at.Sub(h.startedAt))) }
 
-// leavesSilent reports whether the attempt ends because its target did not answer a probe that was
-// sent at the given time: the request can move, and nothing has arrived since.
+// leavesSilent reports whether the request seeks another target because its own did not answer a probe
+// that was sent at the given time: it can move, and nothing has arrived since.
 func (h *attemptHandle) leavesSilent(probed time.Time) bool {
 	heard := time.Duration(h.heard.Load())
 	return h.movable && (heard == 0 || !h.startedAt.Add(heard).After(probed))
@@ -85,6 +87,7 @@
 	attemptCompleted
 	attemptFailed
 	attemptProbed
+	attemptSilent
 )
 
 // attemptMessage is a message from an attempt to its stream.
@@ -117,6 +120,9 @@
 		// The copy contains nearly all of the processed prompt.
 		a.size = placement.GenerationSize{OutputTokens: s.prompt.PromptTokens + s.prompt.OutputTokens}
 	}
+	a.handle.reportSilent = func() {
+		s.g.background(func() { a.send(attemptMessage{kind: attemptSilent}) })
+	}
 	a.streamID, a.copyTarget = s.beginAttempt(a)
 	s.g.background(func() {
 		defer cancel()
@@ -163,7 +169,7 @@
 		}
 		// The outcome of an attempt says nothing about the version if its target was marked down,
 		// for example with its zone, or if it continued from a copy.
-		if a.start.CopyHolder == "" && !a.handle.interrupted.Load() && (failed || latency > 0) {
+		if a.start.CopyHolder == "" && loss != relay.TargetDown && !a.handle.interrupted.Load() && (failed || latency > 0) {
 			st.observeAttempt(now, a.reg, s.req.route.Name, latency, failed)
 		}
 		if loss == relay.Replaced {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -214,6 +214,8 @@
 			s.machine.ReportMissing()
 		}
 		s.apply(s.machine.Probed(time.Now(), m.alive, m.attempt.copies.current.Load() != nil), nil)
+	case attemptSilent:
+		s.apply(s.machine.TargetSilent(time.Now(), m.attempt.copies.current.Load() != nil), nil)
 	}
 }
 
@@ -382,9 +384,9 @@
 		Uint64("after", s.machine.LastEvent()).Msg("stream placed")
 }
 
-// seekSuccessor looks for a target to which the stream can move from a live one. The move takes a
-// token of the retry budget, but none that is kept for streams that have lost their target unless the
-// stream's target does not work on it, which is such a loss.
+// seekSuccessor looks for a target to which the stream can move from one that is live or only silent.
+// The move takes a token of the retry budget, but none that is kept for streams that have lost their
+// target unless the stream's target does not work on it, which is such a loss.
 func (s *stream) seekSuccessor(e relay.SeekSuccessor) []relay.Effect {
 	var resumeFrom *CacheCopy
 	holder := ""
@@ -399,14 +401,14 @@
 		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude}
 		var found placementResult
-		if e.Loss == relay.Hung {
-			fleetQuery.LastResort = s.machine.LastResort()
+		if e.Loss.Failed() {
+			fleetQuery.LastResort = e.LastResort
 			found = st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
 		} else {
 			found = st.placeSuccessor(now, fleetQuery, s.req.versionDraw, holder, s.prompt, e.MaxExpected)
 		}
 		switch {
-		case found.ok && e.Loss == relay.Hung:
+		case found.ok && e.Loss.Failed():
 			found.tookRepeat = s.takeRepeat(st, now)
 		case found.ok:
 			found.tookRepeat = s.takeBudget(s.g.loop.budget(st, now, s.req.service).TakeRetry(st.inflightStreams[s.req.service]))
