Take only reports in close succession as evidence of a request that hangs

What callers could see: a gateway that was suspended between two reports counts streams that ended at their engine meanwhile, so that the engine seems to miss requests; a late stream is then moved although the engine works on it.

Cause: two short reports counted as evidence however far apart they were, up to 3 s.

Change: such reports count only if they are at most 0.7 s apart. The next probe after a short report follows within that time also in the middle of a stream, which so far was probed ever more rarely during a long silence.

--- a/internal/core/placement/progress.go
+++ b/internal/core/placement/progress.go
@@ -9,6 +9,10 @@
 	// missingTime is how long all reports must account for too few requests until one counts as
 	// missing. It is longer than the delay with which gateways learn that others' streams ended.
 	missingTime = 800 * time.Millisecond
+	// maxMissingGap is the longest pause between two such reports. Targets are probed more often after
+	// one; a longer pause means that this gateway was suspended, and that what it knows of the
+	// streams is older than the report.
+	maxMissingGap = 700 * time.Millisecond
 	// stoppedTime is how long the reports of an engine that has requests may stay the same without
 	// an event, beyond the time to read the tokens in its memory: while an engine reads one long
 	// prompt, nothing changes, as the memory for it was reserved before.
@@ -76,8 +80,9 @@
 // observe records a report. lastEvent is when the target last sent an event, and known the number of
 // requests that must be in the report.
 func (e *workEvidence) observe(now time.Time, report WorkReport, lastEvent time.Time, known int) {
+	gap := now.Sub(e.at)
 	switch {
-	case e.at.IsZero(), now.Sub(e.at) > maxReportGap:
+	case e.at.IsZero(), gap > maxReportGap:
 		*e = workEvidence{changedAt: now}
 	case report != e.report:
 		e.changedAt = now
@@ -88,7 +93,7 @@
 	switch {
 	case report.Queued+report.Running >= known:
 		e.missingSince = time.Time{}
-	case e.missingSince.IsZero():
+	case e.missingSince.IsZero(), gap > maxMissingGap:
 		e.missingSince = now
 	}
 }
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -687,21 +687,24 @@
 }
 
 // probeDelay returns the delay from the last event or probe to the next probe. During a long silence
-// it grows with it, since each probe costs the target a connection.
+// it grows with it, since each probe costs the target a connection, unless the last report may show a
+// request that hangs.
 func (m *Machine) probeDelay() time.Duration {
 	first := m.lastCheck.Equal(m.lastActivity)
 	delay := maxProbeDelay
+	short := m.report.Progress == placement.Suspect || m.report.Progress == placement.Missing
 	switch {
 	case m.attemptEvents > 0:
 		delay = min(maxProbeDelay, max(minProbeDelay, probeDelayFactor*m.averageGap))
 	case m.placement.Resume:
 	case first:
 		return firstProbeDelay
-	case m.report.Progress == placement.Suspect, m.report.Progress == placement.Missing:
-		return maxProbeDelay
-	default:
+	case !short:
 		return nextProbeDelay
 	}
+	if short {
+		return delay
+	}
 	return min(nextProbeDelay, max(delay, m.lastCheck.Sub(m.lastActivity)))
 }
 
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -687,6 +687,25 @@
 	c.Check(probes <= 13, qt.IsTrue, qt.Commentf("%d probes in 10 s", probes))
 }
 
+// Scenario: a report lacks a request. Guards against a probe so much later that the evidence of a request
+// that hangs can't be told from that of a gateway which was suspended.
+func TestShortReportIsCheckedSoon(t *testing.T) {
+	for _, events := range []int{0, 1} {
+		c := qt.New(t)
+		m := newOpenMachine(newLateOptions(), Placement{Target: "a", ExpectedFirstEvent: 5 * time.Second})
+		if events > 0 {
+			m.Event(start, 1)
+		}
+		for range 9 {
+			now := m.NextCheck()
+			m.Check(now)
+			m.TargetReported(TargetReport{Progress: placement.Suspect})
+			m.Probed(now, true, false)
+			c.Assert(m.NextCheck().Sub(now) <= 600*time.Millisecond, qt.IsTrue, qt.Commentf("%v", m.NextCheck().Sub(now)))
+		}
+	}
+}
+
 // Pattern: engines crash again and again, and the retry budget permits some of the resumes.
 // Guards against giving it to streams that are late already, and against taking a stream without
 // an event for one that is late.
