--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -3,9 +3,12 @@
 // an inactive target counts as failed, and where the stream resumes. Each event is
 // delivered once and in order.
 //
-// A target that fails is left at once. A live target is left only for a successor: a second
-// attempt that is opened beside the current one and has been accepted by its target. Without a
-// successor the stream stays where it is.
+// A target that fails is left at once. A target that is live or only silent is left for a successor: a
+// second attempt that is opened beside the current one. A target that works on the stream, however late, is
+// left only once the successor, which resumes from a copy, has sent an event; another prefill costs
+// more than the wait. A target that accepts the stream and does nothing, or that answers no probe, is
+// left as soon as the successor has been sent and not refused. Without a successor the stream stays
+// where it is.
 //
 // Invariants:
 //   - an event is delivered only if its number is one above that of the previous event;
@@ -19,6 +22,8 @@
 import (
 	"slices"
 	"time"
+
+	"bramleygap/internal/core/placement"
 )
 
 const (
@@ -49,6 +54,10 @@
 	// an abandoned prefill is lost.
 	firstEventFraction = 0.6
 	firstEventFactor   = 2.5
+	// hungFraction and hungFactor take their places for a target that does not work on the stream.
+	// Other streams there may be the ones that it lacks, so that this one must be late.
+	hungFraction = 0.33
+	hungFactor   = 1.5
 	// queueFactor multiplies that time while requests wait at the target: then its load delays the
 	// event, and the request has its place in the queue there.
 	queueFactor = 2
@@ -123,15 +132,18 @@
 	Replaced
 	// Interrupted means that the connection broke or the response was invalid.
 	Interrupted
-	// TargetDown means that the target was found unreachable.
+	// TargetDown means that the target answered no probe or has ended.
 	TargetDown
 	// Failed means that the target responded with an error.
 	Failed
 	// Stalled means that a live target sent no event for too long after an earlier one or after
 	// a resumption from a copy.
 	Stalled
-	// FirstEventLate means that a live target sent no first event in time.
+	// FirstEventLate means that a live target, of which it is not known whether it works, sent no
+	// first event in time.
 	FirstEventLate
+	// Hung means that a live target does not work on the stream.
+	Hung
 )
 
 // String returns the loss as a metric label.
@@ -153,10 +165,16 @@
 		return "stalled"
 	case FirstEventLate:
 		return "first_event_late"
+	case Hung:
+		return "hung"
 	}
 	return "none"
 }
 
+// Failed reports whether a target that is left for a successor because of the loss does not work on the
+// stream as far as known, so that leaving it is no matter of speed.
+func (l Loss) Failed() bool { return l == Hung || l == TargetDown }
+
 // Outcome is how a stream ended.
 type Outcome int
 
@@ -198,7 +216,7 @@
 // EndAttempt ends the open attempt.
 type EndAttempt struct{ Loss Loss }
 
-// Probe asks whether the target of the current attempt is reachable. The reply is Probed; if the
+// Probe asks whether the target of the current attempt answers. The reply is Probed; if the
 // attempt ends before it, there is none.
 type Probe struct{ Target string }
 
@@ -207,12 +225,14 @@
 type SeekSuccessor struct {
 	// Loss is why the stream is to leave the current target.
 	Loss Loss
-	// Exclude lists the targets that failed this stream and the current one.
-	Exclude []string
+	// Exclude lists the targets that failed this stream and the current one, and LastResort those of
+	// them that may be tried if no other target is available: the current one too if it answers and
+	// does not work on this stream.
+	Exclude, LastResort []string
 	// MayHaveCopy is set if the current attempt may have left a KV cache copy.
 	MayHaveCopy bool
 	// MaxExpected is the longest acceptable expected time to the first event on a target without
-	// the copy.
+	// the copy, 0 if only the holder of the copy is acceptable. If Loss.Failed, any target is.
 	MaxExpected time.Duration
 }
 
@@ -275,7 +295,8 @@
 	// SeekSuccessor is.
 	probing, seeking bool
 	probedAt         time.Time
-	queued           int // requests that wait at the target, as it last reported
+	report           TargetReport // the last one of the current target
+	silent           bool         // the current target did not answer the last probe
 	successor        *successor
 	successors       int // successors placed
 	emptyEnds        int // successors that ended normally since the last event, without a new one
@@ -381,7 +402,7 @@
 	m.placement, m.open = placement, true
 	m.attemptEvents, m.attemptRan = 0, false
 	m.lastActivity, m.lastCheck = started, now
-	m.probing, m.seeking, m.queued = false, false, 0
+	m.probing, m.seeking, m.report, m.silent = false, false, TargetReport{}, false
 }
 
 // SuccessorPlaced reports the target chosen for a SeekSuccessor.
@@ -535,7 +556,7 @@
 	m.emptyEnds = 0
 	m.events++
 	m.attemptEvents++
-	m.lastActivity, m.lastCheck = now, now
+	m.lastActivity, m.lastCheck, m.silent = now, now, false
 	return append(m.endSuccessor(), Deliver{})
 }
 
@@ -600,7 +621,7 @@
 	m.excluded = append(m.excluded, id)
 	m.lastResort = slices.DeleteFunc(m.lastResort, func(other string) bool { return other == id })
 	switch loss {
-	case Unsent, Interrupted, TargetDown, Stalled, FirstEventLate:
+	case Unsent, Interrupted, TargetDown, Stalled, FirstEventLate, Hung:
 		m.lastResort = append(m.lastResort, id)
 	case Refused:
 		if placement.Resume {
@@ -653,16 +674,25 @@
 		return stallTimeoutWithoutCopy, true
 	case m.placement.Resume:
 		return resumeTimeout, true
-	case m.leftBeforeFirstEvent, m.options.FirstEventObjective <= 0:
+	case m.options.FirstEventObjective <= 0, m.leftBeforeFirstEvent && m.report.Progress == placement.ProgressUnknown:
 		return 0, false
 	}
-	limit := max(time.Duration(firstEventFraction*float64(m.options.FirstEventObjective)), time.Duration(firstEventFactor*float64(m.placement.ExpectedFirstEvent)))
-	if m.queued > 0 {
+	if p := m.report.Progress; p == placement.Missing || p == placement.Stopped {
+		return m.firstEventLimit(hungFraction, hungFactor), true
+	}
+	limit := m.firstEventLimit(firstEventFraction, firstEventFactor)
+	if m.report.Queued > 0 {
 		limit *= queueFactor
 	}
 	return limit, true
 }
 
+// firstEventLimit returns the longer one of a fraction of the objective and a multiple of the expected
+// time.
+func (m *Machine) firstEventLimit(fraction, factor float64) time.Duration {
+	return max(time.Duration(fraction*float64(m.options.FirstEventObjective)), time.Duration(factor*float64(m.placement.ExpectedFirstEvent)))
+}
+
 // shortestLimit returns the limit with a copy or, if it has passed, without one.
 func (m *Machine) shortestLimit() (time.Duration, bool) {
 	limit, ok := m.limit(true)
@@ -673,19 +703,26 @@
 }
 
 // probeDelay returns the delay from the last event or probe to the next probe. During a long silence
-// it grows with it, since each probe costs the target a connection.
+// it grows with it, since each probe costs the target a connection, unless the last report may show a
+// request that hangs.
 func (m *Machine) probeDelay() time.Duration {
 	first := m.lastCheck.Equal(m.lastActivity)
 	delay := maxProbeDelay
+	short := m.report.Progress == placement.Suspect || m.report.Progress == placement.Missing
 	switch {
+	case m.silent:
+		return maxProbeDelay
 	case m.attemptEvents > 0:
 		delay = min(maxProbeDelay, max(minProbeDelay, probeDelayFactor*m.averageGap))
 	case m.placement.Resume:
 	case first:
 		return firstProbeDelay
-	default:
+	case !short:
 		return nextProbeDelay
 	}
+	if short {
+		return delay
+	}
 	return min(nextProbeDelay, max(delay, m.lastCheck.Sub(m.lastActivity)))
 }
 
@@ -706,52 +743,124 @@
 	return []Effect{Probe{m.placement.Target}}
 }
 
-// endOverlap ends the current attempt if the successor was sent, since its target did not refuse it,
-// and the successor otherwise.
+// endOverlap ends the successor if it was not sent, or if the current target works on the stream:
+// the successor has not shown yet that it would be sooner. Otherwise it ends the current attempt, since
+// the successor's target did not refuse the stream.
 func (m *Machine) endOverlap(now time.Time) []Effect {
-	if m.successor.sentAt.IsZero() {
+	if m.successor.sentAt.IsZero() || !m.successor.loss.Failed() && m.report.Progress != placement.ProgressUnknown {
 		m.avoided = append(m.avoided, m.successor.placement.Target)
 		return m.endSuccessor()
 	}
 	return m.switchAttempt(now, m.successor.loss)
 }
 
-// TargetReported records how many requests wait at the current target according to its report.
-func (m *Machine) TargetReported(queued int) { m.queued = queued }
+// TargetReport is what is known of the current target's work from its report and from the streams
+// there.
+type TargetReport struct {
+	// Queued is the number of requests that wait.
+	Queued int
+	// RunListed is set if the report lists the run of the stream, as it does from the first event.
+	RunListed bool
+	Progress  placement.Progress
+}
+
+// TargetReported records the current target's report.
+func (m *Machine) TargetReported(report TargetReport) { m.report = report }
+
+// ReportMissing records that a probe of the current target brought no report. What waited there most
+// likely still waits, but whether the target works is not known any more.
+func (m *Machine) ReportMissing() {
+	m.report.Progress, m.report.RunListed = placement.ProgressUnknown, false
+}
+
+// hung reports whether the current target, which has been silent for longer than the limit, does not
+// work on the stream. A working engine continues all runs that it lists at each step; events that it
+// lists and that do not arrive are lost.
+func (m *Machine) hung(now time.Time) bool {
+	switch {
+	case m.report.Progress == placement.ProgressUnknown:
+		return false
+	case m.report.Progress == placement.Stopped:
+		return true
+	case m.report.RunListed:
+		limit, ok := m.limit(false)
+		return ok && now.Sub(m.lastActivity) >= limit
+	}
+	return m.report.Progress == placement.Missing
+}
 
 // Probed reports the result of a Probe; hasCopy is whether a copy of the run's KV cache
-// exists now. If a live target has been silent for too long, the stream seeks a successor.
+// exists now. If a live target has been silent for too long, the stream seeks a successor, but one
+// without the copy only if the target is not known to work on the stream.
 func (m *Machine) Probed(now time.Time, alive, hasCopy bool) []Effect {
 	if !m.open || m.done {
 		return nil
 	}
 	m.probing = false
 	if !alive {
+		m.lastCheck = now
 		if m.lastActivity.After(m.probedAt) {
 			// An event that arrived meanwhile shows that the target works.
 			return nil
 		}
-		return m.AttemptFailed(now, TargetDown)
+		return m.TargetSilent(now, hasCopy)
 	}
+	m.silent = false
 	m.lastCheck = now
 	limit, ok := m.limit(hasCopy)
-	if !ok || now.Sub(m.lastActivity) < limit || !m.maySeekSuccessor() {
+	if !ok || now.Sub(m.lastActivity) < limit {
 		return nil
 	}
-	m.seeking = true
 	seek := SeekSuccessor{Loss: Stalled, MayHaveCopy: m.attemptRan && hasCopy, MaxExpected: m.maxExpected(now)}
-	if m.attemptEvents == 0 && !m.placement.Resume {
+	switch {
+	case m.hung(now):
+		seek.Loss, seek.LastResort = Hung, append(slices.Clone(m.lastResort), m.placement.Target)
+	case m.report.Progress != placement.ProgressUnknown && !seek.MayHaveCopy:
+		return nil
+	case m.report.Progress != placement.ProgressUnknown:
+		seek.MaxExpected = 0
+	case m.attemptEvents == 0 && !m.placement.Resume:
 		seek.Loss = FirstEventLate
 	}
 	seek.Exclude = slices.Concat(m.excluded, m.avoided, []string{m.placement.Target})
-	return []Effect{seek}
+	return m.seekSuccessor(seek)
+}
+
+// TargetSilent reports that the current target has answered no probe and sent nothing since. It may be
+// unreachable or only late, so that the stream seeks a successor at once and stays if there is none.
+func (m *Machine) TargetSilent(now time.Time, hasCopy bool) []Effect {
+	if !m.open || m.done {
+		return nil
+	}
+	if !m.options.Resumable {
+		return m.AttemptFailed(now, TargetDown)
+	}
+	m.silent = true
+	if m.successor != nil {
+		m.successor.loss = TargetDown
+		return nil
+	}
+	return m.seekSuccessor(SeekSuccessor{
+		Loss: TargetDown, MayHaveCopy: m.attemptRan && hasCopy, Exclude: append(slices.Clone(m.excluded), m.placement.Target), LastResort: m.lastResort,
+	})
 }
 
-// maySeekSuccessor reports whether another target may run the stream beside the current one. One of
-// the attempts is kept for a loss.
-func (m *Machine) maySeekSuccessor() bool {
-	return m.successor == nil && !m.seeking && m.successors < maxSuccessors &&
-		m.runs+2 < m.options.MaxAttempts && m.attempts < maxTotalAttempts
+// seekSuccessor returns the effect if another target may run the stream beside the current one. One of
+// the attempts is kept for a loss, unless leaving the current target is one.
+func (m *Machine) seekSuccessor(seek SeekSuccessor) []Effect {
+	runs, successors := m.runs+2, m.successors
+	if seek.Loss.Failed() {
+		runs = m.runs + 1
+	}
+	if seek.Loss == TargetDown {
+		// Bounded by the attempts, as after a loss.
+		successors = 0
+	}
+	if m.successor != nil || m.seeking || successors >= maxSuccessors || runs >= m.options.MaxAttempts || m.attempts >= maxTotalAttempts {
+		return nil
+	}
+	m.seeking = true
+	return []Effect{seek}
 }
 
 // maxExpected returns the longest expected time to the first event with which another target is
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -8,7 +8,6 @@
 
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
-	"bramleygap/internal/core/relay"
 	"bramleygap/internal/core/runindex"
 )
 
@@ -56,6 +55,8 @@
 	ownRecords map[uint64]runindex.Record
 	streams    map[*stream]struct{}
 	targets    []membership.Registration
+	// lastEvents holds when each target last sent an event, by its id.
+	lastEvents map[string]time.Time
 }
 
 func newGateway(sim *simulation, name, zone string) *gateway {
@@ -70,7 +71,7 @@
 	g.fleet = placement.NewFleet(g.name, g.zone, g.rng)
 	g.fleet.SetGateways(g.sim.gatewayNames())
 	g.outages, g.runs, g.streams = placement.NewOutages(), runindex.New(), map[*stream]struct{}{}
-	g.ownRecords = map[uint64]runindex.Record{}
+	g.ownRecords, g.lastEvents = map[uint64]runindex.Record{}, map[string]time.Time{}
 	for _, records := range g.sim.storedRuns {
 		for _, r := range records {
 			g.runs.Put(g.sim.clock.now, r)
@@ -181,7 +182,8 @@
 	})
 }
 
-// handleTargetDown fails the streams at an unreachable target and probes other targets of its zone.
+// handleTargetDown lets the streams at an unreachable target seek another one, and probes other targets
+// of its zone.
 func (g *gateway) handleTargetDown(reg membership.Registration) {
 	now := g.sim.clock.now
 	if g.outages.RecentlyDown(reg.ID) {
@@ -198,7 +200,7 @@
 			}
 			busy[a.target.ID] = true
 			if a.target.ID == reg.ID {
-				a.failed(relay.TargetDown)
+				a.targetSilent()
 			}
 		}
 	}
