Let a stream wait for a target of last resort while all others are paused

Callers would lose a stream at once whose engine had crashed and whose copy had been refused, while the other engines asked for long pauses, although the crashed engine or the holder of the copy could have taken it within the 3 s that it may wait. Found by reading.

Cause: the question whether all targets leave or are paused left out every target that the stream had tried, also those of last resort.

Evidence: TestHeldPlacementKeepsLastResort failed before in two of three cases. The targets of last resort are now asked too: one that is only down may return at any time, and the end of a pause of theirs counts.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"bramleygap/internal/core/membership"
@@ -144,9 +145,10 @@
 	delay time.Duration
 }
 
-// heldPlacement returns whether a query has no target only because of notices. The targets that the
-// request has tried do not help this request, but the client may return to them.
+// heldPlacement returns whether a query has no target only because of notices. Of the targets that
+// the request has tried, those of q.LastResort may still take it; the client may return to all.
 func (st *state) heldPlacement(now time.Time, q placement.FleetQuery, otherwise time.Duration) heldPlacement {
+	q.Exclude = slices.DeleteFunc(slices.Clone(q.Exclude), func(id string) bool { return slices.Contains(q.LastResort, id) })
 	rest, allRest := st.fleet.AllHeld(now, q)
 	q.Exclude = nil
 	held, all := st.fleet.AllHeld(now, q)
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -215,3 +216,40 @@
 	usable := query(t.Context(), g.loop, func(st *state) bool { return st.fleet.Usable(time.Now(), reg.ID) })
 	c.Check(usable, qt.IsFalse)
 }
+
+// Scenario: a stream has lost its target, the holder of its copy has refused it, and all others are
+// paused for long. Guards against a stream that ends at once although a target of last resort may
+// take it while it waits, and against one that waits for targets that do not return in time.
+func TestHeldPlacementKeepsLastResort(t *testing.T) {
+	const wait = resumePlacementWait
+	for _, tc := range []struct {
+		name     string
+		notices  map[string]placement.Response
+		down     []string
+		hopeless bool
+	}{
+		{"lost target may recover", map[string]placement.Response{"holder": {Pause: time.Minute}, "other": {Pause: time.Minute}}, []string{"lost"}, false},
+		{"refusing holder returns in time", map[string]placement.Response{"holder": {Pause: time.Second}, "other": {Pause: time.Minute}, "lost": {Leaving: true}}, nil, false},
+		{"none returns in time", map[string]placement.Response{"holder": {Pause: time.Minute}, "other": {Pause: time.Minute}, "lost": {Leaving: true}}, nil, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Now()
+			st := &state{fleet: placement.NewFleet("g", "a", rand.New(rand.NewPCG(1, 1)))}
+			var list []membership.Registration
+			for _, id := range []string{"lost", "holder", "other", "rejects"} {
+				list = append(list, membership.Registration{ID: id, Address: id, Service: "s", StartUnixMS: 1})
+			}
+			st.fleet.Update(list, func(string) int { return 0 })
+			for id, notice := range tc.notices {
+				st.fleet.Observe(now, placement.Instance{ID: id, StartUnixMS: 1}, notice, placement.FromResponse)
+			}
+			for _, id := range tc.down {
+				st.fleet.MarkDown(now, id)
+			}
+			q := placement.FleetQuery{Service: "s", Exclude: []string{"rejects", "lost", "holder"}, LastResort: []string{"lost", "holder"}}
+			held := st.heldPlacement(now, q, streamRetryAfter)
+			c.Check(held.hopeless(now.Add(wait)), qt.Equals, tc.hopeless)
+		})
+	}
+}
