--- a/cmd/bramleygap/gateway.go
+++ b/cmd/bramleygap/gateway.go
@@ -31,6 +31,9 @@
 
 // Run serves until SIGTERM, then stops within the grace period.
 func (c *gatewayCommand) Run(ctx context.Context) error {
+	// Until then, SIGHUP would end the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	s, err := settings.LoadGateway(c.Settings)
 	if err != nil {
 		return fmt.Errorf("%d %v: %w", result.InvalidText, result.InvalidText, err)
@@ -45,7 +48,7 @@
 	registry.MustRegister(dropped)
 	reload := make(chan settings.Gateway)
 	log := obs.NewBoundedLog(s.Log, os.Stdout, func(lines int) { dropped.Add(float64(lines)) })
-	go c.watchSettings(ctx, log.Logger, reload)
+	go c.watchSettings(ctx, log.Logger, hangup, reload)
 	err = gateway.Run(ctx, gateway.Options{
 		Settings: s, Protocol: platform.Protocol{}, Store: platform.NewStore(s.StoreAddress),
 		Logger: log.Logger.With().Str("gateway", s.Name).Logger(), Registerer: registry,
@@ -60,9 +63,7 @@
 
 // watchSettings sends the settings to reload after SIGHUP and when the file has changed. An
 // invalid file is logged and ignored.
-func (c *gatewayCommand) watchSettings(ctx context.Context, log zerolog.Logger, reload chan<- settings.Gateway) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
+func (c *gatewayCommand) watchSettings(ctx context.Context, log zerolog.Logger, hangup <-chan os.Signal, reload chan<- settings.Gateway) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastText, err := os.ReadFile(c.Settings)
