Take notices from the header of a call's response

A call whose engine rejected it with a pause, or said that it leaves, in an answer whose body broke off left no notice: the following calls went to the same engine. Found by reading.

Cause: the response of a call was observed after its whole body had arrived; that of a stream is observed at its header.

Evidence: TestNoticeInBrokenResponse failed before, with 5 arrivals instead of 1 for both notices. The header says which request and instance the answer belongs to, so the body adds nothing.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -293,11 +293,12 @@
 		if err != nil {
 			return attemptResult{}, false, err
 		}
+		header := f.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
+		f.g.observeResponse(reg, &header, f.req.head.ID, conn.Reused)
 		body, err := f.g.responses.readBody(response.Body)
 		if err != nil {
 			return attemptResult{}, false, err
 		}
-		header := f.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 		if !header.answers(f.req.head.ID, conn.Reused) {
 			f.g.metrics.strayResponses.Inc()
 			f.req.log.Info().Str("answered_id", header.RequestID).Int("status", header.Status).Msg("response to another request dropped")
@@ -306,7 +307,6 @@
 			}
 			continue
 		}
-		f.g.observeResponse(reg, &header, f.req.head.ID, conn.Reused)
 		return attemptResult{result: classify(&header), response: header, body: body}, !response.Close && !header.Close, nil
 	}
 }
