Keep notices of an instance whose row lacks its start

A target that had said that it leaves, or asked for a pause, got requests again if its row was written without the start of the instance, as another writer may leave it: the row was taken for another start. Found by reading.

Cause: notices belong to id and start, and a missing start counted as one.

Evidence: the case "row without a start" of TestNoticesBelongToOneInstance failed before. A row without a start now says nothing about a restart: the notices at the same id and address stay until a row names another start. A row at another address has none.

--- a/internal/core/placement/notices.go
+++ b/internal/core/placement/notices.go
@@ -155,8 +155,15 @@
 	if !r.Leaving && r.Pause <= 0 {
 		return NoticeChange{}
 	}
-	s := f.notices.state(instance)
-	if t := f.targets[instance.ID]; t != nil && t.instance() == instance {
+	t := f.targets[instance.ID]
+	registered := t != nil && t.instance() == instance
+	var s *noticeState
+	if registered && t.notice != nil {
+		s = t.notice
+	} else {
+		s = f.notices.state(instance)
+	}
+	if registered {
 		t.notice = s
 	} else if s.absentSince.IsZero() {
 		s.absentSince = now
@@ -172,7 +179,8 @@
 
 // attachNotices connects the registered targets with the notices of their instances. A registration
 // of the same instance as ready does not clear a notice, since the row may have been written by
-// something else than the process that answers. Another start or another id has no notices.
+// something else than the process that answers. Another start or another id has no notices. A row
+// without a start, which another writer may have left, says nothing about a restart.
 func (f *Fleet) attachNotices(previous map[string]*targetState) {
 	for id, t := range f.targets {
 		old := previous[id]
@@ -184,7 +192,11 @@
 				delete(f.notices.byInstance, old.instance())
 			}
 		}
-		t.notice = f.notices.byInstance[t.instance()]
+		notice := f.notices.byInstance[t.instance()]
+		if notice == nil && t.reg.StartUnixMS == 0 && old != nil && old.reg.Address == t.reg.Address {
+			notice = old.notice
+		}
+		t.notice = notice
 		if t.notice != nil {
 			t.notice.absentSince = time.Time{}
 		}
--- a/internal/core/placement/notices_test.go
+++ b/internal/core/placement/notices_test.go
@@ -89,6 +89,35 @@
 			f.Update([]membership.Registration{reg}, noCapacity)
 			return reg.ID
 		}, false},
+		{"row without a start", func(f *Fleet, reg membership.Registration) string {
+			reg.StartUnixMS = 0
+			f.Update([]membership.Registration{reg}, noCapacity)
+			f.Observe(now, instanceOf(reg), Response{Pause: time.Second}, FromResponse)
+			f.ExpireNotices(now.Add(time.Second))
+			f.Update([]membership.Registration{reg}, noCapacity)
+			return reg.ID
+		}, true},
+		{"row without a start, then with the same", func(f *Fleet, reg membership.Registration) string {
+			without := reg
+			without.StartUnixMS = 0
+			f.Update([]membership.Registration{without}, noCapacity)
+			f.ExpireNotices(now.Add(time.Second))
+			f.Update([]membership.Registration{reg}, noCapacity)
+			return reg.ID
+		}, true},
+		{"row without a start, then with another", func(f *Fleet, reg membership.Registration) string {
+			without := reg
+			without.StartUnixMS = 0
+			f.Update([]membership.Registration{without}, noCapacity)
+			reg.StartUnixMS++
+			f.Update([]membership.Registration{reg}, noCapacity)
+			return reg.ID
+		}, false},
+		{"row without a start at another address", func(f *Fleet, reg membership.Registration) string {
+			reg.StartUnixMS, reg.Address = 0, "elsewhere"
+			f.Update([]membership.Registration{reg}, noCapacity)
+			return reg.ID
+		}, false},
 		{"estimated start, then registered", func(f *Fleet, reg membership.Registration) string {
 			reg.ID, reg.StartEstimated = "met", true
 			f.Update([]membership.Registration{reg}, noCapacity)
