Publish notices also under a registration without a start

The check before the first byte, probes and copy orders looked for notices by the registered instance, which a row without a start does not name.

Evidence: the case "row without a start" failed before with the check that its notice is published.

--- a/internal/core/placement/notices.go
+++ b/internal/core/placement/notices.go
@@ -228,6 +228,12 @@
 			held[instance] = s.Notice
 		}
 	}
+	// A row without a start has the notices of another instance.
+	for _, t := range f.order {
+		if t.notice != nil && t.notice.Holds(now) {
+			held[t.instance()] = t.notice.Notice
+		}
+	}
 	return held
 }
 
--- a/internal/core/placement/notices_test.go
+++ b/internal/core/placement/notices_test.go
@@ -140,6 +140,8 @@
 			f.Observe(now, instanceOf(reg), Response{Leaving: true, Pause: time.Hour}, FromResponse)
 			id := tc.change(f, reg)
 			c.Check(f.Accepts(now.Add(3*time.Second), id), qt.Equals, !tc.held)
+			_, published := f.Notices(now.Add(3 * time.Second))[f.targets[id].instance()]
+			c.Check(published, qt.Equals, tc.held)
 		})
 	}
 }
