Count the bytes between gateways by call and by part of the exchanged state

Cause: link_bytes_total counted messages between gateways without framing and in one sum. Change: the link "gateways" counts the bytes of the connections; peer_message_bytes_total counts messages by call, exchange_bytes_total the parts of the states that a gateway sends (loads, suspects, tables, evidence, other). BenchmarkControl reports the same parts.

--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -106,6 +106,8 @@
 // controlCost sums what the measured gateway spends.
 type controlCost struct {
 	bytes int
+	// parts holds the bytes in the order of exchangeParts.
+	parts [5]int
 	busy  time.Duration
 }
 
@@ -139,13 +141,23 @@
 	}
 	var request, answer []byte
 	requestedAt := time.Now()
-	charge(from, func() { request = encode(from.peers.request(from.st, toName)) })
+	var sent [2]*wire.GatewayState
+	charge(from, func() {
+		sent[0] = from.peers.request(from.st, toName)
+		request = encode(sent[0])
+	})
 	charge(to, func() {
 		remote := receive(request, fromName)
-		answer = encode(to.peers.answer(to.st, remote))
+		sent[1] = to.peers.answer(to.st, remote)
+		answer = encode(sent[1])
 	})
 	charge(from, func() { from.peers.mergeAnswer(from.st, receive(answer, toName), toName, requestedAt) })
 	cost.bytes += len(request) + len(answer)
+	for _, msg := range sent {
+		for i, size := range partSizes(msg) {
+			cost.parts[i] += size
+		}
+	}
 }
 
 // controlOthers is the number of gateways that stand for all others in the benchmark.
@@ -202,6 +214,9 @@
 		seconds++
 	}
 	b.ReportMetric(float64(cost.bytes)/float64(seconds), "B/s")
+	for i, size := range cost.parts {
+		b.ReportMetric(float64(size)/float64(seconds), exchangeParts[i]+"-B/s")
+	}
 	b.ReportMetric(cost.busy.Seconds()*1000/float64(seconds), "ms/s")
 	b.ReportMetric(0, "ns/op")
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,8 @@
 	peerExchanges  *prometheus.CounterVec
 	peerSeconds    *prometheus.HistogramVec
 	linkBytes      *prometheus.CounterVec
+	peerBytes      *prometheus.CounterVec
+	exchangeBytes  *prometheus.CounterVec
 	tableFetches   *prometheus.CounterVec
 	probes         *prometheus.CounterVec
 	copyOrders     *prometheus.CounterVec
@@ -62,6 +64,8 @@
 		storeCalls:     counterVec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
 		peerExchanges:  counterVec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
 		linkBytes:      counterVec("link_bytes_total", "Bytes exchanged with clients, targets and other gateways, by direction.", "link", "direction"),
+		peerBytes:      counterVec("peer_message_bytes_total", "Bytes of messages between gateways, without framing, by call and direction.", "call", "direction"),
+		exchangeBytes:  counterVec("exchange_bytes_total", "Bytes of exchanged states that this gateway sent, without framing, by part.", "part"),
 		tableFetches:   counterVec("table_fetches_total", "Tables fetched from other gateways, by table and outcome.", "table", "outcome"),
 		probes:         counterVec("probes_total", "Probes of targets by outcome.", "outcome"),
 		runLookups:     counterVec("runs_sought_total", "Searches for the run of a returning client by where it was found.", "from"),
@@ -90,6 +94,6 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.handlerPanics, m.notices, m.withheld)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.handlerPanics, m.notices, m.withheld)
 	return m
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -67,7 +67,8 @@
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{g: g, conns: rpc.NewPool(grpc.WithStatsHandler(rpcCounter{&g.loop.traffic.peers})), incarnation: rand.Uint64(), byAddress: map[string]*peer{}, fetchWanted: make(chan struct{}, 1)}
+	conns := rpc.NewPool(grpc.WithStatsHandler(rpcCounter{g.metrics.peerBytes}), grpc.WithContextDialer(countingDialer(&g.loop.traffic.peers)))
+	return &peers{g: g, conns: conns, incarnation: rand.Uint64(), byAddress: map[string]*peer{}, fetchWanted: make(chan struct{}, 1)}
 }
 
 // run serves other gateways and exchanges state with them until ctx is canceled.
@@ -77,10 +78,10 @@
 	if err != nil {
 		return err
 	}
-	server := rpc.NewServer(grpc.StatsHandler(rpcCounter{&p.g.loop.traffic.peers}))
+	server := rpc.NewServer(grpc.StatsHandler(rpcCounter{p.g.metrics.peerBytes}))
 	wire.RegisterGatewayServer(server, p)
 	p.g.background(func() {
-		if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		if err := server.Serve(&countingListener{listener, &p.g.loop.traffic.peers}); err != nil && ctx.Err() == nil {
 			p.g.log.Error().Err(err).Msg("peer server failed; other gateways cannot reach this one")
 		}
 	})
@@ -272,6 +273,7 @@
 	if local == nil {
 		return "", ctx.Err()
 	}
+	p.g.metrics.countExchange(local)
 	start := time.Now()
 	remote, err := wire.NewGatewayClient(conn).Exchange(callCtx, local, grpc.WaitForReady(false))
 	p.g.metrics.peerSeconds.WithLabelValues("exchange").Observe(time.Since(start).Seconds())
@@ -308,7 +310,11 @@
 // Exchange implements wire.GatewayServer.
 func (p *peers) Exchange(ctx context.Context, remote *wire.GatewayState) (*wire.GatewayState, error) {
 	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.answer(st, remote) })
-	return local, ctx.Err()
+	if local == nil {
+		return nil, ctx.Err()
+	}
+	p.g.metrics.countExchange(local)
+	return local, nil
 }
 
 // exportState returns the state to send to another gateway, without suspects. requester is the state received in
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -3,9 +3,14 @@
 import (
 	"context"
 	"net"
+	"path"
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/grpc/stats"
+	"google.golang.org/protobuf/proto"
+
+	"bramleygap/internal/wire"
 )
 
 // linkCounter counts the bytes of one kind of connection since the last report.
@@ -58,19 +63,37 @@
 	return n, err
 }
 
-// rpcCounter counts the bytes of messages between gateways. It implements stats.Handler.
-type rpcCounter struct{ counter *linkCounter }
+// countingDialer dials connections whose bytes are counted.
+func countingDialer(counter *linkCounter) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{conn, counter}, nil
+	}
+}
+
+// rpcCounter counts the bytes of messages between gateways by call, without the framing of the
+// connection. It implements stats.Handler.
+type rpcCounter struct{ bytes *prometheus.CounterVec }
+
+// callKey is the key of the name of a call in its context.
+type callKey struct{}
 
 // TagRPC implements stats.Handler.
-func (rpcCounter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (rpcCounter) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	return context.WithValue(ctx, callKey{}, path.Base(info.FullMethodName))
+}
 
 // HandleRPC implements stats.Handler.
-func (h rpcCounter) HandleRPC(_ context.Context, s stats.RPCStats) {
+func (h rpcCounter) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	call, _ := ctx.Value(callKey{}).(string)
 	switch payload := s.(type) {
 	case *stats.InPayload:
-		h.counter.add(payload.WireLength, 0)
+		h.bytes.WithLabelValues(call, "in").Add(float64(payload.WireLength))
 	case *stats.OutPayload:
-		h.counter.add(0, payload.WireLength)
+		h.bytes.WithLabelValues(call, "out").Add(float64(payload.WireLength))
 	}
 }
 
@@ -79,3 +102,25 @@
 
 // HandleConn implements stats.Handler.
 func (rpcCounter) HandleConn(context.Context, stats.ConnStats) {}
+
+// exchangeParts are the parts of an exchange whose bytes are counted by themselves.
+var exchangeParts = []string{"loads", "suspects", "tables", "evidence", "other"}
+
+// partSizes returns the encoded bytes of an exchanged message by part, in the order of exchangeParts.
+func partSizes(msg *wire.GatewayState) [5]int {
+	parts := [5]int{
+		proto.Size(&wire.GatewayState{PackedLoads: msg.PackedLoads}),
+		proto.Size(&wire.GatewayState{Suspects: msg.Suspects, SuspectSummary: msg.SuspectSummary}),
+		proto.Size(&wire.GatewayState{Tables: msg.Tables}),
+		proto.Size(&wire.GatewayState{Evidence: msg.Evidence, Orders: msg.Orders}),
+	}
+	parts[4] = proto.Size(msg) - parts[0] - parts[1] - parts[2] - parts[3]
+	return parts
+}
+
+// countExchange adds an exchanged message that this gateway sends to the metrics.
+func (m *metrics) countExchange(msg *wire.GatewayState) {
+	for i, size := range partSizes(msg) {
+		m.exchangeBytes.WithLabelValues(exchangeParts[i]).Add(float64(size))
+	}
+}
