Place work among a stable subset of targets in large installations

What was seen: at 370 gateways and 1,100 targets, loads are 309 of the 358 kB/s of one gateway's exchanges (BenchmarkControl), and a choice still knows those of some 60 gateways. Cause: each gateway places work on all targets, so that it needs the loads of all others. Change: with more than 32 gateways, gateways and the targets of each service lie on rings in an order that all agree on, zones interleaved. A gateway uses the targets that follow its place: 12, or more if a target would otherwise have fewer than four users. If those that accept work do not suffice, it goes on along the ring; full engines widen the search once, since loads further away are not known. Only the few gateways close in the ring share targets; RingNeighbors names them. Short calls choose among all targets as before, as loads say nothing about them. Up to 32 gateways nothing changes. Tests: TestSubsetsCoverTargetsEvenly (3 to 370 gateways, a zone lost, half of the gateways lost), TestSubsetsSpanZones, TestGrowthMovesFewTargets, TestNeighborsUseTheSameTargets, TestPlacesBeyondTheSubset and TestStreamsSpreadOverTargets; all but the third were seen failing: without interleaved zones, with a wrong place, with fewer neighbors, without the search beyond the subset, and with all targets for all gateways. BenchmarkPlace now names the gateways.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -57,13 +57,16 @@
 		b.Run(fmt.Sprintf("%dx%d", size.gateways, size.targets), func(b *testing.B) {
 			f := newFleet("g", engines(size.targets))
 			at := now
+			names := []string{"g"}
 			for i := range size.gateways - 1 {
+				names = append(names, fmt.Sprintf("edge-%d", i))
 				var loads []ReportedLoad
 				for k := range 32 {
 					loads = append(loads, ReportedLoad{KeyOf(engineID((i*7 + k*13) % size.targets)), PeerLoad{Backlog: time.Second, Memory: 6000, Streams: 1, Copies: 1}})
 				}
 				f.SetPeerLoads(fmt.Sprintf("edge-%d", i), at, loads)
 			}
+			f.SetGateways(names)
 			b.ReportAllocs()
 			for b.Loop() {
 				if _, ok := f.Place(at, fleetQuery, "", typicalSize, true); !ok {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -54,30 +54,65 @@
 	return false
 }
 
-// best returns the admitted target with the lowest cost, nil if there is none. Targets in
-// AvoidZone are a fallback.
+// choice is the target with the lowest cost so far. Targets in the query's AvoidZone are a fallback.
+type choice struct {
+	chosen, fallback         *targetState
+	chosenCost, fallbackCost time.Duration
+	// compared is the number of targets compared.
+	compared int
+}
+
+func (c *choice) compare(q *FleetQuery, t *targetState, cost time.Duration) {
+	c.compared++
+	switch {
+	case q.AvoidZone != "" && t.reg.Zone == q.AvoidZone:
+		if c.fallback == nil || cost < c.fallbackCost {
+			c.fallback, c.fallbackCost = t, cost
+		}
+	case c.chosen == nil || cost < c.chosenCost:
+		c.chosen, c.chosenCost = t, cost
+	}
+}
+
+// sufficient reports whether targets beyond those of the subset need not be compared. If all of the
+// subset are a last resort, as many again are: the loads of those further away are not known, and
+// they would seem idle while all are full.
+func (c *choice) sufficient(subset int) bool {
+	return c.compared >= subset && c.chosen != nil && (c.chosenCost < lastResortCost || c.compared >= 2*subset)
+}
+
+func (c *choice) best() *targetState {
+	if c.chosen == nil {
+		return c.fallback
+	}
+	return c.chosen
+}
+
+// best returns the admitted target with the lowest cost, nil if there is none.
 func (f *Fleet) best(now time.Time, q *FleetQuery, cost func(*targetState) time.Duration) *targetState {
-	var chosen, fallback *targetState
-	var chosenCost, fallbackCost time.Duration
+	var c choice
 	for _, t := range f.order {
-		if !q.admits(t, now) {
-			continue
+		if q.admits(t, now) {
+			c.compare(q, t, cost(t))
 		}
-		c := cost(t)
-		if q.AvoidZone != "" && t.reg.Zone == q.AvoidZone {
-			if fallback == nil || c < fallbackCost {
-				fallback, fallbackCost = t, c
-			}
-			continue
+	}
+	return c.best()
+}
+
+// bestNearby is best among the targets of this gateway's subset that are admitted, and further ones if
+// they do not suffice.
+func (f *Fleet) bestNearby(now time.Time, q *FleetQuery, cost func(*targetState) time.Duration) *targetState {
+	var c choice
+	targets, subset := f.nearby(q.Service)
+	for t := range targets {
+		if c.sufficient(subset) {
+			break
 		}
-		if chosen == nil || c < chosenCost {
-			chosen, chosenCost = t, c
+		if q.admits(t, now) {
+			c.compare(q, t, cost(t))
 		}
 	}
-	if chosen == nil {
-		return fallback
-	}
-	return chosen
+	return c.best()
 }
 
 // ChooseCall returns the target for a short call: the one with the lowest expected latency,
@@ -107,7 +142,7 @@
 // TimeToFirstEvent returns the shortest expected time to the first event of a generation, and
 // false if there is no admitted target.
 func (f *Fleet) TimeToFirstEvent(now time.Time, q FleetQuery, size GenerationSize) (time.Duration, bool) {
-	t := f.best(now, &q, func(t *targetState) time.Duration { return f.timeToFirstEvent(now, t, q.uncached(t, size)) })
+	t := f.bestNearby(now, &q, func(t *targetState) time.Duration { return f.timeToFirstEvent(now, t, q.uncached(t, size)) })
 	if t == nil {
 		return 0, false
 	}
@@ -180,7 +215,7 @@
 // ChooseEngine returns the engine for a generation. Its cost combines the expected time to
 // the first event with the delay that the prompt causes to streams on the engine.
 func (f *Fleet) ChooseEngine(now time.Time, q FleetQuery, size GenerationSize) (membership.Registration, bool) {
-	t := f.best(now, &q, func(t *targetState) time.Duration {
+	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		memory, streams, copies := f.totalLoad(now, t)
 		cost := f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*streamCost + time.Duration(copies)*copyCost
 		if t.memoryCapacity > 0 && memory+size.memory() > t.memoryCapacity {
@@ -189,7 +224,7 @@
 		if rate := t.failures.get(now); rate > failureThreshold {
 			cost += lastResortCost
 		}
-		if !t.preferred {
+		if !f.prefers(t) {
 			cost += nonPreferredCost
 		}
 		return cost + t.leavingPenalty(now) + time.Duration(f.rng.Int64N(int64(choiceJitter)))
@@ -205,7 +240,7 @@
 // The copies of one zone's streams are spread over many engines, because all of them resume
 // if the zone is lost. ChooseCopy returns false if no engine has room.
 func (f *Fleet) ChooseCopy(now time.Time, q FleetQuery, size GenerationSize) (membership.Registration, bool) {
-	t := f.best(now, &q, func(t *targetState) time.Duration {
+	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		memory, streams, copies := f.totalLoad(now, t)
 		cost := f.backlog(now, t)/4 + time.Duration(streams)*streamCost + time.Duration(copies)*copyCost
 		cost += time.Duration(t.copiesBySourceZone[q.AvoidZone])*sameZoneCopyCost + t.leavingPenalty(now)
@@ -295,15 +330,20 @@
 	return t.memoryCapacity == 0 || memory+tokens <= t.memoryCapacity
 }
 
-// CopiesFit reports whether the engines of a service have memory for KV cache copies beside the runs
+// CopiesFit reports whether the engines of a service that this gateway uses have memory for KV cache copies beside the runs
 // that are to be expected. A copy occupies as much memory as a run until the run ends, and cannot be
 // evicted.
 func (f *Fleet) CopiesFit(now time.Time, service string) bool {
 	reserved, capacity := 0, 0
-	for _, t := range f.order {
+	targets, subset := f.nearby(service)
+	for t := range targets {
 		if t.reg.Service != service || !t.usable(now) {
 			continue
 		}
+		if subset == 0 {
+			break
+		}
+		subset--
 		memory, _, _ := f.totalLoad(now, t)
 		reserved, capacity = reserved+memory, capacity+t.memoryCapacity
 	}
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -153,6 +153,8 @@
 type targetState struct {
 	reg membership.Registration
 	key TargetKey
+	// ringHash is the target's place in the ring of its zone's targets.
+	ringHash uint64
 	// memoryCapacity is the memory in tokens, 0 if unknown.
 	memoryCapacity int
 	downUntil      time.Time
@@ -168,6 +170,8 @@
 	preferredBy   string
 	preferredHash uint64
 	preferred     bool
+	// firstInRing is set if the target lies between this gateway and the next one in the ring.
+	firstInRing bool
 	// notice is what the instance said about itself, nil if nothing.
 	notice *noticeState
 	// leavingUntil is the end of a report that the target is unhealthy, by its health check or by
@@ -244,6 +248,8 @@
 	oldestReport time.Time
 	notices      *notices
 	nextStreamID uint64
+	// rings is nil until it is needed, and while gateways use all targets.
+	rings *rings
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
@@ -261,6 +267,7 @@
 		if t == nil || !t.reg.SameInstance(&reg) {
 			t = &targetState{
 				key:                KeyOf(reg.ID),
+				ringHash:           xxhash.Sum64String("ring\x00" + reg.ID),
 				streams:            map[uint64]*stream{},
 				copiesBySourceZone: map[string]int{},
 				slowness:           decayingAverage{baseline: 1, halfLife: slownessHalfLife},
@@ -285,6 +292,7 @@
 	f.attachNotices(previous)
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
+	f.rings = nil
 }
 
 // detectReplaced marks targets whose address is also registered by a newer instance.
@@ -319,7 +327,7 @@
 		}
 		delete(before, name)
 	}
-	f.gateways = names
+	f.gateways, f.rings = names, nil
 	for id, t := range f.targets {
 		if before[t.preferredBy] {
 			t.preferredBy, t.preferredHash = "", 0
