Exchange loads with neighbors and tables along a tree in large installations

Causes: loads went to random gateways; a gateway that is met again after 25 s got all suspects that had changed since (50 kB/s at 100); 30 exchanges a second of each gateway with ever other ones, for the sake of confirmations that must arrive within 1.24 s; and readers that all gateways ask. Gateways that were not met within 10 s did not count as live, so that each of 300 saw 40% of them and chose its own readers. Change, above 32 gateways: loads go to the four neighbors in the ring of placement, each met every 1.2 s. Tables and suspects pass along a tree below the readers (replica.Sources, six followers each) by exchanges that the source holds until it has rows or confirmations that are news; each suspect crosses an edge once in each direction. One exchange a second is with a random gateway. A gateway that the store lists is live until a call to it fails. Up to 32 gateways, exchanges are as before, without address and zone, which nobody read. The age of a confirmation is rounded up, and stated as of the arrival of the request. TestKnownSuspectsAreNotSentAgain and its like merge the request by themselves now, as Exchange does.

--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -60,11 +61,13 @@
 	st    *state
 }
 
+func controlGatewayName(i int) string { return fmt.Sprintf("edge-zone-%d-%d", i%3, i) }
+
 func controlTargetID(i int) string { return fmt.Sprintf("i-%08x%d", uint32(i)*2654435761, i%3) }
 
 func newControlGateway(size controlSize, index int) *controlGateway {
 	options := &Options{Registerer: prometheus.NewRegistry(), Protocol: registrationProtocol{}}
-	options.Settings = settings.Gateway{Name: fmt.Sprintf("edge-zone-%d-%d", index%3, index), Zone: "zone-0", PeerListen: fmt.Sprintf("10.%d.0.%d:7200", index/250, index%250)}
+	options.Settings = settings.Gateway{Name: controlGatewayName(index), Zone: "zone-0", PeerListen: fmt.Sprintf("10.%d.0.%d:7200", index/250, index%250)}
 	g := &Gateway{options: options, metrics: newMetrics(options.Registerer)}
 	g.loop = newEventLoop(options, g.metrics)
 	now := time.Now()
@@ -80,9 +83,20 @@
 		g.loop.confirm(c.st, now, Table(table), "store")
 	}
 	rng := rand.New(rand.NewPCG(uint64(index), 1))
+	names := make([]string, size.gateways)
+	for i := range names {
+		names[i] = controlGatewayName(i)
+	}
+	c.st.setLiveGateways(names)
+	c.st.fleet.SetGateways(names)
+	prompt := placement.GenerationSize{PromptTokens: 5200, OutputTokens: 800}
 	for i := range size.streams {
 		id, holder := controlTargetID(rng.IntN(size.targets)), controlTargetID(rng.IntN(size.targets))
-		stream := c.st.fleet.BeginStream(now, id, holder, placement.GenerationSize{PromptTokens: 5200, OutputTokens: 800})
+		if !placement.SharesAll(size.gateways) {
+			placed, _ := c.st.fleet.Place(now, placement.FleetQuery{Service: "s"}, "", prompt, true)
+			id, holder = placed.Target.ID, placed.Copy
+		}
+		stream := c.st.fleet.BeginStream(now, id, holder, prompt)
 		if i%10 > 0 {
 			// Reading the prompt takes about a tenth of a stream's time.
 			c.st.fleet.RecordFirstEvent(now, id, stream)
@@ -129,9 +143,9 @@
 	return encoded
 }
 
-// exchange makes one exchange that from starts, and returns the bytes of both messages. cost is
+// exchange makes one exchange that from starts, and adds the bytes of both messages to cost. cost is
 // charged with the work of the gateway measured.
-func exchange(from, to *controlGateway, fromName, toName string, measured *controlGateway, cost *controlCost) {
+func exchange(from, to *controlGateway, fromName, toName string, kind exchangeKind, measured *controlGateway, cost *controlCost) {
 	charge := func(on *controlGateway, work func()) {
 		start := time.Now()
 		work()
@@ -143,15 +157,21 @@
 	requestedAt := time.Now()
 	var sent [2]*wire.GatewayState
 	charge(from, func() {
-		sent[0] = from.peers.request(from.st, toName)
+		sent[0] = from.peers.request(from.st, toName, kind)
 		request = encode(sent[0])
 	})
 	charge(to, func() {
 		remote := receive(request, fromName)
-		sent[1] = to.peers.answer(to.st, remote)
+		to.peers.mergeState(to.st, remote, time.Time{})
+		sent[1] = to.peers.answer(to.st, remote, time.Now(), kind)
 		answer = encode(sent[1])
 	})
-	charge(from, func() { from.peers.mergeAnswer(from.st, receive(answer, toName), toName, requestedAt) })
+	charge(from, func() {
+		from.peers.mergeAnswer(from.st, receive(answer, toName), toName, requestedAt)
+		if kind.held {
+			from.st.recordSentSuspects(toName)
+		}
+	})
 	cost.bytes += len(request) + len(answer)
 	for _, msg := range sent {
 		for i, size := range partSizes(msg) {
@@ -163,6 +183,47 @@
 // controlOthers is the number of gateways that stand for all others in the benchmark.
 const controlOthers = 6
 
+// scheduledExchange is one of the exchanges that a gateway takes part in.
+type scheduledExchange struct {
+	kind exchangeKind
+	// served is set if the other gateway starts it, fixed if that is always the same one.
+	served, fixed bool
+	perSecond     float64
+}
+
+// exchangeSchedule is what exchanges a gateway takes part in.
+type exchangeSchedule struct {
+	rounds    int
+	exchanges []scheduledExchange
+}
+
+// controlSchedule returns the exchanges of a gateway: in a large installation, of one that others
+// follow, which takes part in most.
+func controlSchedule(size controlSize) exchangeSchedule {
+	var s exchangeSchedule
+	add := func(n int, e scheduledExchange) {
+		for range n {
+			s.exchanges = append(s.exchanges, e)
+		}
+		s.rounds = max(s.rounds, int(math.Ceil(e.perSecond)))
+	}
+	if placement.SharesAll(size.gateways) {
+		perSecond := float64(time.Second / exchangeInterval)
+		add(min(exchangeFanout, size.gateways-1), scheduledExchange{kind: exchangeKind{loads: true}, perSecond: perSecond})
+		add(min(exchangeFanout, size.gateways-1), scheduledExchange{kind: exchangeKind{loads: true}, served: true, perSecond: perSecond})
+		return s
+	}
+	// With two urgent tables, each confirmed twice a second, there is news for each exchange after its pause.
+	follow := float64(time.Second / followPause)
+	add(1, scheduledExchange{kind: exchangeKind{held: true}, fixed: true, perSecond: follow})
+	add(replica.Followers, scheduledExchange{kind: exchangeKind{held: true}, fixed: true, served: true, perSecond: follow})
+	for _, served := range []bool{false, true} {
+		add(1, scheduledExchange{kind: exchangeKind{loads: true}, served: served, perSecond: float64(time.Second) / float64(neighborInterval)})
+		add(1, scheduledExchange{served: served, perSecond: float64(time.Second / randomInterval)})
+	}
+	return s
+}
+
 // BenchmarkControl measures what exchanges cost one gateway in a second: bytes of messages in both
 // directions (without framing) and processor time.
 func BenchmarkControl(b *testing.B) {
@@ -181,30 +242,36 @@
 		g.addSuspects("zone-0", 0, size.suspects)
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
-	rounds := int(time.Second / exchangeInterval)
-	perRound := min(exchangeFanout, size.gateways-1)
 	var cost, unused controlCost
 	added := size.suspects
 	seconds := 0
+	schedule := controlSchedule(size)
 	second := func(cost *controlCost) {
 		for range size.newSuspects {
 			others[rng.IntN(len(others))].addSuspects("zone-0", added, 1)
 			added++
 		}
-		for range rounds {
+		for round := range schedule.rounds {
 			for _, g := range append(others, self) {
 				g.st.beginSuspectRound()
 			}
-			for range perRound {
-				i := rng.IntN(size.gateways - 1)
-				other, name := others[i%len(others)], fmt.Sprintf("edge-%d", i+1)
-				exchange(self, other, "edge-0", name, self, cost)
-				i = rng.IntN(size.gateways - 1)
-				other, name = others[i%len(others)], fmt.Sprintf("edge-%d", i+1)
-				exchange(other, self, name, "edge-0", self, cost)
+			for i, e := range schedule.exchanges {
+				if float64(round) >= e.perSecond {
+					continue
+				}
+				peer := i
+				if !e.fixed {
+					peer = rng.IntN(size.gateways - 1)
+				}
+				other, name := others[peer%len(others)], fmt.Sprintf("edge-%d", peer+1)
+				if e.served {
+					exchange(other, self, name, "edge-0", e.kind, self, cost)
+				} else {
+					exchange(self, other, "edge-0", name, e.kind, self, cost)
+				}
 			}
 			for i := range others {
-				exchange(others[i], others[(i+1)%len(others)], "a", "b", nil, &unused)
+				exchange(others[i], others[(i+1)%len(others)], "a", "b", exchangeKind{loads: true}, nil, &unused)
 			}
 		}
 	}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -77,6 +77,10 @@
 	// readers those of them that follow the store's tables.
 	liveGateways []string
 	readers      []string
+	// rankedGateways holds liveGateways in an order that all agree on, the readers first.
+	rankedGateways []string
+	// tableNews is closed when a table has changed or was confirmed by the store.
+	tableNews chan struct{}
 	// listed holds the addresses of the gateways in the store by name, as of listedRevision.
 	listed         map[string]string
 	listedRevision uint64
@@ -149,7 +153,7 @@
 		inflightStreams: map[string]int{},
 		latencies:       map[string]*retry.Estimate{},
 		suspects:        suspect.NewTracker(),
-		suspectExchange: suspectExchange{merged: map[string]mergedSuspects{}},
+		suspectExchange: suspectExchange{merged: map[string]mergedSuspects{}, sent: map[string]uint64{}},
 		attempts:        map[string]map[*attemptHandle]struct{}{},
 		outages:         placement.NewOutages(),
 		stopTimes:       map[string]time.Time{},
@@ -159,6 +163,7 @@
 		runIndex:        runindex.New(),
 		activeRuns:      map[uint64]runindex.Record{},
 		lastTick:        now,
+		tableNews:       make(chan struct{}),
 	}
 	for i := range st.tables {
 		st.tables[i] = replica.NewTable()
@@ -255,6 +260,7 @@
 	if table == TableConfig {
 		l.configConfirmedAt.Store(&at)
 	}
+	st.announceTableNews()
 }
 
 // reportTraffic updates the periodic metrics once per trafficReportInterval. It logs the traffic if calls to the store or to other gateways failed.
@@ -354,7 +360,7 @@
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String("reader\x00"+b), xxhash.Sum64String("reader\x00"+a))
 	})
-	st.readers = ranked[:min(readerCount, len(ranked))]
+	st.rankedGateways, st.readers = ranked, ranked[:min(readerCount, len(ranked))]
 }
 
 // isReader reports whether a gateway is among the readers.
@@ -384,6 +390,7 @@
 }
 
 func (l *eventLoop) tableChanged(st *state, now time.Time, table Table, changes []replica.Change) {
+	st.announceTableNews()
 	switch table {
 	case TableConfig:
 		l.applyDesiredState(st, now)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,13 +23,18 @@
 const (
 	// exchangeInterval is the pause between two exchange rounds.
 	exchangeInterval = 200 * time.Millisecond
+	// neighborInterval is the pause between two rounds in a large installation, each with one of
+	// ringReach neighbors, whose loads are thus known well within placement's maximum age.
+	neighborInterval = 300 * time.Millisecond
+	// randomInterval is the minimum time between two exchanges of a gateway in a large installation with
+	// random others, which spread what neither a table nor a neighbor brings.
+	randomInterval = time.Second
 	// exchangeFanout is the number of gateways contacted per round. An exchange carries state
 	// in both directions, so one round covers a small installation.
 	exchangeFanout = 3
 	// minReaderInterval is the minimum time between two exchanges of a gateway with a reader.
 	minReaderInterval = 400 * time.Millisecond
-	// maxReaderRate is the maximum number of such exchanges per second with one reader. In a large
-	// installation, the tables also spread through the exchanges with random gateways.
+	// maxReaderRate is the maximum number of such exchanges per second with one reader.
 	maxReaderRate = 40
 	// exchangeTimeout limits a call to another gateway.
 	exchangeTimeout = 400 * time.Millisecond
@@ -38,6 +43,9 @@
 	// peerExpiry is the time since the last successful exchange after which a gateway no longer
 	// counts as live, for example when the retry budget is divided.
 	peerExpiry = 10 * time.Second
+	// maxPendingContacts bounds the results of calls to peers that wait for the next round. Further ones
+	// are dropped: the next call to the same peer brings another one.
+	maxPendingContacts = 64
 	// maxAgeMs is the maximum age of a confirmation sent in a message, in milliseconds.
 	maxAgeMs = int64(time.Hour / time.Millisecond)
 	// announceRetryInterval is the pause between attempts to register in the store.
@@ -51,8 +59,15 @@
 	conns       *rpc.Pool
 	incarnation uint64
 	byAddress   map[string]*peer
-	// lastReaderExchange is the time of the last exchange with a reader.
-	lastReaderExchange time.Time
+	// names holds the sorted names of this gateway and the live others as of the last round, and
+	// neighbors those that this gateway exchanges loads with, nil if it does so with all.
+	names, neighbors []string
+	nextNeighbor     int
+	// lastReaderExchange is the time of the last exchange with a reader, lastRandomExchange that of the
+	// last one with a random gateway in a large installation.
+	lastReaderExchange, lastRandomExchange time.Time
+	// contacts holds the results of calls that other goroutines made to peers.
+	contacts chan contact
 	// fetchWanted wakes fetchTables.
 	fetchWanted   chan struct{}
 	servedFetches atomic.Int32
@@ -68,7 +83,7 @@
 
 func newPeers(g *Gateway) *peers {
 	conns := rpc.NewPool(grpc.WithStatsHandler(rpcCounter{g.metrics.peerBytes}), grpc.WithContextDialer(countingDialer(&g.loop.traffic.peers)))
-	return &peers{g: g, conns: conns, incarnation: rand.Uint64(), byAddress: map[string]*peer{}, fetchWanted: make(chan struct{}, 1)}
+	return &peers{g: g, conns: conns, incarnation: rand.Uint64(), byAddress: map[string]*peer{}, contacts: make(chan contact, maxPendingContacts), fetchWanted: make(chan struct{}, 1)}
 }
 
 // run serves other gateways and exchanges state with them until ctx is canceled.
@@ -88,12 +103,13 @@
 	p.g.background(func() { p.announce(ctx) })
 	p.g.background(func() { p.sendRunRecords(ctx) })
 	p.g.background(func() { p.fetchTables(ctx) })
+	p.g.background(func() { p.followTables(ctx) })
 	defer p.conns.Close()
 	defer server.Stop()
 	for ctx.Err() == nil {
 		p.refreshPeers(ctx)
 		p.exchangeRound(ctx)
-		sleep(ctx, exchangeInterval)
+		sleep(ctx, roundInterval(len(p.names)))
 	}
 	return nil
 }
@@ -122,13 +138,13 @@
 
 // refreshPeers updates the set of peers from the store and the configured seeds.
 func (p *peers) refreshPeers(ctx context.Context) {
-	listed := query(ctx, p.g.loop, func(st *state) map[string]bool {
-		listed := map[string]bool{}
-		for _, address := range st.listedGateways() {
-			listed[address] = true
-		}
+	listed := query(ctx, p.g.loop, func(st *state) map[string]string {
+		listed := map[string]string{}
 		for _, seed := range st.settings.Seeds {
-			listed[seed] = true
+			listed[seed] = ""
+		}
+		for name, address := range st.listedGateways() {
+			listed[address] = name
 		}
 		return listed
 	})
@@ -136,16 +152,22 @@
 		return
 	}
 	delete(listed, p.g.options.Settings.PeerListen)
-	for address := range listed {
+	for address, name := range listed {
 		if p.byAddress[address] == nil {
 			p.byAddress[address] = &peer{address: address}
 		}
+		if other := p.byAddress[address]; other.name == "" {
+			other.name = name
+		}
 	}
 	for address := range p.byAddress {
-		if !listed[address] {
+		if _, ok := listed[address]; !ok {
 			p.conns.Remove(address)
 			delete(p.byAddress, address)
-			p.g.loop.post(ctx, func(st *state) { delete(st.suspectExchange.merged, address) })
+			p.g.loop.post(ctx, func(st *state) {
+				delete(st.suspectExchange.merged, address)
+				delete(st.suspectExchange.sent, address)
+			})
 		}
 	}
 }
@@ -174,11 +196,13 @@
 // peers in parallel.
 func (p *peers) exchangeRound(ctx context.Context) {
 	now := time.Now()
+	p.applyContacts(now)
 	var due []*peer
 	names := []string{p.g.options.Settings.Name}
 	addresses := map[string]string{}
+	known := len(p.byAddress) + 1
 	for _, other := range p.byAddress {
-		if now.Sub(other.lastSuccess) < peerExpiry {
+		if other.live(now, known) {
 			names = append(names, other.name)
 			addresses[other.name] = other.address
 		}
@@ -187,7 +211,12 @@
 		}
 	}
 	slices.Sort(names)
-	known := len(p.byAddress) + 1
+	if !slices.Equal(p.names, names) {
+		p.names, p.neighbors = names, nil
+		if !placement.SharesAll(len(names)) {
+			p.neighbors = placement.RingNeighbors(names, p.g.options.Settings.Name)
+		}
+	}
 	p.g.loop.post(ctx, func(st *state) {
 		st.beginSuspectRound()
 		st.peerAddresses = addresses
@@ -205,8 +234,9 @@
 	}
 	replies := make(chan reply, len(due))
 	for _, other := range due {
+		kind := exchangeKind{loads: p.neighbors == nil || slices.Contains(p.neighbors, other.name)}
 		go func() {
-			name, err := p.exchange(ctx, other.address)
+			name, err := p.exchange(ctx, other.address, kind)
 			replies <- reply{other, name, err}
 		}()
 	}
@@ -236,13 +266,70 @@
 	}
 }
 
+// live reports whether a gateway counts as live in an installation of the given number. Few gateways
+// contact each other within peerExpiry. Many do not: of 300, each contacts 40%. There, one that the
+// store lists is live unless a contact failed.
+func (p *peer) live(now time.Time, gateways int) bool {
+	if now.Sub(p.lastSuccess) < peerExpiry {
+		return true
+	}
+	return !placement.SharesAll(gateways) && p.name != "" && p.lastFailure.IsZero()
+}
+
+// contact is the result of a call to a peer.
+type contact struct {
+	address string
+	failed  bool
+}
+
+// recordContact records the result of a call to a peer for the next round. In a large installation,
+// rounds alone would find a lost gateway only after minutes.
+func (p *peers) recordContact(address string, err error) {
+	select {
+	case p.contacts <- contact{address, err != nil}:
+	default:
+	}
+}
+
+// applyContacts applies the results of calls to peers since the last round. In a small installation,
+// the rounds themselves meet all peers.
+func (p *peers) applyContacts(now time.Time) {
+	small := placement.SharesAll(len(p.byAddress) + 1)
+	for {
+		select {
+		case c := <-p.contacts:
+			switch other := p.byAddress[c.address]; {
+			case other == nil || small:
+			case c.failed:
+				other.lastFailure = now
+			case other.name != "":
+				other.lastSuccess, other.lastFailure = now, time.Time{}
+			}
+		default:
+			return
+		}
+	}
+}
+
+// roundInterval returns the pause between two rounds in an installation of n gateways.
+func roundInterval(n int) time.Duration {
+	if placement.SharesAll(n) {
+		return exchangeInterval
+	}
+	return neighborInterval
+}
+
 // choosePeers returns the peers to contact in a round. They are random, except that one is
-// regularly a reader, which has the newest tables.
+// regularly a reader, which has the newest tables. In a large installation, it returns the next
+// neighbor, and a random peer once in randomInterval.
 func (p *peers) choosePeers(ctx context.Context, now time.Time, due []*peer) []*peer {
 	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	if len(due) <= exchangeFanout {
 		return due
 	}
+	if p.neighbors != nil {
+		return p.chooseNeighbor(now, due)
+	}
 	if now.Sub(p.lastReaderExchange) >= readerExchangeInterval(len(p.byAddress)+1) {
 		readers := query(ctx, p.g.loop, func(st *state) []string { return st.readers })
 		for i, other := range due {
@@ -262,41 +349,87 @@
 	return max(minReaderInterval, time.Duration(n)*time.Second/(readerCount*maxReaderRate))
 }
 
-func (p *peers) exchange(ctx context.Context, address string) (name string, err error) {
+// chooseNeighbor returns the next neighbor that is due, and a random peer if its time has come or if
+// no neighbor is due.
+func (p *peers) chooseNeighbor(now time.Time, due []*peer) []*peer {
+	var chosen []*peer
+	for range p.neighbors {
+		p.nextNeighbor = (p.nextNeighbor + 1) % len(p.neighbors)
+		name := p.neighbors[p.nextNeighbor]
+		if i := slices.IndexFunc(due, func(other *peer) bool { return other.name == name }); i >= 0 {
+			chosen = append(chosen, due[i])
+			break
+		}
+	}
+	if len(chosen) == 0 || now.Sub(p.lastRandomExchange) >= randomInterval {
+		p.lastRandomExchange = now
+		if i := slices.IndexFunc(due, func(other *peer) bool { return !slices.Contains(chosen, other) }); i >= 0 {
+			chosen = append(chosen, due[i])
+		}
+	}
+	return chosen
+}
+
+func (p *peers) exchange(ctx context.Context, address string, kind exchangeKind) (name string, err error) {
 	conn, err := p.conns.Conn(address)
 	if err != nil {
 		return "", err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.request(st, address) })
+	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.request(st, address, kind) })
 	if local == nil {
 		return "", ctx.Err()
 	}
 	p.g.metrics.countExchange(local)
+	callCtx, cancel := kind.callContext(ctx)
+	defer cancel()
 	start := time.Now()
 	remote, err := wire.NewGatewayClient(conn).Exchange(callCtx, local, grpc.WaitForReady(false))
-	p.g.metrics.peerSeconds.WithLabelValues("exchange").Observe(time.Since(start).Seconds())
+	p.g.metrics.peerSeconds.WithLabelValues(kind.name()).Observe(time.Since(start).Seconds())
 	if err != nil {
 		return "", err
 	}
-	p.g.loop.post(ctx, func(st *state) { p.mergeAnswer(st, remote, address, start) })
+	p.g.loop.post(ctx, func(st *state) {
+		p.mergeAnswer(st, remote, address, start)
+		if kind.held {
+			st.recordSentSuspects(address)
+		}
+	})
 	return remote.Name, nil
 }
 
 // request returns the state to send to the gateway at an address.
-func (p *peers) request(st *state, address string) *wire.GatewayState {
-	msg := p.exportState(st, nil)
-	st.addRecentSuspects(msg, address, time.Now())
+func (p *peers) request(st *state, address string, kind exchangeKind) *wire.GatewayState {
+	now := time.Now()
+	msg := p.exportState(st, now, nil)
+	if kind.loads {
+		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
+	}
+	switch {
+	case kind.held:
+		st.addUnsentSuspects(msg, address, now)
+	case placement.SharesAll(len(st.liveGateways)):
+		st.addRecentSuspects(msg, address, now)
+	default:
+		// In a large installation, only a gateway and its followers exchange suspects: they meet often, so
+		// that few are sent twice. A gateway of an earlier version takes the summary as a request for some.
+		msg.SuspectSummary = &wire.SuspectSummary{Digest: st.suspects.Digest()}
+	}
 	return msg
 }
 
-// answer merges the request of another gateway and returns the state to answer with.
-func (p *peers) answer(st *state, remote *wire.GatewayState) *wire.GatewayState {
-	// The request may have been delayed, so the ages of its confirmations are not usable.
-	p.mergeState(st, remote, time.Time{})
-	msg := p.exportState(st, remote)
-	st.addMissingSuspects(msg, remote, time.Now())
+// answer returns the state to answer the request of another gateway with, after it has been merged.
+// The ages of confirmations are those when the request arrived.
+func (p *peers) answer(st *state, remote *wire.GatewayState, arrived time.Time, kind exchangeKind) *wire.GatewayState {
+	now := time.Now()
+	msg := p.exportState(st, arrived, remote)
+	if kind.loads {
+		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
+	}
+	if kind.held || remote.SuspectSummary == nil || placement.SharesAll(len(st.liveGateways)) {
+		st.addMissingSuspects(msg, remote, now)
+	} else {
+		msg.SuspectSummary = &wire.SuspectSummary{}
+	}
 	return msg
 }
 
@@ -309,7 +442,15 @@
 
 // Exchange implements wire.GatewayServer.
 func (p *peers) Exchange(ctx context.Context, remote *wire.GatewayState) (*wire.GatewayState, error) {
-	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.answer(st, remote) })
+	arrived := time.Now()
+	// A request has loads if its answer is to have them. A gateway of an earlier version always expects them.
+	kind := exchangeKind{loads: remote.PackedLoads != nil || remote.SuspectSummary == nil, held: rpc.Hold(ctx) > 0}
+	// The request may have been delayed, so the ages of its confirmations are not usable.
+	p.g.loop.post(ctx, func(st *state) { p.mergeState(st, remote, time.Time{}) })
+	if kind.held {
+		p.holdExchange(ctx, remote, arrived, rpc.Hold(ctx))
+	}
+	local := query(ctx, p.g.loop, func(st *state) *wire.GatewayState { return p.answer(st, remote, arrived, kind) })
 	if local == nil {
 		return nil, ctx.Err()
 	}
@@ -317,18 +458,16 @@
 	return local, nil
 }
 
-// exportState returns the state to send to another gateway, without suspects. requester is the state received in
-// that gateway's request, nil if the state to send is itself a request.
-func (p *peers) exportState(st *state, requester *wire.GatewayState) *wire.GatewayState {
+// exportState returns the state to send to another gateway, without loads and suspects. The
+// ages of confirmations are those at the given time. requester is the state received in that
+// gateway's request, nil if the state to send is itself a request.
+func (p *peers) exportState(st *state, at time.Time, requester *wire.GatewayState) *wire.GatewayState {
 	now := time.Now()
 	self := p.g.options.Settings
-	msg := &wire.GatewayState{
-		Name: self.Name, Incarnation: p.incarnation, Address: self.PeerListen, Zone: self.Zone,
-	}
+	msg := &wire.GatewayState{Name: self.Name, Incarnation: p.incarnation}
 	if end := p.g.stopDeadline.Load(); end != nil {
 		msg.StopsInMs = uint32(max(1, end.Sub(now).Milliseconds()))
 	}
-	msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
 	msg.Unreachable = st.outages.Targets()
 	msg.LeavingTargets = st.fleet.ReportedLeaving(now)
 	for id, replaces := range st.registry.Replacements() {
@@ -339,20 +478,26 @@
 	}
 	st.exportRollouts(msg)
 	for i := range st.tables {
-		msg.Tables = append(msg.Tables, p.exportTable(st, now, i, requester))
+		msg.Tables = append(msg.Tables, p.exportTable(st, at, i, requester))
 	}
 	return msg
 }
 
-// describeTable returns the revision and age of a table without rows.
-func (st *state) describeTable(now time.Time, i int) *wire.TableCopy {
+// describeTable returns the revision of a table and its age at a given time, without rows.
+func (st *state) describeTable(at time.Time, i int) *wire.TableCopy {
 	out := &wire.TableCopy{Table: uint32(i), Revision: st.tables[i].Revision(), Wanted: true, Confirmed: !st.confirmedAt[i].IsZero()}
 	if out.Confirmed {
-		out.AgeMs = uint32(min(now.Sub(st.confirmedAt[i]).Milliseconds(), maxAgeMs))
+		out.AgeMs = ageMS(at.Sub(st.confirmedAt[i]))
 	}
 	return out
 }
 
+// ageMS returns an age in milliseconds, rounded up: a confirmation must not seem newer than it is. One
+// that came after the time in question counts as of that time.
+func ageMS(age time.Duration) uint32 {
+	return uint32(min(max(0, (age+time.Millisecond-1).Milliseconds()), maxAgeMs))
+}
+
 // addRows adds the rows that a copy at revision after lacks: all rows if after is 0 or older than
 // the known changes.
 func (st *state) addRows(out *wire.TableCopy, after uint64) {
@@ -369,8 +514,8 @@
 
 // exportTable returns the revision and age of a table, with the rows that the requester lacks if
 // they are small.
-func (p *peers) exportTable(st *state, now time.Time, i int, requester *wire.GatewayState) *wire.TableCopy {
-	out := st.describeTable(now, i)
+func (p *peers) exportTable(st *state, at time.Time, i int, requester *wire.GatewayState) *wire.TableCopy {
+	out := st.describeTable(at, i)
 	if requester == nil || !st.tables[i].Loaded() {
 		return out
 	}
@@ -416,7 +561,9 @@
 // requestedAt, when the state was requested. If requestedAt is zero, they are ignored.
 func (p *peers) mergeState(st *state, remote *wire.GatewayState, requestedAt time.Time) {
 	now := time.Now()
-	st.fleet.SetPeerLoads(remote.Name, now, unpackLoads(remote))
+	if remote.PackedLoads != nil || len(remote.Loads) > 0 {
+		st.fleet.SetPeerLoads(remote.Name, now, unpackLoads(remote))
+	}
 	st.stopTimes[remote.Name] = time.Time{}
 	if remote.StopsInMs > 0 {
 		st.stopTimes[remote.Name] = now.Add(time.Duration(remote.StopsInMs) * time.Millisecond)
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -195,6 +195,7 @@
 	conn, err := p.conns.Conn(address)
 	if err == nil {
 		_, err = wire.NewGatewayClient(conn).KeepRuns(callCtx, batch, grpc.WaitForReady(false))
+		p.recordContact(address, err)
 	}
 	if err != nil && ctx.Err() == nil {
 		// The records are still on this gateway and the other replica.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -24,6 +24,10 @@
 	merged map[string]mergedSuspects
 	// pushAfter holds the versions of the own suspects at the last rounds, oldest first.
 	pushAfter [suspectPushRounds]uint64
+	// sent holds for each gateway that this one follows, by address, the version of the own suspects that
+	// it has got, and sending the version that the current request to it carries.
+	sent    map[string]uint64
+	sending uint64
 }
 
 type mergedSuspects struct{ incarnation, version uint64 }
@@ -46,6 +50,27 @@
 	addSuspects(msg, recent, now)
 }
 
+// addUnsentSuspects is addRecentSuspects for the gateway that this one follows: it adds those that
+// changed since that gateway last answered.
+func (st *state) addUnsentSuspects(msg *wire.GatewayState, address string, now time.Time) {
+	x := &st.suspectExchange
+	merged := x.merged[address]
+	msg.SuspectSummary = &wire.SuspectSummary{
+		Digest: st.suspects.Digest(), KnownVersion: merged.version, KnownIncarnation: merged.incarnation,
+	}
+	unsent, all := limitSuspects(st.suspects.Changes(x.sent[address], now))
+	x.sending = st.suspects.Version()
+	if !all {
+		x.sending = x.sent[address]
+	}
+	addSuspects(msg, unsent, now)
+}
+
+// recordSentSuspects records that the gateway at an address, which this one follows, has answered.
+func (st *state) recordSentSuspects(address string) {
+	st.suspectExchange.sent[address] = st.suspectExchange.sending
+}
+
 // addMissingSuspects adds the suspects that the sender of a request lacks to the answer: none if
 // both have the same, otherwise those that changed since it last had all of them.
 func (st *state) addMissingSuspects(msg, request *wire.GatewayState, now time.Time) {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -12,8 +12,9 @@
 // exchangeMessages makes one exchange that from starts, and returns the request and the answer.
 func exchangeMessages(from, to *controlGateway) (request, answer *wire.GatewayState) {
 	from.st.beginSuspectRound()
-	request = from.peers.request(from.st, to.peers.g.options.Settings.PeerListen)
-	answer = to.peers.answer(to.st, request)
+	request = from.peers.request(from.st, to.peers.g.options.Settings.PeerListen, exchangeKind{loads: true})
+	to.peers.mergeState(to.st, request, time.Time{})
+	answer = to.peers.answer(to.st, request, time.Now(), exchangeKind{loads: true})
 	from.peers.mergeAnswer(from.st, answer, to.peers.g.options.Settings.PeerListen, time.Now())
 	return request, answer
 }
@@ -85,7 +86,7 @@
 	a := newControlGateway(twoGateways, 0)
 	a.addSuspects("", 0, 7)
 	for range 2 {
-		answer := a.peers.answer(a.st, &wire.GatewayState{Name: "earlier"})
+		answer := a.peers.answer(a.st, &wire.GatewayState{Name: "earlier"}, time.Now(), exchangeKind{loads: true})
 		c.Check(answer.Suspects, qt.HasLen, 7)
 		c.Check(answer.SuspectSummary, qt.IsNil)
 	}
