Compare the results of one second with the old version's in that second

Cause: the test took results as independent, and the old version's rate as that of 10 s. A stall of some tenths of a second delays all requests that are running, of both versions. The old version's rate over 10 s then says 5%, and a few slow requests of the new version decide. Where all requests of both versions were slow for long, the good rate was capped at 60% and the bad one at 90%, so that any version was bad. After completion, failures of one stall (13 of 399 requests) withdrew the version as well. Change: results are tested by slices of a second. Their probability is a mixture of nothing particular and of disturbances of all requests, one zone, one route or the new version's targets, for which the old version's results in the same slice tell. Where the old version's rate exceeds 70%, results say nothing. A second alternative, severe degradation, makes up for the evidence that this takes. A withdrawal logs the slices that spoke against the version, and its last slow requests with their references. Verdict.Adverse had no reader.

--- a/internal/core/evidence/baseline.go
+++ b/internal/core/evidence/baseline.go
@@ -90,6 +90,12 @@
 		exceeds(tokenInterval, percentile(b.tokenInterval, b.tokenIntervalP95), factor)
 }
 
+// Percentiles returns the percentiles with which requests are compared; 0 means too few samples.
+func (b *Baseline) Percentiles() (firstToken, tokenInterval time.Duration) {
+	return time.Duration(percentile(b.firstToken, b.firstTokenP95)) * time.Microsecond,
+		time.Duration(percentile(b.tokenInterval, b.tokenIntervalP95)) * time.Microsecond
+}
+
 func exceeds(d time.Duration, reference int64, factor float64) bool {
 	return reference > 0 && float64(d.Microseconds()) > factor*float64(reference)
 }
--- a/internal/core/evidence/evaluator.go
+++ b/internal/core/evidence/evaluator.go
@@ -33,6 +33,12 @@
 	// load level must be covered by coverageRequests requests on the new version.
 	coverageShare    = 0.1
 	coverageRequests = 20
+	// maxGoodRate keeps the logarithm of the share of requests that are not hit finite.
+	maxGoodRate = 0.99
+	// maxTestedRate is the old version's rate above which results say nothing about the new one:
+	// where nearly all requests of both are hit, the rates of a good and of a bad version are too
+	// close to each other.
+	maxTestedRate = 0.7
 )
 
 // signal is the compared property: failures, or slowness of requests that did not fail.
@@ -51,23 +57,37 @@
 	return "slowness"
 }
 
-// rates returns the rates under the good and the bad hypothesis for a rate of the old
-// version. The floors set the smallest degradation that leads to a withdrawal: with a
+// floorAndStep returns the lowest good rate and the difference between twice a good rate and a bad
+// one. They set the smallest degradation that leads to a withdrawal: with a
 // faultless old version, 4% failures or 14% slow requests. Without recent traffic of the
 // old version only a large degradation counts, since it may have an external cause. The
 // test then goes on for as long as the old version is kept, and over that time a rate above the
 // good one leads to a withdrawal even far below the bad one: the good rate is at least the 3% of
 // external failures that a version must withstand.
-func (s signal) rates(old float64, recent bool) (good, bad float64) {
-	floor, step := 0.005, 0.03
-	if s == slowness {
-		floor, step = 0.02, 0.1
+func (s signal) floorAndStep(recent bool) (floor, step float64) {
+	switch {
+	case !recent:
+		return 0.03, 0.14
+	case s == slowness:
+		return 0.02, 0.1
 	}
-	if !recent {
-		floor, step = 0.03, 0.14
+	return 0.005, 0.03
+}
+
+// goodRate returns the rate under the good hypothesis for a rate of the old version.
+func (s signal) goodRate(old float64, recent bool) float64 {
+	floor, _ := s.floorAndStep(recent)
+	return min(maxGoodRate, max(floor, old))
+}
+
+// badRate returns the rate of a moderately bad version for a good rate. Above maxTestedRate both
+// are the same.
+func (s signal) badRate(good float64, recent bool) float64 {
+	if good > maxTestedRate {
+		return good
 	}
-	good = min(0.6, max(floor, old))
-	return good, min(0.9, 2*good+step)
+	_, step := s.floorAndStep(recent)
+	return min(0.9, 2*good+step)
 }
 
 // group identifies the buckets that one test sums: all, one route or one load level.
@@ -78,9 +98,7 @@
 
 var allRequests = group{"", -1}
 
-func groupsOf(k Key) [3]group {
-	return [3]group{allRequests, {"route " + k.Route, -1}, {"", k.Level}}
-}
+func groupsOf(k Key) [3]group { return stratumOf(k).groups() }
 
 func (g group) String() string {
 	switch {
@@ -100,6 +118,10 @@
 
 func stratumOf(k Key) stratum { return stratum{k.Route, k.Zone, k.Level} }
 
+func (st stratum) groups() [3]group {
+	return [3]group{allRequests, {"route " + st.route, -1}, {"", st.level}}
+}
+
 // rate holds the exponentially decayed counts of the old version in one stratum: shortHits
 // and longHits count failed or slow requests, short and long all requests that the signal
 // applies to.
@@ -117,10 +139,9 @@
 	// StepPassed and Passed report whether the version is shown to be good since the start
 	// of the step and since the start of the rollout.
 	StepPassed, Passed bool
-	// LikelyBad is set while the log-likelihood ratio of any test reaches likelyBadRatio.
-	LikelyBad bool
-	// Adverse is set while the log-likelihood ratio of any test is positive.
-	Adverse                  bool
+	// LikelyBad is set while the log-likelihood ratio of any test for moderate degradation
+	// reaches likelyBadRatio.
+	LikelyBad                bool
 	Requests, Failures, Slow uint64
 }
 
@@ -136,13 +157,19 @@
 	lastOld       map[Key]Counts
 	oldRates      map[stratum]*rate
 	lastEvaluated time.Time
-	// ratios are the log-likelihood ratios of the tests, stepRatios and totalRatios those
-	// over all requests since the start of the step and of the rollout. Positive values
-	// are evidence against the version.
-	ratios         map[group]*[numSignals]float64
+	// committed are the log-likelihood ratios of the tests up to the current slice, stepRatios
+	// and totalRatios those for moderate degradation over all requests since the start of the
+	// step and of the rollout. Positive values are evidence against the version.
+	committed      map[group]*ratios
 	stepRatios     [numSignals]float64
 	totalRatios    [numSignals]float64
 	withdrawReason string
+	// The slice began at sliceStart; sliceOld and sliceNew are the results of the two versions
+	// in it, and sliceRatios their log-likelihood ratios.
+	sliceStart         time.Time
+	sliceOld, sliceNew map[stratum]Counts
+	sliceRatios        map[group]*ratios
+	decisive           []Slice
 	// completed is set once the old version gets no more traffic.
 	completed bool
 	// primed is set by the first evaluation: the old version's counts from before the rollout
@@ -155,12 +182,15 @@
 	return &Evaluator{
 		service: service, version: version, previous: previous,
 		lastNew: map[Key]Counts{}, lastOld: map[Key]Counts{}, oldRates: map[stratum]*rate{},
-		ratios: map[group]*[numSignals]float64{},
+		committed: map[group]*ratios{}, sliceOld: map[stratum]Counts{}, sliceNew: map[stratum]Counts{},
 	}
 }
 
 // StartStep discards the evidence of earlier steps that counts towards StepPassed.
-func (e *Evaluator) StartStep() { e.stepRatios = [numSignals]float64{} }
+func (e *Evaluator) StartStep() {
+	e.commitSlice()
+	e.stepRatios = [numSignals]float64{}
+}
 
 // Complete records that the version gets all traffic: the old version's last rates stay the
 // reference, but no longer count as recent.
@@ -171,17 +201,23 @@
 func (e *Evaluator) Evaluate(now time.Time, counters *Counters) Verdict {
 	oldTotals := counters.Totals(e.service, e.previous)
 	newTotals := counters.Totals(e.service, e.version)
+	if now.Sub(e.sliceStart) >= sliceDuration {
+		e.commitSlice()
+		e.sliceStart = now
+	}
 	e.decay(now)
 	e.observeOld(oldTotals)
-	overall := routeRates(oldTotals)
-	increments := map[group]*[numSignals]float64{}
 	for key, counts := range newTotals {
 		if counts != e.lastNew[key] {
-			e.observeNew(increments, key, delta(counts, e.lastNew[key]), overall[key.Route])
+			st := stratumOf(key)
+			e.sliceNew[st] = e.sliceNew[st].add(delta(counts, e.lastNew[key]))
 			e.lastNew[key] = counts
 		}
 	}
-	e.accumulate(increments)
+	if len(e.sliceNew) > 0 {
+		e.compareSlice(routeRates(oldTotals))
+	}
+	e.test()
 	return e.verdict(newTotals, oldTotals)
 }
 
@@ -220,15 +256,20 @@
 
 func (e *Evaluator) observeOld(totals map[Key]Counts) {
 	for key, counts := range totals {
-		hits, n := delta(counts, e.lastOld[key]).trials()
+		increment := delta(counts, e.lastOld[key])
+		hits, n := increment.trials()
 		e.lastOld[key] = counts
 		if !e.primed {
 			continue
 		}
-		r := e.oldRates[stratumOf(key)]
+		st := stratumOf(key)
+		if increment != (Counts{}) {
+			e.sliceOld[st] = e.sliceOld[st].add(increment)
+		}
+		r := e.oldRates[st]
 		if r == nil {
 			r = &rate{}
-			e.oldRates[stratumOf(key)] = r
+			e.oldRates[st] = r
 		}
 		for s := range numSignals {
 			r.short[s] += n[s]
@@ -258,56 +299,131 @@
 	return rates
 }
 
-// observeNew adds the log-likelihood ratios of new results to the increments of their groups.
-func (e *Evaluator) observeNew(increments map[group]*[numSignals]float64, key Key, d Counts, overall [numSignals]float64) {
-	hits, n := d.trials()
+// compareSlice computes the log-likelihood ratios of the current slice.
+func (e *Evaluator) compareSlice(overall map[string][numSignals]float64) {
+	e.sliceRatios = map[group]*ratios{}
+	strata := e.sliceStrata()
 	for s := range numSignals {
-		if n[s] == 0 {
-			continue
+		cells := make([]cell, 0, len(strata))
+		for _, st := range strata {
+			hits, trials := e.sliceNew[st].trials()
+			oldHits, oldTrials := e.sliceOld[st].trials()
+			if trials[s]+oldTrials[s] == 0 {
+				continue
+			}
+			old, recent := e.oldRate(st, s, overall[st.route][s])
+			cells = append(cells, cell{
+				stratum: st, good: s.goodRate(old, recent), recent: recent,
+				oldHits: oldHits[s], oldTrials: oldTrials[s], hits: hits[s], trials: trials[s],
+			})
 		}
-		good, bad := s.rates(e.oldRate(stratumOf(key), s, overall[s]))
-		ratio := hits[s]*math.Log(bad/good) + (n[s]-hits[s])*math.Log((1-bad)/(1-good))
-		for _, g := range groupsOf(key) {
-			if increments[g] == nil {
-				increments[g] = &[numSignals]float64{}
+		for g, r := range compare(s, cells) {
+			if e.sliceRatios[g] == nil {
+				e.sliceRatios[g] = &ratios{}
 			}
-			increments[g][s] += ratio
+			e.sliceRatios[g][s] = r
 		}
 	}
 }
 
-// accumulate adds the increments to the tests. If any test reaches the bound, the version is
-// withdrawn, and the strongest test gives the reason; of equally strong ones, the widest.
-func (e *Evaluator) accumulate(increments map[group]*[numSignals]float64) {
-	floor := passBound() * floorFactor
-	for g := range increments {
-		if e.ratios[g] == nil {
-			e.ratios[g] = &[numSignals]float64{}
+// sliceStrata returns the strata with results in the current slice, in a fixed order so that sums
+// of floating-point numbers are reproducible.
+func (e *Evaluator) sliceStrata() []stratum {
+	strata := make([]stratum, 0, len(e.sliceOld)+len(e.sliceNew))
+	for st := range e.sliceNew {
+		strata = append(strata, st)
+	}
+	for st := range e.sliceOld {
+		if _, ok := e.sliceNew[st]; !ok {
+			strata = append(strata, st)
 		}
 	}
-	bound, strongest, reason := e.withdrawBound(), 0.0, e.withdrawReason
-	for _, g := range widestFirst(increments) {
+	sort.Slice(strata, func(i, j int) bool {
+		a, b := strata[i], strata[j]
+		switch {
+		case a.route != b.route:
+			return a.route < b.route
+		case a.zone != b.zone:
+			return a.zone < b.zone
+		}
+		return a.level < b.level
+	})
+	return strata
+}
+
+// commitSlice adds the current slice to the tests and starts an empty one.
+func (e *Evaluator) commitSlice() {
+	e.recordDecisive()
+	for g, r := range e.sliceRatios {
+		if e.committed[g] == nil {
+			e.committed[g] = &ratios{}
+		}
 		for s := range numSignals {
-			ratio := e.ratios[g]
-			ratio[s] = max(floor, ratio[s]+increments[g][s])
-			if e.withdrawReason == "" && ratio[s] >= bound && ratio[s] > strongest {
-				strongest = ratio[s]
-				reason = fmt.Sprintf("%s of %s", s, g)
+			for a := range numAlternatives {
+				e.committed[g][s][a] = sumRatio(e.committed[g][s][a], r[s][a])
 			}
 		}
 	}
-	e.withdrawReason = reason
-	if all := increments[allRequests]; all != nil {
+	e.stepRatios, e.totalRatios = e.overall()
+	clear(e.sliceOld)
+	clear(e.sliceNew)
+	e.sliceRatios = nil
+}
+
+// sumRatio adds a log-likelihood ratio to a test, with a lower bound.
+func sumRatio(sum, ratio float64) float64 { return max(passBound()*floorFactor, sum+ratio) }
+
+// overall returns the ratios over all requests since the start of the step and of the rollout.
+func (e *Evaluator) overall() (step, total [numSignals]float64) {
+	step, total = e.stepRatios, e.totalRatios
+	if all := e.sliceRatios[allRequests]; all != nil {
+		for s := range numSignals {
+			step[s] += all[s][moderate]
+			total[s] = sumRatio(total[s], all[s][moderate])
+		}
+	}
+	return step, total
+}
+
+// current returns the ratios of a group including those of the current slice.
+func (e *Evaluator) current(g group) ratios {
+	var sum ratios
+	if r := e.committed[g]; r != nil {
+		sum = *r
+	}
+	if r := e.sliceRatios[g]; r != nil {
+		for s := range numSignals {
+			for a := range numAlternatives {
+				sum[s][a] = sumRatio(sum[s][a], r[s][a])
+			}
+		}
+	}
+	return sum
+}
+
+// test withdraws the version if any test reaches the bound. The strongest test gives the reason; of
+// equally strong ones, the widest.
+func (e *Evaluator) test() {
+	if e.withdrawReason != "" || len(e.sliceRatios) == 0 {
+		return
+	}
+	bound, strongest := e.withdrawBound(), 0.0
+	for _, g := range widestFirst(e.sliceRatios) {
+		ratio := e.current(g)
 		for s := range numSignals {
-			e.stepRatios[s] += all[s]
-			e.totalRatios[s] = max(floor, e.totalRatios[s]+all[s])
+			for a := range numAlternatives {
+				if ratio[s][a] >= bound && ratio[s][a] > strongest {
+					strongest = ratio[s][a]
+					e.withdrawReason = fmt.Sprintf("%s of %s", s, g)
+				}
+			}
 		}
 	}
 }
 
-func widestFirst(increments map[group]*[numSignals]float64) []group {
-	groups := make([]group, 0, len(increments))
-	for g := range increments {
+func widestFirst(ratios map[group]*ratios) []group {
+	groups := make([]group, 0, len(ratios))
+	for g := range ratios {
 		groups = append(groups, g)
 	}
 	sort.Slice(groups, func(i, j int) bool {
@@ -338,30 +454,41 @@
 // withdrawBound returns the log-likelihood ratio for a withdrawal. It divides
 // withdrawErrorRate among the concurrent tests.
 func (e *Evaluator) withdrawBound() float64 {
-	return math.Log(float64(int(numSignals)*max(1, len(e.ratios))) / withdrawErrorRate)
+	tests := len(e.committed)
+	for g := range e.sliceRatios {
+		if e.committed[g] == nil {
+			tests++
+		}
+	}
+	return math.Log(float64(int(numSignals)*int(numAlternatives)*max(1, tests)) / withdrawErrorRate)
 }
 
 func passBound() float64 { return math.Log(passErrorRate) }
 
 func (e *Evaluator) verdict(newTotals, oldTotals map[Key]Counts) Verdict {
 	v := Verdict{Withdraw: e.withdrawReason != "", Reason: e.withdrawReason}
-	for _, ratio := range e.ratios {
-		for s := range numSignals {
-			v.LikelyBad = v.LikelyBad || ratio[s] >= likelyBadRatio
-			v.Adverse = v.Adverse || ratio[s] > 0
-		}
+	for g := range e.committed {
+		v.LikelyBad = v.LikelyBad || likelyBad(e.current(g))
+	}
+	for g := range e.sliceRatios {
+		v.LikelyBad = v.LikelyBad || likelyBad(e.current(g))
 	}
 	for _, c := range newTotals {
 		v.Requests += c.Requests
 		v.Failures += c.Failures
 		v.Slow += c.Slow
 	}
-	v.StepPassed = !v.Withdraw && !v.LikelyBad && e.stepRatios[failures] <= passBound() && e.stepRatios[slowness] <= passBound()
-	v.Passed = !v.Withdraw && !v.LikelyBad && e.totalRatios[failures] <= passBound() && e.totalRatios[slowness] <= passBound() &&
-		covered(newTotals, oldTotals)
+	step, total := e.overall()
+	good := !v.Withdraw && !v.LikelyBad
+	v.StepPassed = good && step[failures] <= passBound() && step[slowness] <= passBound()
+	v.Passed = good && total[failures] <= passBound() && total[slowness] <= passBound() && covered(newTotals, oldTotals)
 	return v
 }
 
+func likelyBad(r ratios) bool {
+	return r[failures][moderate] >= likelyBadRatio || r[slowness][moderate] >= likelyBadRatio
+}
+
 // covered reports whether the new version has had enough requests on each route and at each
 // load level with at least coverageShare of the old version's requests.
 func covered(newTotals, oldTotals map[Key]Counts) bool {
--- a/internal/core/rollout/report_test.go
+++ b/internal/core/rollout/report_test.go
@@ -381,6 +381,13 @@
 		}
 		return 0
 	}
+	// stalls are a second in every 20 in which half of the requests of both versions fail.
+	stalls := func(elapsed time.Duration, _ byte) float64 {
+		if elapsed%(20*time.Second) == 0 {
+			return 0.5
+		}
+		return 0
+	}
 	// drift is a fault that the new version does not cause: 3% failures on both versions
 	// from 20 minutes after the deadline.
 	drift := func(elapsed time.Duration, _ byte) float64 {
@@ -409,6 +416,7 @@
 		{name: "bad on one route (10%)", new: failsIf(func(_ time.Duration, r, _ int) bool { return r == 3 }), rate: 20, minCorrect: 0.9},
 		{name: "slow, not failing", new: constant(0.005, 0.4), rate: 20, minCorrect: 1},
 		{name: "good, noisy zone", good: true, new: good, noise: burst, rate: 20, minCorrect: 0.7},
+		{name: "good, short stalls", good: true, new: good, noise: stalls, rate: 20, minCorrect: 0.9},
 		{name: "good, crashing request", good: true, new: good, crashing: true, rate: 20, minCorrect: 0.8},
 		{name: "good, too little traffic", good: true, new: good, rate: 0.05},
 		{name: "bad, too little traffic", new: constant(0.3, 0.03), rate: 0.05, minCorrect: 1},
