Crash engines with another request in each rollout of a test

What was seen: TestRolloutByEvidence failed with "0 crashes" in 2 of 3 copies at once at load 70, after v2 had met its deadline. Cause: the test is right that a later version may be rolled out then, but its second rollout sent the request that three crashes had got refused; it is refused without a crash. Change: the request names the version. The number of crashes that is required is unchanged.

--- a/internal/e2e/versions_test.go
+++ b/internal/e2e/versions_test.go
@@ -472,7 +472,9 @@
 	r.setFaults(map[string]any{"crash_marker": marker, "crash_token": 0})
 	refused := make(chan error, 1)
 	go func() {
-		prompt := marker
+		// A request that was refused once is refused without a crash when it is sent again
+		// during the next rollout.
+		prompt := marker + " with " + version
 		for {
 			_, err := r.complete("entry0", &prompt)
 			var failure *client.APIError
