Load a version on all targets also if it was completed before the last step

What callers saw: after a version was completed at its deadline from 20% or less, a target without it, for example restarted since, got no requests again for as long as the version stayed; all requests went to the others. Cause: the number of targets to load was that of the step after the row's, also of a completed row, so that three of four targets were enough. The owner held the lease all the time since a target lacked the version. Change: a completed version is needed on all targets. Evidence: TestVersionCompletedAtDeadlineIsLoadedOnAllTargets failed before.

--- a/internal/core/rollout/load.go
+++ b/internal/core/rollout/load.go
@@ -30,8 +30,12 @@
 )
 
 // NeededTargets returns how many of n targets must have loaded the version for the step
-// after the row's current one.
+// after the row's current one. A completed version is needed on all, also if it was completed
+// at the deadline before the last step.
 func NeededTargets(r *Row, n int) int {
+	if r.State == Done {
+		return n
+	}
 	next := 100.0
 	if r.Step+1 < len(steps) {
 		next = steps[r.Step+1]
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -163,3 +163,25 @@
 	c.Check(NextLoads(row, targets, ordered, now), qt.HasLen, 0)
 	c.Check(len(perZone), qt.Equals, 3)
 }
+
+// Scenario: a version is completed at its deadline before the last step, when three of four targets
+// have it. Guards against a fourth target that never gets requests again, and an owner that holds
+// the lease for ever because that target lacks the version.
+func TestVersionCompletedAtDeadlineIsLoadedOnAllTargets(t *testing.T) {
+	c := qt.New(t)
+	for step := 1; step < len(steps); step++ {
+		row := Row{Service: "s", Version: "v2", Previous: "v1", State: Done, Step: step}
+		targets := make([]membership.Target, 4)
+		for i := range targets {
+			versions := []string{"v1", "v2"}
+			if i == 0 {
+				versions = []string{"v1"}
+			}
+			targets[i] = membership.Target{Name: fmt.Sprint(i), Service: "s", Ready: true, Versions: versions}
+		}
+		c.Assert(Missing(&row, targets), qt.IsTrue)
+		next := NextLoads(&row, targets, nil, time.UnixMilli(1_000_000_000))
+		c.Assert(next, qt.HasLen, 1, qt.Commentf("step %d", step))
+		c.Check(next[0].Name, qt.Equals, "0")
+	}
+}
