--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -334,9 +334,9 @@
 	return t.memoryCapacity == 0 || memory+tokens <= t.memoryCapacity
 }
 
-// CopiesFit reports whether the engines of a service that this gateway uses have memory for KV cache copies beside the runs
-// that are to be expected. A copy occupies as much memory as a run until the run ends, and cannot be
-// evicted.
+// CopiesFit reports whether the engines of a service that this gateway uses have memory for KV cache
+// copies beside the runs that are to be expected. A copy occupies as much memory as a run until the run
+// ends, and cannot be evicted.
 func (f *Fleet) CopiesFit(now time.Time, service string) bool {
 	reserved, capacity := 0, 0
 	targets, subset := f.nearby(service)
