Name the losses after which a target does not work on the stream

The method Failed of Loss read like the loss Failed, which says that the target responded with an error. The log line about a successor is also written for silent targets now, and does not call them live.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -171,9 +171,9 @@
 	return "none"
 }
 
-// Failed reports whether a target that is left for a successor because of the loss does not work on the
+// NotWorking reports whether a target that is left for a successor because of the loss does not work on the
 // stream as far as known, so that leaving it is no matter of speed.
-func (l Loss) Failed() bool { return l == Hung || l == TargetDown }
+func (l Loss) NotWorking() bool { return l == Hung || l == TargetDown }
 
 // Outcome is how a stream ended.
 type Outcome int
@@ -232,7 +232,7 @@
 	// MayHaveCopy is set if the current attempt may have left a KV cache copy.
 	MayHaveCopy bool
 	// MaxExpected is the longest acceptable expected time to the first event on a target without
-	// the copy, 0 if only the holder of the copy is acceptable. If Loss.Failed, any target is.
+	// the copy, 0 if only the holder of the copy is acceptable. If Loss.NotWorking, any target is.
 	MaxExpected time.Duration
 }
 
@@ -747,7 +747,7 @@
 // the successor has not shown yet that it would be sooner. Otherwise it ends the current attempt, since
 // the successor's target did not refuse the stream.
 func (m *Machine) endOverlap(now time.Time) []Effect {
-	if m.successor.sentAt.IsZero() || !m.successor.loss.Failed() && m.report.Progress != placement.ProgressUnknown {
+	if m.successor.sentAt.IsZero() || !m.successor.loss.NotWorking() && m.report.Progress != placement.ProgressUnknown {
 		m.avoided = append(m.avoided, m.successor.placement.Target)
 		return m.endSuccessor()
 	}
@@ -849,7 +849,7 @@
 // the attempts is kept for a loss, unless leaving the current target is one.
 func (m *Machine) seekSuccessor(seek SeekSuccessor) []Effect {
 	runs, successors := m.runs+2, m.successors
-	if seek.Loss.Failed() {
+	if seek.Loss.NotWorking() {
 		runs = m.runs + 1
 	}
 	if seek.Loss == TargetDown {
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -101,10 +101,10 @@
 		if e.Loss == TargetDown && !s.silent {
 			s.t.Fatal("a stream seeks a successor for a target that answers as for one that does not")
 		}
-		if !e.Loss.Failed() && !e.MayHaveCopy && s.progress != placement.ProgressUnknown {
+		if !e.Loss.NotWorking() && !e.MayHaveCopy && s.progress != placement.ProgressUnknown {
 			s.t.Fatal("a stream seeks another prefill although its target works")
 		}
-		if !e.Loss.Failed() && e.MaxExpected > 0 && s.progress != placement.ProgressUnknown {
+		if !e.Loss.NotWorking() && e.MaxExpected > 0 && s.progress != placement.ProgressUnknown {
 			s.t.Fatal("a stream accepts another prefill although its target works")
 		}
 		if rapid.IntRange(0, 3).Draw(s.t, "successor") == 3 {
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -193,7 +193,7 @@
 	q := placement.FleetQuery{Service: service, Exclude: e.Exclude}
 	var chosen placement.Placement
 	var ok bool
-	if e.Loss.Failed() {
+	if e.Loss.NotWorking() {
 		q.LastResort = e.LastResort
 		chosen, ok = s.gateway.fleet.Place(now, q, copyHolder, s.size, s.gateway.mayCopy(now))
 	} else {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -401,14 +401,14 @@
 		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude}
 		var found placementResult
-		if e.Loss.Failed() {
+		if e.Loss.NotWorking() {
 			fleetQuery.LastResort = e.LastResort
 			found = st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
 		} else {
 			found = st.placeSuccessor(now, fleetQuery, s.req.versionDraw, holder, s.prompt, e.MaxExpected)
 		}
 		switch {
-		case found.ok && e.Loss.Failed():
+		case found.ok && e.Loss.NotWorking():
 			found.tookRepeat = s.takeRepeat(st, now)
 		case found.ok:
 			found.tookRepeat = s.takeBudget(s.g.loop.budget(st, now, s.req.service).TakeRetry(st.inflightStreams[s.req.service]))
@@ -430,7 +430,7 @@
 	return s.machine.SuccessorPlaced(time.Now(), e.Loss, p.placement)
 }
 
-// logDeparture logs what was known when a stream sought a successor for a live target: the loads of
+// logDeparture logs what was known when a stream sought a successor: the loads of
 // that target and of the best other one, the state of the retry budget and the choice.
 func (s *stream) logDeparture(st *state, now time.Time, e relay.SeekSuccessor, reg membership.Registration, silence time.Duration, found *placementResult) {
 	fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude}
@@ -442,7 +442,7 @@
 		there := st.fleet.Load(now, best.ID)
 		event = event.Str("best", best.ID).Int("best_streams", there.Streams).Int("best_memory", there.Memory).Dur("best_backlog", there.Backlog)
 	}
-	event.Msg("stream seeks a successor for a live target")
+	event.Msg("stream seeks a successor")
 }
 
 // takeRepeat takes a token for an attempt after one that reached a target, whether or not that
