Log the phase and prompt parts of the requests on a crashed target

Added to the line of a crash: id, phase, shared prompt parts, age and crashes of up to 12 requests. No decision uses them yet.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -115,7 +115,9 @@
 // a target unless this is a retry.
 func (f *callForwarder) send(e forward.Send) []forward.Effect {
 	ctx, cancel := context.WithCancel(f.attemptsCtx)
-	handle := &attemptHandle{fingerprint: f.req.fingerprint, cancel: cancel}
+	handle := &attemptHandle{
+		requestID: f.req.head.ID, fingerprint: f.req.fingerprint, promptParts: f.req.head.PromptParts, cancel: cancel, startedAt: time.Now(),
+	}
 	waitUntil := time.Now().Add(time.Duration(placementWaitFraction * float64(f.req.route.TargetLatency)))
 	for {
 		reg, held, ok := f.chooseTarget(e, handle)
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -128,6 +128,8 @@
 	LastEventID uint64
 	// Prompt is the size of a generation. It is zero for other requests.
 	Prompt placement.GenerationSize
+	// PromptParts names the parts of the prompt that other requests may share, in order.
+	PromptParts []string
 }
 
 // Attempt is a request together with what the gateway adds to it for a target.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/suspect"
@@ -84,10 +86,30 @@
 	}
 	if st.suspects.Report(death, now) {
 		l.metrics.targetCrashes.Inc()
-		l.log.Warn().Str("target", reg.ID).Str("zone", reg.Zone).Int("running", len(death.Fingerprints)).Msg("target crashed; its running requests are recorded as suspects")
+		l.log.Warn().Str("target", reg.ID).Str("zone", reg.Zone).Int("running", len(death.Fingerprints)).
+			Array("requests", st.crashedRequests(reg.ID, now)).Msg("target crashed; its running requests are recorded as suspects")
 	}
 }
 
+// maxLoggedRequests bounds the requests in one log line. An engine runs up to 64.
+const maxLoggedRequests = 12
+
+// crashedRequests returns what is logged of the requests that ran on a crashed target: the phase that
+// each was in, the parts of its prompt, and the crashes that count against it.
+func (st *state) crashedRequests(target string, now time.Time) *zerolog.Array {
+	list, logged := zerolog.Arr(), 0
+	for handle := range st.attempts[target] {
+		phase := handle.phase(now)
+		if phase == phaseUnsent || logged == maxLoggedRequests {
+			continue
+		}
+		logged++
+		list.Dict(zerolog.Dict().Str("request", handle.requestID).Stringer("phase", phase).Strs("parts", handle.promptParts).
+			Dur("age", now.Sub(handle.startedAt)).Int("crashes", st.suspects.Crashes(handle.fingerprint, now)))
+	}
+	return list
+}
+
 // handleDialError handles a failed connection attempt to a target.
 func (g *Gateway) handleDialError(reg membership.Registration, err error) {
 	switch {
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -18,7 +18,10 @@
 
 // attemptHandle is how the event loop identifies and interrupts an open attempt at a target.
 type attemptHandle struct {
+	requestID   string
 	fingerprint uint64
+	// promptParts names the parts of the prompt that other requests may share.
+	promptParts []string
 	// sent is set before the request is written. Until then, the request cannot have crashed
 	// the target.
 	sent        atomic.Bool
@@ -31,11 +34,51 @@
 	startedAt time.Time
 	// heard is the time in ns from startedAt to the last data of the response, 0 before.
 	heard atomic.Int64
+	// begun is the time in ns from startedAt to the first event, 0 before.
+	begun atomic.Int64
 }
 
 // recordHeard records that data of the response has arrived.
 func (h *attemptHandle) recordHeard(at time.Time) { h.heard.Store(int64(at.Sub(h.startedAt))) }
 
+// attemptPhase is how far an attempt has come.
+type attemptPhase int
+
+const (
+	// phaseUnsent means that the request has not been sent.
+	phaseUnsent attemptPhase = iota
+	// phaseWaiting means that nothing of the response has arrived.
+	phaseWaiting
+	// phaseBeginning means that the response has begun, with its first event less than
+	// beginningPeriod ago or still to come.
+	phaseBeginning
+	// phaseFlowing means that events have arrived for beginningPeriod.
+	phaseFlowing
+)
+
+// String returns the phase as it is logged.
+func (p attemptPhase) String() string {
+	return [...]string{"unsent", "waiting", "beginning", "flowing"}[p]
+}
+
+// beginningPeriod is how long after its first event a response counts as beginning. Engines that a
+// request crashed as its response began ended 55 to 110 ms after they had begun to run it.
+const beginningPeriod = 500 * time.Millisecond
+
+// phase returns the phase of the attempt at a time.
+func (h *attemptHandle) phase(now time.Time) attemptPhase {
+	begun := time.Duration(h.begun.Load())
+	switch {
+	case !h.sent.Load():
+		return phaseUnsent
+	case h.heard.Load() == 0:
+		return phaseWaiting
+	case begun == 0 || now.Sub(h.startedAt) < begun+beginningPeriod:
+		return phaseBeginning
+	}
+	return phaseFlowing
+}
+
 // leavesSilent reports whether the request seeks another target because its own did not answer a probe
 // that was sent at the given time: it can move, and nothing has arrived since.
 func (h *attemptHandle) leavesSilent(probed time.Time) bool {
@@ -113,8 +156,11 @@
 	a := &attempt{
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
 		copyHolder: e.Placement.CopyTarget,
-		handle:     &attemptHandle{fingerprint: s.req.fingerprint, cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now()},
-		processed:  make(chan struct{}, 1), ended: make(chan struct{}),
+		handle: &attemptHandle{
+			requestID: s.req.head.ID, fingerprint: s.req.fingerprint, promptParts: s.req.head.PromptParts,
+			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
+		},
+		processed: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	if e.CopyHolder != "" {
 		// The copy contains nearly all of the processed prompt.
@@ -263,7 +309,11 @@
 		if err != nil {
 			return err
 		}
-		a.handle.recordHeard(time.Now())
+		now := time.Now()
+		a.handle.recordHeard(now)
+		if a.handle.begun.Load() == 0 {
+			a.handle.begun.Store(int64(now.Sub(a.handle.startedAt)))
+		}
 		a.send(attemptMessage{kind: attemptEvent, event: event})
 		select {
 		case <-a.processed:
