Count crashes by the prompt parts that requests share

Sound streams with the same first part or beside them were cut, refused or late.

Cause: a crash was counted against one identity that is fixed in advance, a hash of the whole request. What repeats is a part that many requests share, so that nothing added up and each new request could end three engines.

Why this works: a part is condemned on the crashes of several requests, and only a response that began and went on exonerates it, so that a part that is not in sound requests adds up and one that is does not. Of the parts at a crash the one with most crashes explains it. Gateways exchange the crashes, not verdicts, and judge them alike. A verdict is checked when a target is chosen and right before the request is sent, and interrupts attempts that still wait. Single trials at one gateway lift a wrong verdict.

--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -1,5 +1,6 @@
-// Package suspect attributes crashes of targets to the requests that ran on them. Trackers
-// exchange their state; merging it is commutative and idempotent.
+// Package suspect attributes crashes of targets to the requests that ran on them, and to the parts of
+// prompts that these requests share. Trackers exchange their state; merging it is commutative and
+// idempotent.
 package suspect
 
 import (
@@ -64,13 +65,24 @@
 type Tracker struct {
 	suspects map[uint64]*suspectState
 	deaths   map[string]*Death
+	// parts holds the prompt parts that were present at crashes, and partsAt the parts by crash.
+	parts   map[uint64]*partState
+	partsAt map[string][]uint64
+	known   knownParts
+	// verdicts is replaced when the crashes of parts change.
+	verdicts Verdicts
 	version  uint64
-	digest   uint64
+	// partVersion counts the changes of parts.
+	partVersion uint64
+	digest      uint64
 }
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{suspects: map[uint64]*suspectState{}, deaths: map[string]*Death{}}
+	return &Tracker{
+		suspects: map[uint64]*suspectState{}, deaths: map[string]*Death{},
+		parts: map[uint64]*partState{}, partsAt: map[string][]uint64{},
+	}
 }
 
 // Version returns a number that changes whenever the exported state changes.
@@ -297,6 +309,7 @@
 			delete(t.deaths, id)
 		}
 	}
+	t.expireParts(now)
 }
 
 // Export returns the unexpired state, sorted by fingerprint.
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -116,7 +116,8 @@
 func (f *callForwarder) send(e forward.Send) []forward.Effect {
 	ctx, cancel := context.WithCancel(f.attemptsCtx)
 	handle := &attemptHandle{
-		requestID: f.req.head.ID, fingerprint: f.req.fingerprint, promptParts: f.req.head.PromptParts, cancel: cancel, startedAt: time.Now(),
+		requestID: f.req.head.ID, fingerprint: f.req.fingerprint, promptParts: f.req.head.PromptParts, parts: f.req.parts,
+		cancel: cancel, startedAt: time.Now(),
 	}
 	waitUntil := time.Now().Add(time.Duration(placementWaitFraction * float64(f.req.route.TargetLatency)))
 	for {
@@ -161,7 +162,7 @@
 			return choice{}
 		}
 		now := time.Now()
-		if st.suspects.Rejected(f.req.fingerprint, now) {
+		if f.g.loop.rejects(st, now, f.req, f.sendCount > 0) {
 			f.req.rejected = true
 			return choice{}
 		}
@@ -219,6 +220,7 @@
 		if r.result == forward.Success {
 			st.latency(f.req.service).Observe(latency)
 			st.suspects.ClearIfSafe(f.req.fingerprint, took, true)
+			f.g.loop.responseBegan(st, now, f.req.parts)
 		} else {
 			latency = 0
 		}
@@ -253,7 +255,7 @@
 	msg := f.req.targetRequest(f.g.options.Protocol.EncodeAttempt(&Attempt{
 		Request: &f.req.head, Target: reg, Account: f.req.account, Timeout: time.Until(f.req.deadline), Priority: -1,
 	}))
-	msg.Permit = f.g.sendPermit(reg)
+	msg.Permit = f.g.sendPermit(reg, f.req)
 	handle.sent.Store(true)
 	sent, err := conn.Send(msg)
 	if f.req.withheld(reg, err) {
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -65,6 +65,9 @@
 	latencies       map[string]*retry.Estimate
 	suspects        *suspect.Tracker
 	suspectExchange suspectExchange
+	// verdicts holds the verdicts on prompt parts as of partVersion of the suspects.
+	verdicts    suspect.Verdicts
+	partVersion uint64
 	// attempts holds the open attempts of this gateway by target ID.
 	attempts map[string]map[*attemptHandle]struct{}
 	// confirmedAt is when the local copy of a table was last known to match the store.
@@ -124,6 +127,8 @@
 	configConfirmedAt atomic.Pointer[time.Time]
 	// heldTargets holds the targets to which no new requests may be sent, nil before the first one.
 	heldTargets atomic.Pointer[heldTargets]
+	// verdicts holds the verdicts on prompt parts, nil before the first one.
+	verdicts atomic.Pointer[suspect.Verdicts]
 	// probe starts a background probe of a target.
 	probe func(target membership.Registration)
 }
@@ -230,6 +235,7 @@
 	}
 	l.expireNotices(st, now)
 	st.suspects.Expire(now)
+	l.partsChanged(st, now, "expiry")
 	st.runIndex.Expire(now)
 	st.outages.Expire(now)
 	l.publishStaleness(st, now)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,8 @@
 	targetStates   *prometheus.GaugeVec
 	storeSeconds   *prometheus.HistogramVec
 	targetCrashes  prometheus.Counter
+	condemnedParts prometheus.Gauge
+	partTrials     prometheus.Counter
 	handlerPanics  prometheus.Counter
 	notices        *prometheus.CounterVec
 	withheld       *prometheus.CounterVec
@@ -71,13 +73,15 @@
 		runLookups:     counterVec("runs_sought_total", "Searches for the run of a returning client by where it was found.", "from"),
 		copyOrders:     counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
 		notices:        counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
-		withheld:       counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, by kind of route.", "kind"),
+		withheld:       counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, or because a part of their prompt crashes targets, by kind of route.", "kind"),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
 		handlerPanics:  counter("handler_panics_total", "Client requests whose handler panicked; their connections were closed."),
 		lateTicks:      counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
 		targets:        gauge("targets", "Registered targets."),
+		condemnedParts: gauge("condemned_parts", "Prompt parts whose requests are rejected because they crash targets."),
+		partTrials:     counter("part_trials_total", "Requests with a condemned prompt part that were sent to find out whether it still crashes targets."),
 		configVersion:  gauge("config_version", "Version of the desired state in force."),
 		tableAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramleygap_gateway_table_age_seconds", Help: "Time since the store last confirmed the local copy of a table.",
@@ -94,6 +98,6 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.handlerPanics, m.notices, m.withheld)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.handlerPanics, m.notices, m.withheld)
 	return m
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -8,6 +8,7 @@
 
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/gateway/target"
 )
 
@@ -95,13 +96,23 @@
 }
 
 // sendPermit returns the check that is made right before a client's request is sent to a target.
-func (g *Gateway) sendPermit(reg membership.Registration) func() bool {
+func (g *Gateway) sendPermit(reg membership.Registration, c *clientRequest) func() bool {
 	return func() bool {
 		_, held := g.loop.held(reg, time.Now())
-		return !held
+		return !held && g.loop.condemned(c) == nil
 	}
 }
 
+// condemned returns the verdict by which a request must not be sent, nil for none. It does not wait for the
+// event loop, so that it can be called right before a request is sent.
+func (l *eventLoop) condemned(c *clientRequest) *suspect.Verdict {
+	verdicts := l.verdicts.Load()
+	if verdicts == nil || c.trial.Load() {
+		return nil
+	}
+	return verdicts.Rejects(c.parts)
+}
+
 // pausePermit is sendPermit for requests of the gateway's own, which a leaving target may still get.
 func (g *Gateway) pausePermit(reg membership.Registration) func() bool {
 	return func() bool {
@@ -117,7 +128,12 @@
 		return false
 	}
 	now := time.Now()
-	notice, _ := c.g.loop.held(reg, now)
+	c.g.metrics.withheld.WithLabelValues(c.route.Kind.String()).Inc()
+	notice, held := c.g.loop.held(reg, now)
+	if !held {
+		c.log.Info().Str("target", reg.ID).Msg("request not sent to the chosen target: a part of its prompt crashes targets")
+		return true
+	}
 	event := c.log.Info().Str("target", reg.ID).Bool("leaving", notice.Leaving())
 	if notice.Leaving() {
 		event = event.Stringer("source", notice.LeavingSource).Dur("age", now.Sub(notice.LeavingSince))
@@ -125,7 +141,6 @@
 		event = event.Stringer("source", notice.PauseSource).Dur("age", now.Sub(notice.PausedAt)).Dur("pause", max(0, notice.PausedUntil.Sub(now)))
 	}
 	event.Msg("request not sent to the chosen target, which leaves or asked for a pause")
-	c.g.metrics.withheld.WithLabelValues(c.route.Kind.String()).Inc()
 	return true
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,7 +15,6 @@
 
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/replica"
-	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/rpc"
 	"bramleygap/internal/wire"
 )
@@ -568,17 +567,9 @@
 	if remote.StopsInMs > 0 {
 		st.stopTimes[remote.Name] = now.Add(time.Duration(remote.StopsInMs) * time.Millisecond)
 	}
-	records := make([]suspect.Record, 0, len(remote.Suspects))
-	for _, s := range remote.Suspects {
-		r := suspect.Record{Fingerprint: s.Fingerprint, Expires: now.Add(time.Duration(s.ExpiresUnixMs) * time.Millisecond)}
-		if s.Cleared {
-			r.Cleared = s.DeathIds
-		} else {
-			r.Deaths = s.DeathIds
-		}
-		records = append(records, r)
-	}
-	st.suspects.Merge(records, now)
+	st.suspects.Merge(decodeSuspects(remote.Suspects, now), now)
+	st.suspects.MergeParts(decodeParts(remote.Parts, now), now)
+	p.g.loop.partsChanged(st, now, remote.Name)
 	p.mergeUnreachable(st, remote.Unreachable)
 	for _, gone := range remote.Gone {
 		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -88,6 +89,10 @@
 		l.metrics.targetCrashes.Inc()
 		l.log.Warn().Str("target", reg.ID).Str("zone", reg.Zone).Int("running", len(death.Fingerprints)).
 			Array("requests", st.crashedRequests(reg.ID, now)).Msg("target crashed; its running requests are recorded as suspects")
+		st.suspects.ReportPartCrash(death.ID, now, st.mayCauseCrash(reg.ID, now), now)
+		rejected := func(f uint64) bool { return st.suspects.Rejected(f, now) }
+		st.activeRunsChanged = st.activeRunsChanged || slices.ContainsFunc(death.Fingerprints, rejected)
+		l.partsChanged(st, now, "own")
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/prompt_parts.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleygap/internal/core/suspect"
+	"bramleygap/internal/wire"
+)
+
+// partIdentities returns the identities by which the shared parts of a prompt are known to the tracker. A
+// part that crashes the engines of one service may be harmless to another model.
+func partIdentities(service string, ids []string) []uint64 {
+	identities := make([]uint64, len(ids))
+	for i, id := range ids {
+		identities[i] = xxhash.Sum64String(service + "\x00" + id)
+	}
+	return identities
+}
+
+// formatPart returns the identity of a part as it is logged.
+func formatPart(part uint64) string { return fmt.Sprintf("%016x", part) }
+
+func formatParts(parts []uint64) []string {
+	list := make([]string, len(parts))
+	for i, part := range parts {
+		list[i] = formatPart(part)
+	}
+	return list
+}
+
+// mayCauseCrash returns the requests to which a crash of their target is charged by the parts of their
+// prompts: those whose responses were beginning, or else those that waited for a response. A response that
+// flows has shown that its prompt is harmless.
+func (st *state) mayCauseCrash(target string, now time.Time) []suspect.Candidate {
+	byPhase := map[attemptPhase][]suspect.Candidate{}
+	for handle := range st.attempts[target] {
+		if len(handle.parts) > 0 {
+			phase := handle.phase(now)
+			byPhase[phase] = append(byPhase[phase], suspect.Candidate{Fingerprint: handle.fingerprint, Parts: handle.parts, Run: now.Sub(handle.startedAt)})
+		}
+	}
+	if beginning := byPhase[phaseBeginning]; len(beginning) > 0 {
+		return beginning
+	}
+	return byPhase[phaseWaiting]
+}
+
+// rejects reports whether a request must not be sent because it, or a part of its prompt, crashes targets.
+// A trial of a condemned part is rejected only once it has reached a target.
+func (l *eventLoop) rejects(st *state, now time.Time, c *clientRequest, arrived bool) bool {
+	if st.suspects.Rejected(c.fingerprint, now) {
+		return true
+	}
+	verdict := st.suspects.CondemnedParts(c.parts)
+	if verdict == nil || c.trial.Load() && !arrived {
+		return false
+	}
+	if st.ownsPart(verdict.Parts[0], l.options.Settings.Name) && st.suspects.TakeTrial(verdict, now) {
+		c.trial.Store(true)
+		l.metrics.partTrials.Inc()
+		c.log.Warn().Strs("parts", formatParts(verdict.Parts)).Int("crashes", verdict.Crashes).Dur("age", now.Sub(verdict.Since)).
+			Msg("request with a prompt part that crashed targets is sent, to find out whether it still does")
+		return false
+	}
+	c.verdict = verdict
+	return true
+}
+
+// ownsPart reports whether a gateway makes the trials of a condemned part. The owner is chosen by
+// rendezvous hashing.
+func (st *state) ownsPart(part uint64, self string) bool {
+	key := "part\x00" + formatPart(part) + "\x00"
+	hash := xxhash.Sum64String(key + self)
+	for _, name := range st.liveGateways {
+		if name != self && xxhash.Sum64String(key+name) > hash {
+			return false
+		}
+	}
+	return true
+}
+
+// logRejection logs why a request is rejected.
+func (c *clientRequest) logRejection(arrived bool) {
+	event := c.log.Warn().Bool("arrived", arrived)
+	if c.verdict != nil {
+		event = event.Strs("parts", formatParts(c.verdict.Parts)).Strs("prompt_parts", c.head.PromptParts).
+			Int("crashes", c.verdict.Crashes).Int("requests", c.verdict.Requests).Dur("age", time.Since(c.verdict.Since))
+	}
+	event.Msg("request rejected because it crashed too many targets, or others with a part of its prompt did")
+}
+
+// responseBegan records that the response to a request with the parts has begun and gone on.
+func (l *eventLoop) responseBegan(st *state, now time.Time, parts []uint64) {
+	st.suspects.PartsBegun(parts, now)
+	l.partsChanged(st, now, "response")
+}
+
+// partsChanged puts the verdicts on prompt parts into force that follow from changed crashes, which source
+// brought. It interrupts the attempts that a verdict rejects and whose response has not begun.
+func (l *eventLoop) partsChanged(st *state, now time.Time, source string) {
+	if version := st.suspects.PartVersion(); version == st.partVersion {
+		return
+	} else {
+		st.partVersion = version
+	}
+	before, after := st.verdicts, st.suspects.Verdicts()
+	st.verdicts = after
+	l.verdicts.Store(&after)
+	l.metrics.condemnedParts.Set(float64(len(after)))
+	changed := false
+	for part, verdict := range after {
+		if before[part] == nil {
+			changed = true
+			l.log.Warn().Str("part", formatPart(part)).Strs("together", formatParts(verdict.Parts)).Int("crashes", verdict.Crashes).
+				Int("requests", verdict.Requests).Bool("known", verdict.Known).Dur("age", now.Sub(verdict.Since)).Str("source", source).
+				Int("interrupted", st.interruptRejected(part, now)).Msg("prompt part crashes targets; requests with it are rejected")
+		}
+	}
+	for part := range before {
+		if after[part] == nil {
+			changed = true
+			l.log.Info().Str("part", formatPart(part)).Str("source", source).Msg("prompt part is no longer held to crash targets")
+		}
+	}
+	if changed {
+		st.activeRunsChanged = true
+	}
+}
+
+// interruptRejected interrupts the attempts whose prompt has a condemned part before their response
+// begins, and returns their number.
+func (st *state) interruptRejected(part uint64, now time.Time) (interrupted int) {
+	for _, handles := range st.attempts {
+		for handle := range handles {
+			if handle.begun.Load() != 0 || handle.phase(now) == phaseUnsent || handle.trial || !slices.Contains(handle.parts, part) || st.verdicts.Rejects(handle.parts) == nil {
+				continue
+			}
+			handle.rejected.Store(true)
+			handle.interrupt()
+			interrupted++
+		}
+	}
+	return interrupted
+}
+
+func encodeParts(records []suspect.PartRecord, now time.Time) []*wire.PartCrashes {
+	var list []*wire.PartCrashes
+	for _, r := range records {
+		out := &wire.PartCrashes{Part: r.Part, Known: r.Known}
+		for _, c := range r.Crashes {
+			out.Crashes = append(out.Crashes, &wire.PartCrash{
+				DeathId: c.Death, AgeMs: uint64(max(0, now.Sub(c.At).Milliseconds())), Requests: c.Requests, Cleared: c.Cleared,
+				RunMs: uint64(max(0, c.Run.Milliseconds())),
+			})
+		}
+		list = append(list, out)
+	}
+	return list
+}
+
+// decodeParts decodes the records that were encoded at a time of this process's clock.
+func decodeParts(list []*wire.PartCrashes, encodedAt time.Time) []suspect.PartRecord {
+	records := make([]suspect.PartRecord, 0, len(list))
+	for _, p := range list {
+		r := suspect.PartRecord{Part: p.Part, Known: p.Known}
+		for _, c := range p.Crashes {
+			r.Crashes = append(r.Crashes, suspect.PartCrash{
+				Death: c.DeathId, At: encodedAt.Add(-decodeMS(c.AgeMs)), Run: decodeMS(c.RunMs), Requests: c.Requests, Cleared: c.Cleared,
+			})
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+// decodeMS decodes a duration in milliseconds, at most maxAgeMs.
+func decodeMS(ms uint64) time.Duration {
+	return time.Duration(min(ms, uint64(maxAgeMs))) * time.Millisecond
+}
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -59,6 +59,7 @@
 		delete(st.activeRuns, c.fingerprint)
 		if completed {
 			st.suspects.ClearIfSafe(c.fingerprint, time.Since(c.arrived), true)
+			g.loop.responseBegan(st, time.Now(), c.parts)
 		}
 	})
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 
 	"bramleygap/internal/core/catalog"
 	"bramleygap/internal/core/relay"
+	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/gateway/target"
 	"bramleygap/internal/result"
 )
@@ -54,7 +56,12 @@
 	g             *Gateway
 	configVersion uint64
 	// configAge is how long before the request's admission the store confirmed the desired state.
-	configAge        time.Duration
+	configAge time.Duration
+	// parts identifies the parts of the prompt that other requests may share. verdict is the one by which
+	// the request is rejected for them, and trial is set if it is sent although there is one.
+	parts            []uint64
+	verdict          *suspect.Verdict
+	trial            atomic.Bool
 	rejected         bool
 	deadlineTooShort bool
 	// heldDelay is the delay to state to the client because all targets leave or are paused, 0 if
@@ -116,7 +123,7 @@
 		g.refuse(w, c, code, 0)
 		return
 	}
-	c.fingerprint = requestFingerprint(c)
+	c.fingerprint, c.parts = requestFingerprint(c), partIdentities(c.service, c.head.PromptParts)
 	if c.route.Kind == catalog.Stream {
 		if g.streamOutlastsGrace(c.arrived) {
 			g.refuse(w, c, result.Leaving, g.retryAfterStopping(c.ctx))
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -22,11 +22,16 @@
 	fingerprint uint64
 	// promptParts names the parts of the prompt that other requests may share.
 	promptParts []string
+	// parts identifies promptParts. trial is set if the request is sent although they are condemned.
+	parts []uint64
+	trial bool
 	// sent is set before the request is written. Until then, the request cannot have crashed
 	// the target.
 	sent        atomic.Bool
 	interrupted atomic.Bool
-	cancel      context.CancelFunc
+	// rejected is set if the attempt was interrupted because of its request, not of its target.
+	rejected atomic.Bool
+	cancel   context.CancelFunc
 	// reportSilent tells the stream that its target has answered no probe. It is set if movable is.
 	reportSilent func()
 	// movable is set if the request can go on at another target after the attempt has run.
@@ -112,6 +117,8 @@
 	response TargetResponse
 	// firstEventAt is when the first event arrived, zero before.
 	firstEventAt time.Time
+	// flowing is set once events have arrived for beginningPeriod.
+	flowing bool
 	// withheld is set if the attempt says nothing about its target because nothing was sent to it.
 	withheld bool
 	// dropped counts the bytes of events that did not continue the stream since the last that did.
@@ -157,7 +164,7 @@
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
 		copyHolder: e.Placement.CopyTarget,
 		handle: &attemptHandle{
-			requestID: s.req.head.ID, fingerprint: s.req.fingerprint, promptParts: s.req.head.PromptParts,
+			requestID: s.req.head.ID, fingerprint: s.req.fingerprint, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(),
 			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
 		},
 		processed: make(chan struct{}, 1), ended: make(chan struct{}),
@@ -205,7 +212,7 @@
 	if !a.firstEventAt.IsZero() {
 		latency = a.firstEventAt.Sub(a.startedAt)
 	}
-	failed := loss != 0 && loss != relay.Refused && !a.withheld
+	failed := loss != 0 && loss != relay.Refused && !a.withheld && !a.handle.rejected.Load()
 	unsent := loss == relay.Unsent || !a.handle.sent.Load()
 	s, placed, copyHolder := a.s, a.start.Placement, a.copyHolder
 	s.g.loop.post(s.g.ctx, func(st *state) {
@@ -237,6 +244,18 @@
 	a.s.req.observeFirstEvent(at)
 }
 
+// recordFlowing records once that the response has begun and gone on, which shows that its prompt does
+// not crash the target.
+func (a *attempt) recordFlowing(at time.Time) {
+	if a.flowing || at.Sub(a.firstEventAt) < beginningPeriod {
+		return
+	}
+	a.flowing = true
+	if parts := a.s.req.parts; len(parts) > 0 {
+		a.s.g.loop.post(a.s.g.ctx, func(st *state) { a.s.g.loop.responseBegan(st, at, parts) })
+	}
+}
+
 // acknowledge lets the attempt read the next event.
 func (a *attempt) acknowledge() { a.processed <- struct{}{} }
 
@@ -267,7 +286,7 @@
 		Request: &s.req.head, Target: a.reg, Account: s.req.account, Timeout: time.Until(s.req.deadline),
 		LastEventID: a.start.After, Priority: -1, CopyTo: a.copyTarget, CopyFrom: a.resumeFrom,
 	}))
-	msg.Permit = s.g.sendPermit(a.reg)
+	msg.Permit = s.g.sendPermit(a.reg, s.req)
 	a.handle.sent.Store(true)
 	sent, err := conn.Send(msg)
 	withheld := s.req.withheld(a.reg, err)
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -224,6 +224,7 @@
 func (s *stream) handleEvent(m attemptMessage) {
 	a := m.attempt
 	a.recordFirstEvent(m.at)
+	a.recordFlowing(m.at)
 	a.copies.markStarted()
 	if !s.headerSent {
 		s.response = a.response
@@ -339,7 +340,7 @@
 			return placementResult{}
 		}
 		now := time.Now()
-		if st.suspects.Rejected(s.req.fingerprint, now) {
+		if s.g.loop.rejects(st, now, s.req, s.machine.Arrived()) {
 			return placementResult{rejected: true}
 		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude, LastResort: s.machine.LastResort(), WarmTarget: s.previousTarget}
@@ -363,7 +364,7 @@
 	s.req.deadlineTooShort = p.deadlineTooShort
 	s.held, s.req.heldDelay = p.held, p.held.delay
 	if p.rejected {
-		s.req.log.Warn().Msg("request rejected because it crashed too many targets")
+		s.req.logRejection(s.machine.Arrived())
 		s.req.rejected = true
 		return relay.Placement{}, false
 	}
@@ -396,7 +397,7 @@
 	reg, silence := s.current.reg, s.machine.Silence(time.Now())
 	p := query(s.g.ctx, s.g.loop, func(st *state) placementResult {
 		now := time.Now()
-		if s.req.ctx.Err() != nil || st.suspects.Rejected(s.req.fingerprint, now) {
+		if s.req.ctx.Err() != nil || st.suspects.Rejected(s.req.fingerprint, now) || st.suspects.CondemnedParts(s.req.parts) != nil {
 			return placementResult{}
 		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -46,8 +46,8 @@
 	msg.SuspectSummary = &wire.SuspectSummary{
 		Digest: st.suspects.Digest(), KnownVersion: merged.version, KnownIncarnation: merged.incarnation,
 	}
-	recent, _ := limitSuspects(st.suspects.Changes(st.suspectExchange.pushAfter[0], now))
-	addSuspects(msg, recent, now)
+	recent, _ := st.suspectsSince(st.suspectExchange.pushAfter[0], now)
+	recent.addTo(msg, now)
 }
 
 // addUnsentSuspects is addRecentSuspects for the gateway that this one follows: it adds those that
@@ -58,12 +58,12 @@
 	msg.SuspectSummary = &wire.SuspectSummary{
 		Digest: st.suspects.Digest(), KnownVersion: merged.version, KnownIncarnation: merged.incarnation,
 	}
-	unsent, all := limitSuspects(st.suspects.Changes(x.sent[address], now))
+	unsent, all := st.suspectsSince(x.sent[address], now)
 	x.sending = st.suspects.Version()
 	if !all {
 		x.sending = x.sent[address]
 	}
-	addSuspects(msg, unsent, now)
+	unsent.addTo(msg, now)
 }
 
 // recordSentSuspects records that the gateway at an address, which this one follows, has answered.
@@ -77,7 +77,7 @@
 	asked := request.SuspectSummary
 	if asked == nil {
 		// A gateway of an earlier version takes all suspects from each message.
-		addSuspects(msg, st.suspects.Export(now), now)
+		suspectBatch{requests: st.suspects.Export(now)}.addTo(msg, now)
 		return
 	}
 	msg.SuspectSummary = &wire.SuspectSummary{Digest: st.suspects.Digest(), Version: st.suspects.Version()}
@@ -88,11 +88,11 @@
 	if asked.KnownIncarnation != msg.Incarnation {
 		since = 0
 	}
-	missing, all := limitSuspects(st.suspects.Changes(since, now))
+	missing, all := st.suspectsSince(since, now)
 	if !all {
 		msg.SuspectSummary.Version = 0
 	}
-	addSuspects(msg, missing, now)
+	missing.addTo(msg, now)
 }
 
 // recordMergedSuspects records that the answer of the gateway at an address has been merged.
@@ -102,9 +102,22 @@
 	}
 }
 
+// suspectBatch is what one message carries of the suspects: requests and prompt parts.
+type suspectBatch struct {
+	requests []suspect.Record
+	parts    []suspect.PartRecord
+}
+
+// suspectsSince returns the suspects that changed after a version, and whether these are all.
+func (st *state) suspectsSince(version uint64, now time.Time) (suspectBatch, bool) {
+	requests, allRequests := limitSuspects(st.suspects.Changes(version, now))
+	parts, allParts := limitSuspects(st.suspects.PartChanges(version))
+	return suspectBatch{requests, parts}, allRequests && allParts
+}
+
 // limitSuspects returns at most maxSuspectsPerMessage of the records and whether these are all.
 // Which ones is random, so that a gateway that lacks many gets all of them from several answers.
-func limitSuspects(records []suspect.Record) ([]suspect.Record, bool) {
+func limitSuspects[T any](records []T) ([]T, bool) {
 	if len(records) <= maxSuspectsPerMessage {
 		return records, true
 	}
@@ -112,16 +125,39 @@
 	return records[:maxSuspectsPerMessage], false
 }
 
-// addSuspects adds records to a message. Between gateways, ExpiresUnixMs carries the remaining time
-// in milliseconds.
-func addSuspects(msg *wire.GatewayState, records []suspect.Record, now time.Time) {
+// addTo adds the batch to a message.
+func (b suspectBatch) addTo(msg *wire.GatewayState, now time.Time) {
+	msg.Suspects = append(msg.Suspects, encodeSuspects(b.requests, now)...)
+	msg.Parts = append(msg.Parts, encodeParts(b.parts, now)...)
+}
+
+// encodeSuspects encodes records for another gateway or the store, where ExpiresUnixMs carries the
+// remaining time in milliseconds.
+func encodeSuspects(records []suspect.Record, now time.Time) []*wire.SuspectCount {
+	var list []*wire.SuspectCount
 	for _, r := range records {
 		remaining := r.Expires.Sub(now).Milliseconds()
 		if len(r.Deaths) > 0 {
-			msg.Suspects = append(msg.Suspects, &wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExpiresUnixMs: remaining})
+			list = append(list, &wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExpiresUnixMs: remaining})
 		}
 		if len(r.Cleared) > 0 {
-			msg.Suspects = append(msg.Suspects, &wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Cleared, ExpiresUnixMs: remaining, Cleared: true})
+			list = append(list, &wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Cleared, ExpiresUnixMs: remaining, Cleared: true})
+		}
+	}
+	return list
+}
+
+// decodeSuspects decodes the records that were encoded at a time of this process's clock.
+func decodeSuspects(list []*wire.SuspectCount, encodedAt time.Time) []suspect.Record {
+	records := make([]suspect.Record, 0, len(list))
+	for _, s := range list {
+		r := suspect.Record{Fingerprint: s.Fingerprint, Expires: encodedAt.Add(time.Duration(s.ExpiresUnixMs) * time.Millisecond)}
+		if s.Cleared {
+			r.Cleared = s.DeathIds
+		} else {
+			r.Deaths = s.DeathIds
 		}
+		records = append(records, r)
 	}
+	return records
 }
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -110,7 +110,7 @@
 func partSizes(msg *wire.GatewayState) [5]int {
 	parts := [5]int{
 		proto.Size(&wire.GatewayState{PackedLoads: msg.PackedLoads}),
-		proto.Size(&wire.GatewayState{Suspects: msg.Suspects, SuspectSummary: msg.SuspectSummary}),
+		proto.Size(&wire.GatewayState{Suspects: msg.Suspects, SuspectSummary: msg.SuspectSummary, Parts: msg.Parts}),
 		proto.Size(&wire.GatewayState{Tables: msg.Tables}),
 		proto.Size(&wire.GatewayState{Evidence: msg.Evidence, Orders: msg.Orders}),
 	}
