Save what must be rejected, so that it outlasts the loss of all gateways

What callers would see: after all gateways were lost at once, requests that crash engines, refused before, end as many engines again until they are known.

Cause: suspects lived in the memory of the gateways only.

Why this works: verdicts are rare. The gateways write the crashes behind them with the run records that they save once a second at most anyway, up to 6 KB of parts and of requests each, and read the rows of all gateways at their start. Ages are relative to the time of saving, so that saving does not prolong a rejection.

--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -31,6 +31,9 @@
 	saveIntervalPerGateway = 100 * time.Millisecond
 	// maxStoredRuns limits the records in a row: at about 100 bytes each, a row has up to 50 KB.
 	maxStoredRuns = 500
+	// maxStoredRejections limits the bytes of the rejected prompt parts and of the rejected requests in a
+	// row, each. The users' rows hold 64 KiB.
+	maxStoredRejections = 6 << 10
 	// maxSeedsQueried limits the seeds that a gateway queries for a run during startupPeriod.
 	maxSeedsQueried = 4
 )
@@ -80,7 +83,7 @@
 			gateways int
 		}
 		next := query(ctx, g.loop, func(st *state) pendingSave {
-			return pendingSave{st.runsToSave(), len(st.liveGateways)}
+			return pendingSave{st.runsToSave(time.Now()), len(st.liveGateways)}
 		})
 		if next.records != nil {
 			g.saveRuns(ctx, next.records)
@@ -90,20 +93,52 @@
 	return nil
 }
 
-// runsToSave returns the records to save, nil if there are no new ones or if all runs have
-// ended: the store rejects an empty row.
-func (st *state) runsToSave() *wire.RunRecords {
-	if !st.activeRunsChanged || len(st.activeRuns) == 0 {
+// runsToSave returns the records to save, nil if there are no new ones or if there is nothing to save: the
+// store rejects an empty row.
+func (st *state) runsToSave(now time.Time) *wire.RunRecords {
+	if !st.activeRunsChanged {
 		return nil
 	}
-	st.activeRunsChanged = false
 	records := &wire.RunRecords{}
+	st.addRejections(records, now)
+	if len(st.activeRuns)+len(records.Parts)+len(records.Suspects) == 0 {
+		return nil
+	}
+	st.activeRunsChanged = false
 	for _, r := range st.activeRuns {
 		records.Records = append(records.Records, encodeRun(r))
 	}
 	return records
 }
 
+// addRejections adds to the records to save what must be rejected also after the loss of all gateways, up to
+// maxStoredRejections bytes of prompt parts and of requests.
+func (st *state) addRejections(records *wire.RunRecords, now time.Time) {
+	parts, requests := st.suspects.CondemnedRecords(now)
+	for _, p := range encodeParts(parts, now) {
+		records.Parts = append(records.Parts, p)
+		if proto.Size(&wire.RunRecords{Parts: records.Parts}) > maxStoredRejections {
+			records.Parts = records.Parts[:len(records.Parts)-1]
+		}
+	}
+	for _, s := range encodeSuspects(requests, now) {
+		records.Suspects = append(records.Suspects, s)
+		if proto.Size(&wire.RunRecords{Suspects: records.Suspects}) > maxStoredRejections {
+			records.Suspects = records.Suspects[:len(records.Suspects)-1]
+		}
+	}
+	records.SavedUnixMs = now.UnixMilli()
+}
+
+// mergeRejections merges the rejections that a gateway saved.
+func (l *eventLoop) mergeRejections(st *state, now time.Time, stored *wire.RunRecords) {
+	// The clock may have been set back since.
+	savedAt := now.Add(-time.Duration(min(max(0, now.UnixMilli()-stored.SavedUnixMs), maxAgeMs)) * time.Millisecond)
+	st.suspects.Merge(decodeSuspects(stored.Suspects, savedAt), now)
+	st.suspects.MergeParts(decodeParts(stored.Parts, savedAt), now)
+	l.partsChanged(st, now, "store")
+}
+
 func (g *Gateway) loadRuns(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	rows, _, err := g.options.Store.Snapshot(callCtx, TableRuns)
@@ -122,6 +157,7 @@
 				g.log.Debug().Str("key", row.Key).Err(err).Msg("row with run records cannot be decoded; ignoring it")
 				continue
 			}
+			g.loop.mergeRejections(st, now, &stored)
 			for _, r := range stored.Records {
 				// A record received from a gateway since the start is newer.
 				if _, _, known := st.runIndex.Get(now, r.Fingerprint); !known {
