Play prompt parts that crash engines in the emulator

The table gains the crashed engines, the requests that arrived though their part had to be known, the sound streams that began, and sound requests that were rejected.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -65,6 +65,12 @@
 	disconnectAfter time.Duration
 	// duplicate is set for a request that only repeats another one; it is not counted.
 	duplicate bool
+	// parts identifies the shared parts of the prompt. crashing is set if one of them crashes engines;
+	// such a request is not counted.
+	parts    []uint64
+	crashing bool
+	// rejected is set if the request was rejected because it or others with its parts crashed engines.
+	rejected bool
 }
 
 // connect sends the request to a gateway that accepts connections.
--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -59,6 +59,11 @@
 	if err := writeTable(w, summaries); err != nil {
 		return err
 	}
+	if summaries[0].Crashes > 0 {
+		if err := writeCrashes(w, summaries); err != nil {
+			return err
+		}
+	}
 	names := make([]string, len(summaries))
 	series := make([][]float64, len(summaries))
 	for i := range summaries {
@@ -93,3 +98,18 @@
 }
 
 func roundToMS(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// writeCrashes prints one row for each policy: the crashes by prompt parts and their effect on other streams.
+func writeCrashes(w io.Writer, summaries []Summary) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows := []string{"\npolicy\tengines crashed per seed\tlate arrivals per seed\tmost for a part\tsound streams begun at once while known\tsound requests rejected"}
+	for i := range summaries {
+		s := &summaries[i]
+		seeds := float64(len(s.OnTimeFractions))
+		rows = append(rows, fmt.Sprintf("%s\t%.1f\t%.1f\t%d\t%d of %d\t%d", s.Policy, float64(s.Crashes)/seeds, float64(s.LateArrivals)/seeds, s.MostLateArrivals, s.Begun, s.Sound, s.Rejected))
+	}
+	if _, err := fmt.Fprintln(table, strings.Join(rows, "\n")); err != nil {
+		return err
+	}
+	return table.Flush()
+}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -238,6 +238,26 @@
 	c.Check((&Command{Pattern: "grey"}).print(&table), qt.ErrorMatches, "at least one seed.*")
 }
 
+// Requests of which no two are alike crash each engine that begins to answer them, by parts of their
+// prompts; the loss of a zone and kills of gateways come on top. Guards against crash after crash because
+// each of these requests is new (issue 25), and against sound streams that are refused with them or do not
+// begin. The users allow three late arrivals for a part and half of the sound streams.
+func TestCrashingPartsAreContained(t *testing.T) {
+	for _, name := range []string{"crashing-part", "crashing-parts", "crashing-first-part"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			summaries := simulateAll(t, name)
+			product, byRequest := summaries["product"], summaries["by request"]
+			c.Check(product.Crashes > 0, qt.IsTrue)
+			c.Check(product.MostLateArrivals <= 3, qt.IsTrue, qt.Commentf("%d late arrivals for a part", product.MostLateArrivals))
+			c.Check(byRequest.MostLateArrivals > 30, qt.IsTrue, qt.Commentf("%d late arrivals without counting by part", byRequest.MostLateArrivals))
+			c.Check(2*product.Begun > product.Sound, qt.IsTrue, qt.Commentf("%d of %d sound streams began", product.Begun, product.Sound))
+			c.Check(product.OnTime > 2*byRequest.OnTime, qt.IsTrue, qt.Commentf("on time: %d, without counting by part %d", product.OnTime, byRequest.OnTime))
+		})
+	}
+}
+
 // Engines shed load or leave by their own word. Guards against requests that go on to arrive where they
 // are not wanted, and against streams that are lost with engines that had said that they leave.
 func TestNoticesOfEngines(t *testing.T) {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -65,6 +65,8 @@
 	resumeFrom string
 	// prefillTokens counts the tokens prefilled for the client's request, over all attempts.
 	prefillTokens *int
+	// parts identifies the shared parts of the prompt.
+	parts []uint64
 	// deliver receives each signal with the number of its event, 0 for none.
 	deliver func(signal, int)
 	// answer is what the engine's answer says about the engine.
@@ -106,12 +108,16 @@
 	// hangProbability is the fraction of the requests that the engine accepts but never
 	// processes.
 	hangProbability float64
-	waiting         []*job
-	running         []*job
-	copies          map[string]cacheCopy
-	cachedPrompts   []cachedPrompt
-	stepping        bool
-	reports         []loadReport
+	// crashesOn reports whether the engine ends when it begins to answer a job, and crashed ends it. They
+	// may be nil.
+	crashesOn     func(*job) bool
+	crashed       func()
+	waiting       []*job
+	running       []*job
+	copies        map[string]cacheCopy
+	cachedPrompts []cachedPrompt
+	stepping      bool
+	reports       []loadReport
 }
 
 // cachedPrompt is a prompt that stays in memory until its space is needed.
@@ -342,6 +348,10 @@
 		j.pendingTokens = 0
 		delay := networkDelay
 		if !j.started {
+			if e.crashesOn != nil && e.crashesOn(j) {
+				e.crashed()
+				return
+			}
 			j.started = true
 			delay += firstEventOverhead
 			e.startCopy(j)
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -9,6 +9,7 @@
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/runindex"
+	"bramleygap/internal/core/suspect"
 )
 
 const (
@@ -57,6 +58,8 @@
 	targets    []membership.Registration
 	// lastEvents holds when each target last sent an event, by its id.
 	lastEvents map[string]time.Time
+	suspects   *suspect.Tracker
+	startedAt  time.Time
 }
 
 func newGateway(sim *simulation, name, zone string) *gateway {
@@ -71,6 +74,7 @@
 	g.fleet = placement.NewFleet(g.name, g.zone, g.rng)
 	g.fleet.SetGateways(g.sim.gatewayNames())
 	g.outages, g.runs, g.streams = placement.NewOutages(), runindex.New(), map[*stream]struct{}{}
+	g.suspects, g.startedAt = suspect.NewTracker(), g.sim.clock.now
 	g.ownRecords, g.lastEvents = map[uint64]runindex.Record{}, map[string]time.Time{}
 	for _, records := range g.sim.storedRuns {
 		for _, r := range records {
@@ -114,6 +118,7 @@
 	now := g.sim.clock.now
 	g.outages.Expire(now)
 	loads := g.fleet.LocalLoads(now)
+	requests, parts := g.suspects.Export(now), g.suspects.PartChanges(0)
 	for _, other := range g.sim.gateways {
 		if other == g || !other.up {
 			continue
@@ -121,6 +126,7 @@
 		g.sim.clock.after(networkDelay, func() {
 			if other.up {
 				other.fleet.SetPeerLoads(g.name, g.sim.clock.now, loads)
+				other.mergeSuspects(requests, parts)
 			}
 		})
 	}
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -107,6 +107,23 @@
 			sim.at(13, func() { sim.stopZone(1, true) })
 			sim.at(17, func() { sim.storeDown = false })
 		}},
+		{"crashing-part", "from 5 s on, one request more for each fourth one has a middle prompt part that crashes the engine that begins to answer it", func(sim *simulation) {
+			sim.at(5, func() { sim.addCrashingRequests(0.25, 1, false) })
+		}},
+		{"crashing-parts", "from 5 s on, one request more for each third one has one of three such parts; a zone crashes and gateways are killed meanwhile", func(sim *simulation) {
+			sim.at(5, func() { sim.addCrashingRequests(0.33, 3, false) })
+			sim.at(12, func() { sim.stopZone(1, false) })
+			for i, g := range sim.gateways {
+				sim.at(9+5*float64(i), g.kill)
+				sim.at(10+5*float64(i), g.start)
+			}
+		}},
+		{"crashing-first-part", "from 5 s on, one request more for each fourth one has a first prompt part that crashes the engine that begins to answer it; a zone crashes twice meanwhile", func(sim *simulation) {
+			sim.at(5, func() { sim.addCrashingRequests(0.25, 1, true) })
+			for i, second := range []float64{6, 16} {
+				sim.at(second, func() { sim.stopZone(i, false) })
+			}
+		}},
 		{"recovery", "all gateways are killed at once while one zone is down", func(sim *simulation) {
 			sim.at(13.5, func() { sim.stopZone(2, false) })
 			for _, g := range sim.gateways {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -21,6 +21,9 @@
 	KeepUntilAccepted bool
 	// ReadReports judges by the engines' reports whether they work on a stream.
 	ReadReports bool
+	// CountRequests rejects requests that crashed engines, and CountParts also those whose prompts share a
+	// part with such requests.
+	CountRequests, CountParts bool
 	// MoveLateStarts moves streams whose first event is late on a live engine.
 	MoveLateStarts bool
 }
@@ -40,8 +43,8 @@
 
 // Policies returns the policies to compare: round robin, one that follows load reports, the
 // product before its first changes for these patterns, the product that leaves a live engine before
-// another one has accepted the stream, the product that does not read the engines' reports, and the
-// product.
+// another one has accepted the stream, the product that does not read the engines' reports, the product that
+// counts crashes by request only, and the product.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "round robin"},
@@ -49,6 +52,7 @@
 		{Name: "before", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true},
 		{Name: "leaves first", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true},
 		{Name: "no reports", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true},
-		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true},
+		{Name: "by request", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true},
+		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true},
 	}
 }
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -24,6 +24,14 @@
 	// OnTimeBySecond is the fraction on time of the requests that arrived in each second, 1
 	// if none did.
 	OnTimeBySecond []float64
+	// Crashes counts the engines that ended by prompt parts, and LateArrivals the requests with such a part
+	// that reached engines although it had to be known. MostLateArrivals is the highest number of one part.
+	Crashes, LateArrivals, MostLateArrivals int
+	// Sound counts the other streams that were sent while the part was known, and Begun those of them that
+	// began at their first attempt.
+	Sound, Begun int
+	// Rejected counts the sound requests that were rejected like those that crash engines.
+	Rejected int
 }
 
 // Quantile returns a quantile of a sorted list, 0 for an empty one.
@@ -53,9 +61,18 @@
 		for _, e := range sim.engines {
 			s.Rejections += e.rejections
 		}
+		s.Crashes += sim.crashing.crashes
+		for _, n := range sim.crashing.lateArrivals {
+			s.LateArrivals += n
+			s.MostLateArrivals = max(s.MostLateArrivals, n)
+		}
 		before := s
 		for _, c := range sim.clients {
+			if c.crashing {
+				continue
+			}
 			s.add(c)
+			sim.crashing.observeSound(c)
 			if second := int(c.arrived.Sub(sim.start) / time.Second); !c.duplicate && c.result != resultCancelled && second < seconds {
 				arrived[second]++
 				if c.result == resultOnTime {
@@ -63,6 +80,8 @@
 				}
 			}
 		}
+		s.Sound += sim.crashing.sound
+		s.Begun += sim.crashing.begun
 		s.OnTimeFractions = append(s.OnTimeFractions, float64(s.OnTime-before.OnTime)/
 			float64(max(1, s.Requests-before.Requests-s.Cancelled+before.Cancelled)))
 	}
@@ -88,6 +107,9 @@
 		return
 	}
 	s.Requests++
+	if c.rejected {
+		s.Rejected++
+	}
 	switch c.result {
 	case resultOnTime:
 		s.OnTime++
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -41,6 +41,10 @@
 	target        membership.Registration
 	placement     relay.Placement
 	hasFirstEvent bool
+	// sentAt is when the request was sent, begunAt when its first event arrived, zero before. flowing is set
+	// once events have arrived for beginningPeriod.
+	sentAt, begunAt time.Time
+	flowing         bool
 	// copy is the cache copy of the run, nil for none.
 	copy *copyRef
 	// copyHolder is the engine at which the fleet counts the copy, empty for none.
@@ -162,6 +166,11 @@
 	if e.MayHaveCopy && s.copy != nil && s.gateway.sim.policy.CopyCaches {
 		copyHolder = s.copy.holder
 	}
+	if s.gateway.rejects(s) {
+		s.client.retries, s.client.rejected = maxClientRetries, true
+		s.apply(s.machine.PlacementFailed())
+		return
+	}
 	if chosen, ok := s.gateway.chooseTarget(now, e.Exclude, copyHolder, s); ok {
 		s.placed = chosen.Target
 		s.apply(s.machine.Placed(now, relayPlacement(&chosen)))
@@ -229,7 +238,9 @@
 	j := &job{
 		name: fmt.Sprintf("%d/%d/%d", s.client.number, s.number, a.number), key: s.client.key, prompt: s.client.prompt,
 		events: s.client.events, nextEvent: int(e.After) + 1, prefillTokens: &s.client.prefillTokens, copyTarget: sim.engineByID(e.Placement.CopyTarget),
+		parts: s.client.parts,
 	}
+	a.sentAt = sim.clock.now
 	if e.CopyHolder != "" {
 		j.resumeFrom = s.copy.name
 	}
@@ -269,6 +280,7 @@
 		}
 		sim.clock.after(networkDelay, func() {
 			if target.incarnation == a.incarnation {
+				sim.crashing.arrivedAtEngine(s.gateway, j, sim.clock.now)
 				target.submit(j)
 			}
 		})
@@ -323,6 +335,12 @@
 	switch kind {
 	case signalEvent:
 		s.gateway.lastEvents[a.target.ID] = now
+		if a.begunAt.IsZero() {
+			a.begunAt = now
+		} else if !a.flowing && now.Sub(a.begunAt) >= beginningPeriod {
+			a.flowing = true
+			s.gateway.recordFlowing(s.client.parts)
+		}
 		if s.successor == a {
 			s.apply(s.machine.SuccessorEvent(now, uint64(number)))
 		} else {
@@ -342,6 +360,12 @@
 	case signalRefused:
 		a.failed(relay.Refused)
 	case signalDisconnected:
+		if s.gateway.sim.policy.CountRequests && !a.engine.up {
+			s.gateway.reportCrash(a.target.ID, a.target.Zone)
+		}
+		if s.done || !a.open() {
+			return
+		}
 		if s.gateway.sim.policy.Probe {
 			s.gateway.probe(a.target, nil)
 		}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -54,15 +54,21 @@
 	rateFactor float64
 	// modifyRequest changes requests as they arrive; it may be nil.
 	modifyRequest func(*client)
-	start         time.Time
+	// partRNG draws prompt parts, apart from loadRNG so that the other patterns keep their requests.
+	partRNG  *rand.Rand
+	crashing crashingParts
+	start    time.Time
 }
 
 func newSimulation(policy Policy, seed uint64) *simulation {
 	sim := &simulation{clock: newClock(), rng: rand.New(rand.NewPCG(seed, 7)), loadRNG: rand.New(rand.NewPCG(seed, 8)), policy: policy, rateFactor: 1, storedRuns: map[string][]runindex.Record{}}
+	sim.partRNG, sim.crashing = rand.New(rand.NewPCG(seed, 9)), newCrashingParts()
 	sim.start = sim.clock.now
 	for zone := range zoneCount {
 		for range enginesPerZone {
 			e := newEngine(sim.clock, rand.New(rand.NewPCG(seed, uint64(len(sim.engines)+100))), len(sim.engines), zoneName(zone))
+			e.crashesOn = func(j *job) bool { return sim.crashing.crash(j, sim.clock.now) }
+			e.crashed = func() { e.crash(sim) }
 			sim.engines = append(sim.engines, e)
 			sim.registered = append(sim.registered, e.registration())
 		}
@@ -189,7 +195,7 @@
 	}
 	return &client{
 		sim: sim, number: len(sim.clients), key: key, prompt: size(promptMean, promptSpread, promptMax),
-		events: size(eventsMean, eventsSpread, eventsMax), arrived: sim.clock.now, deadline: sim.clock.now.Add(requestTimeout),
+		events: size(eventsMean, eventsSpread, eventsMax), parts: sim.sharedParts(), arrived: sim.clock.now, deadline: sim.clock.now.Add(requestTimeout),
 	}
 }
 
