Keep a verdict on a prompt part when another part explains its crashes better

What callers would see: requests with a part that is known to crash engines are sent again.

Cause: of the parts at a crash, the one with most crashes explains it, and this was judged anew with each crash. Requests with a second crashing part had waited at two of the same engines; when that part had gathered more crashes, the first one kept too few.

Why this works: the crashes by which a part alone was condemned are marked, exchanged and counted whatever explains them later.

--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -56,6 +56,9 @@
 	Requests []uint64
 	// Cleared is set if a response to a request with the part has begun since.
 	Cleared bool
+	// Proven is set if the part alone was condemned by the crash. It counts until it is cleared, whatever explains
+	// it better later on: another crashing part may have been present.
+	Proven bool
 }
 
 // PartRecord is the mergeable state of one part.
@@ -90,6 +93,7 @@
 	run      time.Duration
 	requests []uint64
 	cleared  bool
+	proven   bool
 }
 
 type partState struct {
@@ -280,7 +284,7 @@
 func exportPart(part uint64, s *partState) PartRecord {
 	r := PartRecord{Part: part, Known: s.known}
 	for death, c := range s.crashes {
-		r.Crashes = append(r.Crashes, PartCrash{Death: death, At: c.at, Run: c.run, Requests: slices.Clone(c.requests), Cleared: c.cleared})
+		r.Crashes = append(r.Crashes, PartCrash{Death: death, At: c.at, Run: c.run, Requests: slices.Clone(c.requests), Cleared: c.cleared, Proven: c.proven})
 	}
 	slices.SortFunc(r.Crashes, func(a, b PartCrash) int { return cmp.Compare(a.Death, b.Death) })
 	return r
@@ -315,11 +319,12 @@
 }
 
 // The digest combines one hash for each fact of a part: that it is known, each request of each crash, and
-// that a crash is cleared.
+// that a crash is cleared or proven.
 const (
 	factKnown = iota + 1
 	factRequest
 	factCleared
+	factProven
 )
 
 func partFact(part uint64, fact int, death string, request uint64) uint64 {
@@ -381,6 +386,16 @@
 	if m.Cleared && !c.cleared {
 		t.clearPartCrash(part, s, m.Death, c)
 	}
+	if m.Proven {
+		t.prove(part, s, m.Death, c)
+	}
+}
+
+func (t *Tracker) prove(part uint64, s *partState, death string, c *partCrash) {
+	if !c.proven {
+		c.proven = true
+		t.changePart(s, partFact(part, factProven, death, 0))
+	}
 }
 
 // makeRoom removes the oldest crash of a part. It reports false if that is newer than the given time.
@@ -409,6 +424,9 @@
 	} else {
 		s.active--
 	}
+	if c.proven {
+		t.digest ^= partFact(part, factProven, death, 0)
+	}
 	t.version++
 	list := t.partsAt[death]
 	if i := slices.Index(list, part); i >= 0 {
@@ -502,30 +520,35 @@
 	}
 	var list []crash
 	for death, c := range s.crashes {
-		if !c.cleared && !t.explainedElsewhere(part, s, death, c) {
+		if !c.cleared && (c.proven || !t.explainedElsewhere(part, s, death, c)) {
 			list = append(list, crash{death, c})
 		}
 	}
 	slices.SortFunc(list, func(a, b crash) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.death, b.death)) })
-	counted, credit := 0, map[uint64]int{}
-	var last, since time.Time
+	var counted []crash
+	credit := map[uint64]int{}
+	var last time.Time
 	for _, c := range list {
 		request := t.likeliest(c.requests)
 		sentAfter := c.at.Add(-c.run).After(last)
-		if counted > 0 && c.at.Sub(last) < partCrashSpacing && !sentAfter || credit[request] >= crashesPerRequest {
+		apart := len(counted) == 0 || sentAfter || c.at.Sub(last) >= partCrashSpacing
+		if !c.proven && (!apart || credit[request] >= crashesPerRequest) {
 			continue
 		}
 		credit[request]++
-		counted++
+		counted = append(counted, c)
 		last = c.at
-		if counted == limit {
-			since = c.at
-		}
 	}
-	if counted < limit {
+	if len(counted) < limit {
 		return nil
 	}
-	return &Verdict{Parts: t.indistinguishable(part, s), Crashes: len(list), Requests: len(credit), Since: since, Known: s.known}
+	together := t.indistinguishable(part, s)
+	if len(together) == 1 {
+		for _, c := range counted {
+			t.prove(part, s, c.death, c.partCrash)
+		}
+	}
+	return &Verdict{Parts: together, Crashes: len(list), Requests: len(credit), Since: counted[limit-1].at, Known: s.known}
 }
 
 // explainedElsewhere reports whether a crash that a part was present at is better explained by another
--- a/internal/core/suspect/parts_test.go
+++ b/internal/core/suspect/parts_test.go
@@ -153,6 +153,34 @@
 	c.Check(w.rejected(popular, alsoCrashing), qt.Equals, 0)
 }
 
+// Guards against a verdict that ends when another crashing part, whose requests happened to wait at the same
+// targets, has more crashes and explains some of its own.
+func TestVerdictOutlastsBetterExplanation(t *testing.T) {
+	c := qt.New(t)
+	w := newPartWorld(2)
+	for range 3 {
+		w.crash(0, []uint64{crashing}, []uint64{alsoCrashing})
+		w.at += time.Second
+		w.crash(0, []uint64{alsoCrashing})
+		w.at += time.Second
+		w.trackers[1].PartsBegun([]uint64{popular}, w.now())
+	}
+	w.crash(0, []uint64{crashing})
+	c.Assert(w.rejected(alsoCrashing), qt.Equals, 1)
+	for range 2 {
+		w.at += time.Second
+		w.crash(0, []uint64{crashing})
+	}
+	c.Assert(w.rejected(crashing), qt.Equals, 1)
+	for range 8 {
+		w.at += time.Second
+		w.crash(0, []uint64{alsoCrashing})
+	}
+	w.exchange()
+	c.Check(w.rejected(crashing), qt.Equals, 2)
+	c.Check(w.rejected(alsoCrashing), qt.Equals, 2)
+}
+
 // Guards against a part that was sound for long and crashes targets from some time on, for example with
 // a new version.
 func TestKnownPartIsCondemnedByMoreCrashes(t *testing.T) {
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -154,7 +154,7 @@
 		for _, c := range r.Crashes {
 			out.Crashes = append(out.Crashes, &wire.PartCrash{
 				DeathId: c.Death, AgeMs: uint64(max(0, now.Sub(c.At).Milliseconds())), Requests: c.Requests, Cleared: c.Cleared,
-				RunMs: uint64(max(0, c.Run.Milliseconds())),
+				Proven: c.Proven, RunMs: uint64(max(0, c.Run.Milliseconds())),
 			})
 		}
 		list = append(list, out)
@@ -169,7 +169,7 @@
 		r := suspect.PartRecord{Part: p.Part, Known: p.Known}
 		for _, c := range p.Crashes {
 			r.Crashes = append(r.Crashes, suspect.PartCrash{
-				Death: c.DeathId, At: encodedAt.Add(-decodeMS(c.AgeMs)), Run: decodeMS(c.RunMs), Requests: c.Requests, Cleared: c.Cleared,
+				Death: c.DeathId, At: encodedAt.Add(-decodeMS(c.AgeMs)), Run: decodeMS(c.RunMs), Requests: c.Requests, Cleared: c.Cleared, Proven: c.Proven,
 			})
 		}
 		records = append(records, r)
