Answer each call of a stopping gateway before its grace period ends

Cause: only streams were asked whether they outlast the grace. A call was passed on whatever time was left, and one that still ran at the end lost its connection.

Why this works: a call that may outlast the rest of the grace (its own limit, 2 s at most) is refused as not run, with the time at which another gateway takes it, so that its client sends it elsewhere.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -108,6 +108,9 @@
 		return f.machine.AttemptEnded(time.Now(), r.attempt, r.result)
 	case <-timer.C:
 		return f.machine.Check(time.Now())
+	case <-f.g.callsEnd:
+		// An answer tells the client whether the call may have run; a closed connection would not.
+		return f.machine.Check(f.req.deadline)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,12 +66,15 @@
 	// stopDeadline is the end of the grace period, nil until a stop is requested. It keeps
 	// its monotonic clock reading.
 	stopDeadline atomic.Pointer[time.Time]
-	shutdown     func(context.Context) error
+	// callsEnd is closed when the calls that are still active must be answered, shutdownMargin before
+	// stopDeadline.
+	callsEnd chan struct{}
+	shutdown func(context.Context) error
 }
 
 // Run serves requests until ctx is canceled, then shuts down within the configured grace period.
 func Run(ctx context.Context, options Options) error {
-	g := &Gateway{startedAt: time.Now(), options: &options, log: options.Logger, metrics: newMetrics(options.Registerer)}
+	g := &Gateway{startedAt: time.Now(), options: &options, log: options.Logger, metrics: newMetrics(options.Registerer), callsEnd: make(chan struct{})}
 	g.loop = newEventLoop(&options, g.metrics)
 	g.pool = target.NewPool(g.metrics.connections.Inc, g.loop.traffic.targets.add)
 	// Background tasks outlive ctx, because active requests need them during shutdown.
@@ -196,6 +199,7 @@
 	for g.activeRequests.Load() > 0 && waitCtx.Err() == nil {
 		sleep(waitCtx, stopPollInterval)
 	}
+	close(g.callsEnd)
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), deadline.Add(-shutdownMargin/2))
 	defer cancelShutdown()
 	if err := g.shutdown(shutdownCtx); err != nil {
@@ -213,7 +217,17 @@
 	return g.stopDeadline.Load().Sub(arrived) < minStreamGrace
 }
 
-// retryAfterStopping returns the retry delay for a stream that a stopping gateway refuses:
+// callOutlastsGrace reports whether the gateway is stopping and a call may last longer than the rest of the
+// grace period. Its client learns that it has not run and can send it elsewhere.
+func (g *Gateway) callOutlastsGrace(c *clientRequest) bool {
+	if !g.stopping.Load() {
+		return false
+	}
+	left := g.stopDeadline.Load().Add(-shutdownMargin).Sub(c.arrived)
+	return left < min(c.deadline.Sub(c.arrived), minCallGrace)
+}
+
+// retryAfterStopping returns the retry delay for a request that a stopping gateway refuses:
 // minimal if another gateway is not stopping, otherwise until the first gateway has restarted.
 func (g *Gateway) retryAfterStopping(ctx context.Context) time.Duration {
 	return query(ctx, g.loop, func(st *state) time.Duration {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,6 +39,9 @@
 	// minStreamGrace is the rest of the grace period that a stream needs to complete. With less
 	// time left, a stopping gateway refuses streams, so that clients use another gateway.
 	minStreamGrace = 6500 * time.Millisecond
+	// minCallGrace is the rest of the grace period that a call needs, unless its deadline comes sooner. The
+	// users' calls have objectives of 0.1 to 0.3 s; one that lasts longer is answered as of unknown outcome.
+	minCallGrace = 2 * time.Second
 )
 
 // clientRequest is the state of a client request.
@@ -132,6 +135,10 @@
 		g.serveStream(w, c)
 		return
 	}
+	if g.callOutlastsGrace(c) {
+		g.refuse(w, c, result.Leaving, g.retryAfterStopping(c.ctx))
+		return
+	}
 	g.serveCall(w, c)
 }
 
