Pass crashes by prompt parts along the tree of a large installation at once

What callers would see, above 32 gateways: requests with a part that crashes engines are sent by gateways that learn of the crashes late. Suspects pass between a gateway and its followers with the exchanges that wait up to 0.5 s for news of tables, and 0.25 s follow; with three steps up and three down that is up to 4.5 s, by reading, against the 3 s that the users allow.

Cause: a change of the crashes was no news. It neither woke the exchanges that a gateway holds for its followers nor the one that it waits for itself.

Evidence: TestCrashesOfPartsAreUrgentNews.

Why this works: crashes that prompt parts may have caused are rare and cost engines, so they are news. A gateway answers the exchanges that it holds, and interrupts and repeats its own, at most once in 0.25 s. Crashes charged to requests only do not count as news. The end of a verdict by expiry is a change of the parts, too: gateways went on to refuse until the next crash.

--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -428,6 +428,7 @@
 		t.digest ^= partFact(part, factProven, death, 0)
 	}
 	t.version++
+	t.partVersion++
 	list := t.partsAt[death]
 	if i := slices.Index(list, part); i >= 0 {
 		list = slices.Delete(list, i, i+1)
--- a/internal/core/suspect/parts_test.go
+++ b/internal/core/suspect/parts_test.go
@@ -240,9 +240,11 @@
 		tracker.Expire(w.now())
 	}
 	c.Check(trials >= 12 && trials <= 15, qt.IsTrue, qt.Commentf("%d trials", trials))
+	version := tracker.PartVersion()
 	for w.at += crashTTL; len(tracker.parts) > 0; w.at += time.Minute {
 		tracker.Expire(w.now())
 	}
+	c.Check(tracker.PartVersion(), qt.Not(qt.Equals), version, qt.Commentf("the end of a verdict is a change"))
 	c.Check(w.rejected(popular, crashing), qt.Equals, 0)
 	c.Check(tracker.Digest(), qt.Equals, NewTracker().Digest())
 }
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -68,6 +68,10 @@
 	// verdicts holds the verdicts on prompt parts as of partVersion of the suspects.
 	verdicts    suspect.Verdicts
 	partVersion uint64
+	// partsChangedAt is the version of the suspects at the last change of a part's crashes. partNews is closed
+	// then.
+	partsChangedAt uint64
+	partNews       chan struct{}
 	// attempts holds the open attempts of this gateway by target ID.
 	attempts map[string]map[*attemptHandle]struct{}
 	// confirmedAt is when the local copy of a table was last known to match the store.
@@ -169,6 +173,7 @@
 		activeRuns:      map[uint64]runindex.Record{},
 		lastTick:        now,
 		tableNews:       make(chan struct{}),
+		partNews:        make(chan struct{}),
 	}
 	for i := range st.tables {
 		st.tables[i] = replica.NewTable()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -33,6 +34,7 @@
 // would have to be frequent to bring the store's confirmations in time.
 func (p *peers) followTables(ctx context.Context) {
 	failedAt := map[string]time.Time{}
+	var lastInterrupt time.Time
 	for ctx.Err() == nil {
 		sources := query(ctx, p.g.loop, func(st *state) []string { return st.tableSourceAddresses(p.g.options.Settings.Name) })
 		i := slices.IndexFunc(sources, func(address string) bool { return time.Since(failedAt[address]) >= unreachableBackoff })
@@ -41,7 +43,12 @@
 			continue
 		}
 		address := sources[i]
-		_, err := p.exchange(ctx, address, exchangeKind{held: true})
+		interrupted, err := p.follow(ctx, address)
+		if interrupted {
+			sleep(ctx, time.Until(lastInterrupt.Add(followPause)))
+			lastInterrupt = time.Now()
+			continue
+		}
 		p.recordContact(address, err)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -62,6 +69,26 @@
 	}
 }
 
+// follow makes one exchange with the gateway at an address, which holds it until it has news. The exchange is
+// interrupted when this gateway has news of crashes itself, at most once in followPause: the next one carries
+// them.
+func (p *peers) follow(ctx context.Context, address string) (interrupted bool, err error) {
+	news := query(ctx, p.g.loop, func(st *state) <-chan struct{} { return st.partNews })
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var own atomic.Bool
+	p.g.background(func() {
+		select {
+		case <-news:
+			own.Store(true)
+			cancel()
+		case <-callCtx.Done():
+		}
+	})
+	_, err = p.exchange(callCtx, address, exchangeKind{held: true})
+	return err != nil && own.Load(), err
+}
+
 // tableSourceAddresses returns the addresses of the gateways that this one may follow, the best one
 // first: none if it is the first reader or if there are so few gateways that random exchanges suffice.
 func (st *state) tableSourceAddresses(self string) []string {
@@ -84,7 +111,7 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		news := query(ctx, p.g.loop, func(st *state) <-chan struct{} {
-			if st.hasNews(remote, arrived) {
+			if st.hasNews(remote, arrived) || st.hasPartNews(remote.SuspectSummary, p.incarnation) {
 				return nil
 			}
 			return st.tableNews
@@ -120,6 +147,23 @@
 	return false
 }
 
+// hasPartNews reports whether crashes of prompt parts have changed that the sender of a request with the summary
+// lacks.
+func (st *state) hasPartNews(summary *wire.SuspectSummary, incarnation uint64) bool {
+	if summary == nil || summary.Digest == st.suspects.Digest() {
+		return false
+	}
+	return summary.KnownIncarnation != incarnation && st.partsChangedAt > 0 || st.partsChangedAt > summary.KnownVersion
+}
+
+// announcePartNews wakes the exchanges that are held until there is news, and interrupts the one in which this
+// gateway waits for news itself.
+func (st *state) announcePartNews() {
+	st.announceTableNews()
+	close(st.partNews)
+	st.partNews = make(chan struct{})
+}
+
 // announceTableNews wakes the exchanges that are held until there is news of the tables.
 func (st *state) announceTableNews() {
 	close(st.tableNews)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -10,6 +10,7 @@
 
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/replica"
+	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/wire"
 )
 
@@ -132,6 +133,50 @@
 	c.Check(again.Suspects, qt.HasLen, 0, qt.Commentf("suspects are sent once"))
 }
 
+// Guards against crashes by prompt parts that take as long as the news of tables for each step of the tree: the
+// users allow 3 s for all steps up and down.
+func TestCrashesOfPartsAreUrgentNews(t *testing.T) {
+	c := qt.New(t)
+	size := controlSize{gateways: 40, targets: 3}
+	source, follower := newControlGateway(size, 0), newControlGateway(size, 1)
+	kind := exchangeKind{held: true}
+	hasNews := func() bool {
+		request := follower.peers.request(follower.st, "source", kind)
+		return source.st.hasPartNews(request.SuspectSummary, source.peers.incarnation)
+	}
+	exchange := func() {
+		request := follower.peers.request(follower.st, "source", kind)
+		source.peers.mergeState(source.st, request, time.Time{})
+		follower.peers.mergeAnswer(follower.st, source.peers.answer(source.st, request, time.Now(), kind), "source", time.Now())
+		follower.st.recordSentSuspects("source")
+	}
+	crash := func(g *controlGateway, death string) {
+		g.st.suspects.ReportPartCrash(death, time.Now(), []suspect.Candidate{{Fingerprint: 7, Parts: []uint64{8}}}, time.Now())
+		g.peers.g.loop.partsChanged(g.st, time.Now(), "own")
+	}
+	exchange()
+	source.addSuspects("", 0, 3)
+	c.Check(hasNews(), qt.IsFalse, qt.Commentf("suspected requests are not urgent"))
+	exchange()
+	crash(source, "d1")
+	c.Check(hasNews(), qt.IsTrue)
+	exchange()
+	c.Check(hasNews(), qt.IsFalse)
+	waiting := follower.st.partNews
+	crash(follower, "d2")
+	select {
+	case <-waiting:
+	default:
+		c.Error("the follower's own news does not interrupt its exchange")
+	}
+	exchange()
+	c.Check(hasNews(), qt.IsFalse, qt.Commentf("what came from the follower is no news to it"))
+	c.Check(source.st.suspects.Digest(), qt.Equals, follower.st.suspects.Digest())
+	restarted := newControlGateway(size, 0)
+	request := restarted.peers.request(restarted.st, "source", kind)
+	c.Check(source.st.hasPartNews(request.SuspectSummary, source.peers.incarnation), qt.IsTrue)
+}
+
 // Guards against loads that go to all gateways of a large installation (2.3 MB/s at 370), and against an
 // answer without loads that erases those that the gateway reported before.
 func TestLoadsGoToNeighborsOnly(t *testing.T) {
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -102,11 +102,12 @@
 // partsChanged puts the verdicts on prompt parts into force that follow from changed crashes, which source
 // brought. It interrupts the attempts that a verdict rejects and whose response has not begun.
 func (l *eventLoop) partsChanged(st *state, now time.Time, source string) {
-	if version := st.suspects.PartVersion(); version == st.partVersion {
+	version := st.suspects.PartVersion()
+	if version == st.partVersion {
 		return
-	} else {
-		st.partVersion = version
 	}
+	st.partVersion, st.partsChangedAt = version, st.suspects.Version()
+	st.announcePartNews()
 	before, after := st.verdicts, st.suspects.Verdicts()
 	st.verdicts = after
 	l.verdicts.Store(&after)
