--- a/internal/core/suspect/bench_test.go
+++ b/internal/core/suspect/bench_test.go
@@ -23,3 +23,28 @@
 		}
 	})
 }
+
+// BenchmarkReportPartCrash measures a crash of an engine with ten streams while the tracker has as many parts
+// as it keeps, each with as many crashes.
+func BenchmarkReportPartCrash(b *testing.B) {
+	tracker, at := NewTracker(), now
+	crash := func(n, first int) {
+		var candidates []Candidate
+		for i := range uint64(10) {
+			candidates = append(candidates, Candidate{uint64(n)*10 + i, []uint64{uint64(first)*20 + 2*i, uint64(first)*20 + 2*i + 1}, time.Second})
+		}
+		tracker.ReportPartCrash(fmt.Sprint("d", n), at, candidates, at)
+		at = at.Add(time.Millisecond)
+	}
+	n := 0
+	for range maxPartCrashes {
+		for first := range maxParts/20 - 1 {
+			crash(n, first)
+			n++
+		}
+	}
+	for b.Loop() {
+		crash(n, n%(maxParts/20-1))
+		n++
+	}
+}
--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -28,9 +28,10 @@
 	// knownPartDiscount divides the weight of a part with which responses have begun.
 	knownPartDiscount = 4
 	// maxParts bounds the parts with crashes, maxPartCrashes the crashes of one and maxCrashRequests the
-	// requests of one crash, so that a record has at most 5 KB; most have one or two crashes.
-	maxParts         = 2000
-	maxPartCrashes   = 32
+	// requests of one crash: at most 1 MB, and 10 ms to judge all parts after a crash. An engine with ten
+	// streams adds some 20 parts when it ends.
+	maxParts         = 400
+	maxPartCrashes   = 12
 	maxCrashRequests = 8
 )
 
@@ -591,10 +592,17 @@
 // known, including it, sorted.
 func (t *Tracker) indistinguishable(part uint64, s *partState) []uint64 {
 	parts := []uint64{part}
-	for other, o := range t.parts {
-		if other != part && o.active == s.active && o.known == s.known && sameCrashes(s, o) {
-			parts = append(parts, other)
+	for death, c := range s.crashes {
+		if c.cleared {
+			continue
+		}
+		for _, other := range t.partsAt[death] {
+			if o := t.parts[other]; other != part && o.active == s.active && o.known == s.known && sameCrashes(s, o) {
+				parts = append(parts, other)
+			}
 		}
+		// The others were present at each of the crashes.
+		break
 	}
 	slices.Sort(parts)
 	return parts
