Ask whether an engine crashed whose stream ends before its first event

What callers would see: with answers that have neither a length nor chunks, requests that crash engines by a prompt part go on to do so, and those that crash them by themselves too.

Cause: such an answer ends with its connection, so that an engine that ends after the head seems to have sent a whole, empty stream. The stream was sent to another engine, but the engine was not probed, and by the time that its port was found closed nothing ran there that the crash could be charged to.

Why this works: a stream from its beginning that ends without an event is a broken connection, and is handled like one: the engine is probed before the attempt ends. Comments do not count as a beginning.

--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -322,6 +322,10 @@
 	for {
 		event, err := reader.Read()
 		if errors.Is(err, io.EOF) {
+			if a.start.After == 0 && a.handle.begun.Load() == 0 {
+				// The head of a response without a length ends like a whole one if its engine crashes.
+				return io.ErrUnexpectedEOF
+			}
 			a.send(attemptMessage{kind: attemptCompleted})
 			return nil
 		}
@@ -330,7 +334,7 @@
 		}
 		now := time.Now()
 		a.handle.recordHeard(now)
-		if a.handle.begun.Load() == 0 {
+		if !event.Comment && a.handle.begun.Load() == 0 {
 			a.handle.begun.Store(int64(now.Sub(a.handle.startedAt)))
 		}
 		a.send(attemptMessage{kind: attemptEvent, event: event})
