Try a condemned prompt part again within seconds

What callers would see: if all engines end before any response has begun, the first part that nearly all prompts share has most crashes, and all sound streams with it are refused for a minute.

Cause: a refused request cannot show that its part is harmless, and a part that no response had begun with was tried again after a minute only. Which of two parts is the cause cannot be told from the crashes alone when one of them is in all requests.

Weighed and dropped, each for a test that it breaks: to prefer the part with fewer crashes, or to ignore a part that all requests at the crashes have. A crashing first part would go free beside a session with several crashes.

Why this works: each condemned part is tried 2, 6 and 20 s after the verdict, by one request at one gateway, which for half a second has no other part with many crashes if there is such a request. A sound one clears the part everywhere. A part that does crash engines costs one more for each trial; the users allow three late arrivals.

--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -36,16 +36,16 @@
 )
 
 // A condemned part is tried again with single requests, since it may be condemned by mistake and a refused
-// request says nothing. partTrials holds the times from the verdict to the trials of a part that no
-// response has begun with, knownPartTrials those of other parts, which a mistake would refuse to
-// many. After the last one, trials follow each other at partTrialInterval, which is shorter than crashTTL:
-// as long as such requests come, the verdict stands.
-var (
-	partTrials      = []time.Duration{time.Minute, 5 * time.Minute}
-	knownPartTrials = []time.Duration{2 * time.Second, 15 * time.Second, time.Minute, 5 * time.Minute}
-)
+// request says nothing. partTrials holds the times from the verdict to the trials; the first one comes
+// within the time in which a verdict must spread. After the last one, trials follow each other at
+// partTrialInterval, which is shorter than crashTTL: as long as such requests come, the verdict stands.
+var partTrials = []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second, 2 * time.Minute, 6 * time.Minute}
 
-const partTrialInterval = 9 * time.Minute
+const (
+	partTrialInterval = 9 * time.Minute
+	// trialPatience is short compared with the 2 s until the first trial.
+	trialPatience = 500 * time.Millisecond
+)
 
 // PartCrash is one crash that counts against a part.
 type PartCrash struct {
@@ -102,7 +102,9 @@
 	known   bool
 	changed uint64
 	// active is the number of crashes that are not cleared.
-	active      int
+	active int
+	// credited is the number of them with at most crashesPerRequest of each request, as of the last judgment.
+	credited    int
 	verdict     *Verdict
 	condemnedAt time.Time
 	// tried is the number of trials whose time has come and that were made, here or elsewhere.
@@ -123,9 +125,9 @@
 // weight is how well the part explains the crashes that it was present at.
 func (s *partState) weight() int {
 	if s.known {
-		return s.active
+		return s.credited
 	}
-	return s.active * knownPartDiscount
+	return s.credited * knownPartDiscount
 }
 
 // knownParts remembers parts with which responses have begun, the most recent ones at least.
@@ -217,10 +219,11 @@
 	return true
 }
 
-// TakeTrial reports whether a request may be sent although a verdict rejects it, to find out whether the
-// verdict still holds. Of all trackers, only the one whose owner calls this makes trials, each at its
-// time after the verdict, so that their number is bounded for all.
-func (t *Tracker) TakeTrial(v *Verdict, now time.Time) bool {
+// TakeTrial reports whether a request with the parts may be sent although a verdict rejects it, to find out
+// whether the verdict still holds. Of all trackers, only the one whose owner calls this makes trials, each at its
+// time after the verdict, so that their number is bounded for all. A request with another part that may crash
+// targets shows nothing about the verdict's; it makes the trial only if no other comes within trialPatience.
+func (t *Tracker) TakeTrial(v *Verdict, parts []uint64, now time.Time) bool {
 	s := t.parts[v.Parts[0]]
 	if s == nil || s.verdict == nil {
 		return false
@@ -229,6 +232,12 @@
 	if due <= s.tried {
 		return false
 	}
+	waited := now.Sub(s.condemnedAt) - partTrials[min(due, len(partTrials))-1]
+	for _, part := range parts {
+		if other := t.parts[part]; other != nil && !slices.Contains(v.Parts, part) && 2*other.credited > s.credited && waited < trialPatience {
+			return false
+		}
+	}
 	s.tried = due
 	return true
 }
@@ -238,17 +247,13 @@
 
 // trialsDue returns the number of trials whose time has come.
 func (s *partState) trialsDue(now time.Time) int {
-	schedule := partTrials
-	if s.known {
-		schedule = knownPartTrials
-	}
 	since := now.Sub(s.condemnedAt)
-	for i, after := range schedule {
+	for i, after := range partTrials {
 		if since < after {
 			return i
 		}
 	}
-	return len(schedule) + int((since-schedule[len(schedule)-1])/partTrialInterval)
+	return len(partTrials) + int((since-partTrials[len(partTrials)-1])/partTrialInterval)
 }
 
 // PartChanges returns the parts whose crashes changed after a version of the tracker.
@@ -489,12 +494,18 @@
 // judge decides which parts are condemned. It is called after each change of their crashes.
 func (t *Tracker) judge(now time.Time) {
 	t.verdicts = Verdicts{}
+	for _, s := range t.parts {
+		s.credited = t.creditedCrashes(s)
+	}
 	for part, s := range t.parts {
 		v := t.judgePart(part, s)
 		if v != nil && s.verdict == nil {
 			s.condemnedAt = v.Since
-			// A tracker that learns of the verdict late makes no trials whose time has passed.
-			s.tried = s.trialsDue(now)
+			// A tracker that learns of the verdict late makes up for the first trial only: the tracker that had
+			// to make it may be gone, and a wrong verdict costs most at first.
+			if s.tried = s.trialsDue(now); s.tried == 1 {
+				s.tried = 0
+			}
 		}
 		if s.verdict = v; v != nil {
 			t.verdicts[part] = v
@@ -553,6 +564,24 @@
 	return &Verdict{Parts: together, Crashes: len(list), Requests: len(credit), Since: counted[limit-1].at, Known: s.known}
 }
 
+// creditedCrashes returns the number of crashes of a part with at most crashesPerRequest of each request.
+func (t *Tracker) creditedCrashes(s *partState) (n int) {
+	if s.active == 1 {
+		return 1
+	}
+	credit := map[uint64]int{}
+	for _, c := range s.crashes {
+		if c.cleared {
+			continue
+		}
+		if request := t.likeliest(c.requests); credit[request] < crashesPerRequest {
+			credit[request]++
+			n++
+		}
+	}
+	return n
+}
+
 // explainedElsewhere reports whether a crash that a part was present at is better explained by another
 // part, or by a request without the part that has crashed more targets than the part.
 func (t *Tracker) explainedElsewhere(part uint64, s *partState, death string, c *partCrash) bool {
--- a/internal/emulator/crashing.go
+++ b/internal/emulator/crashing.go
@@ -148,7 +148,7 @@
 		return false
 	}
 	owner := g.sim.gatewayNames()[verdict.Parts[0]%uint64(len(g.sim.gateways))]
-	return owner != g.name || !g.suspects.TakeTrial(verdict, now)
+	return owner != g.name || !g.suspects.TakeTrial(verdict, s.client.parts, now)
 }
 
 // interruptRejected ends the attempts whose prompt has a condemned part before their response begins.
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -59,7 +59,7 @@
 	if verdict == nil || c.trial.Load() && !arrived {
 		return false
 	}
-	if st.ownsPart(verdict.Parts[0], l.options.Settings.Name) && st.suspects.TakeTrial(verdict, now) {
+	if st.ownsPart(verdict.Parts[0], l.options.Settings.Name) && st.suspects.TakeTrial(verdict, c.parts, now) {
 		c.trial.Store(true)
 		l.metrics.partTrials.Inc()
 		c.log.Warn().Strs("parts", formatParts(verdict.Parts)).Int("crashes", verdict.Crashes).Dur("age", now.Sub(verdict.Since)).
