Limit what answers without end occupy in a gateway

Cause: heads, events, failures, reports and ordinary bodies were limited one by one, and parsed heads and reports are a multiple of their bytes. Streams at a silent target reported it once for each other, so that 346 streams left 14,220 tasks. The number of active requests had no limit.

Change: one part of the memory limit for all that targets send, heads counted before they are parsed, one shared probe for a target, one pending report for a stream, a limit on comments and old events, requests beyond the memory refused at once as not run. Settings below 40 MB are rejected. Agents and the table client take heads of 16 KiB instead of 10 MB.

--- a/internal/agent/calls/calls.go
+++ b/internal/agent/calls/calls.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"bramleygap/internal/engineapi"
 	"bramleygap/internal/result"
 	"bramleygap/internal/wire"
 )
@@ -111,6 +112,8 @@
 		DialContext:        dial,
 		IdleConnTimeout:    time.Minute,
 		DisableCompression: true,
+		// An engine that sends a header without end would fill the memory of the agent.
+		MaxResponseHeaderBytes: engineapi.MaxHeaderBytes,
 	}
 }
 
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -43,7 +43,7 @@
 // Each request uses a new connection: on a broken reused connection the transport may
 // resend a request, which would hide a crash of the engine.
 func New(baseURL string) *Client {
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeaderBytes, DialContext: (&net.Dialer{}).DialContext}
 	return &Client{base: baseURL, http: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/engineapi/decoder.go
+++ b/internal/engineapi/decoder.go
@@ -13,6 +13,10 @@
 // MaxLineBytes bounds one line of a stream.
 const MaxLineBytes = 64 << 10
 
+// MaxHeaderBytes bounds the header of an engine's response. Parsed, a header of very short lines occupies a
+// multiple of its bytes, and the default of net/http is 10 MB.
+const MaxHeaderBytes = 16 << 10
+
 // ErrLineTooLong is returned for a line longer than MaxLineBytes.
 var ErrLineTooLong = errors.New("line of the engine's stream is too long")
 
--- a/internal/engineapi/engineapi_test.go
+++ b/internal/engineapi/engineapi_test.go
@@ -35,6 +35,36 @@
 	c.Assert(err, qt.ErrorIs, ErrLineTooLong)
 }
 
+// Guards against an engine that fills the memory of its caller with a header without end.
+func TestHeaderWithoutEnd(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	taken := make(chan int, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		total, _ := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		block := []byte(strings.Repeat("x:\r\n", 4<<10))
+		for {
+			n, err := conn.Write(block)
+			total += n
+			if err != nil {
+				taken <- total
+				return
+			}
+		}
+	}()
+	_, err = New("http://" + listener.Addr().String()).Load(t.Context())
+	c.Check(err, qt.IsNotNil)
+	// The buffers of both sockets hold several MB.
+	c.Check(<-taken < 9<<20, qt.IsTrue)
+}
+
 // Guards against panics and endless loops on arbitrary input.
 func FuzzDecoder(f *testing.F) {
 	f.Add("data: {\"index\":1,\"id\":2,\"bytes\":\"YQ==\"}\n\ndata: {\"finish_reason\":\"stop\",\"tokens\":2}\n\n")
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -52,6 +52,9 @@
 	sendCount      int
 	// sentTo holds the addresses to which the request has been sent.
 	sentTo map[string]bool
+	// responded is closed when the client has got its response, or none will come. Until then the body of
+	// each response occupies memory.
+	responded chan struct{}
 }
 
 // serveCall forwards a non-streaming request and responds to the client.
@@ -62,11 +65,13 @@
 	})
 	f := &callForwarder{
 		g: g, req: c, results: make(chan attemptResult, 8), byAttempt: map[int]attemptResult{}, sentTo: map[string]bool{},
+		responded: make(chan struct{}),
 		machine: forward.New(forward.Options{
 			Idempotent: c.route.Repeatable(), MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
 			TypicalLatency: typicalLatency, TargetLatency: c.route.TargetLatency,
 		}),
 	}
+	defer close(f.responded)
 	f.attemptsCtx, f.cancelAttempts = context.WithDeadline(g.ctx, c.deadline)
 	finish := f.run()
 	if finish.Outcome == forward.CallerLeft {
@@ -208,8 +213,10 @@
 
 // attempt sends the request to a target, records the outcome and delivers the result.
 func (f *callForwarder) attempt(ctx context.Context, e forward.Send, reg membership.Registration, handle *attemptHandle, connect func(context.Context) (*target.Conn, error)) {
+	memory := f.g.memory.Reserve()
+	defer memory.Release()
 	start := time.Now()
-	r := f.sendOnce(ctx, reg, handle, connect)
+	r := f.sendOnce(ctx, reg, handle, connect, memory)
 	r.attempt, r.target = e.Attempt, reg.ID
 	took := time.Since(start)
 	latency := took
@@ -244,10 +251,11 @@
 			Dur("took", took).Msg("attempt failed")
 	}
 	f.results <- r
+	<-f.responded
 }
 
 // sendOnce sends the request to a target and reads the response.
-func (f *callForwarder) sendOnce(ctx context.Context, reg membership.Registration, handle *attemptHandle, connect func(context.Context) (*target.Conn, error)) attemptResult {
+func (f *callForwarder) sendOnce(ctx context.Context, reg membership.Registration, handle *attemptHandle, connect func(context.Context) (*target.Conn, error), memory *target.Reservation) attemptResult {
 	conn, err := connect(ctx)
 	if err != nil {
 		f.g.handleDialError(reg, err)
@@ -275,7 +283,7 @@
 		}
 		return f.connectionLost(ctx, reg, err)
 	}
-	r, reusable, err := f.receive(conn, reg)
+	r, reusable, err := f.receive(conn, reg, memory)
 	if err != nil {
 		_ = conn.Close()
 		return f.connectionLost(ctx, reg, err)
@@ -299,7 +307,7 @@
 
 // receive reads the response to this request and reports whether the connection can be reused.
 // It drops late responses to earlier requests.
-func (f *callForwarder) receive(conn *target.Conn, reg membership.Registration) (attemptResult, bool, error) {
+func (f *callForwarder) receive(conn *target.Conn, reg membership.Registration, memory *target.Reservation) (attemptResult, bool, error) {
 	for {
 		response, err := conn.Receive(f.req.head.Method)
 		if err != nil {
@@ -307,7 +315,7 @@
 		}
 		header := f.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 		f.g.observeResponse(reg, &header, f.req.head.ID, conn.Reused)
-		body, err := f.g.responses.readBody(response.Body)
+		body, err := target.ReadBody(response.Body, maxResponseBytes, memory)
 		if err != nil {
 			return attemptResult{}, false, err
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/gateway/target"
@@ -51,13 +52,17 @@
 
 // Gateway serves client requests by forwarding them to targets.
 type Gateway struct {
-	options        *Options
-	log            zerolog.Logger
-	metrics        *metrics
-	loop           *eventLoop
-	peers          *peers
-	pool           *target.Pool
-	responses      responseMemory
+	options *Options
+	log     zerolog.Logger
+	metrics *metrics
+	loop    *eventLoop
+	peers   *peers
+	pool    *target.Pool
+	// probes shares the probes of a target among the requests that wait for it.
+	probes singleflight.Group
+	// memory is what responses in progress may occupy together, and bodies what client requests may.
+	memory, bodies *target.Memory
+	maxRequests    int64
 	ctx            context.Context
 	startedAt      time.Time
 	tasks          sync.WaitGroup
@@ -76,7 +81,10 @@
 func Run(ctx context.Context, options Options) error {
 	g := &Gateway{startedAt: time.Now(), options: &options, log: options.Logger, metrics: newMetrics(options.Registerer), callsEnd: make(chan struct{})}
 	g.loop = newEventLoop(&options, g.metrics)
-	g.pool = target.NewPool(g.metrics.connections.Inc, g.loop.traffic.targets.add)
+	limits := limitsFor(options.Settings.MemoryLimitMB)
+	g.memory, g.bodies, g.maxRequests = target.NewMemory(limits.responses), target.NewMemory(limits.bodies), limits.requests
+	g.metrics.observeMemory(options.Registerer, g.memory, g.bodies)
+	g.pool = target.NewPool(g.metrics.connections.Inc, g.loop.traffic.targets.add, g.memory)
 	// Background tasks outlive ctx, because active requests need them during shutdown.
 	tasksCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -120,7 +128,7 @@
 func (g *Gateway) serve(group *errgroup.Group, ctx context.Context) error {
 	s := g.options.Settings
 	clients := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTimeout, ErrorLog: g.httpErrorLog("clients"),
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxClientHeaderBytes, IdleTimeout: clientIdleTimeout, ErrorLog: g.httpErrorLog("clients"),
 	}
 	if err := listen(group, s.ClientListen, clients, &g.loop.traffic.clients); err != nil {
 		return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bramleygap/internal/gateway/target"
+)
 
 // metrics holds the Prometheus metrics of a gateway.
 type metrics struct {
@@ -101,3 +105,12 @@
 		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.handlerPanics, m.notices, m.withheld)
 	return m
 }
+
+// observeMemory registers gauges of the memory that messages in progress have reserved.
+func (m *metrics) observeMemory(r prometheus.Registerer, responses, bodies *target.Memory) {
+	for of, memory := range map[string]*target.Memory{"responses": responses, "request_bodies": bodies} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_reserved_bytes", Help: "Memory reserved for messages in progress.", ConstLabels: prometheus.Labels{"of": of},
+		}, func() float64 { return float64(memory.Reserved()) }))
+	}
+}
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -81,7 +81,7 @@
 	options.Settings.Name = "g"
 	g := &Gateway{options: options, log: options.Logger, metrics: newMetrics(options.Registerer), ctx: t.Context(), startedAt: time.Now()}
 	g.loop = newEventLoop(options, g.metrics)
-	g.pool = target.NewPool(func() {}, func(int, int) {})
+	g.pool = target.NewPool(func() {}, func(int, int) {}, target.NewMemory(1<<20))
 	go func() { _ = g.loop.run(t.Context()) }()
 	query(t.Context(), g.loop, func(st *state) bool {
 		st.fleet.Update([]membership.Registration{reg}, func(string) int { return 0 })
@@ -109,7 +109,7 @@
 			g.observe(reg, &TargetResponse{Leaving: notice.Leaving, Pause: notice.Pause}, placement.FromResponse)
 			f := &callForwarder{g: g, req: g.testRequest(t)}
 			handle := &attemptHandle{}
-			r := f.sendOnce(t.Context(), reg, handle, func(ctx context.Context) (*target.Conn, error) { return g.pool.Get(ctx, reg.Address, maxIdle) })
+			r := f.sendOnce(t.Context(), reg, handle, func(ctx context.Context) (*target.Conn, error) { return g.pool.Get(ctx, reg.Address, maxIdle) }, nil)
 			c.Check(r.result, qt.Equals, forward.Unsent)
 			c.Check(r.withheld, qt.IsTrue)
 			c.Check(handle.sent.Load(), qt.IsFalse)
@@ -151,7 +151,7 @@
 		g.observe(reg, &TargetResponse{Pause: time.Minute}, placement.FromResponse)
 		c.Check(g.mayProbe(reg), qt.IsTrue)
 		for range 3 {
-			_, alive := g.probeTarget(reg)
+			alive := g.probeTarget(reg).alive
 			c.Check(alive, qt.IsTrue, qt.Commentf("a target that may not be probed is taken for lost"))
 			_, err := g.probeOnce(t.Context(), reg, "/health")
 			c.Check(err, qt.ErrorIs, target.ErrNotPermitted)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,23 +27,47 @@
 	recheckInterval = 700 * time.Millisecond
 )
 
-// probeTarget probes a target and reports whether it responded. If not, it marks the target down. A
-// target whose pause permits no further probe counts as alive: the streams that it runs still end by
-// their own limits. So does one that resets the probe's connection: targets reset the connections
-// beyond those that they accept and go on with their requests. It gets no new work until it answers.
-func (g *Gateway) probeTarget(reg membership.Registration) (response target.Response, alive bool) {
+// probeResult is the result of a probe that several requests share.
+type probeResult struct {
+	// sentAt is when the probe began.
+	sentAt time.Time
+	// alive is set if the target responded, also if it had no response to give.
+	alive bool
+	// response has status 0 if there is none.
+	response target.Response
+	// report decodes the response, once.
+	report func() (EngineReport, error)
+}
+
+// probeTarget probes a target and reports whether it responded. If not, it marks the target down. Requests that
+// probe a target at the same time share one probe: all that wait at it fall silent together, and each
+// probe costs the target a connection. An event that arrived after the probe began says more than its result.
+func (g *Gateway) probeTarget(reg membership.Registration) *probeResult {
+	result, _, _ := g.probes.Do(reg.ID+"@"+reg.Address, func() (any, error) { return g.probeNow(reg), nil })
+	return result.(*probeResult)
+}
+
+// probeNow probes a target. A target whose pause permits no further probe counts as alive: the streams that it
+// runs still end by their own limits. So does one that resets the probe's connection: targets reset the
+// connections beyond those that they accept and go on with their requests. It gets no new work until it
+// answers.
+func (g *Gateway) probeNow(reg membership.Registration) *probeResult {
+	result := &probeResult{sentAt: time.Now()}
+	result.report = sync.OnceValues(func() (EngineReport, error) { return g.options.Protocol.DecodeReport(result.response.Body) })
 	if !g.mayProbe(reg) {
 		g.metrics.probes.WithLabelValues("held").Inc()
-		return target.Response{}, true
+		result.alive = true
+		return result
 	}
 	var err error
-	probed := time.Now()
 	for range maxProbeAttempts {
+		var response target.Response
 		response, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
 			g.metrics.probes.WithLabelValues("alive").Inc()
 			g.observeUnbound(reg, response, placement.FromProbe)
-			return response, true
+			result.response, result.alive = response, true
+			return result
 		}
 		if connRefused(err) {
 			break
@@ -52,11 +77,12 @@
 		g.metrics.probes.WithLabelValues("reset").Inc()
 		g.log.Info().Str("target", reg.ID).Str("zone", reg.Zone).Msg("target resets new connections; it gets no new requests until it answers")
 		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
-		return target.Response{}, true
+		result.alive = true
+		return result
 	}
 	g.metrics.probes.WithLabelValues("no_answer").Inc()
-	g.reportDown(reg, probed, err)
-	return target.Response{}, false
+	g.reportDown(reg, result.sentAt, err)
+	return result
 }
 
 // reportDown marks a target down that did not accept a connection or answer a probe at the given
@@ -126,7 +152,7 @@
 		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
 		g.background(func() {
 			// A probe that the target's pause does not permit has no response.
-			if response, alive := g.probeTarget(reg); alive && response.Status != 0 {
+			if result := g.probeTarget(reg); result.alive && result.response.Status != 0 {
 				g.loop.post(g.ctx, func(st *state) { st.fleet.MarkUp(reg.ID) })
 			}
 		})
--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -1,6 +1,11 @@
 package gateway
 
 import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,3 +60,50 @@
 		})
 	}
 }
+
+// Scenario: a target falls silent with many streams of a gateway, which all probe it. Guards against a connection
+// for each of them.
+func TestStreamsShareProbe(t *testing.T) {
+	c := qt.New(t)
+	g, reg, _ := startNoticeGateway(t)
+	var probes atomic.Int64
+	asked, answer := make(chan struct{}), make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if probes.Add(1) == 1 {
+			close(asked)
+		}
+		<-answer
+	}))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server.Listener = listener
+	server.Start()
+	t.Cleanup(server.Close)
+	reg.Address = listener.Addr().String()
+	var streams sync.WaitGroup
+	const numStreams = 20
+	streams.Go(func() { g.probeTarget(reg) })
+	<-asked
+	for range numStreams - 1 {
+		streams.Go(func() { g.probeTarget(reg) })
+	}
+	close(answer)
+	streams.Wait()
+	// Those that ask after the answer probe again.
+	c.Check(probes.Load() < numStreams, qt.IsTrue, qt.Commentf("%d probes", probes.Load()))
+}
+
+// Scenario: a target is found down again and again while a stream there is late. Guards against reports that
+// pile up until the process has no memory.
+func TestSilentReportsDoNotPileUp(t *testing.T) {
+	c := qt.New(t)
+	s := &stream{g: &Gateway{}, messages: make(chan attemptMessage)}
+	a := &attempt{s: s, ended: make(chan struct{})}
+	for range 1000 {
+		a.reportSilent()
+	}
+	c.Check((<-s.messages).kind, qt.Equals, attemptSilent)
+	s.g.tasks.Wait()
+	a.reportSilent()
+	c.Check((<-s.messages).kind, qt.Equals, attemptSilent)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	stdlog "log"
 	"math/rand/v2"
 	"net/http"
@@ -103,7 +102,7 @@
 
 // ServeHTTP handles one client request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.activeRequests.Add(1)
+	active := g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	defer func() { g.recordPanic(recover(), r) }()
 	if g.stopping.Load() {
@@ -117,13 +116,19 @@
 		g.refuse(w, c, result.MalformedRequest, 0)
 		return
 	}
+	if active > g.maxRequests {
+		g.refuse(w, c, result.Overloaded, streamRetryAfter+rand.N(streamRetryAfter))
+		return
+	}
 	g.awaitDesiredState(c.ctx)
 	if code := g.admit(c); code != result.OK {
 		g.refuse(w, c, code, notReadyRetryAfter)
 		return
 	}
-	if code := g.readBody(w, r, c); code != result.OK {
-		g.refuse(w, c, code, 0)
+	memory := g.bodies.Reserve()
+	defer memory.Release()
+	if code := g.readBody(w, r, c, memory); code != result.OK {
+		g.refuse(w, c, code, streamRetryAfter)
 		return
 	}
 	c.fingerprint, c.parts = requestFingerprint(c), partIdentities(c.service, c.head.PromptParts)
@@ -219,14 +224,18 @@
 	return result.OK
 }
 
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *clientRequest) result.Code {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *clientRequest, memory *target.Reservation) result.Code {
 	limit := g.loop.published.Load().desired.Config.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := target.ReadBody(http.MaxBytesReader(w, r.Body, limit), int(limit), memory)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, target.ErrMemoryExceeded):
+		// Without its body, the request cannot be sent; the rest of the body is not read.
+		w.Header().Set("Connection", "close")
+		return result.Overloaded
 	case errors.As(err, &tooLarge):
 		return result.RequestTooLarge
 	case err != nil:
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -16,6 +16,9 @@
 // maxFailureBytes limits the body of a failure in place of a stream.
 const maxFailureBytes = 256 << 10
 
+// errUnproductive means that a target sends bytes that are no part of an answer.
+var errUnproductive = errors.New("target sends comments without end")
+
 // attemptHandle is how the event loop identifies and interrupts an open attempt at a target.
 type attemptHandle struct {
 	requestID   string
@@ -121,8 +124,10 @@
 	flowing bool
 	// withheld is set if the attempt says nothing about its target because nothing was sent to it.
 	withheld bool
-	// dropped counts the bytes of events that did not continue the stream since the last that did.
-	dropped int
+	// dropped counts the events that did not continue the stream since the last that did.
+	dropped relay.Unproductive
+	// reportingSilent is set while a report of a silent target waits for the stream.
+	reportingSilent atomic.Bool
 	// processed receives a value when the stream has processed an event, and ended is closed when
 	// the stream has ended the attempt.
 	processed chan struct{}
@@ -173,9 +178,7 @@
 		// The copy contains nearly all of the processed prompt.
 		a.size = placement.GenerationSize{OutputTokens: s.prompt.PromptTokens + s.prompt.OutputTokens}
 	}
-	a.handle.reportSilent = func() {
-		s.g.background(func() { a.send(attemptMessage{kind: attemptSilent}) })
-	}
+	a.handle.reportSilent = a.reportSilent
 	a.streamID, a.copyTarget = s.beginAttempt(a)
 	s.g.background(func() {
 		defer cancel()
@@ -184,6 +187,18 @@
 	return a
 }
 
+// reportSilent tells the stream that its target has answered no probe. A stream that is late gets one report,
+// however often its target is found down meanwhile.
+func (a *attempt) reportSilent() {
+	if !a.reportingSilent.CompareAndSwap(false, true) {
+		return
+	}
+	a.s.g.background(func() {
+		a.send(attemptMessage{kind: attemptSilent})
+		a.reportingSilent.Store(false)
+	})
+}
+
 // beginAttempt records an attempt in the event loop. It returns the id of the stream in the fleet and
 // the address of the engine that is to hold the copy.
 func (s *stream) beginAttempt(a *attempt) (streamID uint64, copyTarget string) {
@@ -314,11 +329,14 @@
 	a.handle.recordHeard(time.Now())
 	a.response = a.s.g.options.Protocol.DecodeResponse(response.StatusCode, response.Header)
 	a.s.g.observeResponse(a.reg, &a.response, a.s.req.head.ID, false)
-	if loss, body := a.checkResponse(response); loss != 0 {
+	memory := a.s.g.memory.Reserve()
+	defer memory.Release()
+	if loss, body := a.checkResponse(response, memory); loss != 0 {
 		a.send(attemptMessage{kind: attemptFailed, loss: loss, failureBody: body})
 		return nil
 	}
-	reader := target.NewEventReader(response.Body)
+	reader := target.NewEventReader(response.Body, memory)
+	var comments relay.Unproductive
 	for {
 		event, err := reader.Read()
 		if errors.Is(err, io.EOF) {
@@ -334,7 +352,14 @@
 		}
 		now := time.Now()
 		a.handle.recordHeard(now)
-		if !event.Comment && a.handle.begun.Load() == 0 {
+		if event.Comment {
+			if !comments.Permits(now, len(event.Raw)) {
+				return errUnproductive
+			}
+			continue
+		}
+		comments.Reset(now)
+		if a.handle.begun.Load() == 0 {
 			a.handle.begun.Store(int64(now.Sub(a.handle.startedAt)))
 		}
 		a.send(attemptMessage{kind: attemptEvent, event: event})
@@ -348,7 +373,7 @@
 
 // checkResponse returns how the attempt failed according to its response, or 0 if it did not, and the
 // body of a failure.
-func (a *attempt) checkResponse(response *http.Response) (relay.Loss, []byte) {
+func (a *attempt) checkResponse(response *http.Response, memory *target.Reservation) (relay.Loss, []byte) {
 	switch {
 	case !a.response.answers(a.s.req.head.ID, false):
 		return relay.Interrupted, nil
@@ -357,8 +382,8 @@
 	case a.response.NotRun:
 		return relay.Refused, nil
 	case a.response.Status != http.StatusOK:
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxFailureBytes+1))
-		if err != nil || len(body) > maxFailureBytes {
+		body, err := target.ReadBody(response.Body, maxFailureBytes, memory)
+		if err != nil {
 			return relay.Interrupted, nil
 		}
 		return relay.Failed, body
@@ -392,14 +417,13 @@
 	lastEvent, expected := a.s.machine.LastEvent(), a.s.machine.ExpectedFirstEvent()
 	silence := a.s.machine.Silence(time.Now())
 	a.s.g.background(func() {
-		probed := time.Now()
-		response, alive := a.s.g.probeTarget(a.reg)
-		event := a.s.req.log.Info().Str("target", a.reg.ID).Bool("alive", alive).Uint64("last_event", lastEvent).
+		result := a.s.g.probeTarget(a.reg)
+		event := a.s.req.log.Info().Str("target", a.reg.ID).Bool("alive", result.alive).Uint64("last_event", lastEvent).
 			Dur("silence", silence).Dur("expected", expected)
 		var report relay.TargetReport
 		reported := false
-		if alive && response.Status != 0 {
-			decoded, err := a.s.g.options.Protocol.DecodeReport(response.Body)
+		if result.alive && result.response.Status != 0 {
+			decoded, err := result.report()
 			event = event.AnErr("error", err).Int("queued", decoded.Queued).Int("running", decoded.Running).
 				Int("memory", decoded.MemoryUsed).Int("capacity", decoded.Capacity)
 			if err == nil {
@@ -416,7 +440,7 @@
 			}
 		}
 		event.Msg("target sent no events; probed it")
-		a.send(attemptMessage{kind: attemptProbed, report: report, reported: reported, alive: alive || !a.handle.leavesSilent(probed)})
+		a.send(attemptMessage{kind: attemptProbed, report: report, reported: reported, alive: result.alive || !a.handle.leavesSilent(result.sentAt)})
 	})
 }
 
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -16,9 +16,6 @@
 	// placementWaitFraction is the fraction of the latency objective that a request waits for a
 	// target before it is refused. Most of the objective is left for another gateway.
 	placementWaitFraction = 0.12
-	// maxDroppedEventBytes limits the events without a new number between two that have one. A
-	// target that resumes may repeat some events.
-	maxDroppedEventBytes = 128 << 10
 	// resumePlacementWait is how long a stream that has already run waits for a target on which
 	// to continue.
 	resumePlacementWait = 3 * time.Second
@@ -229,15 +226,11 @@
 	if !s.headerSent {
 		s.response = a.response
 	}
-	var effects []relay.Effect
-	if !m.event.Comment {
-		effects = s.machine.Event(m.at, m.event.ID)
-	}
-	if len(effects) > 0 {
-		a.dropped = 0
+	if effects := s.machine.Event(m.at, m.event.ID); len(effects) > 0 {
+		a.dropped.Reset(m.at)
 		s.apply(effects, m.event.Raw)
-	} else if a.dropped += len(m.event.Raw); a.dropped > maxDroppedEventBytes {
-		s.req.log.Info().Str("target", a.reg.ID).Int("bytes", a.dropped).Msg("target sends only events that do not continue the stream")
+	} else if !a.dropped.Permits(m.at, len(m.event.Raw)) {
+		s.req.log.Info().Str("target", a.reg.ID).Msg("target sends only events that do not continue the stream")
 		s.apply(s.machine.AttemptFailed(m.at, relay.Interrupted), nil)
 	}
 	a.acknowledge()
@@ -249,12 +242,10 @@
 	case attemptSent:
 		s.machine.SuccessorSent(m.at)
 	case attemptEvent:
-		if !m.event.Comment {
-			if !s.headerSent {
-				s.response = a.response
-			}
-			s.apply(s.machine.SuccessorEvent(m.at, m.event.ID), m.event.Raw)
+		if !s.headerSent {
+			s.response = a.response
 		}
+		s.apply(s.machine.SuccessorEvent(m.at, m.event.ID), m.event.Raw)
 		if s.current == a {
 			a.recordFirstEvent(m.at)
 			a.copies.markStarted()
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,9 +24,6 @@
 	defaultIdleTimeout = 4 * time.Second
 	// idleTimeoutMargin is subtracted from the idle timeout that a target states.
 	idleTimeoutMargin = 500 * time.Millisecond
-	// maxHeadBytes limits what a target sends before the body of a response: interim responses,
-	// status line and header.
-	maxHeadBytes = 64 << 10
 	// maxIdlePerTarget limits the idle connections to a target.
 	maxIdlePerTarget = 16
 )
@@ -38,8 +34,8 @@
 // ErrNotPermitted means that Request.Permit did not permit a request when it was to be sent.
 var ErrNotPermitted = errors.New("target accepts no requests now")
 
-// ErrHeadTooLong means that a target sent more than maxHeadBytes without beginning a body.
-var ErrHeadTooLong = errors.New("response head exceeds 64 KiB")
+// ErrHeadTooLong means that a target sent more than maxHeadBytes or maxHeadLines without beginning a body.
+var ErrHeadTooLong = errors.New("response head exceeds 64 KiB or 256 lines")
 
 // ErrProtocolSwitched means that a target sent "101 Switching Protocols", which no request asks for.
 // What follows on the connection is not HTTP.
@@ -53,9 +49,11 @@
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	onBytes     func(in, out int)
-	// readingHead is set while the head of a response is read, and headBytes counts its bytes.
+	// readingHead is set while the head of a response is read. memory is what the head may occupy.
 	readingHead bool
-	headBytes   int
+	head        headScanner
+	headErr     error
+	memory      *Reservation
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
 	// bodyWritten is closed when the concurrent write of the body has ended with writeErr. It is
@@ -70,14 +68,16 @@
 	onOpen func()
 	// onBytes is called with the number of bytes read and written.
 	onBytes func(in, out int)
-	mu      sync.Mutex
-	idle    map[string][]*Conn
+	// memory limits what the heads and buffered bodies of responses occupy together.
+	memory *Memory
+	mu     sync.Mutex
+	idle   map[string][]*Conn
 }
 
 // NewPool returns an empty pool. onOpen is called for each new connection and onBytes with the
-// bytes that each read and write transferred.
-func NewPool(onOpen func(), onBytes func(in, out int)) *Pool {
-	return &Pool{dialer: NewDialer(), onOpen: onOpen, onBytes: onBytes, idle: map[string][]*Conn{}}
+// bytes that each read and write transferred. memory limits what responses in progress occupy.
+func NewPool(onOpen func(), onBytes func(in, out int), memory *Memory) *Pool {
+	return &Pool{dialer: NewDialer(), onOpen: onOpen, onBytes: onBytes, memory: memory, idle: map[string][]*Conn{}}
 }
 
 // Get returns a connection that has been idle for less than maxIdle, or a new one.
@@ -95,22 +95,39 @@
 		return nil, err
 	}
 	p.onOpen()
-	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes}
+	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve()}
 	conn.reader = bufio.NewReaderSize(conn, readBufferSize)
 	return conn, nil
 }
 
 // Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.readingHead && c.headBytes >= maxHeadBytes {
-		return 0, ErrHeadTooLong
+	if c.readingHead && c.headErr != nil {
+		// The buffer above forgets an error once it has returned it.
+		return 0, c.headErr
 	}
 	n, err := c.Conn.Read(p)
 	c.onBytes(n, 0)
-	c.headBytes += n
+	if c.readingHead {
+		if c.headErr = c.scanHead(p[:n]); c.headErr != nil {
+			return 0, c.headErr
+		}
+	}
 	return n, err
 }
 
+// scanHead checks the next bytes of a head before they are parsed. A head that is complete within the first
+// read needs no reservation: the buffer holds it.
+func (c *Conn) scanHead(data []byte) error {
+	if err := c.head.scan(data); err != nil {
+		return err
+	}
+	if c.head.ended || c.head.bytes <= readBufferSize {
+		return nil
+	}
+	return c.memory.Grow(headMemoryFactor * c.head.bytes)
+}
+
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
@@ -287,10 +304,25 @@
 // connection fails before the end of the response.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
-	c.readingHead, c.headBytes = true, 0
-	defer func() { c.readingHead = false }()
+	c.readingHead, c.head, c.headErr = true, newHeadScanner(), nil
+	defer func() {
+		c.readingHead = false
+		c.memory.Release()
+	}()
+	// The end of the previous response may have brought bytes of this head.
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.scanHead(buffered); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(c.reader, request)
+		if c.headErr != nil {
+			// The parser may report the line that it could not read completely instead.
+			return nil, c.headErr
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -324,8 +356,9 @@
 	Body   []byte
 }
 
-// maxBufferedBody is the size in bytes beyond which the body of a Response is truncated.
-const maxBufferedBody = 1 << 20
+// maxBufferedBody limits the body of a Response in bytes. The report of an engine with 64 streams has
+// about 5 KB.
+const maxBufferedBody = 64 << 10
 
 // Probe sends a GET request for a path over a new connection.
 func (p *Pool) Probe(ctx context.Context, address, path string, timeout time.Duration) (Response, error) {
@@ -333,7 +366,8 @@
 }
 
 // Do sends a request over a new connection and reads the response. If req.Host is empty, it sets
-// it to the address.
+// it to the address. A body beyond maxBufferedBody is dropped: the target has answered, but nothing can be
+// decoded from its answer.
 func (p *Pool) Do(ctx context.Context, address string, req *Request, timeout time.Duration) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -354,8 +388,10 @@
 	if err != nil {
 		return Response{}, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBody))
-	if err != nil {
+	memory := p.memory.Reserve()
+	defer memory.Release()
+	body, err := ReadBody(response.Body, maxBufferedBody, memory)
+	if err != nil && !errors.Is(err, ErrBodyTooLong) && !errors.Is(err, ErrMemoryExceeded) {
 		return Response{}, err
 	}
 	return Response{Status: response.StatusCode, Header: response.Header, Body: body}, nil
--- a/internal/gateway/target/events.go
+++ b/internal/gateway/target/events.go
@@ -32,23 +32,45 @@
 type EventReader struct {
 	reader *bufio.Reader
 	event  []byte
+	memory *Reservation
 }
 
-// NewEventReader returns an EventReader that reads from body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize)}
+// NewEventReader returns an EventReader that reads from body. It reserves memory for events that exceed
+// the buffer of the stream; the caller releases it.
+func NewEventReader(body io.Reader, memory *Reservation) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, readBufferSize), memory: memory}
+}
+
+// append adds a part of a line to the event.
+func (r *EventReader) append(part []byte) error {
+	size := len(r.event) + len(part)
+	if size > maxEventBytes {
+		return ErrEventTooLong
+	}
+	if size > cap(r.event) && size > readBufferSize {
+		size = min(2*size, maxEventBytes)
+		if err := r.memory.Grow(size); err != nil {
+			return err
+		}
+		r.event = append(make([]byte, 0, size), r.event...)
+	}
+	r.event = append(r.event, part...)
+	return nil
 }
 
 // Read returns the next event. It returns io.EOF if the stream ended after a complete event.
 func (r *EventReader) Read() (Event, error) {
 	if n := len(r.event); n > 0 && endsEvent(r.event) {
 		r.event = r.event[:0]
+		if cap(r.event) > readBufferSize {
+			r.event = nil
+			r.memory.Release()
+		}
 	}
 	for {
 		line, err := r.reader.ReadSlice('\n')
-		r.event = append(r.event, line...)
-		if len(r.event) > maxEventBytes {
-			return Event{}, ErrEventTooLong
+		if err := r.append(line); err != nil {
+			return Event{}, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -19,7 +19,7 @@
 	c := qt.New(t)
 	text := "id: 1\ndata: a\n\nweights: 2\nid: 2\r\ndata: b\r\n\r\ndata: no number\n\nid: 4\ndata: c"
 	for _, reader := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text))} {
-		events := NewEventReader(reader)
+		events := NewEventReader(reader, nil)
 		for _, want := range []uint64{1, 2, 0} {
 			event, err := events.Read()
 			c.Assert(err, qt.IsNil)
@@ -28,23 +28,46 @@
 		_, err := events.Read()
 		c.Check(err, qt.ErrorIs, ErrTruncatedEvent)
 	}
-	_, err := NewEventReader(strings.NewReader("")).Read()
+	_, err := NewEventReader(strings.NewReader(""), nil).Read()
 	c.Check(err, qt.ErrorIs, io.EOF)
-	events := NewEventReader(strings.NewReader(": a\n:\r\n\r\n: a\ndata: b\n\n"))
+	events := NewEventReader(strings.NewReader(": a\n:\r\n\r\n: a\ndata: b\n\n"), nil)
 	for _, want := range []bool{true, false} {
 		event, err := events.Read()
 		c.Assert(err, qt.IsNil)
 		c.Check(event.Comment, qt.Equals, want)
 	}
-	_, err = NewEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).Read()
+	_, err = NewEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1)), nil).Read()
 	c.Check(err, qt.ErrorIs, ErrEventTooLong)
 }
 
+// Guards against events that together occupy more than the memory for responses, and against one that
+// keeps its memory after it was processed.
+func TestLargeEventsShareMemory(t *testing.T) {
+	c := qt.New(t)
+	memory := NewMemory(maxEventBytes)
+	held := memory.Reserve()
+	large := "data: " + strings.Repeat("x", ordinaryBytes) + "\n\n"
+	events := NewEventReader(strings.NewReader(large+"id: 2\n\n"), held)
+	_, err := events.Read()
+	c.Assert(err, qt.ErrorIs, ErrMemoryExceeded)
+	held.Release()
+
+	memory = NewMemory(4 * maxEventBytes)
+	events = NewEventReader(strings.NewReader(large+"id: 2\n\n"), memory.Reserve())
+	_, err = events.Read()
+	c.Assert(err, qt.IsNil)
+	c.Check(memory.Reserved() >= ordinaryBytes, qt.IsTrue)
+	event, err := events.Read()
+	c.Assert(err, qt.IsNil)
+	c.Check(event.ID, qt.Equals, uint64(2))
+	c.Check(memory.Reserved(), qt.Equals, int64(0))
+}
+
 // Guards against panics and infinite loops on arbitrary streams.
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		events := NewEventReader(strings.NewReader(text))
+		events := NewEventReader(strings.NewReader(text), nil)
 		for range len(text) + 1 {
 			if _, err := events.Read(); err != nil {
 				return
@@ -107,7 +130,7 @@
 		}
 	})
 	opened := 0
-	pool := NewPool(func() { opened++ }, func(int, int) {})
+	pool := NewPool(func() { opened++ }, func(int, int) {}, NewMemory(1<<20))
 	for i, extra := range []string{"", okResponse, "", "close", ""} {
 		conn, err := pool.Get(t.Context(), address, time.Minute)
 		c.Assert(err, qt.IsNil)
@@ -151,7 +174,7 @@
 		_, _ = http.ReadRequest(bufio.NewReader(conn))
 		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"+okResponse)
 	})
-	conn, err := NewPool(func() {}, func(int, int) {}).Dial(t.Context(), address)
+	conn, err := NewPool(func() {}, func(int, int) {}, NewMemory(1<<20)).Dial(t.Context(), address)
 	c.Assert(err, qt.IsNil)
 	_, err = conn.Send(getRequest())
 	c.Assert(err, qt.IsNil)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 16 << 10
 	// EffectHeader with the value EffectNone marks an error response to a request
 	// that was refused before it took effect.
 	EffectHeader = "Platform-Effect"
@@ -61,7 +63,9 @@
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		// The default of 10 MB would occupy far more when parsed.
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
 	}
 	return &Client{
 		base:    strings.TrimSuffix(options.BaseURL, "/"),
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -25,7 +25,8 @@
 	StoreAddress string `toml:"store_address"`
 	// Seeds are PeerListen addresses of some gateways. They may be stale.
 	Seeds []string `toml:"seeds"`
-	// MemoryLimitMB is the memory use at which the platform kills the process, in MB; 0 means none.
+	// MemoryLimitMB is the memory use at which the platform kills the process, in MB; 0 means none. What
+	// requests and answers may occupy together follows from it.
 	MemoryLimitMB int64 `toml:"memory_limit_mb"`
 	// Grace is the time between the request to stop and the forced termination of the process.
 	Grace  opconfig.Duration `toml:"grace"`
@@ -51,6 +52,10 @@
 // minGrace is the shortest valid grace: the load balancer takes 2 s to detect a stop.
 const minGrace = 3 * time.Second
 
+// minMemoryLimitMB is the smallest valid memory limit in MB. A gateway that serves a few requests has
+// about 35 MB resident.
+const minMemoryLimitMB = 40
+
 // LoadGateway reads and validates the settings file of a gateway. The error lists all
 // problems with file, line and key.
 func LoadGateway(path string) (Gateway, error) {
@@ -79,8 +84,8 @@
 	checkDistinct(d, []string{"client_listen", "readiness_listen", "peer_listen", "admin_listen"},
 		[]string{s.ClientListen, s.ReadinessListen, s.PeerListen, s.AdminListen})
 	d.Address("store_address", s.StoreAddress, false)
-	if s.MemoryLimitMB < 0 {
-		d.Add("memory_limit_mb", "is negative; write a number of MB, or 0 for no limit")
+	if s.MemoryLimitMB != 0 && s.MemoryLimitMB < minMemoryLimitMB {
+		d.Add("memory_limit_mb", "is below 40, which a gateway needs without any request; write a number of MB, or 0 for no limit")
 	}
 	if s.Grace.Duration < minGrace {
 		d.Add("grace", "is shorter than 3 s; the load balancer would still send connections")
