Use sound targets again after their queue, not failing ones that are faster

Cause: after a burst of answers without end, calls went on to the failing targets for more than 20 s (900 requests beside load, five calls in a row in the log): a failing target costs up to 1 s, and the sound one had an average latency of seconds from its queue that nothing lowered, since it got no call.

Change: a target that fails most calls is the last resort, as for streams; the excess of a target's latency over the lowest one decays (half-life 5 s). The test of answers without end asks for service afterwards instead of during the burst, which depends on the speed of the machine.

Tests: TestFastFailuresDoNotAttractCalls, TestTargetIsUsedAgainAfterSlowness (both fail before).

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -118,23 +119,42 @@
 // ChooseCall returns the target for a short call: the one with the lowest expected latency,
 // estimated from its calls in flight and its observed latency and failure rate.
 func (f *Fleet) ChooseCall(now time.Time, q FleetQuery) (membership.Registration, bool) {
-	t := f.best(now, &q, func(t *targetState) time.Duration { return f.callCost(now, t) })
+	usual := f.lowestLatency(now, &q)
+	t := f.best(now, &q, func(t *targetState) time.Duration { return f.callCost(now, t, usual) })
 	if t == nil {
 		return membership.Registration{}, false
 	}
 	return t.reg, true
 }
 
-func (f *Fleet) callCost(now time.Time, t *targetState) time.Duration {
+// lowestLatency returns the lowest observed latency of the admitted targets, 0 if none is known.
+func (f *Fleet) lowestLatency(now time.Time, q *FleetQuery) time.Duration {
+	lowest := time.Duration(0)
+	for _, t := range f.order {
+		if t.latency > 0 && (lowest == 0 || t.latency < lowest) && q.admits(t, now) {
+			lowest = t.latency
+		}
+	}
+	return lowest
+}
+
+// callCost returns the expected latency of a call. A target that fails most of its calls is the last resort:
+// its failures come faster than the answers of a sound target that has a queue. The excess of a target's
+// latency over the usual one decays, since only calls would show that its queue has ended.
+func (f *Fleet) callCost(now time.Time, t *targetState, usual time.Duration) time.Duration {
 	slots := max(1, t.reg.Slots)
 	latency := max(t.latency, time.Millisecond)
+	if latency > usual && !t.latencyAt.IsZero() {
+		halfLives := float64(now.Sub(t.latencyAt)) / float64(latencyHalfLife)
+		latency = usual + time.Duration(float64(latency-usual)/math.Exp2(halfLives))
+	}
 	cost := latency + latency*time.Duration(t.activeCalls)/time.Duration(slots)*2
 	cost += t.leavingPenalty(now)
 	if t.reg.Zone != f.zone {
 		cost += otherZoneCost
 	}
 	if rate := t.failures.get(now); rate > failureThreshold {
-		cost += time.Duration(rate * float64(time.Second))
+		cost += lastResortCost + time.Duration(rate*float64(time.Second))
 	}
 	return cost + time.Duration(f.rng.Int64N(int64(2*time.Millisecond)))
 }
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -65,6 +65,9 @@
 	// failureHalfLife is the half-life of a failure rate without new samples.
 	failureHalfLife = 2 * time.Second
 	latencyWeight   = 0.2
+	// latencyHalfLife is the half-life of the excess of a target's latency over that of the others without
+	// new samples.
+	latencyHalfLife = 5 * time.Second
 	slownessWeight  = 0.5
 	// maxSlowness bounds the slowness of a target, so that it recovers within a few samples.
 	maxSlowness = 10.0
@@ -194,8 +197,10 @@
 	// slowness is the factor by which prefill takes longer than nominal, at least 1.
 	slowness decayingAverage
 	failures decayingAverage
-	latency  time.Duration
-	work     workEvidence
+	// latency is the average latency of calls, and latencyAt the time of its last sample.
+	latency   time.Duration
+	latencyAt time.Time
+	work      workEvidence
 }
 
 // stream is one generation placed on a target by this gateway.
@@ -536,6 +541,7 @@
 	t.failures.add(now, sample, failureWeight)
 	if latency > 0 {
 		t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
+		t.latencyAt = now
 	}
 }
 
