Leave an engine that lost a resumption with its process

Meanwhile the next process at the address answers the probes and works on other streams, so that the engine counted as working, and a stream without a copy stays at such an engine.

TestResumptionLostWithItsEngine fails before.

--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -774,8 +774,8 @@
 }
 
 // hung reports whether the current target, which has been silent for longer than the limit, does not
-// work on the stream. A working engine continues all runs that it lists at each step; events that it
-// lists and that do not arrive are lost.
+// work on the stream, though it may work on others. A working engine continues all runs that it lists at
+// each step; events that it lists and that do not arrive are lost.
 func (m *Machine) hung(now time.Time) bool {
 	switch {
 	case m.report.Progress == placement.ProgressUnknown:
@@ -785,6 +785,10 @@
 	case m.report.RunListed:
 		limit, ok := m.limit(false)
 		return ok && now.Sub(m.lastActivity) >= limit
+	case m.placement.Resume && m.attemptEvents == 0 && m.report.Queued == 0:
+		// A run that resumes reads no prompt: it waits or is listed. The engine has ended since, and another
+		// process at its address works on other streams.
+		return true
 	}
 	return m.report.Progress == placement.Missing
 }
--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -433,6 +433,43 @@
 	c.Check(stallDuration(m, start, false), qt.Equals, time.Duration(0))
 }
 
+// Scenario: a stream resumes at the holder of its copy, whose engine ends 20 ms later without a word on the
+// connection. Another process at the address answers the probes and works on other streams. Guards against a
+// stream that waits there; one did for 8 s, until its connection broke. An engine with a queue may have
+// the stream in it and is not left.
+func TestResumptionLostWithItsEngine(t *testing.T) {
+	for name, test := range map[string]struct {
+		report TargetReport
+		left   bool
+	}{
+		"unknown to the engine": {TargetReport{Progress: placement.Working}, true},
+		"queued":                {TargetReport{Progress: placement.Working, Queued: 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newOpenMachine(options(), Placement{Target: "a", CopyTarget: "b"})
+			m.Event(start, 1)
+			m.AttemptFailed(start, TargetDown)
+			m.Placed(start, Placement{Target: "b", Resume: true})
+			var seek SeekSuccessor
+			now := start
+			for now = m.NextCheck(); seek.Loss == 0 && now.Sub(start) < 2*resumeTimeout; now = m.NextCheck() {
+				m.Check(now)
+				m.TargetReported(test.report)
+				for _, e := range m.Probed(now, true, false) {
+					seek, _ = e.(SeekSuccessor)
+				}
+			}
+			if !test.left {
+				c.Check(seek.Loss, qt.Equals, Loss(0))
+				return
+			}
+			c.Check(seek.Loss, qt.Equals, Hung)
+			c.Check(m.lastCheck.Sub(start) < 2*time.Second, qt.IsTrue)
+		})
+	}
+}
+
 // Guards against a stream that does not end at its deadline.
 func TestDeadline(t *testing.T) {
 	c := qt.New(t)
