Refuse streams whose last event cannot come before their deadline

Change: a gateway learns from complete streams how many events a request has for the tokens that it permits, and their interval; what the rest takes at least is added to the expected time to the first event.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -63,6 +63,8 @@
 	startedAt       time.Time
 	inflightStreams map[string]int
 	latencies       map[string]*retry.Estimate
+	// completions estimates for each service how long the rest of a stream takes.
+	completions     map[string]*placement.Completion
 	suspects        *suspect.Tracker
 	suspectExchange suspectExchange
 	// verdicts holds the verdicts on prompt parts as of partVersion of the suspects.
@@ -161,6 +163,7 @@
 		startedAt:       now,
 		inflightStreams: map[string]int{},
 		latencies:       map[string]*retry.Estimate{},
+		completions:     map[string]*placement.Completion{},
 		suspects:        suspect.NewTracker(),
 		suspectExchange: suspectExchange{merged: map[string]mergedSuspects{}, sent: map[string]uint64{}},
 		attempts:        map[string]map[*attemptHandle]struct{}{},
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -71,6 +71,7 @@
 	})
 	s.run()
 	g.endRun(c, s.outcome == relay.Complete)
+	s.recordCompletion()
 	s.respond()
 }
 
@@ -335,7 +336,7 @@
 			return placementResult{rejected: true}
 		}
 		fleetQuery := placement.FleetQuery{Service: s.req.service, Exclude: e.Exclude, LastResort: s.machine.LastResort(), WarmTarget: s.previousTarget}
-		if !s.machine.Ran() && holder == "" && st.deadlineTooShort(now, s.req, fleetQuery, s.prompt) {
+		if !s.machine.Ran() && st.deadlineTooShort(now, s.req, fleetQuery, s.prompt, holder) {
 			return placementResult{deadlineTooShort: true}
 		}
 		placed := st.placeStream(now, fleetQuery, s.req.versionDraw, holder, s.prompt)
@@ -455,11 +456,34 @@
 	return taken
 }
 
-// deadlineTooShort reports whether a stream that has not run cannot get its first event before
-// its deadline. Processing its prompt would only delay other streams.
-func (st *state) deadlineTooShort(now time.Time, c *clientRequest, fleetQuery placement.FleetQuery, prompt placement.GenerationSize) bool {
-	expected, ok := st.fleet.TimeToFirstEvent(now, fleetQuery, prompt)
-	return ok && now.Add(expected).After(c.deadline)
+// deadlineTooShort reports whether a stream that has not run cannot get its last event before its deadline, at
+// the holder of its copy or else anywhere. Processing its prompt would only delay other streams.
+func (st *state) deadlineTooShort(now time.Time, c *clientRequest, fleetQuery placement.FleetQuery, prompt placement.GenerationSize, holder string) bool {
+	least := st.completions[c.service].Least(c.head.Prompt.OutputTokens, c.head.LastEventID)
+	if holder == "" {
+		expected, ok := st.fleet.TimeToFirstEvent(now, fleetQuery, prompt)
+		if !ok {
+			return false
+		}
+		least += expected
+	}
+	return now.Add(least).After(c.deadline)
+}
+
+// recordCompletion records how long a stream took that one target generated from its first event on.
+func (s *stream) recordCompletion() {
+	if s.outcome != relay.Complete || s.machine.Attempts() != 1 || s.req.head.LastEventID > 0 {
+		return
+	}
+	took, events := time.Since(s.req.arrived)-s.req.firstEvent, s.machine.Delivered()
+	s.g.loop.post(s.g.ctx, func(st *state) {
+		estimate := st.completions[s.req.service]
+		if estimate == nil {
+			estimate = &placement.Completion{}
+			st.completions[s.req.service] = estimate
+		}
+		estimate.Observe(s.req.head.Prompt.OutputTokens, events, took)
+	})
 }
 
 func (st *state) placeStream(now time.Time, fleetQuery placement.FleetQuery, draw uint64, holder string, prompt placement.GenerationSize) placementResult {
