Keep prompts away from running streams, and emulate a loss of power

A running stream at a candidate cost 25 ms, so that a gateway filled its two preferred engines while others had no stream.

Change: above 32 gateways a running stream costs 0.12 of the time to read the prompt. TestPromptsAvoidRunningStreams fails before.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -169,6 +169,16 @@
 	return f.timeToFirstEvent(now, t, q.uncached(t, size)), true
 }
 
+// EarliestEnd returns when a generation can end at the earliest whose events take rest from the first to the last:
+// at the target that holds its copy, or else at the best one. It returns false if there is no admitted target.
+func (f *Fleet) EarliestEnd(now time.Time, q FleetQuery, size GenerationSize, holder string, rest time.Duration) (time.Time, bool) {
+	if holder != "" && f.Accepts(now, holder) {
+		return now.Add(rest), true
+	}
+	first, ok := f.TimeToFirstEvent(now, q, size)
+	return now.Add(first + rest), ok
+}
+
 // uncached returns the size with the prompt tokens that the target must prefill.
 func (q *FleetQuery) uncached(t *targetState, size GenerationSize) GenerationSize {
 	if t.reg.ID == q.WarmTarget {
@@ -241,7 +251,8 @@
 func (f *Fleet) ChooseEngine(now time.Time, q FleetQuery, size GenerationSize) (membership.Registration, bool) {
 	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		memory, streams, copies := f.totalLoad(now, t)
-		cost := f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*streamCost + time.Duration(copies)*copyCost
+		uncached := q.uncached(t, size)
+		cost := f.timeToFirstEvent(now, t, uncached) + time.Duration(streams)*f.joiningCost(now, t, uncached) + time.Duration(copies)*copyCost
 		if t.memoryCapacity > 0 && memory+size.memory() > t.memoryCapacity {
 			cost += lastResortCost
 		}
@@ -259,6 +270,17 @@
 	return t.reg, true
 }
 
+// joiningCost returns what each running stream at a target costs that a prompt would join: its events are late while
+// the prompt is read. Where all gateways choose among all targets, those with the fewest streams would attract the
+// prompts of all of them, so that it is small there.
+func (f *Fleet) joiningCost(now time.Time, t *targetState, uncached GenerationSize) time.Duration {
+	if SharesAll(len(f.gateways)) {
+		return streamCost
+	}
+	reading := prefillTime(uncached.PromptTokens, t.slowness.get(now))
+	return max(streamCost, time.Duration(joinedShare*float64(reading)))
+}
+
 // ChooseCopy returns the engine for the KV cache copy of a generation. q.AvoidZone is the
 // zone of the engine that runs the generation; the copy is placed in another zone if possible.
 // The copies of one zone's streams are spread over many engines, because all of them resume
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -32,9 +32,12 @@
 	leavingCost = 3 * time.Second
 	// leavingReportTTL is how long a target's report that it is leaving is valid.
 	leavingReportTTL = 4 * time.Second
-	// streamCost is the cost of each running stream at a candidate: prefill of a new prompt
-	// delays the events of all of them.
-	streamCost = 25 * time.Millisecond
+	// streamCost is the least cost of each running stream at a candidate, and joinedShare that cost as a share of
+	// the time to read the prompt. An engine reads a part of a prompt with each token of its streams, which
+	// take several times as long meanwhile. The share is well below that, since a late first event delays the
+	// whole stream that waits for it.
+	streamCost  = 25 * time.Millisecond
+	joinedShare = 0.12
 	// copyCost is the cost of each KV cache copy at a candidate: when the target that runs the
 	// stream is lost, the stream resumes at its copy.
 	copyCost = 15 * time.Millisecond
--- a/internal/core/placement/fleet_test.go
+++ b/internal/core/placement/fleet_test.go
@@ -52,6 +52,38 @@
 	}
 }
 
+// Load pattern: 40 gateways with a few streams each; one has three on each engine that it is to fill first, while the
+// others that it uses have none. Guards against prompts that join running streams, which delays each of them by
+// nearly the time to read the prompt, and against short prompts that leave the preferred engines for that.
+func TestPromptsAvoidRunningStreams(t *testing.T) {
+	c := qt.New(t)
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprint("g", i))
+	}
+	f := newFleet(names[0], engines(90))
+	f.SetGateways(names)
+	busy := map[string]bool{}
+	targets, _ := f.nearby(fleetQuery.Service)
+	for target := range targets {
+		if id := target.reg.ID; f.prefers(target) {
+			busy[id] = true
+			for k := range 3 {
+				began := now.Add(time.Duration(k-4) * 2 * time.Second)
+				stream := f.BeginStream(began, id, "", typicalSize)
+				f.RecordFirstEvent(began.Add(f.timeToFirstEvent(began, target, typicalSize)/2), id, stream)
+			}
+		}
+	}
+	c.Assert(len(busy) > 0 && len(busy) < 12, qt.IsTrue, qt.Commentf("%d engines preferred", len(busy)))
+	reg, ok := f.ChooseEngine(now, fleetQuery, typicalSize)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(busy[reg.ID], qt.IsFalse, qt.Commentf("%s has three streams", reg.ID))
+	reg, ok = f.ChooseEngine(now, fleetQuery, GenerationSize{PromptTokens: 100, OutputTokens: 100})
+	c.Assert(ok, qt.IsTrue)
+	c.Check(busy[reg.ID], qt.IsTrue, qt.Commentf("%s is preferred by another gateway", reg.ID))
+}
+
 // Load pattern: several gateways choose before they receive each other's loads. Guards
 // against two prompts on one engine while others are idle; a choice by load alone collides.
 func TestGatewaysPreferOwnTargets(t *testing.T) {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -114,6 +114,23 @@
 	}
 }
 
+// Scenario: all gateways lose power, and their clients return after 18 s with little time left, next to new
+// requests. Guards against prompts that are read for streams that cannot end in time, and against refusing streams
+// that can.
+func TestStreamsThatCannotEndReadNoPrompt(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	summaries := simulateAll(t, "power-lost")
+	readsAll, product := summaries["reads all"], summaries["product"]
+	c.Check(product.WastedPrefillTokens < readsAll.WastedPrefillTokens, qt.IsTrue, qt.Commentf("wasted prefill tokens: %d, reading all %d", product.WastedPrefillTokens, readsAll.WastedPrefillTokens))
+	c.Check(product.Lost < readsAll.Lost, qt.IsTrue, qt.Commentf("lost: %d, reading all %d", product.Lost, readsAll.Lost))
+	// One request in a hundred is the noise between seeds.
+	noise := product.Requests / 100
+	c.Check(product.OnTime >= readsAll.OnTime-noise, qt.IsTrue, qt.Commentf("on time: %d, reading all %d", product.OnTime, readsAll.OnTime))
+	complete, completeOfAll := product.OnTime+product.Late, readsAll.OnTime+readsAll.Late
+	c.Check(complete >= completeOfAll-noise, qt.IsTrue, qt.Commentf("complete: %d, reading all %d", complete, completeOfAll))
+}
+
 // Guards against results that differ between runs with the same seed: a changed result must
 // mean a changed policy.
 func TestSimulationIsDeterministic(t *testing.T) {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -59,6 +59,7 @@
 	// lastEvents holds when each target last sent an event, by its id.
 	lastEvents map[string]time.Time
 	suspects   *suspect.Tracker
+	completion *placement.Completion
 	startedAt  time.Time
 }
 
@@ -75,6 +76,7 @@
 	g.fleet.SetGateways(g.sim.gatewayNames())
 	g.outages, g.runs, g.streams = placement.NewOutages(), runindex.New(), map[*stream]struct{}{}
 	g.suspects, g.startedAt = suspect.NewTracker(), g.sim.clock.now
+	g.completion = &placement.Completion{}
 	g.ownRecords, g.lastEvents = map[uint64]runindex.Record{}, map[string]time.Time{}
 	for _, records := range g.sim.storedRuns {
 		for _, r := range records {
@@ -99,15 +101,26 @@
 
 // kill stops the gateway and breaks its connections to clients and engines.
 func (g *gateway) kill() {
+	for _, s := range g.stop() {
+		c := s.client
+		g.sim.clock.after(clientDelay, func() { c.lost(s) })
+	}
+}
+
+// losePower stops the gateway. Its clients notice nothing, and the engines only that nobody reads.
+func (g *gateway) losePower() { g.stop() }
+
+// stop stops the gateway and returns the streams that it had.
+func (g *gateway) stop() []*stream {
 	g.up = false
 	g.incarnation++
-	for _, s := range g.orderedStreams() {
+	streams := g.orderedStreams()
+	for _, s := range streams {
 		s.endAttempts()
 		s.done = true
-		c := s.client
-		g.sim.clock.after(clientDelay, func() { c.lost(s) })
 	}
 	g.streams = map[*stream]struct{}{}
+	return streams
 }
 
 // sendLoads sends the load that this gateway placed on each target to the other gateways.
@@ -141,6 +154,13 @@
 // chooseTarget returns the placement of the stream's next attempt, false if no target is usable.
 func (g *gateway) chooseTarget(now time.Time, exclude []string, copyHolder string, s *stream) (placement.Placement, bool) {
 	q := placement.FleetQuery{Service: service, Exclude: exclude, LastResort: s.machine.LastResort(), WarmTarget: s.warmTarget}
+	if g.sim.policy.RefuseUnservable && !s.machine.Ran() {
+		rest := g.completion.Least(maxOutputTokens, uint64(s.client.received))
+		if end, ok := g.fleet.EarliestEnd(now, q, s.size, copyHolder, rest); ok && end.After(s.client.deadline) {
+			s.unservable = true
+			return placement.Placement{}, false
+		}
+	}
 	if g.sim.policy.Placement == ByCost {
 		return g.fleet.Place(now, q, copyHolder, s.size, g.mayCopy(now))
 	}
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -124,6 +124,12 @@
 				sim.at(second, func() { sim.stopZone(i, false) })
 			}
 		}},
+		{"power-lost", "all gateways lose power at once, without a word to their clients, and restart after 1 s; the clients return when they have heard nothing for 18 s", func(sim *simulation) {
+			for _, g := range sim.gateways {
+				sim.at(12, g.losePower)
+				sim.at(13, g.start)
+			}
+		}},
 		{"recovery", "all gateways are killed at once while one zone is down", func(sim *simulation) {
 			sim.at(13.5, func() { sim.stopZone(2, false) })
 			for _, g := range sim.gateways {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -24,6 +24,8 @@
 	// CountRequests rejects requests that crashed engines, and CountParts also those whose prompts share a
 	// part with such requests.
 	CountRequests, CountParts bool
+	// RefuseUnservable refuses streams whose last event cannot come before their deadline.
+	RefuseUnservable bool
 	// MoveLateStarts moves streams whose first event is late on a live engine.
 	MoveLateStarts bool
 }
@@ -44,7 +46,8 @@
 // Policies returns the policies to compare: round robin, one that follows load reports, the
 // product before its first changes for these patterns, the product that leaves a live engine before
 // another one has accepted the stream, the product that does not read the engines' reports, the product that
-// counts crashes by request only, and the product.
+// counts crashes by request only, the product that reads prompts of streams that cannot end in time, and the
+// product.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "round robin"},
@@ -53,6 +56,7 @@
 		{Name: "leaves first", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true},
 		{Name: "no reports", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true},
 		{Name: "by request", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true},
-		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true},
+		{Name: "reads all", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true},
+		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true},
 	}
 }
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -28,6 +28,9 @@
 	// copy is the cache copy left by the previous attempt, nil for none.
 	copy       *copyRef
 	warmTarget string
+	// unservable is set if the stream was not placed because it cannot end before its deadline.
+	unservable   bool
+	firstEventAt time.Time
 }
 
 // attempt is one attempt of a stream at an engine.
@@ -149,6 +152,9 @@
 			s.current, s.successor = s.successor, nil
 		case relay.Deliver:
 			number := int(s.machine.LastEvent())
+			if s.firstEventAt.IsZero() {
+				s.firstEventAt = s.gateway.sim.clock.now
+			}
 			s.gateway.sim.clock.after(clientDelay, func() { s.client.receive(s, number) })
 		case relay.Finish:
 			s.finish(e.Outcome)
@@ -176,7 +182,7 @@
 		s.apply(s.machine.Placed(now, relayPlacement(&chosen)))
 		return
 	}
-	if !now.Before(s.placementDeadline) || !now.Before(s.client.deadline) {
+	if s.unservable || !now.Before(s.placementDeadline) || !now.Before(s.client.deadline) {
 		s.apply(s.machine.PlacementFailed())
 		return
 	}
@@ -488,6 +494,9 @@
 }
 
 func (s *stream) finish(outcome relay.Outcome) {
+	if outcome == relay.Complete && s.machine.Attempts() == 1 && s.machine.Delivered() == s.client.events {
+		s.gateway.completion.Observe(maxOutputTokens, s.client.events, s.gateway.sim.clock.now.Sub(s.firstEventAt))
+	}
 	s.endAttempts()
 	s.done = true
 	delete(s.gateway.streams, s)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -27,6 +27,8 @@
 	// distributions; the spread is the standard deviation as a fraction of the mean.
 	promptMean, promptSpread, promptMax = 5200, 0.3, 9000
 	eventsMean, eventsSpread, eventsMax = 130, 0.2, 180
+	// maxOutputTokens is what each request permits.
+	maxOutputTokens = eventsMax * tokensPerEvent
 	// registrationDelay is the time until gateways learn of a new registration.
 	registrationDelay = 60 * time.Millisecond
 	// discoveryDelay is the time until gateways discover a restarted engine without the
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -459,15 +459,9 @@
 // deadlineTooShort reports whether a stream that has not run cannot get its last event before its deadline, at
 // the holder of its copy or else anywhere. Processing its prompt would only delay other streams.
 func (st *state) deadlineTooShort(now time.Time, c *clientRequest, fleetQuery placement.FleetQuery, prompt placement.GenerationSize, holder string) bool {
-	least := st.completions[c.service].Least(c.head.Prompt.OutputTokens, c.head.LastEventID)
-	if holder == "" {
-		expected, ok := st.fleet.TimeToFirstEvent(now, fleetQuery, prompt)
-		if !ok {
-			return false
-		}
-		least += expected
-	}
-	return now.Add(least).After(c.deadline)
+	rest := st.completions[c.service].Least(c.head.Prompt.OutputTokens, c.head.LastEventID)
+	end, ok := st.fleet.EarliestEnd(now, fleetQuery, prompt, holder, rest)
+	return ok && end.After(c.deadline)
 }
 
 // recordCompletion records how long a stream took that one target generated from its first event on.
