--- a/internal/core/relay/relay_test.go
+++ b/internal/core/relay/relay_test.go
@@ -452,8 +452,7 @@
 			m.AttemptFailed(start, TargetDown)
 			m.Placed(start, Placement{Target: "b", Resume: true})
 			var seek SeekSuccessor
-			now := start
-			for now = m.NextCheck(); seek.Loss == 0 && now.Sub(start) < 2*resumeTimeout; now = m.NextCheck() {
+			for now := m.NextCheck(); seek.Loss == 0 && now.Sub(start) < 2*resumeTimeout; now = m.NextCheck() {
 				m.Check(now)
 				m.TargetReported(test.report)
 				for _, e := range m.Probed(now, true, false) {
