Refuse streams that cannot end only where they would delay others

Cause: with engines that have no work, refusing them helps nobody: the caller gets some more events if it is tried.

Change: the rest of a stream counts only if the best engine has other streams, and not at the holder of its copy.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -170,13 +170,24 @@
 }
 
 // EarliestEnd returns when a generation can end at the earliest whose events take rest from the first to the last:
-// at the target that holds its copy, or else at the best one. It returns false if there is no admitted target.
+// at the target that holds its copy, or else at the best one. If that one has no work, rest does not count: trying
+// delays nobody, and the caller gets some more events. It returns false if there is no admitted target.
 func (f *Fleet) EarliestEnd(now time.Time, q FleetQuery, size GenerationSize, holder string, rest time.Duration) (time.Time, bool) {
 	if holder != "" && f.Accepts(now, holder) {
-		return now.Add(rest), true
+		return now, true
 	}
-	first, ok := f.TimeToFirstEvent(now, q, size)
-	return now.Add(first + rest), ok
+	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
+		_, streams, _ := f.totalLoad(now, t)
+		return f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*streamCost
+	})
+	if t == nil {
+		return time.Time{}, false
+	}
+	first := now.Add(f.timeToFirstEvent(now, t, q.uncached(t, size)))
+	if _, streams, _ := f.totalLoad(now, t); streams == 0 {
+		return first, true
+	}
+	return first.Add(rest), true
 }
 
 // uncached returns the size with the prompt tokens that the target must prefill.
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -124,7 +124,8 @@
 				sim.at(second, func() { sim.stopZone(i, false) })
 			}
 		}},
-		{"power-lost", "all gateways lose power at once, without a word to their clients, and restart after 1 s; the clients return when they have heard nothing for 18 s", func(sim *simulation) {
+		{"power-lost", "all gateways lose power at once, without a word to their clients, and restart after 1 s; the clients return when they have heard nothing for 18 s, to twice the usual load", func(sim *simulation) {
+			sim.at(26, func() { sim.rateFactor = 2 })
 			for _, g := range sim.gateways {
 				sim.at(12, g.losePower)
 				sim.at(13, g.start)
