--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -180,7 +180,7 @@
 // emptyResumption: the engine of a generation is killed, and so is the one at which the generation is
 // resumed, while it reads the prompt again.
 func emptyResumption(t *testbed, trouble bool) (bool, error) {
-	if err := t.startLetters(1, "--unframed", "--room=false"); err != nil {
+	if err := t.startLetters(1, "--unframed-resumed", "--room=false"); err != nil {
 		return false, err
 	}
 	letter := &generation{name: "letter", path: letters + "2f", prompt: "5c1e07a2:200,91bd3f06:4800", tokens: 5000, body: "Please draft the letter."}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -44,8 +44,9 @@
 	// events is the number of events of a generation, and interval the time between two.
 	events   int
 	interval time.Duration
-	// unframed makes answers end with their channel: they have neither a length nor chunks.
-	unframed bool
+	// unframed makes answers end with their channel: they have neither a length nor chunks. unframedResumed
+	// does so for those that resume a stream.
+	unframed, unframedResumed bool
 	// room is whether the engine has room for the memory of others' runs.
 	room bool
 	// crashPart is the id of a prompt part on which the engine ends as it begins to write an answer.
@@ -63,6 +64,7 @@
 	flags.IntVar(&o.events, "events", 100, "events of a generation")
 	flags.DurationVar(&o.interval, "interval", 40*time.Millisecond, "time between two events")
 	flags.BoolVar(&o.unframed, "unframed", false, "answers end with their channel")
+	flags.BoolVar(&o.unframedResumed, "unframed-resumed", false, "answers that resume a stream end with their channel")
 	flags.BoolVar(&o.room, "room", true, "the engine has room for the memory of others' runs")
 	flags.StringVar(&o.crashPart, "crash-part", "", "prompt part on which the engine ends")
 	_ = flags.Parse(args)
@@ -244,7 +246,7 @@
 	}()
 	w.Header().Set(headerSignature, "proof."+e.id+"."+attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
-	if e.unframed {
+	if e.unframed || e.unframedResumed && after > 0 {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	out := http.NewResponseController(w)
