--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +16,7 @@
 	cases["cut-stream"] = cutStream
 	cases["empty-resumption"] = emptyResumption
 	cases["shared-text"] = sharedText
+	cases["crashed-once"] = crashedOnce
 }
 
 var zones = []string{"otaru-port", "otaru-hill", "yoichi-backup"}
@@ -347,3 +350,118 @@
 		s.hits++
 	}
 }
+
+const (
+	lookups = "/puxa403/"
+	board   = "/pule252/"
+	// lookupEvery is the time between two requests of a route, and callTime that which one takes.
+	lookupEvery = 17 * time.Millisecond
+	callTime    = 90 * time.Millisecond
+	// crashAfter is when the engines crash, and steadyAfter when that is over; both count from the first
+	// request, as does lookupTime, the end.
+	crashAfter  = 8 * time.Second
+	steadyAfter = crashAfter + engineRestart + 2*contact
+	lookupTime  = 30 * time.Second
+)
+
+// crashedOnce: a route that was added later shows one resource, which many clients of a tenant read. The
+// engines of its service crash once, all at the same moment, and are back after two seconds.
+func crashedOnce(t *testbed, trouble bool) (bool, error) {
+	if err := t.startStore(); err != nil {
+		return false, err
+	}
+	first := route{lookups, desk, "idempotent"}
+	if _, err := t.configure(1, []route{first}, desk); err != nil {
+		return false, err
+	}
+	flags := []string{"--work=" + callTime.String()}
+	stop := make(chan struct{})
+	defer close(stop)
+	for _, zone := range zones {
+		if err := t.startEngine("i-"+zone, "", zone, desk, flags...); err != nil {
+			return false, err
+		}
+		go t.keepRunning(t.engineNamed("i-"+zone), zone, stop, flags)
+	}
+	if err := t.startGateways(zones...); err != nil {
+		return false, err
+	}
+	if _, err := t.configure(2, []route{first, {board, desk, "idempotent"}}, desk); err != nil {
+		return false, err
+	}
+	time.Sleep(configApply + time.Second)
+	engines := []*process{t.engineNamed("i-" + zones[0]), t.engineNamed("i-" + zones[1]), t.engineNamed("i-" + zones[2])}
+	results := make(chan call, 4*int(lookupTime/lookupEvery))
+	sent, crashed := 0, false
+	for begun := time.Now(); time.Since(begun) < lookupTime; time.Sleep(lookupEvery) {
+		at := time.Since(begun)
+		if trouble && !crashed && at >= crashAfter {
+			crashed = true
+			for _, p := range engines {
+				go t.kill(p)
+			}
+		}
+		for _, path := range []string{fmt.Sprint(lookups, sent), board + "2f"} {
+			sent++
+			go t.lookup(t.gateways[sent/2%len(t.gateways)], path, sent, at, results)
+		}
+	}
+	var before, after [2]share
+	for range sent {
+		c := <-results
+		i := 0
+		if strings.HasPrefix(c.path, board) {
+			i = 1
+		}
+		switch {
+		case c.at < crashAfter-time.Second:
+			before[i].add(c.status == http.StatusOK)
+		case c.at >= steadyAfter:
+			after[i].add(c.status == http.StatusOK)
+		}
+	}
+	t.note("served before the crash: %d of %d on the first route, %d of %d on the later one", before[0].hits, before[0].all, before[1].hits, before[1].all)
+	t.note("served in steady state after it: %d of %d on the first route, %d of %d on the later one", after[0].hits, after[0].all, after[1].hits, after[1].all)
+	if after[1].all < minCompared {
+		return false, errors.New("too few requests to compare")
+	}
+	if 4*after[1].hits*after[0].all < after[0].hits*after[1].all {
+		t.note("CONFIG: requests on the later route are served less than a quarter as often")
+		return true, nil
+	}
+	return false, nil
+}
+
+// call is a short request of a client and the status of its answer, 0 for none.
+type call struct {
+	path   string
+	at     time.Duration
+	status int
+}
+
+// lookup makes one call, without retries.
+func (t *testbed) lookup(g *gateway, path string, number int, at time.Duration, results chan<- call) {
+	c := call{path: path, at: at}
+	defer func() { results <- c }()
+	request, err := http.NewRequest(http.MethodGet, "http://"+g.address+path, nil)
+	if err != nil {
+		return
+	}
+	request.Host = clientHost
+	request.Header.Set(headerAttempt, fmt.Sprintf("5c41d07b%08x", number))
+	request.Header.Set(headerDeadline, "1000")
+	request.Header.Set("Authorization", "Bearer "+clientKey)
+	response, err := lookupClient.Do(request)
+	if err != nil {
+		t.note("%s at %s: %v", path, g.name, err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	c.status = response.StatusCode
+	if c.status != http.StatusOK || number%200 < 2 {
+		t.note("%s at %s: %d", path, g.name, c.status)
+	}
+}
+
+var lookupClient = &http.Client{Timeout: 3 * time.Second}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -35,6 +35,8 @@
 	heartbeat = 1200 * time.Millisecond
 	// backupInterval is how often an engine sends the memory of its runs to their backups.
 	backupInterval = 100 * time.Millisecond
+	// modelSlots and appSlots are the requests that an engine works on at once.
+	modelSlots, appSlots = 64, 6
 	// prefillRate is how many tokens of a prompt an engine reads in a millisecond.
 	prefillRate = 5
 )
@@ -47,6 +49,8 @@
 	// unframed makes answers end with their channel: they have neither a length nor chunks. unframedResumed
 	// does so for those that resume a stream.
 	unframed, unframedResumed bool
+	// work is how long a call takes at an application engine, 0 for a model engine.
+	work time.Duration
 	// room is whether the engine has room for the memory of others' runs.
 	room bool
 	// crashPart is the id of a prompt part on which the engine ends as it begins to write an answer.
@@ -65,6 +69,7 @@
 	flags.DurationVar(&o.interval, "interval", 40*time.Millisecond, "time between two events")
 	flags.BoolVar(&o.unframed, "unframed", false, "answers end with their channel")
 	flags.BoolVar(&o.unframedResumed, "unframed-resumed", false, "answers that resume a stream end with their channel")
+	flags.DurationVar(&o.work, "work", 0, "time that a call takes; makes the engine an application engine")
 	flags.BoolVar(&o.room, "room", true, "the engine has room for the memory of others' runs")
 	flags.StringVar(&o.crashPart, "crash-part", "", "prompt part on which the engine ends")
 	_ = flags.Parse(args)
@@ -125,10 +130,14 @@
 
 func (e *engine) register() {
 	for seq := 0; ; seq++ {
-		value, _ := json.Marshal(map[string]any{
-			"service": e.service, "address": e.listen, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
-			"coldRemainingMs": 0, "stage": "both", "models": e.models(), "seq": seq, "born": e.born,
-		})
+		row := map[string]any{
+			"service": e.service, "address": e.listen, "zone": e.zone, "version": "v1", "slots": appSlots, "state": "ready",
+			"coldRemainingMs": 0, "seq": seq, "born": e.born,
+		}
+		if e.work == 0 {
+			row["slots"], row["stage"], row["models"] = modelSlots, "both", e.models()
+		}
+		value, _ := json.Marshal(row)
 		if err := putRow(e.store, "servers", e.id, value); err != nil {
 			fmt.Fprintln(os.Stderr, "register:", err)
 		}
@@ -167,6 +176,8 @@
 	case r.Header.Get(headerExpect) != "" && r.Header.Get(headerExpect) != e.id:
 		w.Header().Set(headerInstance, e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case e.work > 0:
+		e.call(w, r)
 	default:
 		e.generate(w, r)
 	}
@@ -213,6 +224,17 @@
 	return m, true
 }
 
+// call runs a short call.
+func (e *engine) call(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || !pause(r, e.work) {
+		return
+	}
+	attempt := r.Header.Get(headerAttempt)
+	w.Header().Set(headerAttempt, attempt)
+	w.Header().Set(headerSignature, "proof."+e.id+"."+attempt)
+	writeJSON(w, http.StatusOK, map[string]string{"engine": e.id, "path": r.URL.Path})
+}
+
 // generate runs a generation and writes its events from the one after Last-Event-Id.
 func (e *engine) generate(w http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get(headerAttempt)
--- a/review/standin/scenario.go
+++ b/review/standin/scenario.go
@@ -212,6 +212,9 @@
 	return errors.New(what + " did not start")
 }
 
+// desk is the application service; all others are model services.
+const desk = "wuno96b"
+
 // route is a route of the desired state.
 type route struct {
 	prefix, service, kind string
@@ -231,12 +234,14 @@
 		routeRows = append(routeRows, row)
 	}
 	for _, name := range services {
-		serviceRows = append(serviceRows, map[string]any{
-			"name": name, "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
+		row := map[string]any{"name": name, "healthPath": "/health", "maxConnections": 360, "protocol": "h1", "tls": false}
+		if name != desk {
+			row["engine"] = map[string]any{
 				"slots": 64, "kvCapacityTokens": 55000, "kvTokenBytes": 18432, "linkMbps": 180000.0, "migrations": true, "replicas": true, "stride": 6,
 				"most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 4.0, "models": []any{map[string]any{"name": "m"}},
-			},
-		})
+			}
+		}
+		serviceRows = append(serviceRows, row)
 	}
 	value, err := json.Marshal(map[string]any{
 		"version": version, "routes": routeRows, "services": serviceRows,
