--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/bramleygap ] && [ -x target/review-standin ] || { echo "build the project and run review/build.sh first"; exit 2; }
-exec target/review-standin empty-resumption --record "$folder/record.txt"
+exec target/review-standin crashed-once --record "$folder/record.txt"
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins and scripts of the review at target/review-standin.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -o ../../target/review-standin .
+go build -buildvcs=false -o ../../target/review-standin .
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -312,11 +312,13 @@
 // judgeLost applies the rule on sound requests beside ones that crash engines.
 func (t *testbed) judgeLost(sound, bad []*generation, begun time.Time) (bool, error) {
 	var crashes []time.Time
+	t.mu.Lock()
 	for _, l := range t.runs {
 		if l.Kind == "crash" {
 			crashes = append(crashes, time.UnixMilli(l.AtMS))
 		}
 	}
+	t.mu.Unlock()
 	calmEnd, from := begun.Add(calm), begun.Add(calm+2*contact)
 	if len(crashes) > 0 {
 		from = crashes[min(len(crashes), 5)-1].Add(2 * contact)
--- a/review/standin/scenario.go
+++ b/review/standin/scenario.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -93,6 +95,8 @@
 		broken bool
 		err    error
 	}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM)
 	done := make(chan outcome, 1)
 	go func() {
 		broken, err := play(t, trouble)
@@ -103,6 +107,8 @@
 	case result = <-done:
 	case <-time.After(caseLimit):
 		result.err = errors.New("the case did not end in time")
+	case s := <-ended:
+		result.err = errors.New("ended by " + s.String())
 	}
 	t.stop()
 	status, text := exitHeld, "the rule held"
@@ -127,16 +133,32 @@
 	t.lines = append(t.lines, time.Now().UTC().Format("15:04:05.000")+" "+fmt.Sprintf(format, args...))
 }
 
-// freeAddress returns a loopback address with a free port.
+// lowestPort and highestPort bound the ports of the case. They are below those that Linux gives to outgoing
+// connections, so that none of these takes a port before its process listens there.
+const lowestPort, highestPort = 20000, 32000
+
+// freeAddress returns a loopback address with a free port that it has not returned before.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal(err)
+	for range 1000 {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		return listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	fatal(errors.New("no free port"))
+	return ""
 }
 
+// usedPorts is used before the scenario starts tasks of its own.
+var usedPorts = map[int]bool{}
+
 // start starts a process and passes the lines of its output to read, if it is set.
 func (t *testbed) start(name, address, service string, read func(line string), program string, args ...string) (*process, error) {
 	p := &process{name: name, address: address, service: service, cmd: exec.Command(program, args...), exited: make(chan struct{})}
