--- a/review/standin/scenario.go
+++ b/review/standin/scenario.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -110,6 +109,9 @@
 	case s := <-ended:
 		result.err = errors.New("ended by " + s.String())
 	}
+	if result.err != nil {
+		t.noteProcesses()
+	}
 	t.stop()
 	status, text := exitHeld, "the rule held"
 	switch {
@@ -126,6 +128,32 @@
 	return status
 }
 
+// noteProcesses adds which processes have ended, and the last lines of the gateways' logs, for a case that could
+// not run.
+func (t *testbed) noteProcesses() {
+	t.mu.Lock()
+	children := t.children
+	t.mu.Unlock()
+	for _, p := range children {
+		select {
+		case <-p.exited:
+			t.note("%s has ended", p.name)
+		default:
+		}
+		log, err := os.ReadFile(filepath.Join(t.folder, p.name+".log"))
+		if err != nil {
+			continue
+		}
+		lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+		for _, line := range lines[max(0, len(lines)-lastLogLines):] {
+			t.note("%s: %s", p.name, line)
+		}
+	}
+}
+
+// lastLogLines is how many lines of a gateway's log go into the record of a case that could not run.
+const lastLogLines = 20
+
 // note adds a line to the record.
 func (t *testbed) note(format string, args ...any) {
 	t.mu.Lock()
@@ -133,35 +161,39 @@
 	t.lines = append(t.lines, time.Now().UTC().Format("15:04:05.000")+" "+fmt.Sprintf(format, args...))
 }
 
-// lowestPort and highestPort bound the ports of the case. They are below those that Linux gives to outgoing
-// connections, so that none of these takes a port before its process listens there.
-const lowestPort, highestPort = 20000, 32000
+// The ports of the case are below those that Linux gives to outgoing connections, and those of cases that
+// play beside each other differ: a port is free for a moment before its process listens there.
+const (
+	lowestPort   = 20000
+	portsPerCase = 40
+	portBlocks   = 300
+)
+
+// nextPort is the next port to try. It is used before the scenario starts tasks of its own.
+var nextPort = lowestPort + os.Getpid()%portBlocks*portsPerCase
 
 // freeAddress returns a loopback address with a free port that it has not returned before.
 func freeAddress() string {
-	for range 1000 {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		listener, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		if usedPorts[port] {
-			continue
+	for range portsPerCase {
+		address := fmt.Sprint("127.0.0.1:", nextPort)
+		nextPort++
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
 		}
-		usedPorts[port] = true
-		return listener.Addr().String()
 	}
 	fatal(errors.New("no free port"))
 	return ""
 }
 
-// usedPorts is used before the scenario starts tasks of its own.
-var usedPorts = map[int]bool{}
-
-// start starts a process and passes the lines of its output to read, if it is set.
+// start starts a process and passes the lines of its output to read, or into its log if read is nil.
 func (t *testbed) start(name, address, service string, read func(line string), program string, args ...string) (*process, error) {
 	p := &process{name: name, address: address, service: service, cmd: exec.Command(program, args...), exited: make(chan struct{})}
+	log, err := os.OpenFile(filepath.Join(t.folder, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	p.cmd.Stderr = log
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -179,9 +211,12 @@
 		for lines.Scan() {
 			if read != nil {
 				read(lines.Text())
+			} else {
+				_, _ = fmt.Fprintln(log, lines.Text())
 			}
 		}
 		_ = p.cmd.Wait()
+		_ = log.Close()
 		close(p.exited)
 	}()
 	return p, nil
@@ -341,12 +376,7 @@
 		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 			return err
 		}
-		log, err := os.Create(filepath.Join(t.folder, name+".log"))
-		if err != nil {
-			return err
-		}
-		keep := func(line string) { _, _ = fmt.Fprintln(log, line) }
-		p, err := t.start(name, g.address, "", keep, "target/bramleygap", "gateway", "--settings="+file)
+		p, err := t.start(name, g.address, "", nil, "target/bramleygap", "gateway", "--settings="+file)
 		if err != nil {
 			return err
 		}
