Try a condemned prompt part together with a rejected text

The owner of the part's trials now sends one request as a trial of both, if the text's own bound on trials permits it. A trial whose request reached no target is given back.

--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -245,6 +245,13 @@
 	return true
 }
 
+// ReturnTrial undoes TakeTrial for a request that has reached no target.
+func (t *Tracker) ReturnTrial(v *Verdict) {
+	if s := t.parts[v.Parts[0]]; s != nil && s.tried > 0 {
+		s.tried--
+	}
+}
+
 // PartVersion returns a number that changes whenever the exported state of the parts changes.
 func (t *Tracker) PartVersion() uint64 { return t.partVersion }
 
--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -51,14 +51,22 @@
 	}
 }
 
-// TakeRequestTrial reports whether a rejected request may be sent to find out whether it still crashes targets. Of all
-// trackers, only one must be asked, so that the number of trials is bounded for all.
-func (t *Tracker) TakeRequestTrial(r Request, now time.Time) bool {
+// RequestTrialDue reports whether TakeRequestTrial would permit a trial.
+func (t *Tracker) RequestTrialDue(r Request, now time.Time) bool {
 	for _, id := range []uint64{r.Content, r.Whole} {
 		if t.Rejected(id, now) && !t.trialDue(t.suspects[id], now) {
 			return false
 		}
 	}
+	return true
+}
+
+// TakeRequestTrial reports whether a rejected request may be sent to find out whether it still crashes targets. Of all
+// trackers, only one must be asked, so that the number of trials is bounded for all.
+func (t *Tracker) TakeRequestTrial(r Request, now time.Time) bool {
+	if !t.RequestTrialDue(r, now) {
+		return false
+	}
 	for _, id := range []uint64{r.Content, r.Whole} {
 		if s := t.suspects[id]; s != nil {
 			s.triedAt = now
@@ -67,6 +75,15 @@
 	return true
 }
 
+// ReturnRequestTrial undoes TakeRequestTrial for a request that has reached no target.
+func (t *Tracker) ReturnRequestTrial(r Request) {
+	for _, id := range []uint64{r.Content, r.Whole} {
+		if s := t.suspects[id]; s != nil {
+			s.triedAt = time.Time{}
+		}
+	}
+}
+
 // isKnown reports whether a request with the fingerprint has completed, as far as is remembered.
 func (t *Tracker) isKnown(fingerprint uint64) bool {
 	s := t.suspects[fingerprint]
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -51,27 +51,61 @@
 }
 
 // rejects reports whether a request must not be sent because it, or a part of its prompt, crashes targets.
-// A trial of a condemned part is rejected only once it has reached a target.
+// A trial is rejected only once it has reached a target.
 func (l *eventLoop) rejects(st *state, now time.Time, c *clientRequest, arrived bool) bool {
 	verdict := st.suspects.CondemnedParts(c.parts)
-	// A request with a condemned part shows nothing about the rest of its content.
-	if st.suspects.Rejects(c.identity, now) && (arrived || !c.requestTrial && (verdict != nil || !l.takeRequestTrial(st, now, c))) {
-		return true
-	}
-	if verdict == nil || c.trial.Load() && !arrived {
+	contentRejected := st.suspects.Rejects(c.identity, now) && (arrived || !c.requestTrial)
+	partRejected := verdict != nil && (arrived || !c.trial.Load())
+	if !contentRejected && !partRejected {
 		return false
 	}
-	if st.ownsTrials("part", verdict.Parts[0], l.options.Settings.Name) && st.suspects.TakeTrial(verdict, c.parts, now) {
-		c.trial.Store(true)
-		l.metrics.partTrials.Inc()
-		c.log.Warn().Strs("parts", formatParts(verdict.Parts)).Int("crashes", verdict.Crashes).Dur("age", now.Sub(verdict.Since)).
-			Msg("request with a prompt part that crashed targets is sent, to find out whether it still does")
+	if !arrived {
+		switch {
+		case partRejected && l.takePartTrial(st, now, c, verdict, contentRejected):
+			return false
+		case verdict == nil && l.takeRequestTrial(st, now, c):
+			// With a condemned part, the request would show nothing about the rest of its content.
+			return false
+		}
+	}
+	if partRejected {
+		c.verdict = verdict
+	}
+	return true
+}
+
+// takePartTrial reports whether a request with a condemned part is sent to find out whether the part still crashes
+// targets. If its content is rejected too, the request is a trial of both: trials of the one alone would wait for
+// the other to be cleared, and all requests with the content would be refused until the crashes expire.
+func (l *eventLoop) takePartTrial(st *state, now time.Time, c *clientRequest, verdict *suspect.Verdict, contentRejected bool) bool {
+	if !st.ownsTrials("part", verdict.Parts[0], l.options.Settings.Name) ||
+		!st.fleet.HasTarget(now, placement.FleetQuery{Service: c.service}) ||
+		contentRejected && !st.suspects.RequestTrialDue(c.identity, now) ||
+		!st.suspects.TakeTrial(verdict, c.parts, now) {
 		return false
 	}
-	c.verdict = verdict
+	if contentRejected {
+		c.requestTrial = st.suspects.TakeRequestTrial(c.identity, now)
+		l.metrics.requestTrials.Inc()
+	}
+	c.trial.Store(true)
+	c.trialVerdict = verdict
+	l.metrics.partTrials.Inc()
+	c.log.Warn().Strs("parts", formatParts(verdict.Parts)).Int("crashes", verdict.Crashes).Dur("age", now.Sub(verdict.Since)).
+		Bool("content_rejected", contentRejected).Msg("request with a prompt part that crashed targets is sent, to find out whether it still does")
 	return true
 }
 
+// returnTrials gives back the trials of a request that has reached no target, so that another request makes them.
+func (l *eventLoop) returnTrials(st *state, c *clientRequest) {
+	if c.trialVerdict != nil {
+		st.suspects.ReturnTrial(c.trialVerdict)
+	}
+	if c.requestTrial {
+		st.suspects.ReturnRequestTrial(c.identity)
+	}
+}
+
 // takeRequestTrial reports whether a rejected request is sent to find out whether it still crashes targets.
 func (l *eventLoop) takeRequestTrial(st *state, now time.Time, c *clientRequest) bool {
 	if !st.ownsTrials("request", c.identity.Content, l.options.Settings.Name) ||
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -67,8 +67,10 @@
 	verdict  *suspect.Verdict
 	trial    atomic.Bool
 	rejected bool
-	// requestTrial is set if the request is sent although it is rejected for its content. The event loop owns it.
+	// requestTrial is set if the request is sent although it is rejected for its content, and trialVerdict if it is
+	// although a part of its prompt is condemned. The event loop owns both.
 	requestTrial     bool
+	trialVerdict     *suspect.Verdict
 	deadlineTooShort bool
 	// heldDelay is the delay to state to the client because all targets leave or are paused, 0 if
 	// they do not.
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -76,6 +76,9 @@
 		MaxEventGap: c.route.MaxEventGap, FirstEventObjective: c.route.TargetLatency, After: c.head.LastEventID, HasCopy: s.cacheCopy != nil,
 	})
 	s.run()
+	if !s.machine.Arrived() {
+		g.loop.post(g.ctx, func(st *state) { g.loop.returnTrials(st, c) })
+	}
 	g.endRun(c, s.outcome == relay.Complete)
 	s.recordCompletion()
 	s.respond()
