Pass retry tokens between gateways

A gateway without tokens now asks for some in its exchanges, and others give what they do not keep. Tokens are moved, never created, so that the operators' bound holds also when answers are lost (TestSharedBudgetHoldsOverAllGateways). In effect with share_retries in the settings.

--- a/internal/core/retry/shared.go
+++ b/internal/core/retry/shared.go
@@ -36,7 +36,7 @@
 //
 // Invariant: a window begins with at most the capacity, that is a part of the slack and of the
 // requests before the window, and adds the other part of the slack and of the requests in it.
-// Summed over the gateways, this is at most boundShare of the Bounds. A new budget is nearly
+// Summed over the gateways, this is at most boundShare of the Bounds, also when gateways give each other tokens. A new budget is nearly
 // empty, because the process does not know what its predecessor took in the same window.
 type SharedBudget struct {
 	bounds   Bounds
@@ -45,6 +45,8 @@
 	started  time.Time
 	last     time.Time
 	requests slidingCount
+	// waiting holds when streams that have run last found no token, by stream.
+	waiting map[string]time.Time
 }
 
 // NewSharedBudget returns the budget of a process that started at the given time.
--- a/internal/core/retry/shared_test.go
+++ b/internal/core/retry/shared_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -20,6 +21,9 @@
 	demand func(step int) bool
 	// restarts reports whether a gateway restarts at a step.
 	restarts func(gateway, step int) bool
+	// transfers is the number of others that each gateway without tokens asks for some at each step. One answer in
+	// five is lost.
+	transfers int
 }
 
 // play returns the requests and the repeated attempts of each step.
@@ -56,6 +60,17 @@
 			for b.TakeResume() {
 				repeats[step]++
 			}
+			for waiting := range 5 * l.transfers {
+				b.OnShortage(now, fmt.Sprint(waiting))
+			}
+		}
+		for _, b := range budgets {
+			for range l.transfers {
+				given := budgets[rng.IntN(len(budgets))].Give(now, b.Wanted(now))
+				if rng.IntN(5) > 0 {
+					b.Receive(given)
+				}
+			}
 		}
 	}
 	return requests, repeats
@@ -101,6 +116,10 @@
 		"23 gateways, all taken": {gateways: 23, requestsPerStep: steady(22), demand: always},
 		"370 gateways":           {gateways: 370, requestsPerStep: steady(10000), demand: crashes},
 		"traffic stops":          {gateways: 23, requestsPerStep: stops, demand: crashes},
+		"transfers":              {gateways: 23, requestsPerStep: steady(22), demand: crashes, transfers: 3},
+		"370 transfer":           {gateways: 370, requestsPerStep: steady(10000), demand: crashes, transfers: 3},
+		"restarts and transfers": {gateways: 23, requestsPerStep: steady(200), demand: always, transfers: 3,
+			restarts: func(gateway, step int) bool { return step%46 == 2*gateway }},
 		"restarts": {gateways: 23, requestsPerStep: steady(200), demand: always,
 			restarts: func(gateway, step int) bool { return step%46 == 2*gateway }},
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	attempts       *prometheus.CounterVec
 	losses         *prometheus.CounterVec
 	retriesRefused *prometheus.CounterVec
+	retryTransfers *prometheus.CounterVec
 	storeCalls     *prometheus.CounterVec
 	peerExchanges  *prometheus.CounterVec
 	peerSeconds    *prometheus.HistogramVec
@@ -69,6 +70,7 @@
 		attempts:       counterVec("call_attempts_total", "Attempts of short calls by result.", "result"),
 		losses:         counterVec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
 		retriesRefused: counterVec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
+		retryTransfers: counterVec("retry_tokens_total", "Tokens of the retry budget that gateways gave each other, by direction; invalid counts answers with more than was asked for.", "direction"),
 		storeCalls:     counterVec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
 		peerExchanges:  counterVec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
 		linkBytes:      counterVec("link_bytes_total", "Bytes exchanged with clients, targets and other gateways, by direction.", "link", "direction"),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -388,6 +388,7 @@
 		return "", err
 	}
 	p.g.loop.post(ctx, func(st *state) {
+		p.receiveRetryTokens(st, local, remote)
 		p.mergeAnswer(st, remote, address, start)
 		if kind.held {
 			st.recordSentSuspects(address)
@@ -403,6 +404,9 @@
 	if kind.loads {
 		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
 	}
+	if st.settings.Bounds.ShareRetries {
+		msg.RetryTokens = st.wantedRetryTokens(now)
+	}
 	switch {
 	case kind.held:
 		st.addUnsentSuspects(msg, address, now)
@@ -424,6 +428,7 @@
 	if kind.loads {
 		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
 	}
+	msg.RetryTokens = p.giveRetryTokens(st, now, remote)
 	if kind.held || remote.SuspectSummary == nil || placement.SharesAll(len(st.liveGateways)) {
 		st.addMissingSuspects(msg, remote, now)
 	} else {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -460,7 +460,11 @@
 func (s *stream) takeRepeat(st *state, now time.Time) bool {
 	budget := s.g.loop.budget(st, now, s.req.service)
 	if s.machine.Ran() && s.machine.InTime(now) {
-		return s.takeBudget(budget.TakeResume())
+		taken := budget.TakeResume()
+		if !taken {
+			budget.OnShortage(now, s.req.head.ID)
+		}
+		return s.takeBudget(taken)
 	}
 	return s.takeBudget(budget.TakeRetry(st.inflightStreams[s.req.service]))
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -42,6 +42,8 @@
 	RetrySlack float64 `toml:"retry_slack"`
 	// RetryWindow is the period over which retries are counted; 0 means 10 s.
 	RetryWindow opconfig.Duration `toml:"retry_window"`
+	// ShareRetries lets gateways give each other retries that they do not need.
+	ShareRetries bool `toml:"share_retries"`
 	// DrainTimeout is the time after which a leaving target receives no more requests.
 	DrainTimeout opconfig.Duration `toml:"drain_timeout"`
 	// ConfigApply is the time after which a change of the desired state is in force at every
