Tell engines the priorities of ranked services' streams

Engines admitted and preempted streams without knowing which can wait: each attempt was sent without a priority. catalog.Ranked names the services whose stream routes state different priorities, and internal/core/precedence orders their work. Engines get 1 to 9 by rank, one less for work that has run; other services send nothing, as before. Priorities out of range count as the lowest valid one, with a log line for each version.

Tests of catalog, precedence and gateway pass; no load was measured.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -139,6 +139,10 @@
 	routes      map[string][]Route
 	accounts    map[string]*Account
 	requireKeys bool
+	// rankings holds the ranks of the streams of each service.
+	rankings          map[string]*ranking
+	accountPriorities priorities
+	invalidPriorities []string
 }
 
 // New returns the desired state of a version, indexed for lookup.
@@ -166,6 +170,7 @@
 			c.accounts[key] = &accounts[i]
 		}
 	}
+	c.rankServices(routes, accounts)
 	return c
 }
 
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/core/precedence"
 )
 
 func sample() *Config {
@@ -63,3 +65,28 @@
 	_, ok = two.ModelService([]string{"m"})
 	c.Check(ok, qt.IsFalse, qt.Commentf("two services serve the model"))
 }
+
+func streamRoute(name, service string, priority int) Route {
+	return Route{Name: name, Kind: Stream, Priority: priority, Shares: []Share{{service, 1}}}
+}
+
+// Guards against services that are served by rank although their stream routes do not ask for it, and against
+// priorities out of range that make a route or an account the most important one.
+func TestRanks(t *testing.T) {
+	c := qt.New(t)
+	routes := []Route{
+		streamRoute("urgent", "s", 1), streamRoute("patient", "s", 3), streamRoute("wrong", "s", -1),
+		streamRoute("alone", "t", 2), streamRoute("wrong too", "t", maxPriority+1), {Name: "call", Kind: Once, Priority: 9, Shares: []Share{{"t", 1}}},
+	}
+	accounts := []Account{{Name: "x", Priority: 1}, {Name: "y", Priority: 4}, {Name: "z", Priority: -7}}
+	config := New(1, routes, []Service{{Name: "s"}, {Name: "t"}}, accounts, Limits{})
+	c.Check(config.Ranked("s"), qt.IsTrue)
+	c.Check(config.Ranked("t"), qt.IsFalse)
+	c.Check(config.Ranked("unknown"), qt.IsFalse)
+	c.Check(config.Ranks("s"), qt.DeepEquals, []precedence.Rank{{Account: 0, Route: 0}, {Account: 0, Route: 2}, {Account: 3, Route: 0}, {Account: 3, Route: 2}})
+	c.Check(config.InvalidPriorities(), qt.DeepEquals, []string{"account z", "route wrong", "route wrong too"})
+	c.Check(config.Rank("s", &routes[0], &accounts[0]), qt.Equals, precedence.Rank{})
+	c.Check(config.Rank("s", &routes[1], &accounts[1]), qt.Equals, precedence.Rank{Account: 3, Route: 2})
+	c.Check(config.Rank("s", &routes[2], &accounts[2]), qt.Equals, precedence.Rank{Account: 3, Route: 2})
+	c.Check(config.Rank("s", &routes[0], nil), qt.Equals, precedence.Rank{Account: 3})
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -437,6 +437,7 @@
 	if current == nil || current.Version != desired.Config.Version {
 		l.log.Info().Uint64("version", desired.Config.Version).Uint64("revision", st.tables[TableConfig].Revision()).
 			Msg("desired state applied")
+		l.reportPriorities(desired.Config)
 		l.metrics.configVersion.Set(float64(desired.Config.Version))
 	}
 	if l.published.Swap(&publishedState{desired: desired, stale: st.desiredStateStale(now)}) == nil {
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -116,6 +116,8 @@
 	copies    *copyManager
 	size      placement.GenerationSize
 	streamID  uint64
+	// priority is what the target is told, negative for nothing.
+	priority int
 	// copyHolder is the target at which the fleet counts the copy, empty for none. Its owner is the
 	// copy manager while that runs.
 	copyHolder string
@@ -172,6 +174,8 @@
 	a := &attempt{
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
 		copyHolder: e.Placement.CopyTarget,
+		// A successor, and a stream whose client returns, continue what a target has run.
+		priority: s.req.enginePriority(s.machine.Ran() || s.current != nil || e.After > 0),
 		handle: &attemptHandle{
 			requestID: s.req.head.ID, identity: s.req.identity, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(),
 			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
@@ -303,7 +307,7 @@
 	defer stop()
 	msg := s.req.targetRequest(s.g.options.Protocol.EncodeAttempt(&Attempt{
 		Request: &s.req.head, Target: a.reg, Account: s.req.account, Timeout: time.Until(s.req.deadline),
-		LastEventID: a.start.After, Priority: -1, CopyTo: a.copyTarget, CopyFrom: a.resumeFrom,
+		LastEventID: a.start.After, Priority: a.priority, CopyTo: a.copyTarget, CopyFrom: a.resumeFrom,
 	}))
 	msg.Permit = s.g.sendPermit(a.reg, s.req)
 	a.handle.sent.Store(true)
