--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -23,10 +23,12 @@
 	AvoidZone string
 	// WarmTarget is the id of a target that may still have the prompt cached; empty for none.
 	WarmTarget string
+	// room holds the targets that have room, nil if it does not matter.
+	room roomSet
 }
 
 func (q *FleetQuery) admits(t *targetState, now time.Time) bool {
-	return t.accepts(now) && q.matches(t)
+	return t.accepts(now) && q.matches(t) && q.room.admits(t)
 }
 
 // matches is admits without regard to whether the target is usable now.
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -250,6 +250,9 @@
 	targets  map[string]*targetState
 	// order holds the targets sorted by id, so that choices are deterministic.
 	order []*targetState
+	// sharers holds the gateways as of the last report of another one.
+	sharers []string
+	own     ownTargets
 	// peers holds the reports of other gateways by name, and reported their sums, also
 	// of targets that are not registered yet. oldestReport is not after the oldest report.
 	peers        map[string]peerReport
@@ -301,7 +304,7 @@
 	f.attachNotices(previous)
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
-	f.rings = nil
+	f.rings, f.own = nil, ownTargets{}
 }
 
 // detectReplaced marks targets whose address is also registered by a newer instance.
@@ -415,6 +418,7 @@
 // SetPeerLoads replaces the loads reported by another gateway. The list must not be changed later.
 func (f *Fleet) SetPeerLoads(peer string, at time.Time, loads []ReportedLoad) {
 	f.removeReport(peer)
+	f.sharers = f.gateways
 	if len(f.peers) == 0 || at.Before(f.oldestReport) {
 		f.oldestReport = at
 	}
--- /dev/null
+++ b/internal/core/placement/room.go
@@ -0,0 +1,185 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// overcommit is the part of an engine's memory up to which work of the highest rank is placed there. Beyond the
+	// capacity, engines preempt less urgent work. Other work may use the capacity.
+	overcommit = 1.1
+	// unlimitedRoom stands for the memory of an engine whose capacity is not known.
+	unlimitedRoom = math.MaxInt32
+)
+
+// RoomQuery says which engines have room for a generation.
+type RoomQuery struct {
+	FleetQuery
+	// Highest is set for work of the highest rank.
+	Highest bool
+	// Reserved is the number of tokens of room to be left for other work.
+	Reserved int
+	// Gateways is the number of gateways that share the targets, with those that were live lately.
+	Gateways int
+}
+
+// limit returns the memory that the work may fill up to.
+func (q *RoomQuery) limit(t *targetState) int {
+	switch {
+	case t.memoryCapacity == 0:
+		return unlimitedRoom
+	case q.Highest:
+		return int(overcommit * float64(t.memoryCapacity))
+	}
+	return t.memoryCapacity
+}
+
+// Room says whether there is room for a generation.
+type Room int
+
+// Values of Room.
+const (
+	// NoTarget means that no target accepts the generation, with or without room.
+	NoTarget Room = iota
+	// Full means that targets accept it and none has room.
+	Full
+	// HasRoom means that a target has room.
+	HasRoom
+)
+
+// roomSet holds the targets that have room. A nil set admits all.
+type roomSet map[*targetState]struct{}
+
+func (s roomSet) admits(t *targetState) bool {
+	if s == nil {
+		return true
+	}
+	_, ok := s[t]
+	return ok
+}
+
+// PlaceInRoom is Place among the engines that have room. The holder of the generation's copy needs none.
+func (f *Fleet) PlaceInRoom(now time.Time, q RoomQuery, holder string, size GenerationSize, keepCopy bool) (Placement, Room) {
+	room, accepted := f.room(now, &q, size)
+	if !accepted && len(q.LastResort) > 0 {
+		q.Exclude = slices.DeleteFunc(slices.Clone(q.Exclude), func(id string) bool { return slices.Contains(q.LastResort, id) })
+		room, accepted = f.room(now, &q, size)
+	}
+	q.FleetQuery.room = room
+	switch chosen, ok := f.Place(now, q.FleetQuery, holder, size, keepCopy); {
+	case ok:
+		return chosen, HasRoom
+	case accepted:
+		return Placement{}, Full
+	}
+	return Placement{}, NoTarget
+}
+
+// room returns the engines that have room for a generation beside the reserved tokens. accepted is set if any engine
+// accepts work.
+func (f *Fleet) room(now time.Time, q *RoomQuery, size GenerationSize) (set roomSet, accepted bool) {
+	f.expireReports(now)
+	if q.Gateways > 1 && len(f.peers) == 0 {
+		return f.ownRoom(now, q, size)
+	}
+	var free []freeMemory
+	seen := 0
+	targets, subset := f.nearby(q.Service)
+	for t := range targets {
+		if !q.admits(t, now) {
+			continue
+		}
+		// The loads of targets further away are not known, see choice.sufficient.
+		if seen++; seen > 2*subset || seen > subset && len(free) > 0 {
+			break
+		}
+		if left := q.limit(t) - f.reservedMemory(t); left >= size.memory() {
+			free = append(free, freeMemory{t, left})
+		}
+	}
+	return q.beside(free), seen > 0
+}
+
+// freeMemory is the memory that is free at an engine.
+type freeMemory struct {
+	target *targetState
+	tokens int
+}
+
+// beside returns the engines that are left if those with the most free memory are kept for the reserved tokens. Pieces
+// at all engines would be of no use to large generations.
+func (q *RoomQuery) beside(free []freeMemory) roomSet {
+	if q.Reserved > 0 {
+		slices.SortStableFunc(free, func(a, b freeMemory) int { return cmp.Compare(b.tokens, a.tokens) })
+	}
+	set, kept := roomSet{}, 0
+	for _, f := range free {
+		if kept < q.Reserved {
+			kept += f.tokens
+			continue
+		}
+		set[f.target] = struct{}{}
+	}
+	return set
+}
+
+// ownRoom is room without word from other gateways: the preferred engines count as this gateway's own, and each other
+// one may be filled up to an equal part of its capacity once they are full.
+func (f *Fleet) ownRoom(now time.Time, q *RoomQuery, size GenerationSize) (set roomSet, accepted bool) {
+	var own, others []freeMemory
+	for _, t := range f.order {
+		if !q.admits(t, now) {
+			continue
+		}
+		accepted = true
+		if f.prefersAmong(t) {
+			if left := q.limit(t) - f.reservedMemory(t); left >= size.memory() {
+				own = append(own, freeMemory{t, left})
+			}
+			continue
+		}
+		part := t.memoryCapacity / q.Gateways
+		if t.memoryCapacity == 0 {
+			part = unlimitedRoom
+		}
+		if left := part - f.reservedMemory(t); left >= size.memory() {
+			others = append(others, freeMemory{t, left})
+		}
+	}
+	if len(own) > 0 {
+		return q.beside(own), accepted
+	}
+	return q.beside(others), accepted
+}
+
+// reservedMemory returns the tokens reserved at a target, by this gateway and by the valid reports of others.
+func (f *Fleet) reservedMemory(t *targetState) int {
+	return t.streamMemory + t.copyMemory + t.reported.memory
+}
+
+// ownTargets holds the ids of the targets that this gateway prefers among certain gateways.
+type ownTargets struct {
+	among []string
+	ids   map[string]bool
+}
+
+// prefersAmong is Prefers among the gateways of the last report of another one: those that do not answer leave the
+// list of live gateways after seconds, and may go on to fill the engines that they prefer.
+func (f *Fleet) prefersAmong(t *targetState) bool {
+	if len(f.sharers) <= 1 {
+		return t.preferred && len(f.gateways) > 1
+	}
+	if f.own.ids == nil || !slices.Equal(f.own.among, f.sharers) {
+		f.own = ownTargets{f.sharers, map[string]bool{}}
+	}
+	own, known := f.own.ids[t.reg.ID]
+	if !known {
+		hash := preferenceHash(f.name, t.reg.ID)
+		own = !slices.ContainsFunc(f.sharers, func(name string) bool { return preferenceHash(name, t.reg.ID) > hash })
+		f.own.ids[t.reg.ID] = own
+	}
+	return own
+}
--- /dev/null
+++ b/internal/core/placement/room_test.go
@@ -0,0 +1,39 @@
+package placement
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against streams that are held although an engine has room, or placed where none is: beyond the limit of their
+// rank, or in the room that higher ranks wait for.
+func TestRoomOfRanks(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g", engines(2))
+	place := func(highest bool, reserved int) Room {
+		q := RoomQuery{FleetQuery: fleetQuery, Highest: highest, Reserved: reserved, Gateways: 1}
+		placed, room := f.PlaceInRoom(now, q, "", typicalSize, false)
+		if room == HasRoom {
+			f.BeginStream(now, placed.Target.ID, "", typicalSize)
+		}
+		return room
+	}
+	// 9 streams of 6,000 tokens fit into each memory of 55,000.
+	for range 17 {
+		c.Check(place(false, 0), qt.Equals, HasRoom)
+	}
+	c.Check(place(false, 6000), qt.Equals, Full, qt.Commentf("the last place is kept for a higher rank"))
+	c.Check(place(false, 0), qt.Equals, HasRoom)
+	c.Check(place(false, 0), qt.Equals, Full)
+	c.Check(place(true, 0), qt.Equals, HasRoom)
+	c.Check(place(true, 0), qt.Equals, HasRoom)
+	c.Check(place(true, 0), qt.Equals, Full)
+	q := RoomQuery{FleetQuery: fleetQuery, Gateways: 1}
+	placed, room := f.PlaceInRoom(now, q, engineID(1), typicalSize, true)
+	c.Check(room, qt.Equals, HasRoom, qt.Commentf("the holder of the copy needs no room"))
+	c.Check(placed.FromCopy, qt.IsTrue)
+	q.Exclude = []string{engineID(0), engineID(1)}
+	_, room = f.PlaceInRoom(now, q, "", typicalSize, true)
+	c.Check(room, qt.Equals, NoTarget)
+}
