Let streams of ranked services wait for room in a queue

Streams that found no target polled each 40 ms, which one got a place was chance, and full engines got more. Streams of ranked services now wait in a queue that the event loop owns: a place is reserved when it is chosen, a client that leaves is removed at once, and a stream is refused with its reason, a log line and a delay from the rate at which memory becomes free. Gateways tell each other what waits (GatewayState.waiting), and lower ranks leave that room. Streams that have run wait for 3 s at most and then go to a full engine rather than be lost. Other services take the path that they took.

Tests of internal/gateway pass, those of the queue also with the race detector; no load was measured.

--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -76,7 +76,7 @@
 	c := qt.New(t)
 	routes := []Route{
 		streamRoute("urgent", "s", 1), streamRoute("patient", "s", 3), streamRoute("wrong", "s", -1),
-		streamRoute("alone", "t", 2), streamRoute("wrong too", "t", maxPriority+1), {Name: "call", Kind: Once, Priority: 9, Shares: []Share{{"t", 1}}},
+		streamRoute("alone", "t", 2), streamRoute("wrong too", "t", MaxPriority+1), {Name: "call", Kind: Once, Priority: 9, Shares: []Share{{"t", 1}}},
 	}
 	accounts := []Account{{Name: "x", Priority: 1}, {Name: "y", Priority: 4}, {Name: "z", Priority: -7}}
 	config := New(1, routes, []Service{{Name: "s"}, {Name: "t"}}, accounts, Limits{})
--- a/internal/core/catalog/ranks.go
+++ b/internal/core/catalog/ranks.go
@@ -7,10 +7,10 @@
 	"bramleygap/internal/core/precedence"
 )
 
-// maxPriority is the highest number that a priority may have. Larger ones are taken for a mistake.
-const maxPriority = 1_000_000
+// MaxPriority is the highest number that a priority may have. Larger ones are taken for a mistake.
+const MaxPriority = 1_000_000
 
-func validPriority(p int) bool { return p >= 0 && p <= maxPriority }
+func validPriority(p int) bool { return p >= 0 && p <= MaxPriority }
 
 // priorities is the range of the valid priorities of one kind.
 type priorities struct{ first, last int }
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -183,3 +183,8 @@
 	}
 	return own
 }
+
+// ReadTime returns the time to the first event of a prompt at an engine of nominal speed that has no other work.
+func ReadTime(promptTokens int) time.Duration {
+	return prefillTime(promptTokens, 1) + firstEventOverhead
+}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -115,6 +115,11 @@
 	orders    map[string]*trackedOrder
 	baselines map[string]*evidence.Baseline
 	evidence  *evidence.Counters
+	// streamQueues holds the queues of the ranked services, and lastQueued the last id in them.
+	streamQueues map[string]*streamQueue
+	lastQueued   uint64
+	// invalidReportLogged is when a report of another gateway with impossible values was last logged.
+	invalidReportLogged time.Time
 }
 
 // eventLoop serializes access to the gateway's state. Other goroutines send it functions to
@@ -177,6 +182,7 @@
 		evidence:        evidence.NewCounters(l.options.Settings.Name, rng.Uint64()),
 		runIndex:        runindex.New(),
 		activeRuns:      map[string]*activeRun{},
+		streamQueues:    map[string]*streamQueue{},
 		lastTick:        now,
 		tableNews:       make(chan struct{}),
 		partNews:        make(chan struct{}),
@@ -249,6 +255,7 @@
 	l.partsChanged(st, now, "expiry")
 	st.runIndex.Expire(now)
 	st.outages.Expire(now)
+	l.tickQueues(st, now)
 	l.publishStaleness(st, now)
 }
 
@@ -443,6 +450,7 @@
 	if l.published.Swap(&publishedState{desired: desired, stale: st.desiredStateStale(now)}) == nil {
 		close(l.desiredLoaded)
 	}
+	st.rerankQueues()
 	l.updateFleet(st)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,10 @@
 	notices        *prometheus.CounterVec
 	withheld       *prometheus.CounterVec
 	priorities     prometheus.Counter
+	streamsWaiting prometheus.Gauge
+	queuePlaces    *prometheus.CounterVec
+	queueRefusals  *prometheus.CounterVec
+	invalidReports *prometheus.CounterVec
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -83,6 +87,10 @@
 		notices:        counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
 		withheld:       counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, or because a part of their prompt crashes targets, by kind of route.", "kind"),
 		priorities:     counter("invalid_priorities_total", "Priorities of accounts and stream routes that were out of range, by version of the desired state."),
+		streamsWaiting: gauge("streams_waiting", "Streams of ranked services that wait for a place."),
+		queuePlaces:    counterVec("stream_queue_places_total", "Streams of ranked services that got a place, by when.", "when"),
+		queueRefusals:  counterVec("stream_queue_refusals_total", "Streams of ranked services that left the queue without a place, by reason.", "reason"),
+		invalidReports: counterVec("invalid_reports_total", "Impossible values in reports of other gateways, by kind of report.", "report"),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
@@ -108,7 +116,7 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.invalidReports)
 	return m
 }
 
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -175,7 +175,7 @@
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
 		copyHolder: e.Placement.CopyTarget,
 		// A successor, and a stream whose client returns, continue what a target has run.
-		priority: s.req.enginePriority(s.machine.Ran() || s.current != nil || e.After > 0),
+		priority: s.req.enginePriority(s.machine.Ran() || s.current != nil || e.After > 0, s.placed.asHighest),
 		handle: &attemptHandle{
 			requestID: s.req.head.ID, identity: s.req.identity, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(),
 			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
@@ -184,7 +184,7 @@
 	}
 	if e.CopyHolder != "" {
 		// The copy contains nearly all of the processed prompt.
-		a.size = placement.GenerationSize{OutputTokens: s.prompt.PromptTokens + s.prompt.OutputTokens}
+		a.size = resumedSize(s.prompt)
 	}
 	a.handle.reportSilent = a.reportSilent
 	a.streamID, a.copyTarget = s.beginAttempt(a)
@@ -195,6 +195,11 @@
 	return a
 }
 
+// resumedSize returns the size of a generation that resumes from a copy.
+func resumedSize(size placement.GenerationSize) placement.GenerationSize {
+	return placement.GenerationSize{OutputTokens: size.PromptTokens + size.OutputTokens}
+}
+
 // reportSilent tells the stream that its target has answered no probe. A stream that is late gets one report,
 // however often its target is found down meanwhile.
 func (a *attempt) reportSilent() {
@@ -216,7 +221,10 @@
 	}
 	b := query(s.g.ctx, s.g.loop, func(st *state) begun {
 		placed := a.start.Placement
-		result := begun{streamID: st.fleet.BeginStream(time.Now(), placed.Target, placed.CopyTarget, a.size)}
+		result := begun{streamID: a.reserved}
+		if a.reserved == 0 {
+			result.streamID = st.fleet.BeginStream(time.Now(), placed.Target, placed.CopyTarget, a.size)
+		}
 		if copyTarget, ok := st.fleet.Target(placed.CopyTarget); ok {
 			result.copyTarget = copyTarget.Address
 		}
@@ -254,6 +262,7 @@
 		st.fleet.EndStream(now, placed.Target, copyHolder, a.streamID, a.size, failed)
 		st.removeAttempt(placed.Target, a.handle)
 		st.inflightStreams[s.req.service]--
+		s.g.loop.streamEnded(st, now, s.req.service, a.size.PromptTokens+a.size.OutputTokens)
 	})
 }
 
--- a/internal/gateway/stream_queue_test.go
+++ b/internal/gateway/stream_queue_test.go
@@ -1,13 +1,21 @@
 package gateway
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"bramleygap/internal/core/catalog"
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/relay"
 	"bramleygap/internal/obs"
+	"bramleygap/internal/settings"
+	"bramleygap/internal/wire"
 )
 
 // rankedConfig has a ranked service s and a service t that is not, although its account states a priority.
@@ -28,7 +36,7 @@
 	config := rankedConfig(1)
 	priority := func(path, service string, ran bool) int {
 		request := &clientRequest{g: g, service: service, head: Request{Host: "h", Path: path, Key: "k"}, route: config.Route("h", path)}
-		return request.enginePriority(ran)
+		return request.enginePriority(ran, false)
 	}
 	c.Check(priority("/urgent", "s", false), qt.Equals, -1, qt.Commentf("without a desired state"))
 	g.loop.published.Store(&publishedState{desired: DesiredState{Config: config}})
@@ -38,3 +46,123 @@
 	c.Check(priority("/patient", "s", true), qt.Equals, 8)
 	c.Check(priority("/plain", "t", true), qt.Equals, -1)
 }
+
+// queueGateway is a gateway whose event loop runs, with one engine of the ranked service that has room for two streams.
+func queueGateway(t *testing.T) *Gateway {
+	g := &Gateway{log: zerolog.Nop(), metrics: newMetrics(obs.NewRegistry()), options: &Options{Logger: zerolog.Nop()}, ctx: t.Context(), maxRequests: 10}
+	g.options.Settings = settings.Gateway{Name: "g", Bounds: settings.Bounds{RetryRatio: 0.8, RetrySlack: 150}}
+	g.loop = newEventLoop(g.options, g.metrics)
+	config := rankedConfig(1)
+	g.loop.published.Store(&publishedState{desired: DesiredState{Config: config}})
+	go func() { _ = g.loop.run(t.Context()) }()
+	query(g.ctx, g.loop, func(st *state) bool {
+		st.desired.Config = config
+		st.fleet.Update([]membership.Registration{{ID: "e", Service: "s", Zone: "a", Slots: 9, Model: true}}, func(string) int { return 10_000 })
+		return true
+	})
+	return g
+}
+
+// await starts a stream that seeks a place, and returns the end of its wait.
+func (g *Gateway) await(ctx context.Context, path string, objective time.Duration) (*stream, <-chan []relay.Effect) {
+	now := time.Now()
+	request := &clientRequest{
+		g: g, ctx: ctx, service: "s", head: Request{Host: "h", Path: path, Key: "k"}, log: zerolog.Nop(), arrived: now, deadline: now.Add(25 * time.Second),
+		route: &catalog.Route{Name: path, Kind: catalog.Stream, TargetLatency: objective, Resumable: true},
+	}
+	s := &stream{g: g, req: request, prompt: placement.GenerationSize{PromptTokens: 4000, OutputTokens: 600}}
+	s.machine = relay.New(relay.Options{Resumable: true, MaxAttempts: 5, Arrived: now, Deadline: request.deadline})
+	s.machine.Start()
+	done := make(chan []relay.Effect, 1)
+	go func() { done <- s.chooseTarget(relay.ChooseTarget{}) }()
+	return s, done
+}
+
+// counted returns the sum of a counter over its labels.
+func counted(c *qt.C, counter prometheus.Collector) float64 {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(counter)
+	families, err := registry.Gather()
+	c.Assert(err, qt.IsNil)
+	sum := 0.0
+	for _, family := range families {
+		for _, metric := range family.Metric {
+			sum += metric.Counter.GetValue()
+		}
+	}
+	return sum
+}
+
+func (g *Gateway) waiting() int {
+	return query(g.ctx, g.loop, func(st *state) int {
+		if st.streamQueues["s"] == nil {
+			return 0
+		}
+		return st.streamQueues["s"].queue.Len()
+	})
+}
+
+// Scenario: more streams than an engine has room for. Guards against memory that is promised twice before the attempts
+// start, against clients that leave and stay in the queue, against streams that miss the room that becomes free or
+// wait for it beyond 0.75 of their objective, and against a refusal without a delay.
+func TestStreamsWaitForRoom(t *testing.T) {
+	c := qt.New(t)
+	g := queueGateway(t)
+	first, done := g.await(t.Context(), "/patient", 10*time.Second)
+	c.Assert(<-done, qt.HasLen, 1)
+	_, done = g.await(t.Context(), "/patient", 10*time.Second)
+	<-done
+	ctx, leave := context.WithCancel(t.Context())
+	_, left := g.await(ctx, "/urgent", 10*time.Second)
+	next, placed := g.await(t.Context(), "/urgent", 10*time.Second)
+	refused, ended := g.await(t.Context(), "/patient", 100*time.Millisecond)
+	for g.waiting() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	<-left
+	c.Check(g.waiting() <= 2, qt.IsTrue)
+	c.Check(<-ended, qt.DeepEquals, []relay.Effect{relay.Finish{Outcome: relay.NoTarget}})
+	c.Check(refused.req.retryDelay(0) >= 800*time.Millisecond, qt.IsTrue)
+	c.Check(counted(c, g.metrics.queueRefusals), qt.Equals, 1.0)
+	g.loop.post(g.ctx, func(st *state) {
+		st.fleet.EndStream(time.Now(), "e", "", first.placed.reserved, first.prompt, false)
+		g.loop.streamEnded(st, time.Now(), "s", 4600)
+	})
+	c.Assert(<-placed, qt.HasLen, 1)
+	c.Check(next.placed.reserved > 0, qt.IsTrue)
+	c.Check(g.waiting(), qt.Equals, 0)
+}
+
+// Guards against waiting streams of which other gateways do not learn, and against reports with impossible values that
+// are used or by which the rest of the message is lost.
+func TestWaitingStreamsReachOtherGateways(t *testing.T) {
+	c := qt.New(t)
+	g, other := queueGateway(t), queueGateway(t)
+	for range 3 {
+		_, done := g.await(t.Context(), "/urgent", 10*time.Second)
+		select {
+		case <-done:
+		case <-time.After(30 * time.Millisecond):
+		}
+	}
+	msg := query(g.ctx, g.loop, func(st *state) *wire.GatewayState {
+		msg := &wire.GatewayState{Name: "g"}
+		st.exportWaiting(msg, time.Now())
+		return msg
+	})
+	c.Assert(msg.Waiting, qt.HasLen, 1)
+	c.Check(msg.Waiting[0].Tokens, qt.Equals, uint32(4600))
+	msg.Waiting = append(msg.Waiting, &wire.WaitingWork{Service: serviceKey("s"), Streams: 1 << 31, RoutePriority: 7}, &wire.WaitingWork{Service: serviceKey("s")})
+	_, done := other.await(t.Context(), "/patient", 10*time.Second)
+	<-done
+	// The engine has room for one more, which the urgent stream at the first gateway waits for.
+	other.loop.post(other.ctx, func(st *state) { other.loop.mergeWaiting(st, time.Now(), msg) })
+	_, done = other.await(t.Context(), "/patient", 10*time.Second)
+	select {
+	case <-done:
+		c.Error("patient stream took the room that an urgent one elsewhere waits for")
+	case <-time.After(200 * time.Millisecond):
+	}
+	c.Check(counted(c, other.metrics.invalidReports), qt.Equals, 2.0)
+}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -279,6 +279,9 @@
 
 // chooseTarget waits a limited time for a target and returns the effects.
 func (s *stream) chooseTarget(e relay.ChooseTarget) []relay.Effect {
+	if s.g.loop.ranked(s.req.service) {
+		return s.awaitPlace(e)
+	}
 	maxWait := time.Duration(placementWaitFraction * float64(s.req.route.TargetLatency))
 	if s.machine.Ran() {
 		maxWait = resumePlacementWait
@@ -313,6 +316,10 @@
 	resumeFrom *CacheCopy
 	// tookRepeat is set if the attempt took a token of the retry budget.
 	tookRepeat bool
+	// reserved is the id of the stream in the fleet if its place is reserved already, 0 if not. asHighest is set if it
+	// has the rights of the highest rank.
+	reserved  uint64
+	asHighest bool
 }
 
 type placementResult struct {
@@ -327,6 +334,11 @@
 	// tookRepeat is set if a token of the retry budget was taken, and budgetSpent if there was none.
 	tookRepeat, budgetSpent bool
 	held                    heldPlacement
+	// reserved and asHighest are those of chosenTarget, and retryAfter is the delay to state to the client, 0 for the
+	// usual one.
+	reserved   uint64
+	asHighest  bool
+	retryAfter time.Duration
 }
 
 // requestPlacement requests a target from the event loop: the holder of the KV cache copy if it
@@ -386,7 +398,7 @@
 	if !p.ok {
 		return
 	}
-	s.placed = chosenTarget{reg: p.reg, tookRepeat: p.tookRepeat}
+	s.placed = chosenTarget{reg: p.reg, tookRepeat: p.tookRepeat, reserved: p.reserved, asHighest: p.asHighest}
 	if p.placement.Resume {
 		s.placed.resumeFrom = resumeFrom
 	}
@@ -581,7 +593,7 @@
 	case s.budgetSpent:
 		s.g.refuse(s.w, s.req, result.RetryBudgetSpent, streamRetryAfter)
 	case s.req.deadlineTooShort:
-		s.g.refuse(s.w, s.req, result.DeadlineTooShort, streamRetryAfter)
+		s.g.refuse(s.w, s.req, result.DeadlineTooShort, s.req.retryDelay(streamRetryAfter))
 	default:
 		s.g.refuse(s.w, s.req, result.NoTarget, s.req.retryDelay(streamRetryAfter))
 	}
