--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -17,7 +17,7 @@
 const (
 	// dispatchInterval is the least time between two passes over a queue. When a zone is lost, hundreds of streams end
 	// within a few ms, and each end would cause a pass.
-	dispatchInterval = 10 * time.Millisecond
+	dispatchInterval = 20 * time.Millisecond
 	// plainClass is the class of the streams that may run at any engine of their service.
 	plainClass = 1
 	// maxWaitingReports bounds the entries of a message of another gateway about its waiting streams, and
