--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -403,6 +403,7 @@
 	msg := p.exportState(st, now, nil)
 	if kind.loads {
 		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
+		st.exportWaiting(msg, now)
 	}
 	if st.settings.Bounds.ShareRetries {
 		msg.RetryTokens = st.wantedRetryTokens(now)
@@ -427,6 +428,7 @@
 	msg := p.exportState(st, arrived, remote)
 	if kind.loads {
 		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
+		st.exportWaiting(msg, now)
 	}
 	msg.RetryTokens = p.giveRetryTokens(st, now, remote)
 	if kind.held || remote.SuspectSummary == nil || placement.SharesAll(len(st.liveGateways)) {
@@ -567,6 +569,7 @@
 	now := time.Now()
 	if remote.PackedLoads != nil || len(remote.Loads) > 0 {
 		st.fleet.SetPeerLoads(remote.Name, now, unpackLoads(remote))
+		p.g.loop.mergeWaiting(st, now, remote)
 	}
 	st.stopTimes[remote.Name] = time.Time{}
 	if remote.StopsInMs > 0 {
