Tell engines the same priority for work that has run

Engines let urgent work preempt running work of a lower priority. With one step more for work that had run, each resumption without a copy preempted another stream of its rank, and both prompts were read again.

--- a/internal/core/precedence/precedence.go
+++ b/internal/core/precedence/precedence.go
@@ -12,9 +12,8 @@
 	// agingFraction is the fraction of its objective after which waiting work counts as of the highest
 	// rank. The other half is left for finding a place and reading the prompt.
 	agingFraction = 0.5
-	// highestEnginePriority and lowestEnginePriority bound the priorities of work that has not run, and
-	// assumedEnginePriority is what an engine assumes for a request without one. The priority below
-	// highestEnginePriority is kept for work of the highest rank that has run.
+	// highestEnginePriority and lowestEnginePriority bound the priorities that engines are told, and
+	// assumedEnginePriority is what an engine assumes for a request without one.
 	highestEnginePriority, lowestEnginePriority = 1, 9
 	assumedEnginePriority                       = 5
 )
@@ -106,21 +105,18 @@
 
 // EnginePriority returns the priority that an engine is told for work of a rank, from 0 (first) to 9. ranks holds
 // the ranks that occur in the service, the highest first. They are spread over 1 to 9; with more than nine,
-// neighboring ranks share a priority. Work that has run gets one less: an engine whose memory runs out preempts the
-// newest of the least urgent work, and another prefill of what has run costs more than the first one of new work.
-func EnginePriority(rank Rank, ranks []Rank, ran bool) int {
+// neighboring ranks share a priority. Work that has run gets no better one: engines let urgent work preempt running
+// work, so that a stream that resumes without a copy would preempt another one of its own rank, and both prompts would
+// be read again.
+func EnginePriority(rank Rank, ranks []Rank) int {
 	const span = lowestEnginePriority - highestEnginePriority
 	place, _ := slices.BinarySearchFunc(ranks, rank, Rank.Compare)
 	place = min(place, len(ranks)-1)
-	priority := assumedEnginePriority
 	switch n := len(ranks); {
 	case n > span+1:
-		priority = highestEnginePriority + place*(span+1)/n
+		return highestEnginePriority + place*(span+1)/n
 	case n > 1:
-		priority = highestEnginePriority + (place*span+(n-1)/2)/(n-1)
+		return highestEnginePriority + (place*span+(n-1)/2)/(n-1)
 	}
-	if ran {
-		priority--
-	}
-	return priority
+	return assumedEnginePriority
 }
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -174,8 +174,7 @@
 	a := &attempt{
 		chosenTarget: s.placed, s: s, start: e, number: s.machine.Attempts(), startedAt: time.Now(), size: s.prompt,
 		copyHolder: e.Placement.CopyTarget,
-		// A successor, and a stream whose client returns, continue what a target has run.
-		priority: s.req.enginePriority(s.machine.Ran() || s.current != nil || e.After > 0, s.placed.asHighest),
+		priority:   s.req.enginePriority(s.placed.asHighest),
 		handle: &attemptHandle{
 			requestID: s.req.head.ID, identity: s.req.identity, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(),
 			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -407,8 +407,8 @@
 }
 
 // enginePriority returns the priority that an engine is told for an attempt, negative if the service is not ranked.
-// ran is set if the attempt continues work that has run, and asHighest if it has the rights of the highest rank.
-func (c *clientRequest) enginePriority(ran, asHighest bool) int {
+// asHighest is set if it has the rights of the highest rank.
+func (c *clientRequest) enginePriority(asHighest bool) int {
 	p := c.g.loop.published.Load()
 	if p == nil || p.desired.Config == nil || !p.desired.Config.Ranked(c.service) {
 		return -1
@@ -417,5 +417,5 @@
 	if !asHighest {
 		rank = c.rank(p.desired.Config)
 	}
-	return precedence.EnginePriority(rank, p.desired.Config.Ranks(c.service), ran)
+	return precedence.EnginePriority(rank, p.desired.Config.Ranks(c.service))
 }
