Do not count the gateway's own delay against targets

In the play with 900 of 900 calls unanswered after 30 s the kernel ran neither the gateway nor the ten busy processes: 5.3 ms of processor time for the gateway's threads from 1 to 30 s, at most 20 ms for a busy process, while the core was 98% busy with processes of other sessions. Gateway and load share a scheduling group. No code of the gateway runs then. When the gateway runs again, calls past their deadline are still placed. Each fails to connect with an ended context, which marked a sound target down, probed it and cost events of the loop. Connection attempts (100 ms) and probes (110 ms) time out on resumption although the target answered.

Change: a call past its deadline is not sent or placed. A connection attempt whose context ended, or that timed out more than 50 ms late, does not mark its target down and is no failure of it.

Result: unit tests.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -149,8 +149,12 @@
 // Done reports whether Finish was emitted.
 func (m *Machine) Done() bool { return m.done }
 
-// Start begins the request.
+// Start begins the request. One whose deadline has passed already, as in a process that was suspended, is not
+// sent.
 func (m *Machine) Start(now time.Time) []Effect {
+	if !now.Before(m.options.Deadline) {
+		return m.conclude()
+	}
 	if m.options.Idempotent {
 		delay := max(minHedgeDelay, hedgeFactor*m.options.TypicalLatency)
 		m.hedgeAt = now.Add(delay)
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -176,3 +176,13 @@
 	effects := m.AttemptEnded(start, 1, Unknown)
 	c.Check(effects, qt.DeepEquals, []Effect{Finish{Outcome: Answered, Attempt: 0}})
 }
+
+// Scenario: the process was suspended between a call's arrival and its handling. Guards against sending a call
+// whose deadline has passed.
+func TestCallPastItsDeadlineIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	m := New(options(true, 2))
+	effects := m.Start(start.Add(time.Second))
+	c.Check(countSends(effects), qt.Equals, 0)
+	c.Check(finishOutcome(effects), qt.Equals, NotRun)
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -34,7 +35,8 @@
 	response TargetResponse
 	body     []byte
 	target   string
-	// withheld is set if the request was not sent because the target leaves or asked for a pause.
+	// withheld is set if the request was not sent because the target leaves or asked for a pause, or because of
+	// this gateway's own delay.
 	withheld bool
 }
 
@@ -149,7 +151,7 @@
 			cancel()
 			return f.machine.NoTarget(time.Now(), e.Attempt)
 		}
-		if e.Retry || f.req.rejected || !time.Now().Before(waitUntil) || f.req.ctx.Err() != nil {
+		if e.Retry || f.req.rejected || !time.Now().Before(f.req.deadline) || !time.Now().Before(waitUntil) || f.req.ctx.Err() != nil {
 			cancel()
 			return f.machine.NoTarget(time.Now(), e.Attempt)
 		}
@@ -166,10 +168,10 @@
 	// The choice is made or not, whether or not the client leaves meanwhile: what it takes is given back
 	// only if its result is known here.
 	c := query(f.g.ctx, f.g.loop, func(st *state) choice {
-		if f.req.ctx.Err() != nil {
+		now := time.Now()
+		if f.req.ctx.Err() != nil || !now.Before(f.req.deadline) {
 			return choice{}
 		}
-		now := time.Now()
 		if f.g.loop.rejects(st, now, f.req, f.sendCount > 0) {
 			f.req.rejected = true
 			return choice{}
@@ -261,7 +263,7 @@
 	conn, err := connect(ctx)
 	if err != nil {
 		f.g.handleDialError(reg, err)
-		return attemptResult{result: forward.Unsent}
+		return attemptResult{result: forward.Unsent, withheld: errors.Is(err, target.ErrAbandoned) || errors.Is(err, target.ErrLate)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"bramleygap/internal/core/membership"
+	"bramleygap/internal/gateway/target"
 	"bramleygap/internal/obs"
 )
 
@@ -107,3 +108,19 @@
 	a.reportSilent()
 	c.Check((<-s.messages).kind, qt.Equals, attemptSilent)
 }
+
+// Guards against a burst of calls past their deadlines that marks sound targets down and probes them, each at the
+// cost of an event of the loop: what ended before a connection did says nothing about the target.
+func TestOwnDelayMarksNoTargetDown(t *testing.T) {
+	c := qt.New(t)
+	g, reg, _ := startNoticeGateway(t)
+	answers := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer answers.Close()
+	reg.Address = answers.Listener.Addr().String()
+	for _, err := range []error{target.ErrAbandoned, target.ErrLate} {
+		g.handleDialError(reg, err)
+		usable := query(t.Context(), g.loop, func(st *state) bool { return st.fleet.Usable(time.Now(), reg.ID) })
+		c.Check(usable, qt.IsTrue, qt.Commentf("%v", err))
+	}
+	g.tasks.Wait()
+}
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -31,6 +31,13 @@
 // ErrUnexpectedBytes means that a target sent data without a request.
 var ErrUnexpectedBytes = errors.New("target sent data without a request")
 
+// ErrAbandoned means that the context of a connection attempt ended first, which says nothing about the target.
+var ErrAbandoned = errors.New("connection attempt was abandoned")
+
+// ErrLate means that a connection attempt timed out while this process did not run for a part of that time. The
+// target may have accepted the connection.
+var ErrLate = errors.New("connection attempt timed out while this process was suspended")
+
 // ErrNotPermitted means that Request.Permit did not permit a request when it was to be sent.
 var ErrNotPermitted = errors.New("target accepts no requests now")
 
@@ -82,6 +89,9 @@
 
 // Get returns a connection that has been idle for less than maxIdle, or a new one.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
+	if ctx.Err() != nil {
+		return nil, ErrAbandoned
+	}
 	if conn := p.takeIdle(address, maxIdle); conn != nil {
 		return conn, nil
 	}
@@ -90,9 +100,10 @@
 
 // Dial returns a new connection.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	started := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, dialError(ctx, err, time.Since(started))
 	}
 	p.onOpen()
 	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve()}
--- a/internal/gateway/target/dial.go
+++ b/internal/gateway/target/dial.go
@@ -4,6 +4,8 @@
 package target
 
 import (
+	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -24,6 +26,28 @@
 	tcpUserTimeout = 0x12
 )
 
+// maxTimerDelay is by how much a timer of a running process may be late. Gateways get their share of a core in
+// periods of 100 ms, so that pauses of tens of ms are normal.
+const maxTimerDelay = 50 * time.Millisecond
+
+// Late reports whether an operation with a time limit ended so long after it that this process did not run
+// meanwhile, so that its time-out says nothing about the other side.
+func Late(took, limit time.Duration) bool { return took > limit+maxTimerDelay }
+
+// dialError returns the error of a connection attempt that failed after some time.
+func dialError(ctx context.Context, err error, took time.Duration) error {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return err
+	case ctx.Err() != nil:
+		return ErrAbandoned
+	case errors.As(err, &netErr) && netErr.Timeout() && Late(took, DialTimeout):
+		return ErrLate
+	}
+	return err
+}
+
 // NewDialer returns a dialer whose connections quickly detect the loss of the peer.
 func NewDialer() *net.Dialer {
 	return &net.Dialer{
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -181,3 +184,20 @@
 	_, err = conn.Receive(http.MethodGet)
 	c.Check(err, qt.ErrorIs, ErrProtocolSwitched)
 }
+
+// Guards against a target that counts as unreachable because the call that wanted it ended or because this
+// process was suspended while it connected, and against a time-out that goes unnoticed.
+func TestDialErrorOfOwnDelay(t *testing.T) {
+	c := qt.New(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	c.Check(dialError(ended, timeout, DialTimeout), qt.Equals, ErrAbandoned)
+	c.Check(dialError(t.Context(), timeout, DialTimeout+maxTimerDelay+1), qt.Equals, ErrLate)
+	c.Check(dialError(t.Context(), timeout, DialTimeout+maxTimerDelay), qt.Equals, error(timeout))
+	c.Check(dialError(ended, refused, time.Second), qt.Equals, error(refused), qt.Commentf("a closed port is certain"))
+	pool := NewPool(func() {}, func(int, int) {}, NewMemory(1<<20))
+	_, err := pool.Get(ended, "127.0.0.1:1", time.Second)
+	c.Check(err, qt.Equals, ErrAbandoned)
+}
