Refuse new requests that a gateway cannot carry

Cause: only the number of active requests protected a gateway that is short of processor time, link or memory, and a client that stopped reading held its stream until the deadline.

Being full for lack of processor time takes 1 s of evidence, since a garbage collection takes up to 0.5 s on a tenth of a core.

--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -15,8 +15,10 @@
 	lowDelay = 100 * time.Millisecond
 	// busyUse is the fraction of the processor share beyond which a delay is due to the gateway's own load.
 	busyUse = 0.8
-	// busySamples is the number of consecutive busy samples after which a gateway is full.
+	// busySamples is the number of consecutive busy samples, and busyTime the time they cover, after which a gateway
+	// is full. A garbage collection takes up to 0.5 s on a tenth of a core.
 	busySamples = 2
+	busyTime    = time.Second
 	// starvedSamples is the same for delays while the process used little of its share. One is a suspension, and
 	// the next may be due to what arrived meanwhile.
 	starvedSamples = 4
@@ -95,6 +97,8 @@
 	last   time.Time
 	// busy, starved and held count the consecutive samples of each kind.
 	busy, starved, held int
+	// busySince is when the first of the busy samples began.
+	busySince time.Time
 	// linkFullSince and lowSince are zero while the link is not full or the signals are not low.
 	linkFullSince, lowSince time.Time
 	fullSince               time.Time
@@ -113,7 +117,7 @@
 	seconds := interval.Seconds()
 	// The interval of the next sample begins here, also if this one came late.
 	m.last = s.At
-	m.observeDelay(s, seconds)
+	m.observeDelay(s, interval)
 	link, held := fraction(float64(s.Sent)/seconds, m.limits.Link), fraction(float64(s.Held), m.limits.Held)
 	if link < highLink {
 		m.linkFullSince = time.Time{}
@@ -133,11 +137,13 @@
 
 // observeDelay counts a late sample as due to the gateway's own load or to a lack of processor time. Without a known
 // share, the delay says nothing: the gateway has no setting that asks for it.
-func (m *Monitor) observeDelay(s *Sample, seconds float64) {
+func (m *Monitor) observeDelay(s *Sample, interval time.Duration) {
 	late := s.Delay >= highDelay && m.limits.Processor > 0
-	busy := late && fraction(s.Processor.Seconds()/seconds, m.limits.Processor) >= busyUse
+	busy := late && fraction(s.Processor.Seconds()/interval.Seconds(), m.limits.Processor) >= busyUse
 	m.starved = count(m.starved, late)
-	m.busy = count(m.busy, busy)
+	if m.busy = count(m.busy, busy); m.busy == 1 {
+		m.busySince = s.At.Add(-interval)
+	}
 }
 
 func (m *Monitor) decide(s *Sample) {
@@ -159,7 +165,7 @@
 // evidence returns why the gateway is full, None if there is not enough evidence.
 func (m *Monitor) evidence(now time.Time) Reason {
 	switch {
-	case m.busy >= busySamples:
+	case m.busy >= busySamples && now.Sub(m.busySince) >= busyTime:
 		return Processor
 	case m.starved >= starvedSamples:
 		return Starved
--- a/internal/core/capacity/capacity_test.go
+++ b/internal/core/capacity/capacity_test.go
@@ -50,6 +50,7 @@
 	c.Check(state, qt.Equals, State{Processor, 1400 * time.Millisecond})
 	c.Check(l.sample(20*time.Second, 0.05).Reason, qt.Equals, None, qt.Commentf("bound of the state"))
 	l.sample(300*time.Millisecond, 0.05)
+	c.Check(l.sample(300*time.Millisecond, 0.05).Reason, qt.Equals, None, qt.Commentf("0.8 s, as with a garbage collection"))
 	c.Check(l.sample(300*time.Millisecond, 0.05).Reason, qt.Equals, Processor)
 	for range 8 {
 		l.sample(0, 0.05)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,7 @@
 	// memory is what responses in progress may occupy together, and bodies what client requests may.
 	memory, bodies *target.Memory
 	maxRequests    int64
+	capacity       capacityMonitor
 	ctx            context.Context
 	startedAt      time.Time
 	tasks          sync.WaitGroup
@@ -85,6 +86,8 @@
 	g.memory, g.bodies, g.maxRequests = target.NewMemory(limits.responses), target.NewMemory(limits.bodies), limits.requests
 	g.metrics.observeMemory(options.Registerer, g.memory, g.bodies)
 	g.pool = target.NewPool(g.metrics.connections.Inc, g.loop.traffic.targets.add, g.memory)
+	g.capacity.g = g
+	g.metrics.observeHeld(options.Registerer, g.heldForClients, g.heldForTargets)
 	// Background tasks outlive ctx, because active requests need them during shutdown.
 	tasksCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -97,6 +100,10 @@
 		watcher := &tableWatcher{loop: g.loop, store: options.Store, table: table}
 		group.Go(func() error { return watcher.run(groupCtx) })
 	}
+	if knowsCapacity(&options.Settings) {
+		g.capacity.boundsWriters = true
+		group.Go(func() error { return g.capacity.run(groupCtx, limits.capacity(&options.Settings)) })
+	}
 	g.peers = newPeers(g)
 	group.Go(func() error { return g.peers.run(groupCtx) })
 	group.Go(func() error { return g.recheckTargets(groupCtx) })
--- a/internal/gateway/memory_limits.go
+++ b/internal/gateway/memory_limits.go
@@ -1,5 +1,10 @@
 package gateway
 
+import (
+	"bramleygap/internal/core/capacity"
+	"bramleygap/internal/settings"
+)
+
 const (
 	// defaultMemoryMB is the memory in MB that a gateway without a stated limit plans with.
 	defaultMemoryMB = 1024
@@ -22,6 +27,11 @@
 	responses, bodies, requests int64
 }
 
+// capacity returns what a gateway with some settings may use.
+func (m memoryLimits) capacity(s *settings.Gateway) capacity.Limits {
+	return capacity.Limits{Processor: s.ProcessorShare, Link: s.LinkMbps * bytesPerMbit, Held: float64(m.responses + m.bodies)}
+}
+
 // limitsFor returns the limits for a memory limit in MB, 0 if none is stated.
 func limitsFor(memoryMB int64) memoryLimits {
 	if memoryMB == 0 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,10 @@
 	handlerPanics  prometheus.Counter
 	notices        *prometheus.CounterVec
 	withheld       *prometheus.CounterVec
+	// capacityDecisions and capacityFull are about what the gateway can carry.
+	capacityDecisions *prometheus.CounterVec
+	capacityFull      *prometheus.GaugeVec
+	stalledClients    prometheus.Counter
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -65,22 +69,27 @@
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "bramleygap_gateway_first_event_seconds", Help: "Time from a stream's arrival to its first event.", Buckets: latencyBuckets,
 		}),
-		refusals:       counterVec("refusals_total", "Requests answered with a failure of the gateway's own, by result code.", "code"),
-		attempts:       counterVec("call_attempts_total", "Attempts of short calls by result.", "result"),
-		losses:         counterVec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
-		retriesRefused: counterVec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
-		storeCalls:     counterVec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
-		peerExchanges:  counterVec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
-		linkBytes:      counterVec("link_bytes_total", "Bytes exchanged with clients, targets and other gateways, by direction.", "link", "direction"),
-		peerBytes:      counterVec("peer_message_bytes_total", "Bytes of messages between gateways, without framing, by call and direction.", "call", "direction"),
-		exchangeBytes:  counterVec("exchange_bytes_total", "Bytes of exchanged states that this gateway sent, without framing, by part.", "part"),
-		tableFetches:   counterVec("table_fetches_total", "Tables fetched from other gateways, by table and outcome.", "table", "outcome"),
-		probes:         counterVec("probes_total", "Probes of targets by outcome.", "outcome"),
-		runLookups:     counterVec("runs_sought_total", "Searches for the run of a returning client by their outcome.", "outcome"),
-		unframedEnds:   counterVec("unframed_ends_total", "Responses that ended with their connection, by whether their target still ran.", "target"),
-		copyOrders:     counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
-		notices:        counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
-		withheld:       counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, or because a part of their prompt crashes targets, by kind of route.", "kind"),
+		refusals:          counterVec("refusals_total", "Requests answered with a failure of the gateway's own, by result code.", "code"),
+		attempts:          counterVec("call_attempts_total", "Attempts of short calls by result.", "result"),
+		losses:            counterVec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
+		retriesRefused:    counterVec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
+		storeCalls:        counterVec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
+		peerExchanges:     counterVec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
+		linkBytes:         counterVec("link_bytes_total", "Bytes exchanged with clients, targets and other gateways, by direction.", "link", "direction"),
+		peerBytes:         counterVec("peer_message_bytes_total", "Bytes of messages between gateways, without framing, by call and direction.", "call", "direction"),
+		exchangeBytes:     counterVec("exchange_bytes_total", "Bytes of exchanged states that this gateway sent, without framing, by part.", "part"),
+		tableFetches:      counterVec("table_fetches_total", "Tables fetched from other gateways, by table and outcome.", "table", "outcome"),
+		probes:            counterVec("probes_total", "Probes of targets by outcome.", "outcome"),
+		runLookups:        counterVec("runs_sought_total", "Searches for the run of a returning client by their outcome.", "outcome"),
+		unframedEnds:      counterVec("unframed_ends_total", "Responses that ended with their connection, by whether their target still ran.", "target"),
+		copyOrders:        counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
+		notices:           counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
+		withheld:          counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, or because a part of their prompt crashes targets, by kind of route.", "kind"),
+		capacityDecisions: counterVec("capacity_decisions_total", "New requests that arrived while the gateway was full, by what happened to them and by reason.", "decision", "reason"),
+		capacityFull: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_full", Help: "1 while the gateway is full and refuses most new requests, by reason.",
+		}, []string{"reason"}),
+		stalledClients: counter("stalled_clients_total", "Responses that ended because their client accepted no data."),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
@@ -106,10 +115,19 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.capacityDecisions, m.capacityFull, m.stalledClients)
 	return m
 }
 
+// observeHeld registers gauges of the bytes held for clients and targets that read slowly.
+func (m *metrics) observeHeld(r prometheus.Registerer, clients, targets func() int64) {
+	for side, held := range map[string]func() int64{"clients": clients, "targets": targets} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_held_bytes", Help: "Bytes of writes that the other side has not accepted yet.", ConstLabels: prometheus.Labels{"side": side},
+		}, func() float64 { return float64(held()) }))
+	}
+}
+
 // observeMemory registers gauges of the memory that messages in progress have reserved.
 func (m *metrics) observeMemory(r prometheus.Registerer, responses, bodies *target.Memory) {
 	for of, memory := range map[string]*target.Memory{"responses": responses, "request_bodies": bodies} {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -128,6 +128,10 @@
 		g.refuse(w, c, result.Overloaded, streamRetryAfter+rand.N(streamRetryAfter))
 		return
 	}
+	if retryAfter, refused := g.capacity.refuses(); refused {
+		g.refuse(w, c, result.Overloaded, retryAfter)
+		return
+	}
 	g.awaitDesiredState(c.ctx)
 	if code := g.admit(c); code != result.OK {
 		g.refuse(w, c, code, notReadyRetryAfter)
@@ -139,6 +143,12 @@
 		g.refuse(w, c, code, streamRetryAfter)
 		return
 	}
+	if g.capacity.boundsWriters {
+		bounded := newBoundedWriter(w, c)
+		// What is left is sent when the handler has returned.
+		defer bounded.extend()
+		w = bounded
+	}
 	c.identity, c.parts = requestIdentity(c), partIdentities(c.service, c.head.PromptParts)
 	if c.route.Kind == catalog.Stream {
 		if g.streamOutlastsGrace(c.arrived) {
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -61,6 +62,8 @@
 	head        headScanner
 	headErr     error
 	memory      *Reservation
+	// writing counts the bytes of writes in progress.
+	writing *atomic.Int64
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
 	// bodyWritten is closed when the concurrent write of the body has ended with writeErr. It is
@@ -77,8 +80,10 @@
 	onBytes func(in, out int)
 	// memory limits what the heads and buffered bodies of responses occupy together.
 	memory *Memory
-	mu     sync.Mutex
-	idle   map[string][]*Conn
+	// writing is the number of bytes of writes in progress.
+	writing atomic.Int64
+	mu      sync.Mutex
+	idle    map[string][]*Conn
 }
 
 // NewPool returns an empty pool. onOpen is called for each new connection and onBytes with the
@@ -87,6 +92,9 @@
 	return &Pool{dialer: NewDialer(), onOpen: onOpen, onBytes: onBytes, memory: memory, idle: map[string][]*Conn{}}
 }
 
+// Writing returns the number of bytes that targets have not accepted yet.
+func (p *Pool) Writing() int64 { return p.writing.Load() }
+
 // Get returns a connection that has been idle for less than maxIdle, or a new one.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
 	if ctx.Err() != nil {
@@ -106,7 +114,7 @@
 		return nil, dialError(ctx, err, time.Since(started))
 	}
 	p.onOpen()
-	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve()}
+	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve(), writing: &p.writing}
 	conn.reader = bufio.NewReaderSize(conn, readBufferSize)
 	return conn, nil
 }
@@ -141,7 +149,9 @@
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
+	c.writing.Add(-int64(len(p)))
 	c.onBytes(0, n)
 	return n, err
 }
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -154,13 +155,13 @@
 func TestSendReportsPartialWrite(t *testing.T) {
 	c := qt.New(t)
 	client, peer := net.Pipe()
-	conn := &Conn{Conn: client, onBytes: func(int, int) {}}
+	conn := &Conn{Conn: client, onBytes: func(int, int) {}, writing: &atomic.Int64{}}
 	_ = peer.Close()
 	sent, err := conn.Send(getRequest())
 	c.Check(err, qt.IsNotNil)
 	c.Check(sent, qt.IsFalse)
 	client, peer = net.Pipe()
-	conn = &Conn{Conn: client, onBytes: func(int, int) {}}
+	conn = &Conn{Conn: client, onBytes: func(int, int) {}, writing: &atomic.Int64{}}
 	go func() {
 		_, _ = peer.Read(make([]byte, 1))
 		_ = peer.Close()
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -14,11 +14,16 @@
 )
 
 // linkCounter counts the bytes of one kind of connection since the last report.
-type linkCounter struct{ in, out atomic.Int64 }
+type linkCounter struct {
+	in, out atomic.Int64
+	// sent counts the bytes out since the start. writing is the number of bytes of writes in progress.
+	sent, writing atomic.Int64
+}
 
 func (c *linkCounter) add(in, out int) {
 	c.in.Add(int64(in))
 	c.out.Add(int64(out))
+	c.sent.Add(int64(out))
 }
 
 // traffic counts bytes and failed calls, so that a report of timed out calls says what else the
@@ -29,6 +34,11 @@
 	exchanges, exchangeTimeouts, storeFailures atomic.Int64
 }
 
+// sent returns the number of bytes sent since the start.
+func (t *traffic) sent() int64 {
+	return t.clients.sent.Load() + t.targets.sent.Load() + t.peers.sent.Load()
+}
+
 // countingListener counts the bytes of the connections that it accepts.
 type countingListener struct {
 	net.Listener
@@ -58,7 +68,9 @@
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.counter.writing.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
+	c.counter.writing.Add(-int64(len(p)))
 	c.counter.add(0, n)
 	return n, err
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"time"
 
 	"bramleygap/internal/opconfig"
@@ -28,6 +29,11 @@
 	// MemoryLimitMB is the memory use at which the platform kills the process, in MB; 0 means none. What
 	// requests and answers may occupy together follows from it; without it, that is planned for 1 GB.
 	MemoryLimitMB int64 `toml:"memory_limit_mb"`
+	// ProcessorShare is the processor time that the platform grants the process, in cores, and LinkMbps the rate of
+	// the VM's link in Mbit/s; 0 means unknown. With one of them, a gateway refuses what it cannot carry and ends
+	// responses whose clients accept nothing.
+	ProcessorShare float64 `toml:"processor_share"`
+	LinkMbps       float64 `toml:"link_mbps"`
 	// Grace is the time between the request to stop and the forced termination of the process.
 	Grace  opconfig.Duration `toml:"grace"`
 	Bounds Bounds            `toml:"bounds"`
@@ -87,6 +93,8 @@
 	if s.MemoryLimitMB != 0 && s.MemoryLimitMB < minMemoryLimitMB {
 		d.Add("memory_limit_mb", "is below 40, which a gateway needs without any request; write a number of MB, or 0 for no limit")
 	}
+	checkAmount(d, "processor_share", s.ProcessorShare)
+	checkAmount(d, "link_mbps", s.LinkMbps)
 	if s.Grace.Duration < minGrace {
 		d.Add("grace", "is shorter than 3 s; the load balancer would still send connections")
 	}
@@ -105,3 +113,10 @@
 	}
 	return s, nil
 }
+
+// checkAmount reports a value that is no amount of anything, such as a negative one.
+func checkAmount(d *tomlcheck.Document, key string, value float64) {
+	if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+		d.Add(key, "is not a number from 0 on; write 0 or leave it out if it is unknown")
+	}
+}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -32,12 +32,14 @@
 memory_limit_mb = -1
 grace = "1s"
 typo = 1
+processor_share = -0.1
+link_mbps = nan
 [bounds]
 retry_ratio = -0.5
 `)
 	c.Assert(err, qt.ErrorMatches, `(?s)g.toml:1: name: .*g.toml:3: client_listen: .*g.toml:5: peer_listen: .*`+
 		`g.toml:6: admin_listen: .*g.toml:7: store_address: .*g.toml:8: memory_limit_mb: .*g.toml:9: grace: .*`+
-		`g.toml:10: typo: unknown key.*g.toml:12: bounds.retry_ratio: .*`)
+		`g.toml:10: typo: unknown key.*g.toml:11: processor_share: .*g.toml:12: link_mbps: .*g.toml:14: bounds.retry_ratio: .*`)
 	_, err = LoadGateway(t.TempDir() + "/none")
 	c.Assert(err, qt.ErrorIs, os.ErrNotExist)
 }
