--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -48,6 +48,10 @@
 	queuePlaces    *prometheus.CounterVec
 	queueRefusals  *prometheus.CounterVec
 	invalidReports *prometheus.CounterVec
+	// capacityDecisions and capacityFull are about what the gateway can carry.
+	capacityDecisions *prometheus.CounterVec
+	capacityFull      *prometheus.GaugeVec
+	stalledClients    prometheus.Counter
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -71,11 +75,16 @@
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "bramleygap_gateway_first_event_seconds", Help: "Time from a stream's arrival to its first event.", Buckets: latencyBuckets,
 		}),
-		refusals:       counterVec("refusals_total", "Requests answered with a failure of the gateway's own, by result code.", "code"),
-		attempts:       counterVec("call_attempts_total", "Attempts of short calls by result.", "result"),
-		losses:         counterVec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
-		retriesRefused: counterVec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
-		retryTransfers: counterVec("retry_tokens_total", "Tokens of the retry budget that gateways gave each other, by direction; invalid counts answers with more than was asked for.", "direction"),
+		refusals:          counterVec("refusals_total", "Requests answered with a failure of the gateway's own, by result code.", "code"),
+		attempts:          counterVec("call_attempts_total", "Attempts of short calls by result.", "result"),
+		losses:            counterVec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
+		retriesRefused:    counterVec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
+		retryTransfers:    counterVec("retry_tokens_total", "Tokens of the retry budget that gateways gave each other, by direction; invalid counts answers with more than was asked for.", "direction"),
+		capacityDecisions: counterVec("capacity_decisions_total", "New requests that arrived while the gateway was full, by what happened to them and by reason.", "decision", "reason"),
+		capacityFull: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_full", Help: "1 while the gateway is full and refuses most new requests, by reason.",
+		}, []string{"reason"}),
+		stalledClients: counter("stalled_clients_total", "Responses that ended because their client accepted no data."),
 		storeCalls:     counterVec("store_calls_total", "Calls to the platform's store by table and outcome.", "table", "outcome"),
 		peerExchanges:  counterVec("peer_exchanges_total", "Exchanges with other gateways by outcome.", "outcome"),
 		linkBytes:      counterVec("link_bytes_total", "Bytes exchanged with clients, targets and other gateways, by direction.", "link", "direction"),
@@ -118,10 +127,20 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.invalidReports)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.invalidReports,
+		m.retryTransfers, m.capacityDecisions, m.capacityFull, m.stalledClients)
 	return m
 }
 
+// observeHeld registers gauges of the bytes held for clients and targets that read slowly.
+func (m *metrics) observeHeld(r prometheus.Registerer, clients, targets func() int64) {
+	for side, held := range map[string]func() int64{"clients": clients, "targets": targets} {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_held_bytes", Help: "Bytes of writes that the other side has not accepted yet.", ConstLabels: prometheus.Labels{"side": side},
+		}, func() float64 { return float64(held()) }))
+	}
+}
+
 // observeMemory registers gauges of the memory that messages in progress have reserved.
 func (m *metrics) observeMemory(r prometheus.Registerer, responses, bodies *target.Memory) {
 	for of, memory := range map[string]*target.Memory{"responses": responses, "request_bodies": bodies} {
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +32,13 @@
 // ErrUnexpectedBytes means that a target sent data without a request.
 var ErrUnexpectedBytes = errors.New("target sent data without a request")
 
+// ErrAbandoned means that the context of a connection attempt ended first, which says nothing about the target.
+var ErrAbandoned = errors.New("connection attempt was abandoned")
+
+// ErrLate means that a connection attempt timed out while this process did not run for a part of that time. The
+// target may have accepted the connection.
+var ErrLate = errors.New("connection attempt timed out while this process was suspended")
+
 // ErrNotPermitted means that Request.Permit did not permit a request when it was to be sent.
 var ErrNotPermitted = errors.New("target accepts no requests now")
 
@@ -54,6 +62,8 @@
 	head        headScanner
 	headErr     error
 	memory      *Reservation
+	// writing counts the bytes of writes in progress.
+	writing *atomic.Int64
 	// Reused is set if the connection has carried an earlier request.
 	Reused bool
 	// bodyWritten is closed when the concurrent write of the body has ended with writeErr. It is
@@ -70,8 +80,10 @@
 	onBytes func(in, out int)
 	// memory limits what the heads and buffered bodies of responses occupy together.
 	memory *Memory
-	mu     sync.Mutex
-	idle   map[string][]*Conn
+	// writing is the number of bytes of writes in progress.
+	writing atomic.Int64
+	mu      sync.Mutex
+	idle    map[string][]*Conn
 }
 
 // NewPool returns an empty pool. onOpen is called for each new connection and onBytes with the
@@ -80,8 +92,14 @@
 	return &Pool{dialer: NewDialer(), onOpen: onOpen, onBytes: onBytes, memory: memory, idle: map[string][]*Conn{}}
 }
 
+// Writing returns the number of bytes that targets have not accepted yet.
+func (p *Pool) Writing() int64 { return p.writing.Load() }
+
 // Get returns a connection that has been idle for less than maxIdle, or a new one.
 func (p *Pool) Get(ctx context.Context, address string, maxIdle time.Duration) (*Conn, error) {
+	if ctx.Err() != nil {
+		return nil, ErrAbandoned
+	}
 	if conn := p.takeIdle(address, maxIdle); conn != nil {
 		return conn, nil
 	}
@@ -90,12 +108,13 @@
 
 // Dial returns a new connection.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	started := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, dialError(ctx, err, time.Since(started))
 	}
 	p.onOpen()
-	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve()}
+	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve(), writing: &p.writing}
 	conn.reader = bufio.NewReaderSize(conn, readBufferSize)
 	return conn, nil
 }
@@ -130,7 +149,9 @@
 
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
+	c.writing.Add(-int64(len(p)))
 	c.onBytes(0, n)
 	return n, err
 }
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -151,13 +155,13 @@
 func TestSendReportsPartialWrite(t *testing.T) {
 	c := qt.New(t)
 	client, peer := net.Pipe()
-	conn := &Conn{Conn: client, onBytes: func(int, int) {}}
+	conn := &Conn{Conn: client, onBytes: func(int, int) {}, writing: &atomic.Int64{}}
 	_ = peer.Close()
 	sent, err := conn.Send(getRequest())
 	c.Check(err, qt.IsNotNil)
 	c.Check(sent, qt.IsFalse)
 	client, peer = net.Pipe()
-	conn = &Conn{Conn: client, onBytes: func(int, int) {}}
+	conn = &Conn{Conn: client, onBytes: func(int, int) {}, writing: &atomic.Int64{}}
 	go func() {
 		_, _ = peer.Read(make([]byte, 1))
 		_ = peer.Close()
@@ -181,3 +185,20 @@
 	_, err = conn.Receive(http.MethodGet)
 	c.Check(err, qt.ErrorIs, ErrProtocolSwitched)
 }
+
+// Guards against a target that counts as unreachable because the call that wanted it ended or because this
+// process was suspended while it connected, and against a time-out that goes unnoticed.
+func TestDialErrorOfOwnDelay(t *testing.T) {
+	c := qt.New(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	c.Check(dialError(ended, timeout, DialTimeout), qt.Equals, ErrAbandoned)
+	c.Check(dialError(t.Context(), timeout, DialTimeout+maxTimerDelay+1), qt.Equals, ErrLate)
+	c.Check(dialError(t.Context(), timeout, DialTimeout+maxTimerDelay), qt.Equals, error(timeout))
+	c.Check(dialError(ended, refused, time.Second), qt.Equals, error(refused), qt.Commentf("a closed port is certain"))
+	pool := NewPool(func() {}, func(int, int) {}, NewMemory(1<<20))
+	_, err := pool.Get(ended, "127.0.0.1:1", time.Second)
+	c.Check(err, qt.Equals, ErrAbandoned)
+}
