Check configurations for entries that never match and contradicting limits

Nothing checked a desired state before it was sent, beyond what the store refuses, and bramleygap check read only TOML. It now reads the platform's JSON through platform/ as well. Both formats are translated into one model, on which internal/core/configcheck finds errors (C1xx), entries that can never match (C2xx) and limits that contradict each other (C3xx). A gateway's settings among the files add the checks that need them.

The text of a problem is followed by its severity and code; the test of the recognised file types expects them in addition to what it expected before.

--- a/cmd/bramleygap/main.go
+++ b/cmd/bramleygap/main.go
@@ -15,13 +15,14 @@
 	"bramleygap/internal/explain"
 	"bramleygap/internal/load"
 	"bramleygap/internal/operator"
+	"bramleygap/platform"
 )
 
 type commandLine struct {
 	Entry      entryCommand     `cmd:"" help:"Run an entry: terminate callers' HTTP and route requests to agents."`
 	Gateway    gatewayCommand   `cmd:"" help:"Run a gateway: send clients' requests to targets directly, on a platform with a load balancer and a store."`
 	Agent      agentCommand     `cmd:"" help:"Run an agent beside one target."`
-	Check      checkCommand     `cmd:"" help:"Validate settings files and operator configurations."`
+	Check      checkCommand     `cmd:"" help:"Check settings files and configurations before they are sent."`
 	Apply      applyCommand     `cmd:"" help:"Submit an operator configuration and wait until it is in force on all live nodes."`
 	Status     statusCommand    `cmd:"" help:"Show the configuration revision, nodes, targets, leaving VMs, versions and members."`
 	Drain      drainCommand     `cmd:"" help:"Give the targets of a VM no new work; running requests finish."`
@@ -55,6 +56,7 @@
 		kong.Description("Serving system for long model generations on engines that fail."),
 		kong.UsageOnError(),
 		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.BindTo(platform.Protocol{}, (*operator.PlatformFormat)(nil)),
 	)
 	parsed.FatalIfErrorf(parsed.Run())
 }
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -6,43 +6,110 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
+	"strings"
+	"time"
 
 	"github.com/BurntSushi/toml"
 
+	"bramleygap/internal/core/configcheck"
+	"bramleygap/internal/gateway"
 	"bramleygap/internal/opconfig"
 	"bramleygap/internal/settings"
 	"bramleygap/internal/tomlcheck"
 )
 
-// ErrInvalid is returned by Check if a file has problems, which Check prints.
+// PlatformFormat translates a configuration in the format of the users' platform. The findings are those about the
+// text itself.
+type PlatformFormat interface {
+	TranslateConfiguration(text []byte) (configcheck.Configuration, []configcheck.Finding)
+}
+
+// CheckOptions selects what Check reads.
+type CheckOptions struct {
+	// Files are settings and configurations. Configurations are also checked against the gateways' settings among them.
+	Files []string
+	// Platform reads files in JSON.
+	Platform PlatformFormat
+	// Now is the time that deadlines are compared with.
+	Now time.Time
+}
+
+// ErrInvalid is returned by Check if a file has errors, which Check prints.
 var ErrInvalid = errors.New("at least one file is not valid")
 
-// Check validates files and prints every problem. It recognises the type of a file
-// (settings of an entry, gateway or agent, or operator configuration) by its keys.
-func Check(_ context.Context, files []string, w io.Writer) error {
-	valid := true
-	for _, file := range files {
-		kind, err := checkFile(file)
-		if err != nil {
-			valid = false
-			_, _ = fmt.Fprintln(w, err)
-			continue
-		}
-		_, _ = fmt.Fprintf(w, "%s: valid %s\n", file, kind)
+// checkedFile is a file with what was found in it.
+type checkedFile struct {
+	name, kind, text string
+	findings         []configcheck.Finding
+	// config is set for configurations without errors, and gateway for settings of a gateway without errors.
+	config  *configcheck.Configuration
+	gateway *configcheck.Gateway
+}
+
+// Check validates files and prints every finding. It recognises the type of a file by its keys: settings of an entry,
+// gateway or agent, an operator configuration, or a desired state of the platform in JSON.
+func Check(_ context.Context, options CheckOptions, w io.Writer) error {
+	files := make([]*checkedFile, 0, len(options.Files))
+	for _, name := range options.Files {
+		files = append(files, readChecked(name, options))
+	}
+	invalid := false
+	for _, f := range files {
+		f.checkGateways(files)
+		f.findings = configcheck.Report(f.findings)
+		invalid = invalid || configcheck.Has(f.findings, configcheck.Error)
+		printFindings(w, f)
 	}
-	if !valid {
+	if invalid {
 		return ErrInvalid
 	}
 	return nil
 }
 
-func checkFile(file string) (kind string, err error) {
-	text, err := readFile(file)
-	if err != nil {
-		return "", err
+// readChecked reads a file and checks it by itself.
+func readChecked(name string, options CheckOptions) *checkedFile {
+	f := &checkedFile{name: name, kind: "file"}
+	text, err := readFile(name)
+	switch {
+	case err != nil:
+		f.add(configcheck.Unreadable, "cannot be read: %v", err)
+	case len(text) >= maxFileBytes:
+		f.add(configcheck.TooLarge, "the file has %d bytes or more; an operator configuration has at most %d, settings have less", maxFileBytes, opconfig.MaxTextBytes)
+	default:
+		f.text = text
+		f.check(options)
+	}
+	if f.config != nil && !configcheck.Has(f.findings, configcheck.Error) {
+		f.findings = append(f.findings, configcheck.Warnings(f.config)...)
+	}
+	return f
+}
+
+func (f *checkedFile) add(code configcheck.Code, format string, args ...any) {
+	f.findings = append(f.findings, configcheck.New(code, configcheck.Place{Line: 1}, format, args...))
+}
+
+// addError adds the problems of a TOML text.
+func (f *checkedFile) addError(err error) {
+	var problems tomlcheck.Problems
+	switch {
+	case errors.As(err, &problems):
+		f.findings = append(f.findings, opconfig.Findings(problems)...)
+	case err != nil:
+		f.add(configcheck.Unreadable, "%v", err)
+	}
+}
+
+func (f *checkedFile) check(options CheckOptions) {
+	if isJSON(f.name, f.text) {
+		f.checkPlatform(options)
+		return
 	}
 	var keys map[string]any
-	_, _ = toml.Decode(text, &keys)
+	if len(f.text) <= opconfig.MaxTextBytes {
+		_, _ = toml.Decode(f.text, &keys)
+	}
 	has := func(names ...string) bool {
 		for _, name := range names {
 			if _, ok := keys[name]; ok {
@@ -53,17 +120,71 @@
 	}
 	switch {
 	case has("client_listen", "readiness_listen", "store_address"):
-		_, err = settings.ParseGateway(file, text)
-		return "gateway settings", err
+		f.kind = "gateway settings"
+		s, err := settings.ParseGateway("", f.text)
+		f.addError(err)
+		if limits := gateway.ConfigurationLimits(s); err == nil {
+			f.gateway = &limits
+		}
 	case has("caller_listen", "peer_listen"):
-		_, err = settings.ParseEntry(file, text)
-		return "entry settings", err
+		f.kind = "entry settings"
+		_, err := settings.ParseEntry("", f.text)
+		f.addError(err)
 	case has("target_url", "target_kind", "listen"):
-		_, err = settings.ParseAgent(file, text)
-		return "agent settings", err
+		f.kind = "agent settings"
+		_, err := settings.ParseAgent("", f.text)
+		f.addError(err)
+	default:
+		f.kind = "operator configuration"
+		config, err := opconfig.Model(f.text)
+		f.addError(err)
+		if err == nil {
+			f.config = &config
+			f.findings = append(f.findings, configcheck.DeadlinesPassed(&config, options.Now)...)
+		}
+	}
+}
+
+func (f *checkedFile) checkPlatform(options CheckOptions) {
+	f.kind = "desired state of the platform"
+	if options.Platform == nil {
+		f.add(configcheck.Unreadable, "is JSON, and this program has no platform to read it for")
+		return
+	}
+	config, findings := options.Platform.TranslateConfiguration([]byte(f.text))
+	f.findings = append(f.findings, findings...)
+	f.findings = append(f.findings, configcheck.Errors(&config)...)
+	f.config = &config
+}
+
+// isJSON reports whether a text is a desired state: no TOML begins with a brace.
+func isJSON(name, text string) bool {
+	return filepath.Ext(name) == ".json" || strings.HasPrefix(strings.TrimSpace(text), "{")
+}
+
+// checkGateways checks a configuration against the settings of gateways among the files.
+func (f *checkedFile) checkGateways(files []*checkedFile) {
+	if f.config == nil || configcheck.Has(f.findings, configcheck.Error) {
+		return
+	}
+	for _, other := range files {
+		if other.gateway != nil {
+			f.findings = append(f.findings, configcheck.WithGateway(f.config, *other.gateway)...)
+		}
+	}
+}
+
+func printFindings(w io.Writer, f *checkedFile) {
+	for _, finding := range f.findings {
+		key := ""
+		if finding.Key != "" {
+			key = finding.Key + ": "
+		}
+		_, _ = fmt.Fprintf(w, "%s:%d: %s%s (%s %s)\n", f.name, finding.Line, key, finding.Text, finding.Severity, finding.Code)
+	}
+	if !configcheck.Has(f.findings, configcheck.Error) {
+		_, _ = fmt.Fprintf(w, "%s: valid %s\n", f.name, f.kind)
 	}
-	_, err = opconfig.Parse(text)
-	return "operator configuration", tomlcheck.WithFile(file, err)
 }
 
 func readFile(path string) (string, error) {
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -18,11 +18,13 @@
 
 // CheckCommand is `check FILE...`.
 type CheckCommand struct {
-	Files []string `arg:"" name:"file" help:"Settings or operator configuration files to validate." type:"path"`
+	Files []string `arg:"" name:"file" help:"Settings files, operator configurations, or desired states of the platform (JSON) to check. Desired states are also checked against gateways' settings among them." type:"path"`
 }
 
-// Run validates the files.
-func (c *CheckCommand) Run(ctx context.Context) error { return Check(ctx, c.Files, os.Stdout) }
+// Run checks the files.
+func (c *CheckCommand) Run(ctx context.Context, platform PlatformFormat) error {
+	return Check(ctx, CheckOptions{Files: c.Files, Platform: platform, Now: time.Now()}, os.Stdout)
+}
 
 // ApplyCommand is `apply FILE`.
 type ApplyCommand struct {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -153,12 +153,12 @@
 	c := qt.New(t)
 	var out bytes.Buffer
 	examples := []string{"../../examples/entry.toml", "../../examples/agent.toml", "../../examples/operators.toml"}
-	c.Assert(Check(context.Background(), examples, &out), qt.IsNil)
+	c.Assert(Check(context.Background(), CheckOptions{Files: examples}, &out), qt.IsNil)
 	c.Assert(out.String(), qt.Matches, `(?s).*valid entry settings\n.*valid agent settings\n.*valid operator configuration\n`)
 	out.Reset()
 	bad := writeConfig(t, "peer_listen = 1\n")
-	c.Assert(Check(context.Background(), append(examples, bad), &out), qt.Equals, ErrInvalid)
-	c.Assert(out.String(), qt.Matches, `(?s).*operators.toml:1: peer_listen: has the wrong type; write text in quotes\n.*`)
+	c.Assert(Check(context.Background(), CheckOptions{Files: append(examples, bad)}, &out), qt.Equals, ErrInvalid)
+	c.Assert(out.String(), qt.Matches, `(?s).*operators.toml:1: peer_listen: has the wrong type; write text in quotes \(error C103\)\n.*`)
 }
 
 // Guards against command structs that kong rejects and flags without help.
--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -14,8 +14,22 @@
 	"github.com/BurntSushi/toml"
 )
 
+// Class says what kind of fault a problem is.
+type Class int
+
+// Classes of problems.
+const (
+	// Rule is a value that the caller of Decode does not allow.
+	Rule Class = iota
+	Syntax
+	TooLong
+	UnknownKey
+	WrongType
+)
+
 // Problem is one fault of a document.
 type Problem struct {
+	Class Class
 	// File names the document; empty if the text came without a file.
 	File string
 	// Line is 1-based; 0 means unknown.
@@ -83,7 +97,7 @@
 func Decode(file, text string, maxBytes int, target any) (*Document, bool) {
 	d := &Document{file: file}
 	if len(text) > maxBytes {
-		d.Add("", "the text has %d bytes; write at most %d", len(text), maxBytes)
+		d.addClass(TooLong, "", "the text has %d bytes; write at most %d", len(text), maxBytes)
 		return d, false
 	}
 	var tree map[string]any
@@ -97,7 +111,7 @@
 }
 
 func (d *Document) addSyntaxError(err error) {
-	problem := Problem{File: d.file, Text: err.Error()}
+	problem := Problem{Class: Syntax, File: d.file, Text: err.Error()}
 	var parseErr toml.ParseError
 	if errors.As(err, &parseErr) {
 		problem.Line = parseErr.Position.Line
@@ -108,8 +122,10 @@
 }
 
 // Add records a problem of the key; the empty key means the whole document.
-func (d *Document) Add(key, format string, args ...any) {
-	d.problems = append(d.problems, Problem{File: d.file, Line: d.Line(key), Key: key, Text: fmt.Sprintf(format, args...)})
+func (d *Document) Add(key, format string, args ...any) { d.addClass(Rule, key, format, args...) }
+
+func (d *Document) addClass(class Class, key, format string, args ...any) {
+	d.problems = append(d.problems, Problem{Class: class, File: d.file, Line: d.Line(key), Key: key, Text: fmt.Sprintf(format, args...)})
 }
 
 // Line returns the line of the key, or of the nearest enclosing table, or 0.
@@ -163,7 +179,7 @@
 	for _, key := range keys {
 		field, known := fields[key]
 		if !known {
-			d.Add(join(path, key), "unknown key; the keys here are %s", strings.Join(names, ", "))
+			d.addClass(UnknownKey, join(path, key), "unknown key; the keys here are %s", strings.Join(names, ", "))
 			continue
 		}
 		d.decodeValue(tree[key], field, join(path, key))
@@ -194,7 +210,7 @@
 		target.Set(v)
 		return
 	}
-	d.Add(path, "has the wrong type; write %s", describeType(target.Type()))
+	d.addClass(WrongType, path, "has the wrong type; write %s", describeType(target.Type()))
 }
 
 // localTime reports whether the value is a time without a zone, which would mean
@@ -207,11 +223,11 @@
 func (d *Document) decodeText(value any, target encoding.TextUnmarshaler, path string) {
 	text, ok := value.(string)
 	if !ok {
-		d.Add(path, `has the wrong type; write text in quotes, for example "90s"`)
+		d.addClass(WrongType, path, `has the wrong type; write text in quotes, for example "90s"`)
 		return
 	}
 	if err := target.UnmarshalText([]byte(text)); err != nil {
-		d.Add(path, `%v; write a number with a unit, for example "90s" or "5m"`, err)
+		d.addClass(WrongType, path, `%v; write a number with a unit, for example "90s" or "5m"`, err)
 	}
 }
 
@@ -225,7 +241,7 @@
 			elements = append(elements, table)
 		}
 	default:
-		d.Add(path, "has the wrong type; write %s", describeType(target.Type()))
+		d.addClass(WrongType, path, "has the wrong type; write %s", describeType(target.Type()))
 		return
 	}
 	slice := reflect.MakeSlice(target.Type(), len(elements), len(elements))
