--- a/internal/core/configcheck/finding.go
+++ b/internal/core/configcheck/finding.go
@@ -168,3 +168,14 @@
 func Has(findings []Finding, severity Severity) bool {
 	return slices.ContainsFunc(findings, func(f Finding) bool { return f.Severity == severity })
 }
+
+// ExitCode returns the exit status of a check: 2 with errors, 1 with warnings if strict is set, else 0.
+func ExitCode(findings []Finding, strict bool) int {
+	switch {
+	case Has(findings, Error):
+		return 2
+	case strict && Has(findings, Warning):
+		return 1
+	}
+	return 0
+}
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,12 +33,34 @@
 	Files []string
 	// Platform reads files in JSON.
 	Platform PlatformFormat
+	// Strict gives warnings their own exit code.
+	Strict bool
+	// JSON selects JSON in place of text.
+	JSON bool
+	// Accept lists codes of warnings that are meant as they are; they are reported and do not count for Strict.
+	Accept []string
 	// Now is the time that deadlines are compared with.
 	Now time.Time
 }
 
-// ErrInvalid is returned by Check if a file has errors, which Check prints.
-var ErrInvalid = errors.New("at least one file is not valid")
+// ErrInvalid is returned by Check if a file has errors, which Check prints. ErrWarnings is returned if files have
+// only warnings and CheckOptions.Strict is set.
+var (
+	ErrInvalid  error = checkError{"at least one file is not valid", 2}
+	ErrWarnings error = checkError{"at least one file has warnings", 1}
+)
+
+// checkError is a result of Check with the exit status of the command.
+type checkError struct {
+	text string
+	code int
+}
+
+// Error implements error.
+func (e checkError) Error() string { return e.text }
+
+// ExitCode implements kong.ExitCoder.
+func (e checkError) ExitCode() int { return e.code }
 
 // checkedFile is a file with what was found in it.
 type checkedFile struct {
@@ -54,19 +78,55 @@
 	for _, name := range options.Files {
 		files = append(files, readChecked(name, options))
 	}
-	invalid := false
+	var all []configcheck.Finding
 	for _, f := range files {
 		f.checkGateways(files)
 		f.findings = configcheck.Report(f.findings)
-		invalid = invalid || configcheck.Has(f.findings, configcheck.Error)
-		printFindings(w, f)
+		for _, finding := range f.findings {
+			if finding.Severity != configcheck.Warning || !slices.Contains(options.Accept, string(finding.Code)) {
+				all = append(all, finding)
+			}
+		}
+	}
+	if err := printChecked(w, files, options.JSON); err != nil {
+		return err
 	}
-	if invalid {
+	switch configcheck.ExitCode(all, options.Strict) {
+	case ErrInvalid.(checkError).code:
 		return ErrInvalid
+	case ErrWarnings.(checkError).code:
+		return ErrWarnings
 	}
 	return nil
 }
 
+// printChecked prints the findings of all files.
+func printChecked(w io.Writer, files []*checkedFile, asJSON bool) error {
+	if !asJSON {
+		for _, f := range files {
+			printFindings(w, f)
+		}
+		return nil
+	}
+	type report struct {
+		File     string                `json:"file"`
+		Kind     string                `json:"kind"`
+		Valid    bool                  `json:"valid"`
+		Findings []configcheck.Finding `json:"findings"`
+	}
+	reports := make([]report, 0, len(files))
+	for _, f := range files {
+		valid := !configcheck.Has(f.findings, configcheck.Error)
+		reports = append(reports, report{File: f.name, Kind: f.kind, Valid: valid, Findings: append([]configcheck.Finding{}, f.findings...)})
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(struct {
+		Files []report `json:"files"`
+	}{reports})
+}
+
 // readChecked reads a file and checks it by itself.
 func readChecked(name string, options CheckOptions) *checkedFile {
 	f := &checkedFile{name: name, kind: "file"}
--- a/internal/operator/check_test.go
+++ b/internal/operator/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -10,8 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/alecthomas/kong"
 	qt "github.com/frankban/quicktest"
 
+	"bramleygap/internal/core/configcheck"
 	"bramleygap/platform"
 )
 
@@ -71,3 +74,43 @@
 		c.Check(len(files) > 0, qt.IsTrue, qt.Commentf("%s has no file in %s", code[1], checkFolder))
 	}
 }
+
+// Guards against a wrong exit status in CI, and against JSON that lacks a finding or its place.
+func TestCheckForCI(t *testing.T) {
+	c := qt.New(t)
+	file := func(name string) []string { return []string{filepath.Join(checkFolder, name)} }
+	for _, test := range []struct {
+		options CheckOptions
+		want    error
+	}{
+		{CheckOptions{Files: file("valid.json"), Strict: true}, nil},
+		{CheckOptions{Files: file("C301-line2.json")}, nil},
+		{CheckOptions{Files: file("C301-line2.json"), Strict: true}, ErrWarnings},
+		{CheckOptions{Files: file("C301-line2.json"), Strict: true, Accept: []string{"C301"}}, nil},
+		{CheckOptions{Files: file("C501-line2.json"), Strict: true}, nil},
+		{CheckOptions{Files: append(file("C301-line2.json"), file("C108-line2.json")...), Strict: true}, ErrInvalid},
+		{CheckOptions{Files: file("C108-line2.json"), Accept: []string{"C108"}}, ErrInvalid},
+		{CheckOptions{Files: file("none.json")}, ErrInvalid},
+	} {
+		_, err := check(test.options)
+		c.Check(err, qt.Equals, test.want, qt.Commentf("%+v", test.options))
+	}
+	for err, status := range map[error]int{ErrInvalid: 2, ErrWarnings: 1} {
+		c.Check(err.(kong.ExitCoder).ExitCode(), qt.Equals, status)
+	}
+	out, err := check(CheckOptions{Files: append(file("C108-line2.json"), file("valid.json")...), JSON: true})
+	c.Check(err, qt.Equals, ErrInvalid)
+	var report struct {
+		Files []struct {
+			File, Kind string
+			Valid      bool
+			Findings   []configcheck.Finding
+		}
+	}
+	c.Assert(json.Unmarshal([]byte(out), &report), qt.IsNil)
+	c.Check(report.Files[1].Valid, qt.IsTrue)
+	c.Check(report.Files[1].Findings, qt.HasLen, 0)
+	c.Check(report.Files[0].Findings, qt.DeepEquals, []configcheck.Finding{{
+		Code: configcheck.BadPrefix, Severity: configcheck.Error, Line: 2, Key: "routes[0].prefix", Text: `is "/a"; write a path that begins and ends with a slash`,
+	}})
+}
