Show what differs from the version in force and what traffic moves

Moved traffic is stated as the part of a route's or service's requests, or as the route that takes the requests of a removed or added one. Passed deadlines are errors as at a submission, because the version in force is known.

--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -31,6 +31,8 @@
 type CheckOptions struct {
 	// Files are settings and configurations. Configurations are also checked against the gateways' settings among them.
 	Files []string
+	// Against is a configuration in force, with which configurations of its format are compared; empty for none.
+	Against string
 	// Platform reads files in JSON.
 	Platform PlatformFormat
 	// Strict gives warnings their own exit code.
@@ -69,6 +71,8 @@
 	// config is set for configurations without errors, and gateway for settings of a gateway without errors.
 	config  *configcheck.Configuration
 	gateway *configcheck.Gateway
+	// differences is set if config was compared with the version in force.
+	differences bool
 }
 
 // Check validates files and prints every finding. It recognises the type of a file by its keys: settings of an entry,
@@ -78,9 +82,14 @@
 	for _, name := range options.Files {
 		files = append(files, readChecked(name, options))
 	}
+	var inForce *checkedFile
+	if options.Against != "" {
+		inForce = readChecked(options.Against, options)
+	}
 	var all []configcheck.Finding
 	for _, f := range files {
 		f.checkGateways(files)
+		f.compare(inForce, options.Now)
 		f.findings = configcheck.Report(f.findings)
 		for _, finding := range f.findings {
 			if finding.Severity != configcheck.Warning || !slices.Contains(options.Accept, string(finding.Code)) {
@@ -198,8 +207,11 @@
 		f.kind = "operator configuration"
 		config, err := opconfig.Model(f.text)
 		f.addError(err)
-		if err == nil {
-			f.config = &config
+		if err != nil {
+			return
+		}
+		f.config = &config
+		if options.Against == "" {
 			f.findings = append(f.findings, configcheck.DeadlinesPassed(&config, options.Now)...)
 		}
 	}
@@ -234,6 +246,32 @@
 	}
 }
 
+// compare adds the differences from the configuration in force, nil for none.
+func (f *checkedFile) compare(inForce *checkedFile, now time.Time) {
+	if inForce == nil || f.config == nil {
+		return
+	}
+	if inForce.config == nil || configcheck.Has(inForce.findings, configcheck.Error) {
+		reason := "it is no configuration"
+		if sorted := configcheck.Report(inForce.findings); len(sorted) > 0 {
+			reason = fmt.Sprintf("line %d: %s", sorted[0].Line, sorted[0].Text)
+		}
+		f.add(configcheck.Unreadable, "cannot be compared with %s: %s", inForce.name, reason)
+		return
+	}
+	if f.kind != inForce.kind {
+		f.add(configcheck.Unreadable, "cannot be compared with %s, which is of type %q; name a file of the same format", inForce.name, inForce.kind)
+		return
+	}
+	if !f.config.PerRoute {
+		f.addError(opconfig.CheckDeadlines(f.text, inForce.text, now))
+	}
+	if !configcheck.Has(f.findings, configcheck.Error) {
+		f.differences = true
+		f.findings = append(f.findings, configcheck.Compare(inForce.config, f.config)...)
+	}
+}
+
 func printFindings(w io.Writer, f *checkedFile) {
 	for _, finding := range f.findings {
 		key := ""
@@ -242,6 +280,9 @@
 		}
 		_, _ = fmt.Fprintf(w, "%s:%d: %s%s (%s %s)\n", f.name, finding.Line, key, finding.Text, finding.Severity, finding.Code)
 	}
+	if f.differences && !configcheck.Has(f.findings, configcheck.Change) {
+		_, _ = fmt.Fprintf(w, "%s: no difference from the version in force\n", f.name)
+	}
 	if !configcheck.Has(f.findings, configcheck.Error) {
 		_, _ = fmt.Fprintf(w, "%s: valid %s\n", f.name, f.kind)
 	}
--- a/internal/operator/check_test.go
+++ b/internal/operator/check_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -24,7 +25,7 @@
 	// fileName has the code and the line of the only finding of a file.
 	fileName     = regexp.MustCompile(`^(?:valid|(C\d+)(?:-[a-z]+)?-line(\d+))\.(?:json|toml)$`)
 	codeInSource = regexp.MustCompile(`Code = "(C\d{3})"`)
-	foundCode    = regexp.MustCompile(`(?m):(\d+): .* \((?:error|warning|change|info) (C\d+)\)$`)
+	foundCode    = regexp.MustCompile(`(?m):(\d+): .* \((error|warning|change|info) (C\d+)\)$`)
 )
 
 func check(options CheckOptions) (string, error) {
@@ -52,7 +53,7 @@
 			}
 			var got []string
 			for _, found := range foundCode.FindAllStringSubmatch(out, -1) {
-				got = append(got, ":"+found[1], found[2])
+				got = append(got, ":"+found[1], found[3])
 			}
 			qt.Check(t, got, qt.DeepEquals, want, qt.Commentf("%s", out))
 			qt.Check(t, err != nil, qt.Equals, strings.HasPrefix(name[1], "C1"))
@@ -66,12 +67,13 @@
 	source, err := os.ReadFile("../core/configcheck/finding.go")
 	c.Assert(err, qt.IsNil)
 	for _, code := range codeInSource.FindAllStringSubmatch(string(source), -1) {
-		if code[1] == "C102" || code[1] == "C109" || code[1] >= "C400" && code[1] < "C500" {
+		// TestBadInput and TestEachDifference have no files for these.
+		if slices.Contains([]string{"C102", "C109", "C411"}, code[1]) {
 			continue
 		}
-		files, err := filepath.Glob(filepath.Join(checkFolder, code[1]+"-*"))
+		files, err := filepath.Glob("testdata/*/" + code[1] + "-*")
 		c.Assert(err, qt.IsNil)
-		c.Check(len(files) > 0, qt.IsTrue, qt.Commentf("%s has no file in %s", code[1], checkFolder))
+		c.Check(len(files) > 0, qt.IsTrue, qt.Commentf("%s has no file", code[1]))
 	}
 }
 
@@ -114,3 +116,50 @@
 		Code: configcheck.BadPrefix, Severity: configcheck.Error, Line: 2, Key: "routes[0].prefix", Text: `is "/a"; write a path that begins and ends with a slash`,
 	}})
 }
+
+// Guards, for each difference, against one that is not shown, is shown at another line or without the traffic that
+// it moves, and against an order by file in place of the effect on callers.
+func TestEachDifference(t *testing.T) {
+	texts := map[string]string{
+		"C401-line1.json":  `go to route "all" \(service s\)`,
+		"C402-line5.json":  `went to route "split" \(s 90.0%, x 10.0%\) before and go to service x`,
+		"C403-line4.json":  `serves h/y/\* in place of h/x/\*; requests for the latter go to route "all"`,
+		"C404-line3.json":  `15.0% of the requests .*: s 90.0% -> 75.0%, x 10.0% -> 25.0%`,
+		"C405-line2.json":  `timeout 2s -> 1.5s`,
+		"C414-line5.toml":  `10.0% of the requests .*: v 100.0% -> 90.0%, w 0.0% -> 10.0%`,
+		"C415-line12.toml": `deadline none -> 2027-01-01`,
+		"C423-line9.json":  `loses 1 keys`,
+		"same.json":        `no difference from the version in force`,
+		"several.json":     `(?s)C401.*C411.*10.0% .*C404`,
+	}
+	files, err := os.ReadDir("testdata/against")
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range files {
+		name := fileName.FindStringSubmatch(file.Name())
+		if name == nil && texts[file.Name()] == "" {
+			continue
+		}
+		t.Run(file.Name(), func(t *testing.T) {
+			base := "testdata/against/base" + filepath.Ext(file.Name())
+			out, _ := check(CheckOptions{Files: []string{filepath.Join("testdata/against", file.Name())}, Against: base})
+			qt.Check(t, out, qt.Matches, `(?s).*`+texts[file.Name()]+`.*`)
+			if name == nil {
+				return
+			}
+			var got []string
+			for _, found := range foundCode.FindAllStringSubmatch(out, -1) {
+				if found[2] == "error" || found[2] == "change" {
+					got = append(got, ":"+found[1], found[3])
+				}
+			}
+			qt.Check(t, got, qt.DeepEquals, []string{":" + name[2], name[1]}, qt.Commentf("%s", out))
+		})
+	}
+	c := qt.New(t)
+	out, err := check(CheckOptions{Files: []string{"testdata/against/same.json"}, Against: "testdata/against/base.toml"})
+	c.Check(err, qt.Equals, ErrInvalid)
+	c.Check(out, qt.Matches, `.*cannot be compared with .*operator configuration.*\n`)
+	out, err = check(CheckOptions{Files: []string{"testdata/against/same.json"}, Against: filepath.Join(checkFolder, "C108-line2.json")})
+	c.Check(err, qt.Equals, ErrInvalid)
+	c.Check(out, qt.Matches, `.*cannot be compared with .*line 2: .*\n`)
+}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -18,15 +18,16 @@
 
 // CheckCommand is `check FILE...`.
 type CheckCommand struct {
-	Files  []string `arg:"" name:"file" help:"Settings files, operator configurations, or desired states of the platform (JSON) to check. Desired states are also checked against gateways' settings among them." type:"path"`
-	Strict bool     `help:"Exit with status 1 if there are warnings."`
-	Accept []string `help:"Code of a warning that is meant as it is, such as C302; it is shown and does not count for --strict. Repeat for more." placeholder:"CODE"`
-	JSON   bool     `help:"Print JSON in place of text."`
+	Files   []string `arg:"" name:"file" help:"Settings files, operator configurations, or desired states of the platform (JSON) to check. Desired states are also checked against gateways' settings among them." type:"path"`
+	Against string   `help:"Configuration in force, to show what differs from it and what traffic moves." placeholder:"FILE" type:"path"`
+	Strict  bool     `help:"Exit with status 1 if there are warnings."`
+	Accept  []string `help:"Code of a warning that is meant as it is, such as C302; it is shown and does not count for --strict. Repeat for more." placeholder:"CODE"`
+	JSON    bool     `help:"Print JSON in place of text."`
 }
 
 // Run checks the files. The exit status is 2 with errors, 1 with warnings and --strict, and 0 otherwise.
 func (c *CheckCommand) Run(ctx context.Context, platform PlatformFormat) error {
-	options := CheckOptions{Files: c.Files, Platform: platform, Strict: c.Strict, JSON: c.JSON, Accept: c.Accept, Now: time.Now()}
+	options := CheckOptions{Files: c.Files, Against: c.Against, Platform: platform, Strict: c.Strict, JSON: c.JSON, Accept: c.Accept, Now: time.Now()}
 	return Check(ctx, options, os.Stdout)
 }
 
