--- a/internal/opconfig/parse.go
+++ b/internal/opconfig/parse.go
@@ -61,7 +61,7 @@
 	if !ok {
 		return nil, d
 	}
-	v := &validator{Document: d, config: config}
+	v := newValidator(d, config)
 	v.members()
 	v.accounts()
 	v.targetClasses()
@@ -74,6 +74,26 @@
 type validator struct {
 	*tomlcheck.Document
 	config *Config
+	// serviceIndex holds the index of the first service of each name.
+	serviceIndex map[string]int
+	memberNames  map[string]bool
+	classNames   map[string]bool
+}
+
+func newValidator(d *tomlcheck.Document, config *Config) *validator {
+	v := &validator{Document: d, config: config, serviceIndex: make(map[string]int), memberNames: make(map[string]bool), classNames: make(map[string]bool)}
+	for i := range config.Services {
+		if _, ok := v.serviceIndex[config.Services[i].Name]; !ok {
+			v.serviceIndex[config.Services[i].Name] = i
+		}
+	}
+	for _, m := range config.Members {
+		v.memberNames[m.Name] = true
+	}
+	for _, class := range config.TargetClasses {
+		v.classNames[class.Name] = true
+	}
+	return v
 }
 
 // checkUniqueName checks the name of an element and that no earlier element has it.
@@ -111,7 +131,7 @@
 	for i, a := range v.config.Accounts {
 		key := fmt.Sprintf("account[%d]", i)
 		v.checkUniqueName(seen, key+".name", "account", a.Name)
-		if v.config.Member(a.Member) == nil {
+		if !v.memberNames[a.Member] {
 			v.Add(key+".member", "member %q does not exist; write the name of a [[member]]", a.Member)
 		}
 		if !keyHashPattern.MatchString(a.KeySHA256) {
@@ -125,14 +145,16 @@
 }
 
 func (v *validator) serviceNames(key string, names []string) {
+	seen := make(map[string]bool)
 	for i, name := range names {
 		element := fmt.Sprintf("%s[%d]", key, i)
-		if v.config.Service(name) == nil {
+		if _, ok := v.serviceIndex[name]; !ok {
 			v.Add(element, "service %q does not exist; write the name of a [[service]]", name)
 		}
-		if slices.Index(names, name) < i {
+		if seen[name] {
 			v.Add(element, "service %q is listed twice; remove one", name)
 		}
+		seen[name] = true
 	}
 }
 
@@ -169,8 +191,7 @@
 }
 
 func (v *validator) targetClass(key, name string) {
-	hasName := func(class TargetClass) bool { return class.Name == name }
-	if name != "" && !slices.ContainsFunc(v.config.TargetClasses, hasName) {
+	if name != "" && !v.classNames[name] {
 		v.Add(key, "target class %q does not exist; write the name of a [[target_class]]", name)
 	}
 }
@@ -259,38 +280,50 @@
 	for i := range v.config.Services {
 		v.serviceNames(fmt.Sprintf("service[%d].depends_on", i), v.config.Services[i].DependsOn)
 	}
-	done := make(map[string]bool)
+	search := cycleSearch{validator: v, place: make(map[string]int), done: make(map[string]bool)}
 	for i := range v.config.Services {
-		v.findCycle(v.config.Services[i].Name, nil, done)
+		search.from(v.config.Services[i].Name)
 	}
 }
 
-// findCycle follows the dependencies of a service; path holds the services that lead to it.
-func (v *validator) findCycle(name string, path []string, done map[string]bool) {
-	if start := slices.Index(path, name); start >= 0 {
-		cycle := append(slices.Clone(path[start:]), name)
-		index := slices.IndexFunc(v.config.Services, func(s Service) bool { return s.Name == name })
-		v.Add(fmt.Sprintf("service[%d].depends_on", index), "the dependencies form a cycle %s; remove one of them", strings.Join(cycle, " -> "))
+// cycleSearch follows the dependencies of services; path holds the services that lead to the current one, and place
+// their indices in it.
+type cycleSearch struct {
+	*validator
+	path  []string
+	place map[string]int
+	done  map[string]bool
+}
+
+func (s *cycleSearch) from(name string) {
+	index, exists := s.serviceIndex[name]
+	if start, ok := s.place[name]; ok {
+		cycle := append(slices.Clone(s.path[start:]), name)
+		s.Add(fmt.Sprintf("service[%d].depends_on", index), "the dependencies form a cycle %s; remove one of them", strings.Join(cycle, " -> "))
 		return
 	}
-	service := v.config.Service(name)
-	if service == nil || done[name] {
+	if !exists || s.done[name] {
 		return
 	}
-	path = append(slices.Clone(path), name)
-	for _, next := range service.DependsOn {
-		v.findCycle(next, path, done)
+	s.place[name] = len(s.path)
+	s.path = append(s.path, name)
+	for _, next := range s.config.Services[index].DependsOn {
+		s.from(next)
 	}
-	done[name] = true
+	s.path = s.path[:len(s.path)-1]
+	delete(s.place, name)
+	s.done[name] = true
 }
 
 func (v *validator) retireVMs() {
+	seen := make(map[string]bool)
 	for i, vm := range v.config.RetireVMs {
 		key := fmt.Sprintf("retire_vms[%d]", i)
 		v.Name(key, vm)
-		if slices.Index(v.config.RetireVMs, vm) < i {
+		if seen[vm] {
 			v.Add(key, "VM %q is listed twice; remove one", vm)
 		}
+		seen[vm] = true
 	}
 }
 
--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -12,8 +12,6 @@
 	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"bramleygap/internal/core/configcheck"
 	"bramleygap/internal/gateway"
 	"bramleygap/internal/opconfig"
@@ -175,17 +173,9 @@
 		f.checkPlatform(options)
 		return
 	}
-	var keys map[string]any
-	if len(f.text) <= opconfig.MaxTextBytes {
-		_, _ = toml.Decode(f.text, &keys)
-	}
+	keys := firstKeys(f.text)
 	has := func(names ...string) bool {
-		for _, name := range names {
-			if _, ok := keys[name]; ok {
-				return true
-			}
-		}
-		return false
+		return slices.ContainsFunc(names, func(name string) bool { return keys[name] })
 	}
 	switch {
 	case has("client_listen", "readiness_listen", "store_address"):
@@ -229,6 +219,21 @@
 	f.config = &config
 }
 
+// firstKeys returns the keys before the first table of a TOML text, which need not be valid.
+func firstKeys(text string) map[string]bool {
+	keys := make(map[string]bool)
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			break
+		}
+		if key, _, ok := strings.Cut(line, "="); ok {
+			keys[strings.Trim(strings.TrimSpace(key), `"'`)] = true
+		}
+	}
+	return keys
+}
+
 // isJSON reports whether a text is a desired state: no TOML begins with a brace.
 func isJSON(name, text string) bool {
 	return filepath.Ext(name) == ".json" || strings.HasPrefix(strings.TrimSpace(text), "{")
--- a/internal/operator/check_test.go
+++ b/internal/operator/check_test.go
@@ -61,12 +61,15 @@
 	}
 }
 
-// Guards against a code without a file that shows it.
-func TestEachCodeHasAFile(t *testing.T) {
+// Guards against a code without a file that shows it, and against one that the manual does not explain.
+func TestEachCodeHasFileAndRow(t *testing.T) {
 	c := qt.New(t)
+	manual, err := os.ReadFile("../../docs/configuration-check.md")
+	c.Assert(err, qt.IsNil)
 	source, err := os.ReadFile("../core/configcheck/finding.go")
 	c.Assert(err, qt.IsNil)
 	for _, code := range codeInSource.FindAllStringSubmatch(string(source), -1) {
+		c.Check(strings.Count(string(manual), "\n| "+code[1]+" | "), qt.Equals, 1, qt.Commentf("rows of %s", code[1]))
 		// TestBadInput and TestEachDifference have no files for these.
 		if slices.Contains([]string{"C102", "C109", "C411"}, code[1]) {
 			continue
@@ -163,3 +166,67 @@
 	c.Check(err, qt.Equals, ErrInvalid)
 	c.Check(out, qt.Matches, `.*cannot be compared with .*line 2: .*\n`)
 }
+
+// Guards against input that ends the process, takes long or passes: files of another kind and size, cut or hostile
+// ones. The time limit is far above the second that a check may take, so that a busy machine does not fail it;
+// without the bounds, texts like these took from 6 s to more than a minute on a busy machine.
+func TestBadInput(t *testing.T) {
+	const half = 1 << 19
+	repeated := func(text string, bytes int) string { return strings.Repeat(text, bytes/len(text)) }
+	valid, err := os.ReadFile(filepath.Join(checkFolder, "valid.json"))
+	qt.Assert(t, err, qt.IsNil)
+	for name, test := range map[string]struct{ file, text, code string }{
+		"10 MB of JSON":     {"a.json", repeated(`{"routes":[`, 10<<20), "C102"},
+		"10 MB of TOML":     {"a.toml", repeated("a = 1\n", 10<<20), "C102"},
+		"long TOML":         {"a.toml", repeated("#\n", 3*half), "C102"},
+		"empty JSON":        {"a.json", "", "C101"},
+		"other JSON":        {"a.json", "[]", "C103"},
+		"cut JSON":          {"a.json", string(valid[:len(valid)/2]), "C101"},
+		"second value":      {"a.json", string(valid) + "{}", "C101"},
+		"zero bytes":        {"a.toml", repeated("\x00", half), "C101"},
+		"nested JSON":       {"a.json", repeated("[", 2*half), "C101"},
+		"nested TOML":       {"a.toml", "a = " + repeated("{b=", half), "C101"},
+		"long key":          {"a.toml", repeated("a.", half) + "a = 1", "C101"},
+		"elements":          {"a.json", `{"routes":[` + repeated("1,", 2*half) + "1]}", "C102"},
+		"number too large":  {"a.json", `{"version":1e99}`, "C103"},
+		"quoted brackets":   {"a.toml", `note = "` + repeated("[", 1000) + "\"\nx = '''" + repeated("{", 1000) + "'''", "C104"},
+		"many dependencies": {"a.toml", "[[service]]\ndepends_on = [" + repeated(`"x",`, 2*half-100) + "]", "C105"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), test.file)
+			qt.Assert(t, os.WriteFile(path, []byte(test.text), 0o600), qt.IsNil)
+			start := time.Now()
+			out, err := check(CheckOptions{Files: []string{path}})
+			qt.Check(t, time.Since(start) < 10*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+			qt.Check(t, err, qt.Equals, ErrInvalid)
+			qt.Check(t, out, qt.Contains, "(error "+test.code+")")
+		})
+	}
+}
+
+// Guards against panics on arbitrary text, and against a text that differs from itself.
+func FuzzCheck(f *testing.F) {
+	for _, name := range []string{"valid.json", "C308-line8.json", "C302-line3.json", "valid.toml", "C315-line4.toml"} {
+		text, err := os.ReadFile(filepath.Join(checkFolder, name))
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(string(text), strings.HasSuffix(name, "json"))
+	}
+	f.Fuzz(func(t *testing.T, text string, asJSON bool) {
+		file := checkedFile{name: map[bool]string{true: "a.json"}[asJSON], text: text}
+		file.check(CheckOptions{Platform: platform.Protocol{}})
+		if file.config == nil || configcheck.Has(file.findings, configcheck.Error) {
+			return
+		}
+		file.findings = append(file.findings, configcheck.Warnings(file.config)...)
+		for _, found := range configcheck.Report(append(file.findings, configcheck.WithGateway(file.config, configcheck.Gateway{})...)) {
+			if found.Line < 1 || found.Line > 1+strings.Count(text, "\n") {
+				t.Fatalf("line of %+v", found)
+			}
+		}
+		if changes := configcheck.Compare(file.config, file.config); len(changes) > 0 {
+			t.Fatalf("difference from itself: %v", changes)
+		}
+		_ = configcheck.Compare(&configcheck.Configuration{}, file.config)
+		_ = configcheck.Compare(file.config, &configcheck.Configuration{})
+	})
+}
--- a/internal/tomlcheck/tomlcheck.go
+++ b/internal/tomlcheck/tomlcheck.go
@@ -100,6 +100,10 @@
 		d.addClass(TooLong, "", "the text has %d bytes; write at most %d", len(text), maxBytes)
 		return d, false
 	}
+	if line, tooDeep := nesting(text); tooDeep {
+		d.problems = append(d.problems, Problem{Class: Syntax, File: file, Line: line, Text: fmt.Sprintf("values or keys are nested more than %d deep; write them flatter", maxNesting)})
+		return d, false
+	}
 	var tree map[string]any
 	if _, err := toml.Decode(text, &tree); err != nil {
 		d.addSyntaxError(err)
@@ -124,7 +128,16 @@
 // Add records a problem of the key; the empty key means the whole document.
 func (d *Document) Add(key, format string, args ...any) { d.addClass(Rule, key, format, args...) }
 
+// maxProblems bounds the problems of a document; a text of 1 MiB can have more than 100,000.
+const maxProblems = 1000
+
 func (d *Document) addClass(class Class, key, format string, args ...any) {
+	switch {
+	case len(d.problems) == maxProblems:
+		key, format, args = "", "more than %d problems; correct the others first", []any{maxProblems}
+	case len(d.problems) > maxProblems:
+		return
+	}
 	d.problems = append(d.problems, Problem{Class: class, File: d.file, Line: d.Line(key), Key: key, Text: fmt.Sprintf(format, args...)})
 }
 
