--- a/internal/opconfig/parse_test.go
+++ b/internal/opconfig/parse_test.go
@@ -169,3 +169,13 @@
 		}
 	})
 }
+
+// Guards against a report that takes long because each element of a long list is a problem.
+func TestProblemsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	_, err := Parse("[[service]]\ndepends_on = [" + strings.Repeat(`"x",`, 5000) + "]")
+	var problems tomlcheck.Problems
+	c.Assert(errors.As(err, &problems), qt.IsTrue)
+	c.Check(problems, qt.HasLen, 1001)
+	c.Check(problems[0].Text, qt.Equals, "more than 1000 problems; correct the others first")
+}
