Keep calls at a low rate away from targets that fail

Failures now also count by their share of a target's recent attempts, without the clock. A failing target gets a trial after 2 s at the earliest, for at most one in five calls, and never as a call's further attempt. If all targets fail, the one that failed longest ago is next.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -120,10 +120,11 @@
 // estimated from its calls in flight and its observed latency and failure rate.
 func (f *Fleet) ChooseCall(now time.Time, q FleetQuery) (membership.Registration, bool) {
 	usual := f.lowestLatency(now, &q)
-	t := f.best(now, &q, func(t *targetState) time.Duration { return f.callCost(now, t, usual) })
+	t := f.best(now, &q, func(t *targetState) time.Duration { return f.callCost(now, &q, t, usual) })
 	if t == nil {
 		return membership.Registration{}, false
 	}
+	f.countCall(now, &q, t)
 	return t.reg, true
 }
 
@@ -141,7 +142,7 @@
 // callCost returns the expected latency of a call. A target that fails most of its calls is the last resort:
 // its failures come faster than the answers of a sound target that has a queue. The excess of a target's
 // latency over the usual one decays, since only calls would show that its queue has ended.
-func (f *Fleet) callCost(now time.Time, t *targetState, usual time.Duration) time.Duration {
+func (f *Fleet) callCost(now time.Time, q *FleetQuery, t *targetState, usual time.Duration) time.Duration {
 	slots := max(1, t.reg.Slots)
 	latency := max(t.latency, time.Millisecond)
 	if latency > usual && !t.latencyAt.IsZero() {
@@ -153,9 +154,7 @@
 	if t.reg.Zone != f.zone {
 		cost += otherZoneCost
 	}
-	if rate := t.failures.get(now); rate > failureThreshold {
-		cost += lastResortCost + time.Duration(rate*float64(time.Second))
-	}
+	cost += f.failureCost(now, q, t)
 	return cost + time.Duration(f.rng.Int64N(int64(2*time.Millisecond)))
 }
 
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -200,6 +200,7 @@
 	// slowness is the factor by which prefill takes longer than nominal, at least 1.
 	slowness decayingAverage
 	failures decayingAverage
+	recent   recentAttempts
 	// latency is the average latency of calls, and latencyAt the time of its last sample.
 	latency   time.Duration
 	latencyAt time.Time
@@ -259,11 +260,13 @@
 	nextStreamID uint64
 	// rings is nil until it is needed, and while gateways use all targets.
 	rings *rings
+	// callsSinceTrial counts the calls of each service since the last one to a failing target.
+	callsSinceTrial map[string]int
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
 func NewFleet(name, zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, reported: map[TargetKey]*loadSums{}, notices: newNotices()}
+	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, reported: map[TargetKey]*loadSums{}, notices: newNotices(), callsSinceTrial: map[string]int{}}
 }
 
 // Update replaces the registered targets. The state of targets that are still registered is
@@ -542,6 +545,7 @@
 		sample = 1
 	}
 	t.failures.add(now, sample, failureWeight)
+	t.recent.add(now, failed)
 	if latency > 0 {
 		t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
 		t.latencyAt = now
