Let calls wait for their turn while their targets reject calls for lack of room

Calls that an application engine shed went to the next engine at once and then back to their clients, while the queues of all engines stayed full. With [calls] pace (off by default, on in the deploy template), a gateway now sends the calls of such a service only within its share, holds the others in order, refuses at once those that cannot be answered in time, and lets calls that a target rejected without running them wait again. Gateways exchange their calls of paced services in call_loads. Without rejections nothing changes.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -149,6 +149,9 @@
 // Done reports whether Finish was emitted.
 func (m *Machine) Done() bool { return m.done }
 
+// MayHaveRun reports whether an attempt may have run the request.
+func (m *Machine) MayHaveRun() bool { return m.mayHaveRun || len(m.open) > 1 }
+
 // Start begins the request.
 func (m *Machine) Start(now time.Time) []Effect {
 	if m.options.Idempotent {
@@ -166,6 +169,13 @@
 	return []Effect{Send{Attempt: attempt, Exclude: append([]string(nil), m.excluded...), Retry: retry, Repeat: hedge || m.arrived, Hedge: hedge}}
 }
 
+// Waited reports that a Send waited for its turn until now, so that a hedged request is due later.
+func (m *Machine) Waited(now time.Time) {
+	if !m.hedgeAt.IsZero() {
+		m.hedgeAt = now.Add(max(minHedgeDelay, hedgeFactor*m.options.TypicalLatency))
+	}
+}
+
 // TargetChosen reports the target chosen for a Send.
 func (m *Machine) TargetChosen(target string) { m.excluded = append(m.excluded, target) }
 
--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -89,6 +89,9 @@
 // HasRoom reports whether another call may be sent, at some target.
 func (p *Pacer) HasRoom() bool { return p.active < p.total }
 
+// Sent records that a call was sent since the last Update.
+func (p *Pacer) Sent() { p.active++ }
+
 // Update computes the shares. names holds this gateway and the live others, sorted; active is the number of this
 // gateway's calls at targets.
 func (p *Pacer) Update(now time.Time, targets []Target, names []string, reports *Reports, active int, latency time.Duration) {
--- a/internal/core/pacing/reports.go
+++ b/internal/core/pacing/reports.go
@@ -12,8 +12,8 @@
 	// maxReportedCalls is the largest number of calls of a service that a report may state. A gateway of 64 GB admits
 	// fewer requests.
 	maxReportedCalls = 1 << 20
-	// maxReportedServices is the largest number of services in a report.
-	maxReportedServices = 256
+	// MaxReportedServices is the largest number of services in a report.
+	MaxReportedServices = 256
 )
 
 // ServiceKey stands for the name of a service in reports.
@@ -44,7 +44,7 @@
 func (r *Reports) Set(now time.Time, gateway string, loads map[ServiceKey]Load) bool {
 	next := &report{at: now, services: map[ServiceKey]Load{}}
 	r.byGateway[gateway] = next
-	if len(loads) > maxReportedServices {
+	if len(loads) > MaxReportedServices {
 		return false
 	}
 	valid := true
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -23,10 +23,12 @@
 	AvoidZone string
 	// WarmTarget is the id of a target that may still have the prompt cached; empty for none.
 	WarmTarget string
+	// CallLimits holds the number of this gateway's calls below which each target may be chosen; nil means no limits.
+	CallLimits map[string]int
 }
 
 func (q *FleetQuery) admits(t *targetState, now time.Time) bool {
-	return t.accepts(now) && q.matches(t)
+	return t.accepts(now) && q.matches(t) && (q.CallLimits == nil || t.activeCalls < q.CallLimits[t.reg.ID])
 }
 
 // matches is admits without regard to whether the target is usable now.
--- /dev/null
+++ b/internal/core/placement/paced.go
@@ -0,0 +1,43 @@
+package placement
+
+import (
+	"time"
+
+	"bramleygap/internal/core/pacing"
+)
+
+// CallTargets returns the targets whose room the gateways share when the calls of a service are paced, with those that
+// hold requests back now. Targets that fail most of their calls are left out, unless all do: room there would draw the
+// calls that wait for sound targets.
+func (f *Fleet) CallTargets(now time.Time, service string) []pacing.Target {
+	q := FleetQuery{Service: service}
+	var sound, all []pacing.Target
+	for _, t := range f.order {
+		if !q.matches(t) || !t.usable(now) || t.leaving() {
+			continue
+		}
+		target := pacing.Target{ID: t.reg.ID, Slots: t.reg.Slots}
+		if t.notice != nil {
+			target.HeldUntil = t.notice.PausedUntil
+		}
+		all = append(all, target)
+		if f.failureCost(now, &q, t) == 0 {
+			sound = append(sound, target)
+		}
+	}
+	if len(sound) == 0 {
+		return all
+	}
+	return sound
+}
+
+// ActiveCalls returns the number of this gateway's calls at the targets of a service.
+func (f *Fleet) ActiveCalls(service string) int {
+	n := 0
+	for _, t := range f.order {
+		if t.reg.Service == service {
+			n += t.activeCalls
+		}
+	}
+	return n
+}
--- a/internal/core/placement/recent_failures_test.go
+++ b/internal/core/placement/recent_failures_test.go
@@ -91,3 +91,16 @@
 	}
 	c.Check(tried, qt.HasLen, 5)
 }
+
+// BenchmarkCallTargets measures the list of the targets whose room is shared, with one choice among them.
+func BenchmarkCallTargets(b *testing.B) {
+	f := newFleet("g", engines(1100))
+	limits := map[string]int{}
+	for _, reg := range engines(1100) {
+		limits[reg.ID] = 1
+	}
+	for b.Loop() {
+		f.CallTargets(now, "s")
+		f.ChooseCall(now, FleetQuery{Service: "s", CallLimits: limits})
+	}
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -52,6 +52,8 @@
 	sendCount      int
 	// sentTo holds the addresses to which the request has been sent.
 	sentTo map[string]bool
+	// refusedFor is the delay to state to the client because the call cannot be answered in time, 0 if it can.
+	refusedFor time.Duration
 	// responded is closed when the client has got its response, or none will come. Until then the body of
 	// each response occupies memory.
 	responded chan struct{}
@@ -130,6 +132,10 @@
 	waitUntil := time.Now().Add(time.Duration(placementWaitFraction * float64(f.req.route.TargetLatency)))
 	for {
 		reg, held, ok := f.chooseTarget(e, handle)
+		if f.refusedFor > 0 {
+			cancel()
+			return f.machine.NoTarget(time.Now(), e.Attempt)
+		}
 		if ok {
 			f.sendCount++
 			f.machine.TargetChosen(reg.ID)
@@ -158,46 +164,61 @@
 }
 
 func (f *callForwarder) chooseTarget(e forward.Send, handle *attemptHandle) (membership.Registration, heldPlacement, bool) {
-	type choice struct {
-		reg  membership.Registration
-		held heldPlacement
-		ok   bool
-	}
 	// The choice is made or not, whether or not the client leaves meanwhile: what it takes is given back
 	// only if its result is known here.
-	c := query(f.g.ctx, f.g.loop, func(st *state) choice {
+	c := query(f.g.ctx, f.g.loop, func(st *state) callPlacement {
 		if f.req.ctx.Err() != nil {
-			return choice{}
+			return callPlacement{}
 		}
 		now := time.Now()
-		if f.g.loop.rejects(st, now, f.req, f.sendCount > 0) {
-			f.req.rejected = true
-			return choice{}
-		}
-		fleetQuery := placement.FleetQuery{Service: f.req.service, Exclude: e.Exclude}
-		st.restrictVersion(now, &fleetQuery, f.req.versionDraw)
-		reg, ok := st.fleet.ChooseCall(now, fleetQuery)
-		if !ok {
-			return choice{held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
-		}
-		if e.Repeat && !f.g.loop.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
-			f.g.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
-			ok = false
-		}
-		if ok {
-			st.fleet.BeginCall(reg.ID)
-			// Crashes that were recorded before are those before which the attempt did not begin.
-			handle.startedAt = now
-			st.addAttempt(reg.ID, handle)
+		if q := st.pacedQueue(now, f.req.service); q != nil {
+			return f.g.loop.enqueueCall(st, now, q, f, e, handle)
 		}
-		return choice{reg: reg, ok: ok}
+		return f.g.loop.placeCall(st, now, f, e, handle, nil)
 	})
+	if c.waiting != nil {
+		c = f.awaitTurn(c.waiting)
+		f.refusedFor = c.refusedFor
+		f.machine.Waited(time.Now())
+	}
 	if c.ok && e.Retry {
 		f.req.log.Info().Str("target", c.reg.ID).Bool("hedge", e.Hedge).Int("attempt", e.Attempt).Msg("request sent to another target")
 	}
 	return c.reg, c.held, c.ok
 }
 
+// placeCall chooses a target for an attempt and begins the attempt there. limits holds the number of this gateway's
+// calls below which each target may be chosen; nil means no limits.
+func (l *eventLoop) placeCall(st *state, now time.Time, f *callForwarder, e forward.Send, handle *attemptHandle, limits map[string]int) callPlacement {
+	if l.rejects(st, now, f.req, f.sendCount > 0) {
+		f.req.rejected = true
+		return callPlacement{}
+	}
+	fleetQuery := placement.FleetQuery{Service: f.req.service, Exclude: e.Exclude}
+	st.restrictVersion(now, &fleetQuery, f.req.versionDraw)
+	if limits != nil && !st.fleet.HasTarget(now, fleetQuery) {
+		if f.machine.MayHaveRun() {
+			return callPlacement{held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
+		}
+		// All targets have rejected the call without running it. It may go to one of them when its turn has come.
+		fleetQuery.Exclude = nil
+	}
+	fleetQuery.CallLimits = limits
+	reg, ok := st.fleet.ChooseCall(now, fleetQuery)
+	if !ok {
+		return callPlacement{noTarget: true, held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
+	}
+	if e.Repeat && !l.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
+		l.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
+		return callPlacement{reg: reg}
+	}
+	st.fleet.BeginCall(reg.ID)
+	// Crashes that were recorded before are those before which the attempt did not begin.
+	handle.startedAt = now
+	st.addAttempt(reg.ID, handle)
+	return callPlacement{reg: reg, ok: true}
+}
+
 // connector returns how an attempt connects to an address. The request uses a kept connection once
 // per address: its first attempt may have used any of them, and a late copy of that response would
 // carry the ID of this request too. A restarted target has a new ID, so that the same address can
@@ -246,6 +267,7 @@
 		if r.result == forward.Replaced {
 			st.fleet.MarkReplaced(time.Now(), reg.ID)
 		}
+		f.g.loop.callEnded(st, now, f.req.service, reg, &r)
 	})
 	f.g.metrics.attempts.WithLabelValues(r.result.String()).Inc()
 	if r.result != forward.Success && ctx.Err() == nil {
@@ -396,6 +418,8 @@
 		f.g.writeResponse(w, r.response, r.body)
 	case f.req.rejected:
 		f.g.refuse(w, f.req, result.CrashesTargets, 0)
+	case finish.Outcome == forward.NotRun && f.refusedFor > 0:
+		f.g.refuse(w, f.req, result.Overloaded, f.refusedFor)
 	case finish.Outcome == forward.NotRun:
 		f.g.refuse(w, f.req, result.NoTarget, f.req.retryDelay(callRetryAfter))
 	case finish.Outcome == forward.TimedOut:
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -115,6 +115,8 @@
 	orders    map[string]*trackedOrder
 	baselines map[string]*evidence.Baseline
 	evidence  *evidence.Counters
+	// calls holds the calls that wait for their turn, and what other gateways reported about theirs.
+	calls *callQueues
 }
 
 // eventLoop serializes access to the gateway's state. Other goroutines send it functions to
@@ -175,6 +177,7 @@
 		orders:          map[string]*trackedOrder{},
 		baselines:       map[string]*evidence.Baseline{},
 		evidence:        evidence.NewCounters(l.options.Settings.Name, rng.Uint64()),
+		calls:           newCallQueues(rng),
 		runIndex:        runindex.New(),
 		activeRuns:      map[string]*activeRun{},
 		lastTick:        now,
@@ -249,6 +252,7 @@
 	l.partsChanged(st, now, "expiry")
 	st.runIndex.Expire(now)
 	st.outages.Expire(now)
+	l.tickCallQueues(st, now)
 	l.publishStaleness(st, now)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,11 @@
 	handlerPanics  prometheus.Counter
 	notices        *prometheus.CounterVec
 	withheld       *prometheus.CounterVec
+	// The metrics of paced calls.
+	pacedCalls         *prometheus.CounterVec
+	callReportsIgnored prometheus.Counter
+	pacedServices      prometheus.Gauge
+	callsWaiting       prometheus.Gauge
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -103,10 +108,14 @@
 		peerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bramleygap_gateway_peer_call_seconds", Help: "Duration of calls to other gateways, also of failed ones.", Buckets: latencyBuckets,
 		}, []string{"call"}),
-		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
+		pacedCalls:         counterVec("paced_calls_total", "Attempts of calls at services whose calls wait for this gateway's share, by decision.", "decision"),
+		callReportsIgnored: counter("call_reports_ignored_total", "Reports of other gateways about their calls with values out of range."),
+		pacedServices:      gauge("paced_services", "Plain services whose calls wait for this gateway's share of the targets."),
+		callsWaiting:       gauge("calls_waiting", "Calls that wait for this gateway's share of the targets."),
+		targetCrashes:      counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.pacedCalls, m.callReportsIgnored, m.pacedServices, m.callsWaiting)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -402,6 +402,7 @@
 	msg := p.exportState(st, now, nil)
 	if kind.loads {
 		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
+		msg.CallLoads = st.exportCallLoads()
 	}
 	switch {
 	case kind.held:
@@ -423,6 +424,7 @@
 	msg := p.exportState(st, arrived, remote)
 	if kind.loads {
 		msg.PackedLoads = packLoads(st.fleet.LocalLoads(now))
+		msg.CallLoads = st.exportCallLoads()
 	}
 	if kind.held || remote.SuspectSummary == nil || placement.SharesAll(len(st.liveGateways)) {
 		st.addMissingSuspects(msg, remote, now)
@@ -563,6 +565,7 @@
 	if remote.PackedLoads != nil || len(remote.Loads) > 0 {
 		st.fleet.SetPeerLoads(remote.Name, now, unpackLoads(remote))
 	}
+	p.g.loop.mergeCallLoads(st, now, remote)
 	st.stopTimes[remote.Name] = time.Time{}
 	if remote.StopsInMs > 0 {
 		st.stopTimes[remote.Name] = now.Add(time.Duration(remote.StopsInMs) * time.Millisecond)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,6 +31,7 @@
 	// Grace is the time between the request to stop and the forced termination of the process.
 	Grace  opconfig.Duration `toml:"grace"`
 	Bounds Bounds            `toml:"bounds"`
+	Calls  Calls             `toml:"calls"`
 	Log    Log               `toml:"log"`
 }
 
@@ -49,6 +50,12 @@
 	ConfigApply opconfig.Duration `toml:"config_apply"`
 }
 
+// Calls holds the settings of calls at plain services.
+type Calls struct {
+	// Pace lets calls wait at the gateway while the targets of their service reject calls for lack of room.
+	Pace bool `toml:"pace"`
+}
+
 // minGrace is the shortest valid grace: the load balancer takes 2 s to detect a stop.
 const minGrace = 3 * time.Second
 
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -16,6 +16,7 @@
 	c.Check(s.Grace.Duration, qt.Equals, 8*time.Second)
 	c.Check(s.Bounds.DrainTimeout.Duration, qt.Equals, 2*time.Second)
 	c.Check(s.Bounds.RetryRatio, qt.Equals, 0.8)
+	c.Check(s.Calls.Pace, qt.IsTrue)
 }
 
 // Guards against faults in the settings that surface only after start-up, and against
