--- a/internal/operator/check_test.go
+++ b/internal/operator/check_test.go
@@ -207,7 +207,7 @@
 			start := processorTime(t)
 			out, err := check(CheckOptions{Files: []string{path}})
 			used := processorTime(t) - start
-			qt.Check(t, used < 2*time.Second, qt.IsTrue, qt.Commentf("%v", used))
+			qt.Check(t, used < time.Second, qt.IsTrue, qt.Commentf("%v", used))
 			qt.Check(t, err, qt.Equals, ErrInvalid)
 			qt.Check(t, out, qt.Contains, "(error "+test.code+")")
 		})
