Let no time limit of a target pass while the gateway is suspended

Cause: connection attempts (100 ms) and probes (110 ms) timed out when a suspended or busy gateway ran again, before it read the answers that had arrived. Sound targets were marked down, and calls refused as NO_TARGET. The earlier rule, time-outs more than 50 ms late do not count, missed most cases at a gateway that runs 5 of each 100 ms.

Change: both limits pass in five steps, each after the tasks that were ready have had a turn. That replaces the earlier rule.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -263,7 +263,7 @@
 	conn, err := connect(ctx)
 	if err != nil {
 		f.g.handleDialError(reg, err)
-		return attemptResult{result: forward.Unsent, withheld: errors.Is(err, target.ErrAbandoned) || errors.Is(err, target.ErrLate)}
+		return attemptResult{result: forward.Unsent, withheld: errors.Is(err, target.ErrAbandoned)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -23,9 +23,6 @@
 	// maxProbeAttempts is the number of failed probes after which a target is down. A single
 	// probe may fail because its first packet is lost.
 	maxProbeAttempts = 2
-	// maxLateProbes is the number of probes that do not count because this process was suspended while they
-	// waited. It bounds the time in which a gateway that is always late notices the loss of a target.
-	maxLateProbes = 2
 	// recheckInterval is the pause between two rounds of health checks.
 	recheckInterval = 700 * time.Millisecond
 )
@@ -104,9 +101,8 @@
 		return result
 	}
 	var err error
-	for failed, late := 0, 0; failed < maxProbeAttempts; {
+	for range maxProbeAttempts {
 		var response target.Response
-		started := time.Now()
 		response, err = g.pool.Probe(g.ctx, reg.Address, g.options.Protocol.ProbePath(), probeTimeout)
 		if err == nil {
 			g.metrics.probes.WithLabelValues("alive").Inc()
@@ -120,11 +116,6 @@
 		if connRefused(err) {
 			break
 		}
-		if late < maxLateProbes && target.Late(time.Since(started), probeTimeout) {
-			late++
-			continue
-		}
-		failed++
 	}
 	if errors.Is(err, syscall.ECONNRESET) {
 		g.metrics.probes.WithLabelValues("reset").Inc()
@@ -209,10 +200,8 @@
 		g.reportDown(reg, time.Now(), err)
 	case errors.Is(err, target.ErrAbandoned), g.ctx.Err() != nil:
 	default:
-		// Avoid the target until a probe succeeds, unless the time-out may be the gateway's own.
-		if !errors.Is(err, target.ErrLate) {
-			g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
-		}
+		// Avoid the target until a probe succeeds.
+		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
 		g.background(func() {
 			// A probe that the target's pause does not permit has no response.
 			if result := g.probeTarget(reg); result.alive && result.response.Status != 0 {
--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -114,13 +114,8 @@
 func TestOwnDelayMarksNoTargetDown(t *testing.T) {
 	c := qt.New(t)
 	g, reg, _ := startNoticeGateway(t)
-	answers := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer answers.Close()
-	reg.Address = answers.Listener.Addr().String()
-	for _, err := range []error{target.ErrAbandoned, target.ErrLate} {
-		g.handleDialError(reg, err)
-		usable := query(t.Context(), g.loop, func(st *state) bool { return st.fleet.Usable(time.Now(), reg.ID) })
-		c.Check(usable, qt.IsTrue, qt.Commentf("%v", err))
-	}
+	g.handleDialError(reg, target.ErrAbandoned)
 	g.tasks.Wait()
+	usable := query(t.Context(), g.loop, func(st *state) bool { return st.fleet.Usable(time.Now(), reg.ID) })
+	c.Check(usable, qt.IsTrue)
 }
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -295,7 +295,7 @@
 		if ctx.Err() == nil {
 			s.g.handleDialError(a.reg, err)
 		}
-		a.send(attemptMessage{kind: attemptFailed, loss: relay.Unsent, withheld: errors.Is(err, target.ErrLate)})
+		a.send(attemptMessage{kind: attemptFailed, loss: relay.Unsent})
 		return
 	}
 	defer func() { _ = conn.Close() }()
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -35,10 +35,6 @@
 // ErrAbandoned means that the context of a connection attempt ended first, which says nothing about the target.
 var ErrAbandoned = errors.New("connection attempt was abandoned")
 
-// ErrLate means that a connection attempt timed out while this process did not run for a part of that time. The
-// target may have accepted the connection.
-var ErrLate = errors.New("connection attempt timed out while this process was suspended")
-
 // ErrNotPermitted means that Request.Permit did not permit a request when it was to be sent.
 var ErrNotPermitted = errors.New("target accepts no requests now")
 
@@ -89,7 +85,10 @@
 // NewPool returns an empty pool. onOpen is called for each new connection and onBytes with the
 // bytes that each read and write transferred. memory limits what responses in progress occupy.
 func NewPool(onOpen func(), onBytes func(in, out int), memory *Memory) *Pool {
-	return &Pool{dialer: NewDialer(), onOpen: onOpen, onBytes: onBytes, memory: memory, idle: map[string][]*Conn{}}
+	dialer := NewDialer()
+	// Dial has its own limit, which does not pass while the process is suspended.
+	dialer.Timeout = 0
+	return &Pool{dialer: dialer, onOpen: onOpen, onBytes: onBytes, memory: memory, idle: map[string][]*Conn{}}
 }
 
 // Writing returns the number of bytes that targets have not accepted yet.
@@ -108,10 +107,11 @@
 
 // Dial returns a new connection.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
-	started := time.Now()
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialCtx, cancel := withPatience(ctx, DialTimeout)
+	defer cancel()
+	raw, err := p.dialer.DialContext(dialCtx, "tcp", address)
 	if err != nil {
-		return nil, dialError(ctx, err, time.Since(started))
+		return nil, dialError(ctx, err)
 	}
 	p.onOpen()
 	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve(), writing: &p.writing}
@@ -390,7 +390,7 @@
 // it to the address. A body beyond maxBufferedBody is dropped: the target has answered, but nothing can be
 // decoded from its answer.
 func (p *Pool) Do(ctx context.Context, address string, req *Request, timeout time.Duration) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := withPatience(ctx, timeout)
 	defer cancel()
 	conn, err := p.Dial(ctx, address)
 	if err != nil {
--- a/internal/gateway/target/dial.go
+++ b/internal/gateway/target/dial.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -26,24 +27,43 @@
 	tcpUserTimeout = 0x12
 )
 
-// maxTimerDelay is by how much a timer of a running process may be late. Gateways get their share of a core in
-// periods of 100 ms, so that pauses of tens of ms are normal.
-const maxTimerDelay = 50 * time.Millisecond
+// patienceSteps is the number of steps in which a time limit passes. At most one of them passes while this process
+// does not run: gateways get their share of a core in periods of 100 ms, and pauses of most of that are normal.
+const patienceSteps = 5
 
-// Late reports whether an operation with a time limit ended so long after it that this process did not run
-// meanwhile, so that its time-out says nothing about the other side.
-func Late(took, limit time.Duration) bool { return took > limit+maxTimerDelay }
+// errOutOfPatience is the cause of a context that withPatience ended.
+var errOutOfPatience = errors.New("no answer within the time limit")
 
-// dialError returns the error of a connection attempt that failed after some time.
-func dialError(ctx context.Context, err error, took time.Duration) error {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return err
-	case ctx.Err() != nil:
+// withPatience returns a context that ends after a time limit in which this process ran. A plain time-out passes
+// while the process is suspended or has much to do, before an answer that has arrived is read.
+func withPatience(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	first := endInSteps(ctx, func() { cancel(errOutOfPatience) }, limit/patienceSteps, patienceSteps, time.AfterFunc)
+	return ctx, func() {
+		first.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// endInSteps calls end after some steps unless ctx ends first. It returns the timer of the first step.
+func endInSteps(ctx context.Context, end func(), step time.Duration, steps int, afterFunc func(time.Duration, func()) *time.Timer) *time.Timer {
+	return afterFunc(step, func() {
+		// Tasks that are ready come first; one of them may have the answer.
+		runtime.Gosched()
+		switch {
+		case ctx.Err() != nil:
+		case steps == 1:
+			end()
+		default:
+			endInSteps(ctx, end, step, steps-1, afterFunc)
+		}
+	})
+}
+
+// dialError returns the error of a connection attempt whose caller's context is ctx.
+func dialError(ctx context.Context, err error) error {
+	if ctx.Err() != nil && !errors.Is(err, syscall.ECONNREFUSED) {
 		return ErrAbandoned
-	case errors.As(err, &netErr) && netErr.Timeout() && Late(took, DialTimeout):
-		return ErrLate
 	}
 	return err
 }
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -186,19 +185,40 @@
 	c.Check(err, qt.ErrorIs, ErrProtocolSwitched)
 }
 
-// Guards against a target that counts as unreachable because the call that wanted it ended or because this
-// process was suspended while it connected, and against a time-out that goes unnoticed.
-func TestDialErrorOfOwnDelay(t *testing.T) {
+// Guards against a target that counts as unreachable because the call that wanted it ended.
+func TestDialErrorOfEndedCall(t *testing.T) {
 	c := qt.New(t)
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	timeout := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
 	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	c.Check(dialError(ended, timeout, DialTimeout), qt.Equals, ErrAbandoned)
-	c.Check(dialError(t.Context(), timeout, DialTimeout+maxTimerDelay+1), qt.Equals, ErrLate)
-	c.Check(dialError(t.Context(), timeout, DialTimeout+maxTimerDelay), qt.Equals, error(timeout))
-	c.Check(dialError(ended, refused, time.Second), qt.Equals, error(refused), qt.Commentf("a closed port is certain"))
+	c.Check(dialError(ended, context.Canceled), qt.Equals, ErrAbandoned)
+	c.Check(dialError(t.Context(), context.Canceled), qt.Equals, context.Canceled)
+	c.Check(dialError(ended, refused), qt.Equals, error(refused), qt.Commentf("a closed port is certain"))
 	pool := NewPool(func() {}, func(int, int) {}, NewMemory(1<<20))
 	_, err := pool.Get(ended, "127.0.0.1:1", time.Second)
 	c.Check(err, qt.Equals, ErrAbandoned)
 }
+
+// Scenario: the process is suspended while it waits for an answer. Guards against a time limit that passes meanwhile,
+// so that the answer is not read, and against one that never passes.
+func TestPatienceOutlastsSuspension(t *testing.T) {
+	c := qt.New(t)
+	var due []func()
+	afterFunc := func(step time.Duration, f func()) *time.Timer {
+		c.Check(step, qt.Equals, time.Second)
+		due = append(due, f)
+		return nil
+	}
+	ended := false
+	endInSteps(t.Context(), func() { ended = true }, time.Second, patienceSteps, afterFunc)
+	for i := range patienceSteps {
+		c.Assert(due, qt.HasLen, i+1, qt.Commentf("a late timer brings the next step, not the end"))
+		c.Check(ended, qt.IsFalse)
+		due[i]()
+	}
+	c.Check(ended, qt.IsTrue)
+	ctx, cancel := withPatience(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	<-ctx.Done()
+	c.Check(context.Cause(ctx), qt.Equals, errOutOfPatience)
+}
