Do not let calls at lost targets hold up paced calls

A gateway compared all its calls at a service's targets with its share, also those that hang at a target that is lost, so that calls for sound targets would have waited until these end. Found by reading. Only calls at targets that have room count now, each target by itself.

--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -39,8 +39,9 @@
 	key      ServiceKey
 	evidence evidence
 	demand   demand
-	// active is the number of calls at targets.
-	active int
+	// active is the number of calls at the targets, and room how many more the limits permit. Calls at targets that
+	// are lost count in neither, so that they do not hold up others until they end.
+	active, room int
 	// latency is the usual time from sending a call to its answer.
 	latency  time.Duration
 	waiting  []*Call
@@ -87,16 +88,18 @@
 func (p *Pacer) Limits() map[string]int { return p.limits }
 
 // HasRoom reports whether another call may be sent, at some target.
-func (p *Pacer) HasRoom() bool { return p.active < p.total }
+func (p *Pacer) HasRoom() bool { return p.room > 0 }
 
 // Sent records that a call was sent since the last Update.
-func (p *Pacer) Sent() { p.active++ }
+func (p *Pacer) Sent() { p.active, p.room = p.active+1, p.room-1 }
 
-// Update computes the shares. names holds this gateway and the live others, sorted; active is the number of this
-// gateway's calls at targets.
-func (p *Pacer) Update(now time.Time, targets []Target, names []string, reports *Reports, active int, latency time.Duration) {
-	p.active, p.latency = active, max(minLatency, latency)
-	p.demand.update(now, active+len(p.waiting))
+// Update computes the shares. names holds this gateway and the live others, sorted.
+func (p *Pacer) Update(now time.Time, targets []Target, names []string, reports *Reports, latency time.Duration) {
+	p.active, p.latency = 0, max(minLatency, latency)
+	for i := range targets {
+		p.active += targets[i].Active
+	}
+	p.demand.update(now, p.active+len(p.waiting))
 	if !slices.EqualFunc(p.targets, targets, func(a, b Target) bool { return a.ID == b.ID && a.Slots == b.Slots }) {
 		p.units = layout(targets)
 	}
@@ -113,6 +116,10 @@
 	}
 	from, to, total := interval(now, names, p.self, max(1, p.demand.get()), reports, p.key)
 	p.limits, p.total = limits(now, p.targets, p.units, from, to)
+	p.room = 0
+	for i := range p.targets {
+		p.room += max(0, p.limits[p.targets[i].ID]-p.targets[i].Active)
+	}
 	p.calls += totalSampleWeight * (total - p.calls)
 }
 
@@ -201,7 +208,7 @@
 		held = p.returns.Sub(now)
 	}
 	share := max(1, p.total)
-	queued := ahead + p.active - share + 1
+	queued := ahead - p.room + 1
 	if queued <= 0 || p.total == 0 && ahead < share {
 		return held
 	}
--- a/internal/core/pacing/shares.go
+++ b/internal/core/pacing/shares.go
@@ -35,6 +35,8 @@
 type Target struct {
 	ID    string
 	Slots int
+	// Active is the number of this gateway's calls at the target.
+	Active int
 	// HeldUntil is when the target accepts new calls of this gateway again, zero if it does now.
 	HeldUntil time.Time
 }
--- a/internal/core/placement/paced.go
+++ b/internal/core/placement/paced.go
@@ -16,7 +16,7 @@
 		if !q.matches(t) || !t.usable(now) || t.leaving() {
 			continue
 		}
-		target := pacing.Target{ID: t.reg.ID, Slots: t.reg.Slots}
+		target := pacing.Target{ID: t.reg.ID, Slots: t.reg.Slots, Active: t.activeCalls}
 		if t.notice != nil {
 			target.HeldUntil = t.notice.PausedUntil
 		}
@@ -30,14 +30,3 @@
 	}
 	return sound
 }
-
-// ActiveCalls returns the number of this gateway's calls at the targets of a service.
-func (f *Fleet) ActiveCalls(service string) int {
-	n := 0
-	for _, t := range f.order {
-		if t.reg.Service == service {
-			n += t.activeCalls
-		}
-	}
-	return n
-}
--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -144,7 +144,7 @@
 }
 
 func (l *eventLoop) updatePacer(st *state, now time.Time, q *callQueue) {
-	q.pacer.Update(now, st.fleet.CallTargets(now, q.service), st.liveGateways, st.calls.reports, st.fleet.ActiveCalls(q.service), st.latency(q.service).Mean())
+	q.pacer.Update(now, st.fleet.CallTargets(now, q.service), st.liveGateways, st.calls.reports, st.latency(q.service).Mean())
 }
 
 // serveCallQueue refuses the waiting calls that cannot be answered in time, and places those whose turn has come.
