Choose engines by their lasting speeds and by the cost of other zones

All choices took engines of 0.7 and 1.7 times the nominal speed for equal, and bytes between zones had no cost.

targetState.takes gives the time in which a target reads a prompt and produces events. It serves new streams, copies, successors, EarliestEnd, the time without a change that counts as stopped, and through NominalTime the Completion. An engine slower than the median is full earlier, one without samples gets one prompt at a time, and a slow plain target's latency decays to its own usual one. A choice outside the own zone costs the transfer cost, three quarters of it once work has left.

--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -97,3 +97,36 @@
 		})
 	}
 }
+
+// BenchmarkPlaceBySpeed is BenchmarkPlace at the target size with speeds in use, and BenchmarkEvaluateSpeeds what is
+// done twice a second for it.
+func BenchmarkPlaceBySpeed(b *testing.B) {
+	f := speedsAtTargetSize()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := f.Place(now, fleetQuery, "", typicalSize, true); !ok {
+			b.Fatal("no target")
+		}
+	}
+}
+
+func BenchmarkEvaluateSpeeds(b *testing.B) {
+	f := speedsAtTargetSize()
+	b.ReportAllocs()
+	for b.Loop() {
+		f.EvaluateSpeeds()
+	}
+}
+
+func speedsAtTargetSize() *Fleet {
+	f := NewFleet("g", "a", rand.New(rand.NewPCG(1, 2)))
+	f.UseSpeeds()
+	f.Update(engines(1100), func(string) int { return 55000 })
+	names := []string{"g"}
+	for i := range 369 {
+		names = append(names, fmt.Sprintf("edge-%d", i))
+	}
+	f.SetGateways(names)
+	learn(f, 1100, unevenSpeed)
+	return f
+}
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -124,6 +124,7 @@
 	if t == nil {
 		return membership.Registration{}, false
 	}
+	f.recordZone(t)
 	return t.reg, true
 }
 
@@ -142,7 +143,7 @@
 // its failures come faster than the answers of a sound target that has a queue. The excess of a target's
 // latency over the usual one decays, since only calls would show that its queue has ended.
 func (f *Fleet) callCost(now time.Time, t *targetState, usual time.Duration) time.Duration {
-	slots := max(1, t.reg.Slots)
+	slots, usual := max(1, t.reg.Slots), t.usualLatency(usual)
 	latency := max(t.latency, time.Millisecond)
 	if latency > usual && !t.latencyAt.IsZero() {
 		halfLives := float64(now.Sub(t.latencyAt)) / float64(latencyHalfLife)
@@ -151,7 +152,7 @@
 	cost := latency + latency*time.Duration(t.activeCalls)/time.Duration(slots)*2
 	cost += t.leavingPenalty(now)
 	if t.reg.Zone != f.zone {
-		cost += otherZoneCost
+		cost += otherZoneCost + f.transferCost(t)
 	}
 	if rate := t.failures.get(now); rate > failureThreshold {
 		cost += lastResortCost + time.Duration(rate*float64(time.Second))
@@ -178,7 +179,7 @@
 	}
 	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		_, streams, _ := f.totalLoad(now, t)
-		return f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*streamCost
+		return f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*t.takes(now, 0, streamCost) + t.takes(now, 0, rest) - rest
 	})
 	if t == nil {
 		return time.Time{}, false
@@ -187,7 +188,7 @@
 	if _, streams, _ := f.totalLoad(now, t); streams == 0 {
 		return first, true
 	}
-	return first.Add(rest), true
+	return first.Add(t.takes(now, 0, rest)), true
 }
 
 // uncached returns the size with the prompt tokens that the target must prefill.
@@ -199,7 +200,7 @@
 }
 
 func (f *Fleet) timeToFirstEvent(now time.Time, t *targetState, size GenerationSize) time.Duration {
-	return f.backlog(now, t) + prefillTime(size.PromptTokens, t.slowness.get(now)) + firstEventOverhead
+	return f.backlog(now, t) + t.takes(now, size.PromptTokens, 0) + firstEventOverhead
 }
 
 func prefillTime(tokens int, slowness float64) time.Duration {
@@ -264,7 +265,7 @@
 		memory, streams, copies := f.totalLoad(now, t)
 		uncached := q.uncached(t, size)
 		cost := f.timeToFirstEvent(now, t, uncached) + time.Duration(streams)*f.joiningCost(now, t, uncached) + time.Duration(copies)*copyCost
-		if t.memoryCapacity > 0 && memory+size.memory() > t.memoryCapacity {
+		if t.memoryCapacity > 0 && memory+size.memory() > t.streamCapacity() || t.untried() {
 			cost += lastResortCost
 		}
 		if rate := t.failures.get(now); rate > failureThreshold {
@@ -273,11 +274,12 @@
 		if !f.prefers(t) {
 			cost += nonPreferredCost
 		}
-		return cost + t.leavingPenalty(now) + time.Duration(f.rng.Int64N(int64(choiceJitter)))
+		return cost + t.leavingPenalty(now) + f.transferCost(t) + time.Duration(f.rng.Int64N(int64(choiceJitter)))
 	})
 	if t == nil {
 		return membership.Registration{}, false
 	}
+	f.recordZone(t)
 	return t.reg, true
 }
 
@@ -286,10 +288,10 @@
 // prompts of all of them, so that it is small there.
 func (f *Fleet) joiningCost(now time.Time, t *targetState, uncached GenerationSize) time.Duration {
 	if SharesAll(len(f.gateways)) {
-		return streamCost
+		return t.takes(now, 0, streamCost)
 	}
-	reading := prefillTime(uncached.PromptTokens, t.slowness.get(now))
-	return max(streamCost, time.Duration(joinedShare*float64(reading)))
+	reading := t.takes(now, uncached.PromptTokens, 0)
+	return max(t.takes(now, 0, streamCost), time.Duration(joinedShare*float64(reading)))
 }
 
 // ChooseCopy returns the engine for the KV cache copy of a generation. q.AvoidZone is the
@@ -299,7 +301,7 @@
 func (f *Fleet) ChooseCopy(now time.Time, q FleetQuery, size GenerationSize) (membership.Registration, bool) {
 	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		memory, streams, copies := f.totalLoad(now, t)
-		cost := f.backlog(now, t)/4 + time.Duration(streams)*streamCost + time.Duration(copies)*copyCost
+		cost := f.backlog(now, t)/4 + time.Duration(streams)*t.takes(now, 0, streamCost) + time.Duration(copies)*copyCost
 		cost += time.Duration(t.copiesBySourceZone[q.AvoidZone])*sameZoneCopyCost + t.leavingPenalty(now)
 		if t.memoryCapacity > 0 && memory+size.memory() > t.memoryCapacity {
 			cost += lastResortCost
@@ -384,7 +386,7 @@
 		return false
 	}
 	memory, _, _ := f.totalLoad(now, t)
-	return t.memoryCapacity == 0 || memory+tokens <= t.memoryCapacity
+	return t.memoryCapacity == 0 || tokens == 0 && memory <= t.memoryCapacity || memory+tokens <= t.streamCapacity()
 }
 
 // CopiesFit reports whether the engines of a service that this gateway uses have memory for KV cache
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bramleygap/internal/core/membership"
+	"bramleygap/internal/core/speed"
 )
 
 const (
@@ -204,6 +205,9 @@
 	latency   time.Duration
 	latencyAt time.Time
 	work      workEvidence
+	// lasting holds the lasting speeds, nil while those of its service are not in use.
+	lasting   *speed.Speeds
+	latencies speed.Latencies
 }
 
 // stream is one generation placed on a target by this gateway.
@@ -214,6 +218,7 @@
 	expected time.Duration
 	// prefilling is set until the first event.
 	prefilling bool
+	sampling   speedSampling
 }
 
 // decayingAverage is a weighted average that decays to its baseline without new samples.
@@ -259,6 +264,10 @@
 	nextStreamID uint64
 	// rings is nil until it is needed, and while gateways use all targets.
 	rings *rings
+	// speeds is nil unless the fleet estimates speeds. samples counts the samples of its own.
+	speeds   *speed.Book
+	samples  SampleCounts
+	transfer zoneTransfer
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
@@ -302,6 +311,7 @@
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
 	f.detectReplaced()
 	f.rings = nil
+	f.updateSpeeds()
 }
 
 // detectReplaced marks targets whose address is also registered by a newer instance.
@@ -545,6 +555,7 @@
 	if latency > 0 {
 		t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
 		t.latencyAt = now
+		f.sampleCall(now, t, latency)
 	}
 }
 
@@ -554,13 +565,13 @@
 	f.nextStreamID++
 	if t := f.targets[id]; t != nil {
 		expected := f.timeToFirstEvent(now, t, size)
-		t.streams[f.nextStreamID] = &stream{size: size, started: now, expected: expected, prefilling: true}
+		t.streams[f.nextStreamID] = &stream{size: size, started: now, expected: expected, prefilling: true, sampling: f.beginSampling(now, t, size)}
 		t.streamMemory += size.memory()
 		start := t.prefillEnd
 		if start.Before(now) {
 			start = now
 		}
-		t.prefillEnd = start.Add(prefillTime(size.PromptTokens, t.slowness.get(now)))
+		t.prefillEnd = start.Add(t.takes(now, size.PromptTokens, 0))
 	}
 	f.addCopy(id, copyHolder, size)
 	return f.nextStreamID
@@ -598,6 +609,7 @@
 	}
 	s := t.streams[streamID]
 	s.prefilling = false
+	f.samplePrefill(now, t, s)
 	if s.size.PromptTokens > 0 {
 		ratio := float64(now.Sub(s.started)) / float64(max(s.expected, time.Millisecond))
 		t.slowness.add(now, min(maxSlowness, max(1, t.slowness.get(now)*ratio)), slownessWeight)
--- a/internal/core/placement/progress.go
+++ b/internal/core/placement/progress.go
@@ -129,12 +129,12 @@
 	if t == nil {
 		return ProgressUnknown
 	}
-	return t.work.progress(now, t.slowness.get(now))
+	return t.work.progress(now, t.slowdown(now))
 }
 
 // hangs reports whether a target does not work on all streams that were sent to it.
 func (t *targetState) hangs(now time.Time) bool {
-	p := t.work.progress(now, t.slowness.get(now))
+	p := t.work.progress(now, t.slowdown(now))
 	return p == Missing || p == Stopped
 }
 
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -201,7 +201,9 @@
 	// medians holds the medians of the logarithms by kind, and measured the number of instances behind them.
 	medians  [numKinds]float64
 	measured [numKinds]int
-	inUse    bool
+	// fastest is the logarithm of the highest decode speed.
+	fastest float64
+	inUse   bool
 }
 
 // Book holds the estimates of the registered instances. It is not safe for concurrent use.
@@ -306,6 +308,11 @@
 				spread = max(spread, slices.Max(proven)-slices.Min(proven))
 			}
 		}
+		// median has sorted the list.
+		s.fastest = 0
+		if n := len(l.known[Decode]); n > 0 {
+			s.fastest = l.known[Decode][n-1]
+		}
 		limit := math.Log(useRatio)
 		if s.inUse {
 			limit = math.Log(endRatio)
@@ -341,6 +348,8 @@
 	Prefill, Decode float64
 	// Relative is Prefill as a factor of the median of the service.
 	Relative float64
+	// Behind is the factor by which the fastest measured instance of the service decodes faster.
+	Behind float64
 	// Measured is set once there is a sample of any kind.
 	Measured bool
 }
@@ -350,7 +359,7 @@
 func (b *Book) Speeds(key Key) Speeds {
 	e := b.entries[key]
 	if e == nil {
-		return Speeds{Prefill: 1, Decode: 1, Relative: 1}
+		return Speeds{Prefill: 1, Decode: 1, Relative: 1, Behind: 1}
 	}
 	s := b.services[e.service]
 	relative := func(kind Kind) float64 {
@@ -363,6 +372,7 @@
 	}
 	speeds := Speeds{Decode: relative(Decode), Relative: relative(Prefill)}
 	speeds.Prefill = bounded(speeds.Relative * math.Exp(s.medians[Prefill]))
+	speeds.Behind = bounded(max(1, math.Exp(s.fastest-s.medians[Decode])/speeds.Decode))
 	speeds.Measured = e.known()
 	return speeds
 }
