Measure speeds in gateways, pass them on, and describe them

A gateway sees too few streams of an engine to know its speed: one in two minutes at 30 gateways and 110 engines. Nothing measured or passed on speeds.

Behind the setting [placement] engine_speeds, attempts collect the gaps between events and give the event loop a summary every 2 s, first events and calls give the other samples, and exchanges carry packed_speeds. zone_transfer_cost sets the cost of other zones. Until an engine has samples of one kind, the speed of the other kind is expected. The emulator has engines with lasting speeds, two patterns and the policy 'by speed'.

Tests of the changed packages and of internal/core pass; those of platform were not run.

--- a/internal/core/placement/speeds.go
+++ b/internal/core/placement/speeds.go
@@ -58,11 +58,15 @@
 }
 
 func (f *Fleet) applySpeeds() {
-	for _, t := range f.order {
+	var lasting []speed.Speeds
+	for i, t := range f.order {
 		t.lasting = nil
 		if f.speeds.InUse(t.reg.Service) {
-			speeds := f.speeds.Speeds(t.speedKey())
-			t.lasting = &speeds
+			if lasting == nil {
+				lasting = make([]speed.Speeds, len(f.order))
+			}
+			lasting[i] = f.speeds.Speeds(t.speedKey())
+			t.lasting = &lasting[i]
 		}
 	}
 }
--- a/internal/core/speed/gaps.go
+++ b/internal/core/speed/gaps.go
@@ -34,7 +34,10 @@
 func (g *Gaps) Add(at time.Duration) bool {
 	switch {
 	case g.last == 0:
-		g.last, g.begin, g.burst = at, at, 1
+		g.last, g.burst = at, 1
+		if g.begin == 0 {
+			g.begin = at
+		}
 		return false
 	case at-g.last < burstGap:
 		g.burst++
@@ -52,11 +55,14 @@
 	return at-g.begin >= SummaryInterval
 }
 
+// SkipNext leaves out the gap before the next event: the last one was passed on late, so that the next was not awaited.
+func (g *Gaps) SkipNext() { g.last, g.before = 0, 0 }
+
 // Summary returns the lower quartile of the gaps since the last summary and begins a new window. It
 // returns false if there were too few. Prompts that are read beside the stream lengthen its gaps only.
 func (g *Gaps) Summary() (time.Duration, bool) {
 	n := min(g.count, gapWindow)
-	g.count, g.begin = 0, g.last
+	g.count, g.begin = 0, max(g.begin, g.last)
 	if n < minGaps {
 		return 0, false
 	}
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -354,27 +354,38 @@
 	Measured bool
 }
 
-// Speeds returns the speeds of an instance, as of the last Evaluate of its service. An instance without samples has
-// the median of its service, which counts as one sample of each other one.
+// Speeds returns the speeds of an instance, as of the last Evaluate of its service. What is expected before the first
+// sample of a kind counts as one sample: the speed of the other kind, since what makes an engine fast serves both, or the
+// median of the service.
 func (b *Book) Speeds(key Key) Speeds {
 	e := b.entries[key]
 	if e == nil {
 		return Speeds{Prefill: 1, Decode: 1, Relative: 1, Behind: 1}
 	}
 	s := b.services[e.service]
-	relative := func(kind Kind) float64 {
-		estimate := &e.estimates[kind]
-		if estimate.samples == 0 || s.measured[kind] == 0 {
-			return 1
-		}
-		n := float64(min(estimate.samples, averagedSamples))
-		return bounded(math.Exp((estimate.log - s.medians[kind]) * n / (n + 1)))
-	}
-	speeds := Speeds{Decode: relative(Decode), Relative: relative(Prefill)}
+	prefill, decode := s.deviation(e, Prefill), s.deviation(e, Decode)
+	speeds := Speeds{Relative: bounded(math.Exp(prefill.expected(decode))), Decode: bounded(math.Exp(decode.expected(prefill)))}
 	speeds.Prefill = bounded(speeds.Relative * math.Exp(s.medians[Prefill]))
 	speeds.Behind = bounded(max(1, math.Exp(s.fastest-s.medians[Decode])/speeds.Decode))
 	speeds.Measured = e.known()
 	return speeds
 }
 
+// deviation is how much an estimate deviates from the median of its service, as a logarithm, and its samples.
+type deviation struct{ log, samples float64 }
+
+func (s *service) deviation(e *entry, kind Kind) deviation {
+	estimate := &e.estimates[kind]
+	if estimate.samples == 0 || s.measured[kind] == 0 {
+		return deviation{}
+	}
+	return deviation{estimate.log - s.medians[kind], float64(min(estimate.samples, averagedSamples))}
+}
+
+// expected returns the deviation to expect, given that of the other kind.
+func (d deviation) expected(other deviation) float64 {
+	prior := other.log * other.samples / (other.samples + 1)
+	return (d.log*d.samples + prior) / (d.samples + 1)
+}
+
 func bounded(factor float64) float64 { return min(MaxFactor, max(MinFactor, factor)) }
--- a/internal/core/speed/speed_test.go
+++ b/internal/core/speed/speed_test.go
@@ -249,6 +249,10 @@
 		case i%10 < 4:
 			// A prompt is read beside the stream.
 			at += 150 * time.Millisecond
+		case i%10 == 8:
+			// The client took the last event late, and the next had arrived meanwhile.
+			g.SkipNext()
+			at += 3 * time.Millisecond
 		case i%10 == 9:
 			// The events of 120 ms arrive at once.
 			at += 120 * time.Millisecond
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -76,6 +76,42 @@
 	c.Check(product.WastedPrefillTokens < before.WastedPrefillTokens, qt.IsTrue, qt.Commentf("wasted prefill tokens: %d, before %d", product.WastedPrefillTokens, before.WastedPrefillTokens))
 }
 
+// Guards against speeds that come into use because of faults or noise, and against any other choice while they are not.
+func TestSpeedsChangeNothingWhileEnginesAreAlike(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"zone-lost", "gateways", "grey"} {
+		summaries := simulateAll(t, name)
+		product, bySpeed := summaries["product"], summaries["by speed"]
+		bySpeed.Policy = product.Policy
+		qt.Check(t, bySpeed, qt.DeepEquals, product, qt.Commentf(name))
+	}
+}
+
+// Engines have 0.7 and 1.7 times the nominal speed. Guards against speeds that are not learned, and against
+// choices by them that serve fewer requests in time.
+func TestUnevenEnginesAreUsedBySpeed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	policies := Policies()
+	for _, p := range Patterns() {
+		if p.Name != "uneven" {
+			continue
+		}
+		sim := newSimulation(policies[len(policies)-1], 1)
+		sim.run(&p)
+		for _, g := range sim.gateways {
+			c.Check(g.fleet.SpeedsInUse(service), qt.IsTrue)
+			slow, fast := g.fleet.NominalTime(sim.engines[0].id(), time.Second), g.fleet.NominalTime(sim.engines[2].id(), time.Second)
+			ratio := float64(fast) / float64(slow)
+			c.Check(ratio > 2 && ratio < 2.9, qt.IsTrue, qt.Commentf("%v", ratio))
+		}
+	}
+	summaries := simulateAll(t, "uneven")
+	product, bySpeed := summaries["product"], summaries["by speed"]
+	// One request in a hundred is the noise between seeds.
+	c.Check(bySpeed.OnTime >= product.OnTime-product.Requests/100, qt.IsTrue, qt.Commentf("on time: %d, without speeds %d", bySpeed.OnTime, product.OnTime))
+}
+
 // Engines accept requests but never process them. Guards against clients that wait for the
 // first event until their idle timeout.
 func TestHungRequestsFailOver(t *testing.T) {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -104,7 +104,8 @@
 	shedPause   time.Duration
 	// rejections counts the requests rejected because of shedPause.
 	rejections int
-	slowdown   float64
+	// speed is the lasting speed as a factor of the nominal one, slowdown a passing fault.
+	speed, slowdown float64
 	// hangProbability is the fraction of the requests that the engine accepts but never
 	// processes.
 	hangProbability float64
@@ -132,7 +133,7 @@
 }
 
 func newEngine(c *clock, rng *rand.Rand, index int, zone string) *engine {
-	e := &engine{clock: c, rng: rng, index: index, zone: zone, up: true, slowdown: 1, copies: map[string]cacheCopy{}}
+	e := &engine{clock: c, rng: rng, index: index, zone: zone, up: true, speed: 1, slowdown: 1, copies: map[string]cacheCopy{}}
 	e.address = fmt.Sprintf("10.0.0.%d:1", index)
 	e.setName()
 	return e
@@ -318,7 +319,7 @@
 		duration += time.Duration(chunk) * time.Millisecond / prefillTokensPerMS
 	}
 	incarnation := e.incarnation
-	e.clock.after(time.Duration(float64(duration)*e.slowdown), func() {
+	e.clock.after(time.Duration(float64(duration)*e.slowdown/e.speed), func() {
 		if e.incarnation != incarnation || !e.up {
 			return
 		}
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -73,6 +73,9 @@
 func (g *gateway) start() {
 	g.up = true
 	g.fleet = placement.NewFleet(g.name, g.zone, g.rng)
+	if g.sim.policy.LearnSpeeds {
+		g.fleet.UseSpeeds()
+	}
 	g.fleet.SetGateways(g.sim.gatewayNames())
 	g.outages, g.runs, g.streams = placement.NewOutages(), runindex.New(), map[*stream]struct{}{}
 	g.suspects, g.startedAt = suspect.NewTracker(), g.sim.clock.now
@@ -130,14 +133,17 @@
 	}
 	now := g.sim.clock.now
 	g.outages.Expire(now)
+	g.fleet.EvaluateSpeeds()
 	loads := g.fleet.LocalLoads(now)
 	requests, parts := g.suspects.Export(now), g.suspects.PartChanges(0)
 	for _, other := range g.sim.gateways {
 		if other == g || !other.up {
 			continue
 		}
+		speeds := g.fleet.ExportSpeeds(now)
 		g.sim.clock.after(networkDelay, func() {
 			if other.up {
+				other.fleet.MergeSpeeds(speeds)
 				other.fleet.SetPeerLoads(g.name, g.sim.clock.now, loads)
 				other.mergeSuspects(requests, parts)
 			}
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -72,6 +72,19 @@
 			sim.at(8, func() { sim.forEngines(3, func(e *engine) { e.slowdown = 4 }) })
 			sim.at(15, func() { sim.forEngines(3, func(e *engine) { e.slowdown = 1 }) })
 		}},
+		{"uneven", "a third of the engines have 1.7 times the nominal speed, the others 0.7 times; 1.6 times the request rate", func(sim *simulation) {
+			sim.rateFactor = 1.6
+			sim.setUnevenSpeeds()
+		}},
+		{"turns-slow", "as uneven, and at 14 s half of the fast engines turn slow for good", func(sim *simulation) {
+			sim.rateFactor = 1.6
+			sim.setUnevenSpeeds()
+			sim.at(14, func() {
+				for i := 2; i < len(sim.engines); i += 6 {
+					sim.engines[i].speed = 0.7
+				}
+			})
+		}},
 		{"grey", "three engines accept but never process 45% of their requests for 6.5 s", func(sim *simulation) {
 			sim.at(8, func() { sim.forEngines(3, func(e *engine) { e.hangProbability = 0.45 }) })
 			sim.at(14.5, func() { sim.forEngines(3, func(e *engine) { e.hangProbability = 0 }) })
@@ -159,6 +172,16 @@
 	}
 }
 
+// setUnevenSpeeds gives each third engine 1.7 times the nominal speed and the others 0.7 times.
+func (sim *simulation) setUnevenSpeeds() {
+	for i, e := range sim.engines {
+		e.speed = 0.7
+		if i%3 == 2 {
+			e.speed = 1.7
+		}
+	}
+}
+
 // forEngines applies f to n engines, spread over the zones.
 func (sim *simulation) forEngines(n int, f func(*engine)) {
 	for i := range n {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -28,6 +28,8 @@
 	RefuseUnservable bool
 	// MoveLateStarts moves streams whose first event is late on a live engine.
 	MoveLateStarts bool
+	// LearnSpeeds measures the lasting speeds of engines and chooses by them.
+	LearnSpeeds bool
 }
 
 // PlacementRule determines how engines are chosen.
@@ -46,8 +48,8 @@
 // Policies returns the policies to compare: round robin, one that follows load reports, the
 // product before its first changes for these patterns, the product that leaves a live engine before
 // another one has accepted the stream, the product that does not read the engines' reports, the product that
-// counts crashes by request only, the product that reads prompts of streams that cannot end in time, and the
-// product.
+// counts crashes by request only, the product that reads prompts of streams that cannot end in time, the product
+// without its setting engine_speeds, and the product with it.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "round robin"},
@@ -58,5 +60,6 @@
 		{Name: "by request", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true},
 		{Name: "reads all", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true},
 		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true},
+		{Name: "by speed", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true, LearnSpeeds: true},
 	}
 }
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -8,6 +8,7 @@
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/relay"
 	"bramleygap/internal/core/runindex"
+	"bramleygap/internal/core/speed"
 )
 
 // stream is the stream of one client connection at a gateway.
@@ -55,6 +56,7 @@
 	// copyHolder is the engine at which the fleet counts the copy, empty for none.
 	copyHolder string
 	size       placement.GenerationSize
+	gaps       speed.Gaps
 }
 
 // copyRef identifies a cache copy by the engine that holds it and its name there.
@@ -350,6 +352,9 @@
 	switch kind {
 	case signalEvent:
 		s.gateway.lastEvents[a.target.ID] = now
+		if s.gateway.sim.policy.LearnSpeeds && a.gaps.Add(now.Sub(a.sentAt)) {
+			a.reportGaps(now)
+		}
 		if a.begunAt.IsZero() {
 			a.begunAt = now
 		} else if !a.flowing && now.Sub(a.begunAt) >= beginningPeriod {
@@ -371,6 +376,7 @@
 			s.scheduleCheck()
 		}
 	case signalCompleted:
+		a.reportGaps(now)
 		s.apply(s.machine.AttemptCompleted(now))
 	case signalRefused:
 		a.failed(relay.Refused)
@@ -388,6 +394,13 @@
 	}
 }
 
+// reportGaps gives the fleet the gaps between the events of the attempt.
+func (a *attempt) reportGaps(now time.Time) {
+	if gap, ok := a.gaps.Summary(); ok {
+		a.s.gateway.fleet.RecordGap(now, a.target.ID, a.streamID, gap)
+	}
+}
+
 // probe checks whether the target of the current attempt is alive.
 func (a *attempt) probe() {
 	s := a.s
@@ -504,7 +517,7 @@
 
 func (s *stream) finish(outcome relay.Outcome) {
 	if outcome == relay.Complete && s.machine.Attempts() == 1 && s.machine.Delivered() == s.client.events {
-		s.gateway.completion.Observe(maxOutputTokens, s.client.events, s.gateway.sim.clock.now.Sub(s.firstEventAt))
+		s.gateway.completion.Observe(maxOutputTokens, s.client.events, s.gateway.fleet.NominalTime(s.placed.ID, s.gateway.sim.clock.now.Sub(s.firstEventAt)))
 	}
 	s.endAttempts()
 	s.done = true
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -115,6 +115,7 @@
 	orders    map[string]*trackedOrder
 	baselines map[string]*evidence.Baseline
 	evidence  *evidence.Counters
+	speeds    speedReports
 }
 
 // eventLoop serializes access to the gateway's state. Other goroutines send it functions to
@@ -185,6 +186,7 @@
 		st.tables[i] = replica.NewTable()
 	}
 	st.setLiveGateways([]string{l.options.Settings.Name})
+	st.configurePlacement()
 	return st
 }
 
@@ -249,6 +251,7 @@
 	l.partsChanged(st, now, "expiry")
 	st.runIndex.Expire(now)
 	st.outages.Expire(now)
+	l.evaluateSpeeds(st, now)
 	l.publishStaleness(st, now)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,9 @@
 	handlerPanics  prometheus.Counter
 	notices        *prometheus.CounterVec
 	withheld       *prometheus.CounterVec
+	speedSamples   *prometheus.CounterVec
+	speedsIgnored  prometheus.Counter
+	speedsInUse    *prometheus.GaugeVec
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -81,6 +84,8 @@
 		copyOrders:     counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
 		notices:        counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
 		withheld:       counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, or because a part of their prompt crashes targets, by kind of route.", "kind"),
+		speedSamples:   counterVec("speed_samples_total", "Samples of the lasting speeds of targets, by kind and by what became of them.", "kind", "outcome"),
+		speedsIgnored:  counter("speeds_ignored_total", "Impossible speeds in messages of other gateways."),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
@@ -103,10 +108,13 @@
 		peerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bramleygap_gateway_peer_call_seconds", Help: "Duration of calls to other gateways, also of failed ones.", Buckets: latencyBuckets,
 		}, []string{"call"}),
+		speedsInUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_speeds_in_use", Help: "1 while the choice among a service's targets regards their measured speeds.",
+		}, []string{"service"}),
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.speedSamples, m.speedsIgnored, m.speedsInUse)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -475,6 +475,7 @@
 	for _, instance := range st.fleet.GoneInstances(now) {
 		msg.Gone = append(msg.Gone, &wire.GoneInstance{Id: instance.ID, StartUnixMs: instance.StartUnixMS})
 	}
+	msg.PackedSpeeds = packSpeeds(st.fleet.ExportSpeeds(now))
 	st.exportRollouts(msg)
 	for i := range st.tables {
 		msg.Tables = append(msg.Tables, p.exportTable(st, at, i, requester))
@@ -583,6 +584,7 @@
 	for _, t := range remote.Tables {
 		p.mergeTable(st, now, requestedAt, remote.Name, t)
 	}
+	p.g.loop.mergeSpeeds(st, now, remote)
 	p.g.loop.mergeRollouts(st, remote)
 }
 
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -10,6 +10,7 @@
 
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/relay"
+	"bramleygap/internal/core/speed"
 	"bramleygap/internal/core/suspect"
 	"bramleygap/internal/gateway/target"
 )
@@ -136,6 +137,10 @@
 	// the stream has ended the attempt.
 	processed chan struct{}
 	ended     chan struct{}
+	// gaps collects the gaps between events, nil if the speeds of targets are not estimated. deliveredAt is when
+	// the last event was written to the client.
+	gaps        *speed.Gaps
+	deliveredAt time.Time
 }
 
 type attemptMessageKind int
@@ -176,7 +181,7 @@
 			requestID: s.req.head.ID, identity: s.req.identity, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(),
 			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
 		},
-		processed: make(chan struct{}, 1), ended: make(chan struct{}),
+		processed: make(chan struct{}, 1), ended: make(chan struct{}), gaps: s.g.newGaps(),
 	}
 	if e.CopyHolder != "" {
 		// The copy contains nearly all of the processed prompt.
@@ -351,6 +356,7 @@
 			if endsWithConnection(response) && !a.endConfirmed() {
 				return errEndUnconfirmed
 			}
+			a.reportGaps()
 			a.send(attemptMessage{kind: attemptCompleted})
 			return nil
 		}
@@ -369,9 +375,11 @@
 		if a.handle.begun.Load() == 0 {
 			a.handle.begun.Store(int64(now.Sub(a.handle.startedAt)))
 		}
+		a.recordArrival(now)
 		a.send(attemptMessage{kind: attemptEvent, event: event})
 		select {
 		case <-a.processed:
+			a.recordProcessed(now)
 		case <-a.ended:
 			return nil
 		}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -160,7 +160,7 @@
 		if err := s.deliver(event); err != nil {
 			return s.machine.CallerDisconnected()
 		}
-		s.machine.Delivery(time.Now())
+		s.recordDelivery(time.Now())
 	case relay.Finish:
 		s.outcome, s.finished = e.Outcome, true
 	}
@@ -492,7 +492,7 @@
 			estimate = &placement.Completion{}
 			st.completions[s.req.service] = estimate
 		}
-		estimate.Observe(s.req.head.Prompt.OutputTokens, events, took)
+		estimate.Observe(s.req.head.Prompt.OutputTokens, events, st.fleet.NominalTime(s.lastTarget, took))
 	})
 }
 
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -109,7 +109,7 @@
 // partSizes returns the encoded bytes of an exchanged message by part, in the order of exchangeParts.
 func partSizes(msg *wire.GatewayState) [5]int {
 	parts := [5]int{
-		proto.Size(&wire.GatewayState{PackedLoads: msg.PackedLoads}),
+		proto.Size(&wire.GatewayState{PackedLoads: msg.PackedLoads, PackedSpeeds: msg.PackedSpeeds}),
 		proto.Size(&wire.GatewayState{Suspects: msg.Suspects, SuspectSummary: msg.SuspectSummary, Parts: msg.Parts}),
 		proto.Size(&wire.GatewayState{Tables: msg.Tables}),
 		proto.Size(&wire.GatewayState{Evidence: msg.Evidence, Orders: msg.Orders}),
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,9 +31,23 @@
 	// Grace is the time between the request to stop and the forced termination of the process.
 	Grace  opconfig.Duration `toml:"grace"`
 	Bounds Bounds            `toml:"bounds"`
-	Log    Log               `toml:"log"`
+	// Placement controls the choice of targets.
+	Placement Placement `toml:"placement"`
+	Log       Log       `toml:"log"`
 }
 
+// Placement controls the choice of targets.
+type Placement struct {
+	// EngineSpeeds lets gateways measure the lasting speeds of targets and choose by them where they differ.
+	EngineSpeeds bool `toml:"engine_speeds"`
+	// ZoneTransferCost is the waiting that a choice accepts rather than send a stream or a call to another zone; 0
+	// means none.
+	ZoneTransferCost opconfig.Duration `toml:"zone_transfer_cost"`
+}
+
+// maxZoneTransferCost is the largest valid zone transfer cost. More would outweigh that a target is full.
+const maxZoneTransferCost = 10 * time.Second
+
 // Bounds are limits that all gateways together guarantee to the operators.
 type Bounds struct {
 	// RetryRatio is the fraction of a service's requests that may be retried.
@@ -99,6 +113,9 @@
 	if s.Bounds.DrainTimeout.Duration < 0 || s.Bounds.ConfigApply.Duration < 0 {
 		d.Add("bounds.drain_timeout", "and bounds.config_apply must not be negative")
 	}
+	if cost := s.Placement.ZoneTransferCost.Duration; cost < 0 || cost > maxZoneTransferCost {
+		d.Add("placement.zone_transfer_cost", "is not within 0 s and 10 s; write the waiting that is accepted rather than send bytes to another zone")
+	}
 	checkLog(d, s.Log)
 	if err := d.Err(); err != nil {
 		return Gateway{}, err
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -16,6 +16,7 @@
 	c.Check(s.Grace.Duration, qt.Equals, 8*time.Second)
 	c.Check(s.Bounds.DrainTimeout.Duration, qt.Equals, 2*time.Second)
 	c.Check(s.Bounds.RetryRatio, qt.Equals, 0.8)
+	c.Check(s.Placement.EngineSpeeds, qt.IsTrue)
 }
 
 // Guards against faults in the settings that surface only after start-up, and against
@@ -34,10 +35,12 @@
 typo = 1
 [bounds]
 retry_ratio = -0.5
+[placement]
+zone_transfer_cost = "11s"
 `)
 	c.Assert(err, qt.ErrorMatches, `(?s)g.toml:1: name: .*g.toml:3: client_listen: .*g.toml:5: peer_listen: .*`+
 		`g.toml:6: admin_listen: .*g.toml:7: store_address: .*g.toml:8: memory_limit_mb: .*g.toml:9: grace: .*`+
-		`g.toml:10: typo: unknown key.*g.toml:12: bounds.retry_ratio: .*`)
+		`g.toml:10: typo: unknown key.*g.toml:12: bounds.retry_ratio: .*g.toml:14: placement.zone_transfer_cost: .*`)
 	_, err = LoadGateway(t.TempDir() + "/none")
 	c.Assert(err, qt.ErrorIs, os.ErrNotExist)
 }
