Merge the speeds of engines

Of many instances, the tenth with the highest and the tenth with the lowest estimates do not count for the evidence by which speeds come into use: the extremes of a hundred noisy estimates of engines that are alike always differ.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -129,6 +129,7 @@
 		return membership.Registration{}, false
 	}
 	f.countCall(now, &q, t)
+	f.recordZone(t)
 	return t.reg, true
 }
 
@@ -147,7 +148,7 @@
 // its failures come faster than the answers of a sound target that has a queue. The excess of a target's
 // latency over the usual one decays, since only calls would show that its queue has ended.
 func (f *Fleet) callCost(now time.Time, q *FleetQuery, t *targetState, usual time.Duration) time.Duration {
-	slots := max(1, t.reg.Slots)
+	slots, usual := max(1, t.reg.Slots), t.usualLatency(usual)
 	latency := max(t.latency, time.Millisecond)
 	if latency > usual && !t.latencyAt.IsZero() {
 		halfLives := float64(now.Sub(t.latencyAt)) / float64(latencyHalfLife)
@@ -156,7 +157,7 @@
 	cost := latency + latency*time.Duration(t.activeCalls)/time.Duration(slots)*2
 	cost += t.leavingPenalty(now)
 	if t.reg.Zone != f.zone {
-		cost += otherZoneCost
+		cost += otherZoneCost + f.transferCost(t)
 	}
 	cost += f.failureCost(now, q, t)
 	return cost + time.Duration(f.rng.Int64N(int64(2*time.Millisecond)))
@@ -181,7 +182,7 @@
 	}
 	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		_, streams, _ := f.totalLoad(now, t)
-		return f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*streamCost
+		return f.timeToFirstEvent(now, t, q.uncached(t, size)) + time.Duration(streams)*t.takes(now, 0, streamCost) + t.takes(now, 0, rest) - rest
 	})
 	if t == nil {
 		return time.Time{}, false
@@ -190,7 +191,7 @@
 	if _, streams, _ := f.totalLoad(now, t); streams == 0 {
 		return first, true
 	}
-	return first.Add(rest), true
+	return first.Add(t.takes(now, 0, rest)), true
 }
 
 // uncached returns the size with the prompt tokens that the target must prefill.
@@ -202,7 +203,7 @@
 }
 
 func (f *Fleet) timeToFirstEvent(now time.Time, t *targetState, size GenerationSize) time.Duration {
-	return f.backlog(now, t) + prefillTime(size.PromptTokens, t.slowness.get(now)) + firstEventOverhead
+	return f.backlog(now, t) + t.takes(now, size.PromptTokens, 0) + firstEventOverhead
 }
 
 func prefillTime(tokens int, slowness float64) time.Duration {
@@ -267,7 +268,7 @@
 		memory, streams, copies := f.totalLoad(now, t)
 		uncached := q.uncached(t, size)
 		cost := f.timeToFirstEvent(now, t, uncached) + time.Duration(streams)*f.joiningCost(now, t, uncached) + time.Duration(copies)*copyCost
-		if t.memoryCapacity > 0 && memory+size.memory() > t.memoryCapacity {
+		if t.memoryCapacity > 0 && memory+size.memory() > t.streamCapacity() || t.untried() {
 			cost += lastResortCost
 		}
 		if rate := t.failures.get(now); rate > failureThreshold {
@@ -276,11 +277,12 @@
 		if !f.prefers(t) {
 			cost += nonPreferredCost
 		}
-		return cost + t.leavingPenalty(now) + time.Duration(f.rng.Int64N(int64(choiceJitter)))
+		return cost + t.leavingPenalty(now) + f.transferCost(t) + time.Duration(f.rng.Int64N(int64(choiceJitter)))
 	})
 	if t == nil {
 		return membership.Registration{}, false
 	}
+	f.recordZone(t)
 	return t.reg, true
 }
 
@@ -289,10 +291,10 @@
 // prompts of all of them, so that it is small there.
 func (f *Fleet) joiningCost(now time.Time, t *targetState, uncached GenerationSize) time.Duration {
 	if SharesAll(len(f.gateways)) {
-		return streamCost
+		return t.takes(now, 0, streamCost)
 	}
-	reading := prefillTime(uncached.PromptTokens, t.slowness.get(now))
-	return max(streamCost, time.Duration(joinedShare*float64(reading)))
+	reading := t.takes(now, uncached.PromptTokens, 0)
+	return max(t.takes(now, 0, streamCost), time.Duration(joinedShare*float64(reading)))
 }
 
 // ChooseCopy returns the engine for the KV cache copy of a generation. q.AvoidZone is the
@@ -302,7 +304,7 @@
 func (f *Fleet) ChooseCopy(now time.Time, q FleetQuery, size GenerationSize) (membership.Registration, bool) {
 	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
 		memory, streams, copies := f.totalLoad(now, t)
-		cost := f.backlog(now, t)/4 + time.Duration(streams)*streamCost + time.Duration(copies)*copyCost
+		cost := f.backlog(now, t)/4 + time.Duration(streams)*t.takes(now, 0, streamCost) + time.Duration(copies)*copyCost
 		cost += time.Duration(t.copiesBySourceZone[q.AvoidZone])*sameZoneCopyCost + t.leavingPenalty(now)
 		if t.memoryCapacity > 0 && memory+size.memory() > t.memoryCapacity {
 			cost += lastResortCost
@@ -387,7 +389,7 @@
 		return false
 	}
 	memory, _, _ := f.totalLoad(now, t)
-	return t.memoryCapacity == 0 || memory+tokens <= t.memoryCapacity
+	return t.memoryCapacity == 0 || tokens == 0 && memory <= t.memoryCapacity || memory+tokens <= t.streamCapacity()
 }
 
 // CopiesFit reports whether the engines of a service that this gateway uses have memory for KV cache
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -121,7 +121,8 @@
 	// invalidReportLogged is when a report of another gateway with impossible values was last logged.
 	invalidReportLogged time.Time
 	// calls holds the calls that wait for their turn, and what other gateways reported about theirs.
-	calls *callQueues
+	calls  *callQueues
+	speeds speedReports
 }
 
 // eventLoop serializes access to the gateway's state. Other goroutines send it functions to
@@ -194,6 +195,7 @@
 		st.tables[i] = replica.NewTable()
 	}
 	st.setLiveGateways([]string{l.options.Settings.Name})
+	st.configurePlacement()
 	return st
 }
 
@@ -260,6 +262,7 @@
 	st.outages.Expire(now)
 	l.tickQueues(st, now)
 	l.tickCallQueues(st, now)
+	l.evaluateSpeeds(st, now)
 	l.publishStaleness(st, now)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -57,6 +57,9 @@
 	callReportsIgnored prometheus.Counter
 	pacedServices      prometheus.Gauge
 	callsWaiting       prometheus.Gauge
+	speedSamples       *prometheus.CounterVec
+	speedsIgnored      prometheus.Counter
+	speedsInUse        *prometheus.GaugeVec
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -107,6 +110,8 @@
 		queuePlaces:    counterVec("stream_queue_places_total", "Streams of ranked services that got a place, by when.", "when"),
 		queueRefusals:  counterVec("stream_queue_refusals_total", "Streams of ranked services that left the queue without a place, by reason.", "reason"),
 		invalidReports: counterVec("invalid_reports_total", "Impossible values in reports of other gateways, by kind of report.", "report"),
+		speedSamples:   counterVec("speed_samples_total", "Samples of the lasting speeds of targets, by kind and by what became of them.", "kind", "outcome"),
+		speedsIgnored:  counter("speeds_ignored_total", "Impossible speeds in messages of other gateways."),
 		connections:    counter("target_connections_total", "New connections to targets."),
 		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
@@ -129,6 +134,9 @@
 		peerSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "bramleygap_gateway_peer_call_seconds", Help: "Duration of calls to other gateways, also of failed ones.", Buckets: latencyBuckets,
 		}, []string{"call"}),
+		speedsInUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bramleygap_gateway_speeds_in_use", Help: "1 while the choice among a service's targets regards their measured speeds.",
+		}, []string{"service"}),
 		pacedCalls:         counterVec("paced_calls_total", "Attempts of calls at services whose calls wait for this gateway's share, by decision.", "decision"),
 		callReportsIgnored: counter("call_reports_ignored_total", "Reports of other gateways about their calls with values out of range."),
 		pacedServices:      gauge("paced_services", "Plain services whose calls wait for this gateway's share of the targets."),
@@ -138,7 +146,7 @@
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
 		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.invalidReports,
 		m.retryTransfers, m.capacityDecisions, m.capacityFull, m.stalledClients,
-		m.pacedCalls, m.callReportsIgnored, m.pacedServices, m.callsWaiting)
+		m.pacedCalls, m.callReportsIgnored, m.pacedServices, m.callsWaiting, m.speedSamples, m.speedsIgnored, m.speedsInUse)
 	return m
 }
 
