Emulate loads of ranked services

Three patterns show the queue by rank against the product without it: urgent and patient streams that compete, a burst of patient ones with urgent ones behind it, and long urgent prompts against short patient ones. In the other patterns the product is unchanged (TestOtherServicesKeepTheirOrder).

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -1,6 +1,10 @@
 package emulator
 
-import "time"
+import (
+	"time"
+
+	"bramleygap/internal/core/precedence"
+)
 
 // The client parameters are those of the users' specifications.
 const (
@@ -41,12 +45,17 @@
 
 // client is one client request with its retries.
 type client struct {
-	sim         *simulation
-	number      int
-	key         uint64
-	prompt      int
-	events      int
-	arrived     time.Time
+	sim     *simulation
+	number  int
+	key     uint64
+	prompt  int
+	events  int
+	arrived time.Time
+	// rank counts in patterns of ranked services only; objective is that of the first event.
+	rank      precedence.Rank
+	objective time.Duration
+	// retryAfter is the delay that the last refusal stated, 0 for the usual one.
+	retryAfter  time.Duration
 	deadline    time.Time
 	streamCount int
 	current     *stream
@@ -162,7 +171,7 @@
 	switch {
 	case c.received != c.events || c.sim.clock.now.After(c.deadline):
 		c.end(resultLost)
-	case c.firstEvent <= firstEventObjective && c.longestPause <= eventGapObjective:
+	case c.firstEvent <= c.objective && c.longestPause <= eventGapObjective:
 		c.end(resultOnTime)
 	default:
 		c.end(resultLate)
@@ -171,7 +180,7 @@
 
 func (c *client) refused(s *stream) {
 	if c.current == s {
-		c.retry(resultRefused, retryAfter)
+		c.retry(resultRefused, max(retryAfter, c.retryAfter))
 	}
 }
 
--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -64,6 +64,14 @@
 			return err
 		}
 	}
+	if summaries[0].Urgent > 0 {
+		for i := range summaries {
+			s := &summaries[i]
+			if _, err := fmt.Fprintf(w, "%s: %d of %d urgent requests on time\n", s.Policy, s.UrgentOnTime, s.Urgent); err != nil {
+				return err
+			}
+		}
+	}
 	names := make([]string, len(summaries))
 	series := make([][]float64, len(summaries))
 	for i := range summaries {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -67,6 +68,8 @@
 	prefillTokens *int
 	// parts identifies the shared parts of the prompt.
 	parts []uint64
+	// priority orders the waiting jobs, 0 first; the newest of the last ones are preempted first.
+	priority int
 	// deliver receives each signal with the number of its event, 0 for none.
 	deliver func(signal, int)
 	// answer is what the engine's answer says about the engine.
@@ -217,6 +220,7 @@
 	} else {
 		e.waiting = append(e.waiting, j)
 	}
+	e.sortWaiting()
 	e.recordLoad()
 	e.wake()
 }
@@ -265,14 +269,25 @@
 		e.cachedPrompts = slices.Delete(e.cachedPrompts, 0, 1)
 	}
 	for len(e.running) > 1 && used > engineMemory {
-		last := e.running[len(e.running)-1]
-		e.running = e.running[:len(e.running)-1]
+		i := len(e.running) - 1
+		for k := i - 1; k >= 0; k-- {
+			if e.running[k].priority > e.running[i].priority {
+				i = k
+			}
+		}
+		last := e.running[i]
+		e.running = slices.Delete(e.running, i, i+1)
 		used -= last.memory()
 		last.toPrefill = last.memory()
 		e.waiting = append([]*job{last}, e.waiting...)
+		e.sortWaiting()
 	}
 }
 
+func (e *engine) sortWaiting() {
+	slices.SortStableFunc(e.waiting, func(a, b *job) int { return cmp.Compare(a.priority, b.priority) })
+}
+
 // wake starts the engine's steps unless they are running.
 func (e *engine) wake() {
 	if e.stepping || !e.up {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -60,6 +60,7 @@
 	lastEvents map[string]time.Time
 	suspects   *suspect.Tracker
 	completion *placement.Completion
+	queue      *streamQueue
 	startedAt  time.Time
 }
 
@@ -77,6 +78,7 @@
 	g.outages, g.runs, g.streams = placement.NewOutages(), runindex.New(), map[*stream]struct{}{}
 	g.suspects, g.startedAt = suspect.NewTracker(), g.sim.clock.now
 	g.completion = &placement.Completion{}
+	g.queue = newStreamQueue(g.rng)
 	g.ownRecords, g.lastEvents = map[uint64]runindex.Record{}, map[string]time.Time{}
 	for _, records := range g.sim.storedRuns {
 		for _, r := range records {
@@ -130,7 +132,7 @@
 	}
 	now := g.sim.clock.now
 	g.outages.Expire(now)
-	loads := g.fleet.LocalLoads(now)
+	loads, waiting := g.fleet.LocalLoads(now), g.queue.Loads(now)
 	requests, parts := g.suspects.Export(now), g.suspects.PartChanges(0)
 	for _, other := range g.sim.gateways {
 		if other == g || !other.up {
@@ -139,6 +141,7 @@
 		g.sim.clock.after(networkDelay, func() {
 			if other.up {
 				other.fleet.SetPeerLoads(g.name, g.sim.clock.now, loads)
+				other.queue.SetPeer(g.sim.clock.now, g.name, waiting)
 				other.mergeSuspects(requests, parts)
 			}
 		})
--- a/internal/emulator/patterns.go
+++ b/internal/emulator/patterns.go
@@ -135,6 +135,26 @@
 				sim.at(13, g.start)
 			}
 		}},
+		{"ranks", "four times the request rate; one request in twelve is urgent, the others are patient", func(sim *simulation) {
+			sim.rateFactor = 4
+			sim.rank(1.0/12, nil, nil)
+		}},
+		{"rankburst", "patient requests at eight times the request rate for 5 s, and then urgent ones at 1.5 times", func(sim *simulation) {
+			sim.rank(0, nil, nil)
+			sim.at(6, func() { sim.rateFactor = 8 })
+			sim.at(11, func() {
+				sim.rateFactor = 1.5
+				sim.rank(1, nil, nil)
+			})
+			sim.at(20, func() {
+				sim.rateFactor = 1
+				sim.rank(0, nil, nil)
+			})
+		}},
+		{"ranklong", "six times the request rate; one request in twenty is urgent with a prompt of 9,000 tokens, the patient ones have 2,500", func(sim *simulation) {
+			sim.rateFactor = 6
+			sim.rank(0.05, func(c *client) { c.prompt = promptMax }, func(c *client) { c.prompt = 2500 })
+		}},
 		{"recovery", "all gateways are killed at once while one zone is down", func(sim *simulation) {
 			sim.at(13.5, func() { sim.stopZone(2, false) })
 			for _, g := range sim.gateways {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -28,6 +28,8 @@
 	RefuseUnservable bool
 	// MoveLateStarts moves streams whose first event is late on a live engine.
 	MoveLateStarts bool
+	// Rank lets streams of ranked services wait by rank for room.
+	Rank bool
 }
 
 // PlacementRule determines how engines are chosen.
@@ -46,8 +48,7 @@
 // Policies returns the policies to compare: round robin, one that follows load reports, the
 // product before its first changes for these patterns, the product that leaves a live engine before
 // another one has accepted the stream, the product that does not read the engines' reports, the product that
-// counts crashes by request only, the product that reads prompts of streams that cannot end in time, and the
-// product.
+// counts crashes by request only, the product that reads prompts of streams that cannot end in time, the product without ranks, and the product.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "round robin"},
@@ -57,6 +58,7 @@
 		{Name: "no reports", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true},
 		{Name: "by request", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true},
 		{Name: "reads all", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true},
-		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true},
+		{Name: "no ranks", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true},
+		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true, Rank: true},
 	}
 }
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -32,6 +32,8 @@
 	Sound, Begun int
 	// Rejected counts the sound requests that were rejected like those that crash engines.
 	Rejected int
+	// Urgent and UrgentOnTime count the requests of the highest rank in patterns of ranked services.
+	Urgent, UrgentOnTime int
 }
 
 // Quantile returns a quantile of a sorted list, 0 for an empty one.
@@ -72,6 +74,12 @@
 				continue
 			}
 			s.add(c)
+			if sim.ranked && c.rank == urgent {
+				s.Urgent++
+				if c.result == resultOnTime {
+					s.UrgentOnTime++
+				}
+			}
 			sim.crashing.observeSound(c)
 			if second := int(c.arrived.Sub(sim.start) / time.Second); !c.duplicate && c.result != resultCancelled && second < seconds {
 				arrived[second]++
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -31,7 +31,9 @@
 	// continues is the ID of the client's earlier attempt whose run this one takes over, empty if unknown.
 	continues string
 	// unservable is set if the stream was not placed because it cannot end before its deadline.
-	unservable   bool
+	unservable bool
+	// asHighest is set if the last placement had the rights of the highest rank.
+	asHighest    bool
 	firstEventAt time.Time
 }
 
@@ -74,7 +76,7 @@
 		After: uint64(c.received), HasCopy: s.copy != nil,
 	}
 	if g.sim.policy.MoveLateStarts {
-		options.FirstEventObjective = firstEventObjective
+		options.FirstEventObjective = c.objective
 	}
 	s.machine = relay.New(options)
 	s.apply(s.machine.Start())
@@ -186,6 +188,10 @@
 		s.apply(s.machine.PlacementFailed())
 		return
 	}
+	if s.gateway.sim.ranked && s.gateway.sim.policy.Rank {
+		s.awaitPlace(e)
+		return
+	}
 	if chosen, ok := s.gateway.chooseTarget(now, e.Exclude, copyHolder, s); ok {
 		s.placed = chosen.Target
 		s.apply(s.machine.Placed(now, relayPlacement(&chosen)))
@@ -253,7 +259,7 @@
 	j := &job{
 		name: fmt.Sprintf("%d/%d/%d", s.client.number, s.number, a.number), key: s.client.key, prompt: s.client.prompt,
 		events: s.client.events, nextEvent: int(e.After) + 1, prefillTokens: &s.client.prefillTokens, copyTarget: sim.engineByID(e.Placement.CopyTarget),
-		parts: s.client.parts,
+		parts: s.client.parts, priority: s.priority(),
 	}
 	a.sentAt = sim.clock.now
 	if e.CopyHolder != "" {
@@ -478,6 +484,10 @@
 	if a.streamID != 0 {
 		fleet.EndStream(clock.now, a.placement.Target, a.copyHolder, a.streamID, a.size, false)
 		a.streamID = 0
+		a.s.gateway.queue.Freed(clock.now, a.size.PromptTokens+a.size.OutputTokens)
+		if a.s.gateway.sim.ranked {
+			clock.after(0, a.s.gateway.dispatch)
+		}
 	}
 	if a.job == nil {
 		return
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -61,7 +61,9 @@
 	crashing crashingParts
 	// oneText is set if all requests have the same text and differ only in their prompts.
 	oneText bool
-	start   time.Time
+	// ranked is set if the streams have ranks.
+	ranked bool
+	start  time.Time
 }
 
 func newSimulation(policy Policy, seed uint64) *simulation {
@@ -199,7 +201,7 @@
 	}
 	return &client{
 		sim: sim, number: len(sim.clients), key: key, prompt: size(promptMean, promptSpread, promptMax),
-		events: size(eventsMean, eventsSpread, eventsMax), parts: sim.sharedParts(), arrived: sim.clock.now, deadline: sim.clock.now.Add(requestTimeout),
+		events: size(eventsMean, eventsSpread, eventsMax), parts: sim.sharedParts(), arrived: sim.clock.now, objective: firstEventObjective, deadline: sim.clock.now.Add(requestTimeout),
 	}
 }
 
