Let a gateway that starts alone fill the engines that it prefers

A gateway that started while it reached no other one preferred no engine, and with streams larger than an equal part of an engine's memory it placed nothing in ranked services (by reading; TestGatewayStartsAlone guards it). It now prefers among the gateways that the store lists.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -24,6 +24,9 @@
 	Reserved int
 	// Gateways is the number of gateways that share the targets, with those that were live lately.
 	Gateways int
+	// Known returns the names of all gateways that the store lists, for a gateway that has not heard from any since its
+	// start. It may be nil.
+	Known func() []string
 }
 
 // limit returns the memory that the work may fill up to.
@@ -129,6 +132,9 @@
 // ownRoom is room without word from other gateways: the preferred engines count as this gateway's own, and each other
 // one may be filled up to an equal part of its capacity once they are full.
 func (f *Fleet) ownRoom(now time.Time, q *RoomQuery, size GenerationSize) (set roomSet, accepted bool) {
+	if len(f.sharers) <= 1 && q.Known != nil {
+		f.sharers = q.Known()
+	}
 	var own, others []freeMemory
 	for _, t := range f.order {
 		if !q.admits(t, now) {
--- a/internal/core/placement/room_test.go
+++ b/internal/core/placement/room_test.go
@@ -37,3 +37,19 @@
 	_, room = f.PlaceInRoom(now, q, "", typicalSize, true)
 	c.Check(room, qt.Equals, NoTarget)
 }
+
+// Scenario: a gateway starts while it reaches no other one. Guards against a gateway that fills engines as if they were
+// its own, and against one that places nothing since no part of an engine holds a stream.
+func TestGatewayStartsAlone(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g0", engines(40))
+	names := []string{"g0", "g1", "g2", "g3", "g4", "g5", "g6", "g7", "g8", "g9"}
+	q := RoomQuery{FleetQuery: fleetQuery, Gateways: len(names), Known: func() []string { return names }}
+	places := 0
+	for placed, room := f.PlaceInRoom(now, q, "", typicalSize, false); room == HasRoom; placed, room = f.PlaceInRoom(now, q, "", typicalSize, false) {
+		f.BeginStream(now, placed.Target.ID, "", typicalSize)
+		places++
+	}
+	// All engines together hold 360.
+	c.Check(places > 0 && places < 100 && places%9 == 0, qt.IsTrue, qt.Commentf("%d places", places))
+}
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -281,11 +283,18 @@
 		return p, placement.HasRoom
 	}
 	st.restrictVersion(now, &fleetQuery, c.versionDraw)
-	q := placement.RoomQuery{FleetQuery: fleetQuery, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: st.gatewayCount}
+	q := placement.RoomQuery{FleetQuery: fleetQuery, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: st.gatewayCount, Known: st.knownGateways}
 	chosen, room := st.fleet.PlaceInRoom(now, q, w.holder(), w.s.prompt, st.mayCopy(now, c.service))
 	return newPlacementResult(&chosen, room == placement.HasRoom), room
 }
 
+// knownGateways returns the sorted names of the gateways that the store lists and of this one.
+func (st *state) knownGateways() []string {
+	names := append(slices.Collect(maps.Keys(st.listedGateways())), st.settings.Name)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // takeQueuedRepeat takes a token of the retry budget if the stream needs one, and reports whether it may go on.
 func (st *state) takeQueuedRepeat(now time.Time, w *queuedStream, p *placementResult) bool {
 	if !w.s.machine.Arrived() {
