--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -30,6 +30,8 @@
 	MoveLateStarts bool
 	// LearnSpeeds measures the lasting speeds of engines and chooses by them.
 	LearnSpeeds bool
+	// Rank lets streams of ranked services wait by rank for room.
+	Rank bool
 }
 
 // PlacementRule determines how engines are chosen.
@@ -49,7 +51,7 @@
 // product before its first changes for these patterns, the product that leaves a live engine before
 // another one has accepted the stream, the product that does not read the engines' reports, the product that
 // counts crashes by request only, the product that reads prompts of streams that cannot end in time, the product
-// without its setting engine_speeds, and the product with it.
+// without ranks, the product without its setting engine_speeds, and the product with it.
 func Policies() []Policy {
 	return []Policy{
 		{Name: "round robin"},
@@ -59,7 +61,8 @@
 		{Name: "no reports", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true},
 		{Name: "by request", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true},
 		{Name: "reads all", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true},
-		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true},
-		{Name: "by speed", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true, LearnSpeeds: true},
+		{Name: "no ranks", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true},
+		{Name: "product", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true, Rank: true},
+		{Name: "by speed", Placement: ByCost, Resume: true, CopyCaches: true, Probe: true, FindRuns: true, StoreRuns: true, MoveLateStarts: true, KeepUntilAccepted: true, LimitCopies: true, ReadReports: true, CountRequests: true, CountParts: true, RefuseUnservable: true, Rank: true, LearnSpeeds: true},
 	}
 }
