Sample calls only where they did not wait for others of the gateway

Calls of one gateway that wait for each other at a target would make it seem slow, so that the latency that its calls decay to would rise with its load.

--- a/internal/core/placement/speeds.go
+++ b/internal/core/placement/speeds.go
@@ -209,9 +209,10 @@
 	f.observeSpeed(t, speed.Decode, float64(decodeReference)/float64(gap)*(1+stepShare*float64(max(1, streams)-1)))
 }
 
-// sampleCall samples the speed of a plain service's target.
+// sampleCall samples the speed of a plain service's target. Calls beside others of this gateway do not count, since
+// they may have waited for each other.
 func (f *Fleet) sampleCall(now time.Time, t *targetState, latency time.Duration) {
-	if f.speeds == nil {
+	if f.speeds == nil || t.activeCalls > 0 {
 		return
 	}
 	if usual, ok := t.latencies.Add(latency); ok && t.sound(now, now) {
