--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -334,10 +334,13 @@
 
 // withAndWithoutRanks simulates a pattern with and without the queue by rank.
 func withAndWithoutRanks(name string, seeds int) (product, without Summary) {
-	policies := Policies()
+	policies := map[string]Policy{}
+	for _, policy := range Policies() {
+		policies[policy.Name] = policy
+	}
 	for _, p := range Patterns() {
 		if p.Name == name {
-			return Simulate(&p, policies[len(policies)-1], seeds), Simulate(&p, policies[len(policies)-2], seeds)
+			return Simulate(&p, policies["product"], seeds), Simulate(&p, policies["no ranks"], seeds)
 		}
 	}
 	return product, without
