Count request bodies that their target does not take

Cause: a target that stops reading a body holds it in the gateway's memory until the deadline, and nothing says so. Under the race detector, Test200ClientsThatStopReading failed: filling the kernel's buffers took longer than the time limit of the first clients.

Change: a counter and a log line for a body that was not taken by the deadline. The outcome stays unknown, since the target had the head. The test uses small buffers and a route with an objective of 0.8 s; it still asks that all 200 clients are held for at the same time.

Result: tests of internal/gateway pass, the new ones also twice with -race.

--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -289,6 +289,7 @@
 	}
 	r, reusable, err := f.receive(conn, reg, memory)
 	if err != nil {
+		f.req.observeUndelivered(reg, conn)
 		_ = conn.Close()
 		return f.connectionLost(ctx, reg, err)
 	}
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"bramleygap/internal/core/capacity"
+	"bramleygap/internal/core/membership"
+	"bramleygap/internal/gateway/target"
 	"bramleygap/internal/settings"
 )
 
@@ -187,6 +189,15 @@
 
 func (g *Gateway) heldForTargets() int64 { return g.pool.Writing() }
 
+// observeUndelivered counts and logs a request whose target did not take its body before the deadline.
+func (c *clientRequest) observeUndelivered(reg membership.Registration, conn *target.Conn) {
+	if conn.RequestWritten() || time.Now().Before(c.deadline) {
+		return
+	}
+	c.g.metrics.undeliveredBodies.Inc()
+	c.log.Info().Str("target", reg.ID).Int("body", len(c.body)).Msg("target did not take the request's body before the deadline")
+}
+
 const (
 	// minClientPatience, clientObjectives and clientGaps determine how long a client may accept nothing: the
 	// longest of a time, a multiple of the route's objective and one of its longest gap. Clients give up then.
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -63,7 +63,7 @@
 	ended.Add(clients)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer ended.Done()
-		bounded := newBoundedWriter(w, &clientRequest{g: g, log: zerolog.Nop(), route: &catalog.Route{}})
+		bounded := newBoundedWriter(w, &clientRequest{g: g, log: zerolog.Nop(), route: &catalog.Route{TargetLatency: 800 * time.Millisecond}})
 		event := bytes.Repeat([]byte("x"), 4<<10)
 		for err := error(nil); err == nil; {
 			if _, err = bounded.Write(event); err == nil {
@@ -73,6 +73,11 @@
 	})
 	server := httptest.NewUnstartedServer(handler)
 	server.Listener = &countingListener{server.Listener, &g.loop.traffic.clients}
+	// Small buffers, so that all clients are behind at the same time.
+	server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		_ = conn.(*countingConn).Conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
+		return ctx
+	}
 	server.Start()
 	defer server.Close()
 	for range clients {
@@ -100,12 +105,13 @@
 	defer func() { _ = listener.Close() }()
 	reg.Address = listener.Addr().String()
 	request := g.testRequest(t)
-	request.body = make([]byte, 32<<20)
+	request.body, request.deadline = make([]byte, 32<<20), time.Now().Add(500*time.Millisecond)
 	f := &callForwarder{g: g, req: request}
-	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	ctx, cancel := context.WithDeadline(t.Context(), request.deadline)
 	defer cancel()
 	r := f.sendOnce(ctx, reg, &attemptHandle{}, func(ctx context.Context) (*target.Conn, error) { return g.pool.Dial(ctx, reg.Address) }, nil)
 	c.Check(r.result, qt.Equals, forward.Unknown)
+	c.Check(counterValue(c, g.options.Registerer, "bramleygap_gateway_undelivered_bodies_total"), qt.Equals, 1.0)
 	for deadline := time.Now().Add(20 * time.Second); g.heldForTargets() > 0; time.Sleep(time.Millisecond) {
 		c.Assert(time.Now().Before(deadline), qt.IsTrue)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -46,6 +46,7 @@
 	capacityDecisions *prometheus.CounterVec
 	capacityFull      *prometheus.GaugeVec
 	stalledClients    prometheus.Counter
+	undeliveredBodies prometheus.Counter
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -89,17 +90,18 @@
 		capacityFull: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramleygap_gateway_full", Help: "1 while the gateway is full and refuses most new requests, by reason.",
 		}, []string{"reason"}),
-		stalledClients: counter("stalled_clients_total", "Responses that ended because their client accepted no data."),
-		connections:    counter("target_connections_total", "New connections to targets."),
-		strayResponses: counter("stray_answers_total", "Answers of targets that belong to another request."),
-		targetsDown:    counter("targets_down_total", "Targets found unreachable."),
-		handlerPanics:  counter("handler_panics_total", "Client requests whose handler panicked; their connections were closed."),
-		lateTicks:      counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
-		targets:        gauge("targets", "Registered targets."),
-		condemnedParts: gauge("condemned_parts", "Prompt parts whose requests are rejected because they crash targets."),
-		requestTrials:  counter("request_trials_total", "Rejected requests that were sent to find out whether they still crash targets."),
-		partTrials:     counter("part_trials_total", "Requests with a condemned prompt part that were sent to find out whether it still crashes targets."),
-		configVersion:  gauge("config_version", "Version of the desired state in force."),
+		stalledClients:    counter("stalled_clients_total", "Responses that ended because their client accepted no data."),
+		undeliveredBodies: counter("undelivered_bodies_total", "Requests whose target did not take their body before the deadline."),
+		connections:       counter("target_connections_total", "New connections to targets."),
+		strayResponses:    counter("stray_answers_total", "Answers of targets that belong to another request."),
+		targetsDown:       counter("targets_down_total", "Targets found unreachable."),
+		handlerPanics:     counter("handler_panics_total", "Client requests whose handler panicked; their connections were closed."),
+		lateTicks:         counter("late_ticks_total", "Ticks so late that the process must have been stopped."),
+		targets:           gauge("targets", "Registered targets."),
+		condemnedParts:    gauge("condemned_parts", "Prompt parts whose requests are rejected because they crash targets."),
+		requestTrials:     counter("request_trials_total", "Rejected requests that were sent to find out whether they still crash targets."),
+		partTrials:        counter("part_trials_total", "Requests with a condemned prompt part that were sent to find out whether it still crashes targets."),
+		configVersion:     gauge("config_version", "Version of the desired state in force."),
 		tableAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramleygap_gateway_table_age_seconds", Help: "Time since the store last confirmed the local copy of a table.",
 		}, []string{"table"}),
@@ -115,7 +117,7 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.capacityDecisions, m.capacityFull, m.stalledClients)
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.capacityDecisions, m.capacityFull, m.stalledClients, m.undeliveredBodies)
 	return m
 }
 
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -319,6 +319,7 @@
 		err = a.receive(conn)
 	}
 	if err != nil {
+		s.req.observeUndelivered(a.reg, conn)
 		a.connectionLost(err)
 	}
 }
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -180,7 +180,7 @@
 // Put returns a connection to the pool, or closes it if it cannot be reused. Its last response
 // must have been read completely.
 func (p *Pool) Put(conn *Conn) {
-	if conn.reader.Buffered() > 0 || !conn.requestWritten() {
+	if conn.reader.Buffered() > 0 || !conn.RequestWritten() {
 		_ = conn.Close()
 		return
 	}
@@ -307,8 +307,8 @@
 	return true, nil
 }
 
-// requestWritten reports whether the request has been written completely.
-func (c *Conn) requestWritten() bool {
+// RequestWritten reports whether the request has been written completely.
+func (c *Conn) RequestWritten() bool {
 	if c.bodyWritten == nil {
 		return true
 	}
