--- a/internal/core/pacing/bench_test.go
+++ b/internal/core/pacing/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"bramleygap/internal/core/precedence"
 )
 
 // BenchmarkDecide measures one update of the shares and one pass over 200 waiting calls, at the target size with all
@@ -27,7 +29,7 @@
 			p := New(names[0], "s")
 			for i := range 200 {
 				arrived := now.Add(-time.Duration(i) * time.Millisecond)
-				p.Add(now, &Call{ID: uint64(i), Rank: Rank{i % 3, i % 2}, Once: i%4 > 0, Arrived: arrived, Objective: arrived.Add(300 * time.Millisecond), Deadline: arrived.Add(time.Hour)})
+				p.Add(now, &Call{ID: uint64(i), Rank: precedence.Rank{Account: i % 3, Route: i % 2}, Once: i%4 > 0, Arrived: arrived, Objective: arrived.Add(300 * time.Millisecond), Deadline: arrived.Add(time.Hour)})
 			}
 			for b.Loop() {
 				p.Update(now, targets, names, reports, 60*time.Millisecond)
--- a/internal/core/pacing/load_test.go
+++ b/internal/core/pacing/load_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/core/precedence"
 )
 
 const (
@@ -277,10 +279,10 @@
 	p := New("g", "s")
 	p.Update(now, []Target{{ID: "e", Slots: 2, Active: 3}}, []string{"g"}, NewReports(), 60*time.Millisecond)
 	for i, w := range []struct {
-		rank     Rank
+		rank     precedence.Rank
 		once     bool
 		waitedMS int
-	}{{Rank{1, 0}, false, 20}, {Rank{1, 0}, true, 0}, {Rank{0, 2}, false, 0}, {Rank{0, 1}, false, 0}, {Rank{9, 9}, false, 160}, {Rank{}, false, 280}, {Rank{}, false, 950}} {
+	}{{precedence.Rank{Account: 1, Route: 0}, false, 20}, {precedence.Rank{Account: 1, Route: 0}, true, 0}, {precedence.Rank{Account: 0, Route: 2}, false, 0}, {precedence.Rank{Account: 0, Route: 1}, false, 0}, {precedence.Rank{Account: 9, Route: 9}, false, 160}, {precedence.Rank{}, false, 280}, {precedence.Rank{}, false, 950}} {
 		arrived := now.Add(-time.Duration(w.waitedMS) * time.Millisecond)
 		p.Add(now, &Call{ID: uint64(i + 1), Rank: w.rank, Once: w.once, Arrived: arrived, Objective: arrived.Add(300 * time.Millisecond), Deadline: arrived.Add(time.Second)})
 	}
--- a/internal/core/pacing/order.go
+++ b/internal/core/pacing/order.go
@@ -3,16 +3,15 @@
 import (
 	"cmp"
 	"time"
-)
 
-// Rank orders calls by the priority of their client account, then by that of their route; 0 is the highest.
-type Rank struct{ Account, Route int }
+	"bramleygap/internal/core/precedence"
+)
 
 // Call is a call that waits for its turn.
 type Call struct {
 	// ID identifies the call at its gateway.
 	ID   uint64
-	Rank Rank
+	Rank precedence.Rank
 	// Once is set if the call may run at most once. Its client cannot repeat it as freely as a read.
 	Once    bool
 	Arrived time.Time
@@ -24,7 +23,7 @@
 
 // class is what decides between two calls that can both meet their objective, or both cannot.
 type class struct {
-	rank Rank
+	rank precedence.Rank
 	once bool
 }
 
@@ -38,16 +37,12 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.rank.Account, b.rank.Account), cmp.Compare(a.rank.Route, b.rank.Route), cmp.Compare(kind(a.once), kind(b.once)))
+	return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(kind(a.once), kind(b.once)))
 }
 
-// effectiveClass is the class of a call with the highest rank once it has waited for half of its objective, so that
-// no rank starves another one.
+// effectiveClass is the class of a call with its effective rank, so that no rank starves another one.
 func (c *Call) effectiveClass(now time.Time) class {
-	if now.Sub(c.Arrived) >= c.Objective.Sub(c.Arrived)/2 {
-		return class{once: c.Once}
-	}
-	return c.class()
+	return class{precedence.EffectiveRank(now, c.Rank, c.Arrived, c.Objective.Sub(c.Arrived)), c.Once}
 }
 
 // inTime reports whether a call that is sent now can meet its objective.
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -37,7 +37,7 @@
 	case q.Highest:
 		return int(overcommit * float64(t.memoryCapacity))
 	}
-	return t.memoryCapacity
+	return t.streamCapacity()
 }
 
 // Room says whether there is room for a generation.
--- a/internal/core/precedence/precedence.go
+++ b/internal/core/precedence/precedence.go
@@ -45,13 +45,18 @@
 // Tokens returns the size of the work.
 func (w *Work) Tokens() int { return w.PromptTokens + w.OutputTokens }
 
-// EffectiveRank returns the rank that work has at a time: the highest if it has waited for agingFraction of its
-// objective, so that higher ranks cannot keep it waiting for good.
-func (w *Work) EffectiveRank(now time.Time) Rank {
-	if w.Objective > 0 && now.Sub(w.Arrived) >= time.Duration(agingFraction*float64(w.Objective)) {
+// EffectiveRank returns the rank that work of a rank has at a time: the highest if it has waited for agingFraction of
+// its objective, so that higher ranks cannot keep it waiting for good.
+func EffectiveRank(now time.Time, rank Rank, arrived time.Time, objective time.Duration) Rank {
+	if objective > 0 && now.Sub(arrived) >= time.Duration(agingFraction*float64(objective)) {
 		return Rank{}
 	}
-	return w.Rank
+	return rank
+}
+
+// EffectiveRank returns the effective rank of the work.
+func (w *Work) EffectiveRank(now time.Time) Rank {
+	return EffectiveRank(now, w.Rank, w.Arrived, w.Objective)
 }
 
 // latestStart returns the latest start at which the work meets its objective, or else its deadline, and whether it
--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -11,15 +11,12 @@
 	"bramleygap/internal/core/forward"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/pacing"
+	"bramleygap/internal/core/precedence"
 	"bramleygap/internal/wire"
 )
 
-const (
-	// maxPriority is the largest valid priority. Others count as the lowest.
-	maxPriority = 1_000_000
-	// ignoredReportInterval is the least time between two log lines about ignored reports.
-	ignoredReportInterval = time.Second
-)
+// ignoredReportInterval is the least time between two log lines about ignored reports.
+const ignoredReportInterval = time.Second
 
 // callQueues holds the pacing of calls at plain services. It is part of the event loop's state.
 type callQueues struct {
@@ -92,20 +89,20 @@
 
 // callRank returns the rank of a call, which is that of all others unless the service's routes state different
 // priorities.
-func (q *callQueue) callRank(st *state, c *clientRequest) pacing.Rank {
+func (q *callQueue) callRank(st *state, c *clientRequest) precedence.Rank {
 	if config := st.desired.Config; q.config != config {
 		q.config, q.ranked = config, config.CallsRanked(q.service)
 	}
 	if !q.ranked {
-		return pacing.Rank{}
+		return precedence.Rank{}
 	}
 	valid := func(priority int) int {
-		if priority < 0 || priority > maxPriority {
+		if priority < 0 || priority > catalog.MaxPriority {
 			return math.MaxInt32
 		}
 		return priority
 	}
-	rank := pacing.Rank{Account: math.MaxInt32, Route: valid(c.route.Priority)}
+	rank := precedence.Rank{Account: math.MaxInt32, Route: valid(c.route.Priority)}
 	if account := st.desired.Config.Account(c.head.Key); account != nil {
 		rank.Account = valid(account.Priority)
 	}
