Do not let a crashing request make the trial of a text

A prompt part had ended three engines within 1 ms, and the first trial of the rejected text was another request with that part, since it has the same text. Its crash put off the next trial by 30 s. The request whose prompt parts were present at most of the crashes now makes a trial only if no other one comes within 0.5 s.

TestTrialOfTextAvoidsSuspectPart fails without the change.

--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -1,6 +1,8 @@
 package suspect
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -51,20 +53,28 @@
 	}
 }
 
-// RequestTrialDue reports whether TakeRequestTrial would permit a trial.
-func (t *Tracker) RequestTrialDue(r Request, now time.Time) bool {
+// RequestTrialDue reports whether TakeRequestTrial would permit a trial by a request with the given prompt parts.
+func (t *Tracker) RequestTrialDue(r Request, parts []uint64, now time.Time) bool {
+	waited := trialPatience
 	for _, id := range []uint64{r.Content, r.Whole} {
-		if t.Rejected(id, now) && !t.trialDue(t.suspects[id], now) {
+		if !t.Rejected(id, now) {
+			continue
+		}
+		since, due := t.trialDue(t.suspects[id], now)
+		if !due {
 			return false
 		}
+		waited = min(waited, since)
 	}
-	return true
+	return waited >= trialPatience || !t.mostSuspect(r.Content, parts)
 }
 
 // TakeRequestTrial reports whether a rejected request may be sent to find out whether it still crashes targets. Of all
-// trackers, only one must be asked, so that the number of trials is bounded for all.
-func (t *Tracker) TakeRequestTrial(r Request, now time.Time) bool {
-	if !t.RequestTrialDue(r, now) {
+// trackers, only one must be asked, so that the number of trials is bounded for all. If a part of the prompts may
+// explain the crashes, the request with the parts that were present at most of them makes the trial only if no other
+// one comes within trialPatience: a trial that ends in a crash puts off the next one by requestTrials.
+func (t *Tracker) TakeRequestTrial(r Request, parts []uint64, now time.Time) bool {
+	if !t.RequestTrialDue(r, parts, now) {
 		return false
 	}
 	for _, id := range []uint64{r.Content, r.Whole} {
@@ -75,6 +85,34 @@
 	return true
 }
 
+// mostSuspect reports whether no other set of as many prompt parts was present at more of the crashes that count
+// against a content.
+func (t *Tracker) mostSuspect(content uint64, parts []uint64) bool {
+	s := t.suspects[content]
+	if s == nil || len(parts) == 0 {
+		return false
+	}
+	present := map[uint64]int{}
+	for id, d := range s.deaths {
+		if !d.counts {
+			continue
+		}
+		for _, part := range t.partsAt[id] {
+			present[part]++
+		}
+	}
+	own := 0
+	for _, part := range parts {
+		own += present[part]
+	}
+	counts := slices.SortedFunc(maps.Values(present), func(a, b int) int { return cmp.Compare(b, a) })
+	most := 0
+	for _, n := range counts[:min(len(parts), len(counts))] {
+		most += n
+	}
+	return own > 0 && own >= most
+}
+
 // ReturnRequestTrial undoes TakeRequestTrial for a request that has reached no target.
 func (t *Tracker) ReturnRequestTrial(r Request) {
 	for _, id := range []uint64{r.Content, r.Whole} {
@@ -90,11 +128,11 @@
 	return s != nil && s.known || t.knownRequests.has(fingerprint)
 }
 
-// trialDue reports whether a rejected request is to be tried again.
-func (t *Tracker) trialDue(s *suspectState, now time.Time) bool {
+// trialDue reports whether a rejected request is to be tried again, and for how long it has been.
+func (t *Tracker) trialDue(s *suspectState, now time.Time) (time.Duration, bool) {
 	late := s.lateCrashes()
 	if late >= maxLateCrashes {
-		return false
+		return 0, false
 	}
 	since := s.lastCrash()
 	if s.triedAt.After(since) {
@@ -104,7 +142,8 @@
 	if late == 0 && t.doubts(s) {
 		delay = doubtedTrial
 	}
-	return now.Sub(since) >= delay
+	waited := now.Sub(since) - delay
+	return waited, waited >= 0
 }
 
 // doubts reports whether something else may explain the crashes of a rejected request: chance, or a part of the prompts
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -168,7 +168,7 @@
 		tr.ReportPartCrash(d.ID, at, []Candidate{{Request: request, Parts: []uint64{7}}}, at)
 	}
 	c.Check(tr.Rejects(request, at), qt.IsTrue)
-	c.Check(tr.TakeRequestTrial(request, at.Add(doubtedTrial)), qt.IsTrue)
+	c.Check(tr.TakeRequestTrial(request, nil, at.Add(doubtedTrial)), qt.IsTrue)
 }
 
 // Guards against a request that is rejected by mistake for as long as crashes count, and against more trials of one
@@ -186,9 +186,9 @@
 	trials := 0
 	for range 9 * 60 {
 		at = at.Add(time.Second)
-		if tr.TakeRequestTrial(request, at) {
+		if tr.TakeRequestTrial(request, nil, at) {
 			trials++
-			c.Check(tr.TakeRequestTrial(request, at), qt.IsFalse)
+			c.Check(tr.TakeRequestTrial(request, nil, at), qt.IsFalse)
 			tr.Report(newDeath(10+trials, fmt.Sprint("z", 10+trials), at.Sub(now), 1), at)
 		}
 	}
@@ -285,8 +285,33 @@
 	}
 	c.Check(tr.Rejected(1, now), qt.IsTrue)
 	request := Request{Content: 1, Whole: 1}
-	c.Check(tr.TakeRequestTrial(request, now.Add(doubtedTrial-time.Millisecond)), qt.IsFalse)
-	c.Check(tr.TakeRequestTrial(request, now.Add(doubtedTrial)), qt.IsTrue)
+	c.Check(tr.TakeRequestTrial(request, nil, now.Add(doubtedTrial-time.Millisecond)), qt.IsFalse)
+	c.Check(tr.TakeRequestTrial(request, nil, now.Add(doubtedTrial)), qt.IsTrue)
+}
+
+// Load pattern: a prompt part ends three targets within 1 ms under requests of one text, which nobody has completed yet;
+// requests with the part go on, beside many sound ones. Guards against a trial of the text by a request with the part:
+// its crash put off the next trial by 30 s, for which all sound requests were refused.
+func TestTrialOfTextAvoidsSuspectPart(t *testing.T) {
+	c := qt.New(t)
+	tr := NewTracker()
+	const text = uint64(7)
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * 300 * time.Microsecond)
+		crashing, sound := Request{text, uint64(100 + i)}, Request{text, uint64(200 + i)}
+		d := Death{ID: fmt.Sprint("e", i), Target: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i), At: at, Fingerprints: append(crashing.Identities(), sound.Whole)}
+		tr.Report(d, at)
+		tr.ReportPartCrash(d.ID, at, []Candidate{{crashing, []uint64{popular, alsoCrashing}, time.Second}, {sound, []uint64{popular, session + uint64(i)}, time.Second}}, at)
+	}
+	due := now.Add(doubtedTrial + time.Millisecond)
+	crashing, sound := Request{text, 999}, Request{text, 998}
+	c.Assert(tr.Rejects(sound, due), qt.IsTrue)
+	c.Assert(tr.CondemnedParts([]uint64{popular, alsoCrashing}), qt.IsNil)
+	c.Check(tr.TakeRequestTrial(crashing, []uint64{popular, alsoCrashing}, due), qt.IsFalse)
+	c.Check(tr.RequestTrialDue(crashing, []uint64{popular, alsoCrashing}, due.Add(trialPatience)), qt.IsTrue, qt.Commentf("no sound request comes"))
+	c.Check(tr.TakeRequestTrial(sound, []uint64{popular, session + 9}, due), qt.IsTrue)
+	tr.Completed(sound, time.Second)
+	c.Check(tr.Rejects(Request{text, 997}, due), qt.IsFalse)
 }
 
 // Load pattern: requests with one text, which nobody has completed yet, crash targets by a part of their prompts. Guards
@@ -327,5 +352,5 @@
 		tr.Report(d, at)
 		tr.ReportPartCrash(d.ID, at, []Candidate{{request, []uint64{7}, time.Millisecond}}, at)
 	}
-	c.Check(tr.TakeRequestTrial(request, at.Add(doubtedTrial)), qt.IsTrue)
+	c.Check(tr.TakeRequestTrial(request, nil, at.Add(doubtedTrial)), qt.IsTrue)
 }
--- a/internal/emulator/crashing.go
+++ b/internal/emulator/crashing.go
@@ -144,10 +144,14 @@
 	now := g.sim.clock.now
 	owns := func(id uint64) bool { return g.sim.gatewayNames()[id%uint64(len(g.sim.gateways))] == g.name }
 	verdict, identity := g.suspects.CondemnedParts(s.client.parts), s.client.identity()
-	if g.suspects.Rejects(identity, now) && (verdict != nil || !owns(identity.Content) || !g.suspects.TakeRequestTrial(identity, now)) {
+	contentRejected, parts := g.suspects.Rejects(identity, now), s.client.parts
+	if verdict == nil {
+		return contentRejected && (!owns(identity.Content) || !g.suspects.TakeRequestTrial(identity, parts, now))
+	}
+	if !owns(verdict.Parts[0]) || contentRejected && !g.suspects.RequestTrialDue(identity, parts, now) || !g.suspects.TakeTrial(verdict, parts, now) {
 		return true
 	}
-	return verdict != nil && (!owns(verdict.Parts[0]) || !g.suspects.TakeTrial(verdict, s.client.parts, now))
+	return contentRejected && !g.suspects.TakeRequestTrial(identity, parts, now)
 }
 
 // interruptRejected ends the attempts whose prompt has a condemned part before their response begins.
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -80,12 +80,12 @@
 func (l *eventLoop) takePartTrial(st *state, now time.Time, c *clientRequest, verdict *suspect.Verdict, contentRejected bool) bool {
 	if !st.ownsTrials("part", verdict.Parts[0], l.options.Settings.Name) ||
 		!st.fleet.HasTarget(now, placement.FleetQuery{Service: c.service}) ||
-		contentRejected && !st.suspects.RequestTrialDue(c.identity, now) ||
+		contentRejected && !st.suspects.RequestTrialDue(c.identity, c.parts, now) ||
 		!st.suspects.TakeTrial(verdict, c.parts, now) {
 		return false
 	}
 	if contentRejected {
-		c.requestTrial = st.suspects.TakeRequestTrial(c.identity, now)
+		c.requestTrial = st.suspects.TakeRequestTrial(c.identity, c.parts, now)
 		l.metrics.requestTrials.Inc()
 	}
 	c.trial.Store(true)
@@ -109,7 +109,7 @@
 // takeRequestTrial reports whether a rejected request is sent to find out whether it still crashes targets.
 func (l *eventLoop) takeRequestTrial(st *state, now time.Time, c *clientRequest) bool {
 	if !st.ownsTrials("request", c.identity.Content, l.options.Settings.Name) ||
-		!st.fleet.HasTarget(now, placement.FleetQuery{Service: c.service}) || !st.suspects.TakeRequestTrial(c.identity, now) {
+		!st.fleet.HasTarget(now, placement.FleetQuery{Service: c.service}) || !st.suspects.TakeRequestTrial(c.identity, c.parts, now) {
 		return false
 	}
 	c.requestTrial = true
