--- a/internal/core/retry/transfer.go
+++ b/internal/core/retry/transfer.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // The slack of the bounds is divided evenly over the gateways, but their streams are not: a balancer that hashes
 // clients gives some gateways several times as many as others, and all streams of a lost zone need a token at the same
@@ -26,15 +29,16 @@
 		b.waiting = map[string]time.Time{}
 	}
 	b.waiting[id] = now
+	b.expireWaiting(now)
+}
+
+func (b *SharedBudget) expireWaiting(now time.Time) {
+	maps.DeleteFunc(b.waiting, func(_ string, at time.Time) bool { return now.Sub(at) > needTTL })
 }
 
 // Wanted returns the number of tokens that streams wait for and that the budget can hold.
 func (b *SharedBudget) Wanted(now time.Time) int {
-	for id, at := range b.waiting {
-		if now.Sub(at) > needTTL {
-			delete(b.waiting, id)
-		}
-	}
+	b.expireWaiting(now)
 	room := int(b.capacity() - b.tokens)
 	return max(0, min(len(b.waiting), room, maxTransfer))
 }
--- a/internal/core/retry/transfer_test.go
+++ b/internal/core/retry/transfer_test.go
@@ -64,3 +64,14 @@
 	b.Receive(1000)
 	c.Check(b.Tokens() <= full, qt.IsTrue)
 }
+
+// Guards against streams that waited once and are remembered for good at a gateway that meets no others.
+func TestShortagesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := NewSharedBudget(now, Bounds{Slack: 40, Window: 10 * time.Second}, 1)
+	for i := range 1000 {
+		b.OnShortage(now.Add(time.Duration(i)*time.Second), fmt.Sprint(i))
+	}
+	c.Check(b.waiting, qt.HasLen, 1)
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -199,6 +199,9 @@
 	case connRefused(err):
 		g.reportDown(reg, time.Now(), err)
 	case errors.Is(err, target.ErrAbandoned), g.ctx.Err() != nil:
+	case errors.Is(err, target.ErrNoTime):
+		// The calls of a service whose deadlines are short would otherwise never find that a target is down.
+		g.background(func() { g.probeTarget(reg) })
 	default:
 		// Avoid the target until a probe succeeds.
 		g.loop.post(g.ctx, func(st *state) { st.fleet.MarkDown(time.Now(), reg.ID) })
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -76,7 +76,8 @@
 		MaxEventGap: c.route.MaxEventGap, FirstEventObjective: c.route.TargetLatency, After: c.head.LastEventID, HasCopy: s.cacheCopy != nil,
 	})
 	s.run()
-	if !s.machine.Arrived() {
+	// An attempt that completed, or that was open when the client left, counts as run and not as arrived.
+	if !s.machine.Arrived() && !s.machine.Ran() {
 		g.loop.post(g.ctx, func(st *state) { g.loop.returnTrials(st, c) })
 	}
 	g.endRun(c, s.outcome == relay.Complete)
@@ -473,7 +474,7 @@
 	budget := s.g.loop.budget(st, now, s.req.service)
 	if s.machine.Ran() && s.machine.InTime(now) {
 		taken := budget.TakeResume()
-		if !taken {
+		if !taken && st.settings.Bounds.ShareRetries {
 			budget.OnShortage(now, s.req.head.ID)
 		}
 		return s.takeBudget(taken)
--- a/internal/gateway/target/conn.go
+++ b/internal/gateway/target/conn.go
@@ -32,6 +32,10 @@
 // ErrUnexpectedBytes means that a target sent data without a request.
 var ErrUnexpectedBytes = errors.New("target sent data without a request")
 
+// ErrNoTime means that the deadline of a request passed during a connection attempt that had lasted longer than one to
+// a sound target does. The target may be down.
+var ErrNoTime = errors.New("connection was not established before the deadline of the request")
+
 // ErrAbandoned means that the context of a connection attempt ended first, which says nothing about the target.
 var ErrAbandoned = errors.New("connection attempt was abandoned")
 
@@ -107,11 +111,12 @@
 
 // Dial returns a new connection.
 func (p *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
+	started := time.Now()
 	dialCtx, cancel := withPatience(ctx, DialTimeout)
 	defer cancel()
 	raw, err := p.dialer.DialContext(dialCtx, "tcp", address)
 	if err != nil {
-		return nil, dialError(ctx, err)
+		return nil, dialError(ctx, err, time.Since(started))
 	}
 	p.onOpen()
 	conn := &Conn{Conn: raw, address: address, idleTimeout: defaultIdleTimeout, onBytes: p.onBytes, memory: p.memory.Reserve(), writing: &p.writing}
--- a/internal/gateway/target/dial.go
+++ b/internal/gateway/target/dial.go
@@ -27,9 +27,16 @@
 	tcpUserTimeout = 0x12
 )
 
-// patienceSteps is the number of steps in which a time limit passes. At most one of them passes while this process
-// does not run: gateways get their share of a core in periods of 100 ms, and pauses of most of that are normal.
-const patienceSteps = 5
+const (
+	// patienceSteps is the number of steps in which a time limit passes. At most one of them passes while this process
+	// does not run: gateways get their share of a core in periods of 100 ms, and pauses of most of that are normal.
+	patienceSteps = 5
+	// minPatienceSteps is the number of steps after which a limit may pass early, and maxPatience the multiple of the
+	// limit after which it then does: each step may cost a whole period, and the loss of a target must be noticed
+	// within about 0.5 s.
+	minPatienceSteps = 2
+	maxPatience      = 2.5
+)
 
 // errOutOfPatience is the cause of a context that withPatience ended.
 var errOutOfPatience = errors.New("no answer within the time limit")
@@ -38,34 +45,47 @@
 // while the process is suspended or has much to do, before an answer that has arrived is read.
 func withPatience(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	first := endInSteps(ctx, func() { cancel(errOutOfPatience) }, limit/patienceSteps, patienceSteps, time.AfterFunc)
+	first := endInSteps(ctx, func() { cancel(errOutOfPatience) }, limit/patienceSteps, &patience{started: time.Now(), now: time.Now, afterFunc: time.AfterFunc})
 	return ctx, func() {
 		first.Stop()
 		cancel(context.Canceled)
 	}
 }
 
+// patience is the progress of a time limit.
+type patience struct {
+	started   time.Time
+	passed    int
+	now       func() time.Time
+	afterFunc func(time.Duration, func()) *time.Timer
+}
+
 // endInSteps calls end after some steps unless ctx ends first. It returns the timer of the first step.
-func endInSteps(ctx context.Context, end func(), step time.Duration, steps int, afterFunc func(time.Duration, func()) *time.Timer) *time.Timer {
-	return afterFunc(step, func() {
+func endInSteps(ctx context.Context, end func(), step time.Duration, p *patience) *time.Timer {
+	return p.afterFunc(step, func() {
 		// Tasks that are ready come first; one of them may have the answer.
 		runtime.Gosched()
+		p.passed++
+		longest := time.Duration(maxPatience * float64(patienceSteps*step))
 		switch {
 		case ctx.Err() != nil:
-		case steps == 1:
+		case p.passed == patienceSteps, p.passed >= minPatienceSteps && p.now().Sub(p.started) >= longest:
 			end()
 		default:
-			endInSteps(ctx, end, step, steps-1, afterFunc)
+			endInSteps(ctx, end, step, p)
 		}
 	})
 }
 
-// dialError returns the error of a connection attempt whose caller's context is ctx.
-func dialError(ctx context.Context, err error) error {
-	if ctx.Err() != nil && !errors.Is(err, syscall.ECONNREFUSED) {
-		return ErrAbandoned
+// dialError returns the error of a connection attempt that took a time and whose caller's context is ctx.
+func dialError(ctx context.Context, err error, took time.Duration) error {
+	switch {
+	case ctx.Err() == nil || errors.Is(err, syscall.ECONNREFUSED):
+		return err
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && took >= minPatienceSteps*DialTimeout/patienceSteps:
+		return ErrNoTime
 	}
-	return err
+	return ErrAbandoned
 }
 
 // NewDialer returns a dialer whose connections quickly detect the loss of the peer.
--- a/internal/gateway/target/target_test.go
+++ b/internal/gateway/target/target_test.go
@@ -191,9 +191,13 @@
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	c.Check(dialError(ended, context.Canceled), qt.Equals, ErrAbandoned)
-	c.Check(dialError(t.Context(), context.Canceled), qt.Equals, context.Canceled)
-	c.Check(dialError(ended, refused), qt.Equals, error(refused), qt.Commentf("a closed port is certain"))
+	c.Check(dialError(ended, context.Canceled, time.Minute), qt.Equals, ErrAbandoned)
+	c.Check(dialError(t.Context(), context.Canceled, time.Minute), qt.Equals, context.Canceled)
+	c.Check(dialError(ended, refused, time.Minute), qt.Equals, error(refused), qt.Commentf("a closed port is certain"))
+	late, cancelLate := context.WithTimeout(t.Context(), 0)
+	defer cancelLate()
+	c.Check(dialError(late, context.DeadlineExceeded, time.Millisecond), qt.Equals, ErrAbandoned)
+	c.Check(dialError(late, context.DeadlineExceeded, DialTimeout/2), qt.Equals, ErrNoTime, qt.Commentf("a sound target accepts within a few ms"))
 	pool := NewPool(func() {}, func(int, int) {}, NewMemory(1<<20))
 	_, err := pool.Get(ended, "127.0.0.1:1", time.Second)
 	c.Check(err, qt.Equals, ErrAbandoned)
@@ -210,13 +214,25 @@
 		return nil
 	}
 	ended := false
-	endInSteps(t.Context(), func() { ended = true }, time.Second, patienceSteps, afterFunc)
+	at := time.Now()
+	now := func() time.Time { return at }
+	endInSteps(t.Context(), func() { ended = true }, time.Second, &patience{started: at, now: now, afterFunc: afterFunc})
 	for i := range patienceSteps {
 		c.Assert(due, qt.HasLen, i+1, qt.Commentf("a late timer brings the next step, not the end"))
 		c.Check(ended, qt.IsFalse)
 		due[i]()
 	}
 	c.Check(ended, qt.IsTrue)
+
+	// A process that is suspended in each step must not wait for the lost target for as many periods.
+	ended, due = false, nil
+	endInSteps(t.Context(), func() { ended = true }, time.Second, &patience{started: at, now: now, afterFunc: afterFunc})
+	for range 4 {
+		c.Assert(ended, qt.IsFalse)
+		at = at.Add(4 * time.Second)
+		due[len(due)-1]()
+	}
+	c.Check(ended, qt.IsTrue)
 	ctx, cancel := withPatience(t.Context(), 10*time.Millisecond)
 	defer cancel()
 	<-ctx.Done()
