Offer works that cannot be placed last in a pass

A pass offers at most 64 works, and the same ones came first in each. 70 streams that waited for a retry token, or that had no class, kept all others from being offered although an engine was free. Blocked works now come after the others, and half of a pass is for the works that were offered least recently.

--- a/internal/core/precedence/queue.go
+++ b/internal/core/precedence/queue.go
@@ -28,6 +28,9 @@
 	maxReportedRanks = 16
 	// maxTries bounds the works that are offered for placement in one pass.
 	maxTries = 64
+	// orderedTries bounds those offered in their order. The other tries are for the works that were offered least
+	// recently, and for blocked ones. Without them, works that find no place would hold up those behind them.
+	orderedTries = maxTries / 2
 	// minRetryDelay is the least delay to state in a refusal, without its random part. A lost target recovers or is
 	// replaced within seconds.
 	minRetryDelay = 800 * time.Millisecond
@@ -135,7 +138,7 @@
 	if len(q.waiting) >= limit {
 		return false
 	}
-	w.since = now
+	w.since, w.pass = now, q.pass
 	q.waiting = append(q.waiting, &w)
 	return true
 }
@@ -225,15 +228,22 @@
 	// lower one that goes first, since it has aged, has none.
 	lacking := map[roomClass]int{}
 	var passed passedOver
-	for range maxTries {
+	rotating := false
+	for try := 0; try < maxTries; try++ {
+		rotating = rotating || try >= orderedTries
 		agedFirst := q.passedAged >= agedTurn
 		class := func(w *Waiting) roomClass {
 			return roomClass{w.Class, w.Work.Rank, w.Work.Rank == Rank{} || agedFirst && w.aged(now)}
 		}
-		w := q.next(now, agedFirst, func(w *Waiting) bool {
+		admits := func(w *Waiting) bool {
 			tokens, known := lacking[class(w)]
-			return w.pass < q.pass && (!known || w.Work.Tokens() < tokens)
-		})
+			return w.pass < q.pass && (rotating || !w.blocked) && (!known || w.Work.Tokens() < tokens)
+		}
+		w := q.next(now, agedFirst, rotating, admits)
+		if w == nil && !rotating {
+			rotating = true
+			w = q.next(now, agedFirst, rotating, admits)
+		}
 		if w == nil {
 			return
 		}
@@ -274,10 +284,14 @@
 	return tokens
 }
 
-// next returns the work that goes first among the admitted ones, nil if there is none.
-func (q *Queue) next(now time.Time, agedFirst bool, admits func(*Waiting) bool) *Waiting {
+// next returns the work that goes first among the admitted ones, nil if there is none. If rotating is set, it is among
+// those that were offered least recently.
+func (q *Queue) next(now time.Time, agedFirst, rotating bool, admits func(*Waiting) bool) *Waiting {
 	var first, firstAged *Waiting
 	better := func(w, than *Waiting) bool {
+		if rotating && than != nil && w.pass != than.pass {
+			return w.pass < than.pass
+		}
 		return than == nil || compare(now, &w.Work, &than.Work, cmp.Compare(w.turn, than.turn)) < 0
 	}
 	for _, w := range q.waiting {
--- /dev/null
+++ b/internal/core/precedence/queue_test.go
@@ -0,0 +1,54 @@
+package precedence_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"bramleygap/internal/core/precedence"
+)
+
+var queueStart = time.Unix(1_800_000_000, 0)
+
+func newQueue() *precedence.Queue { return precedence.NewQueue(rand.New(rand.NewPCG(1, 2))) }
+
+// waitingWork returns a work that arrives at a time, with an objective of 10 s.
+func waitingWork(id uint64, rank precedence.Rank, at time.Time, tokens int) precedence.Waiting {
+	return precedence.Waiting{ID: id, Work: precedence.Work{
+		Rank: rank, Arrived: at, Objective: 10 * time.Second, Deadline: at.Add(25 * time.Second), PromptTokens: tokens,
+	}}
+}
+
+// Guards against a new stream that is never offered since more streams that cannot be placed go before it: ones that
+// wait for a retry token, and ones without a class of which each one finds no room.
+func TestUnplaceableWorksHoldUpNoOther(t *testing.T) {
+	for _, result := range []precedence.Placing{precedence.Blocked, precedence.NoRoom} {
+		c := qt.New(t)
+		q, at := newQueue(), queueStart
+		for id := range uint64(150) {
+			w := waitingWork(id, urgentRank, at, 5000)
+			w.Work.Ran = true
+			q.Enqueue(at, w, 1000)
+		}
+		q.Enqueue(at, waitingWork(1000, urgentRank, at, 5000), 1000)
+		placed, offered := false, map[uint64]bool{}
+		for range 6 {
+			at = at.Add(tick)
+			offers := 0
+			q.Dispatch(at, func(w *precedence.Waiting, _ precedence.Offer) precedence.Placing {
+				offers++
+				offered[w.ID] = true
+				if w.ID == 1000 {
+					placed = true
+					return precedence.Placed
+				}
+				return result
+			})
+			c.Check(offers <= 64, qt.IsTrue)
+		}
+		c.Check(placed, qt.IsTrue)
+		c.Check(offered, qt.HasLen, 151)
+	}
+}
