Let an idle engine take streams larger than its limit

In ranked services, a stream larger than the limit of each engine found no room anywhere and was refused, while Place accepts it in other services.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -99,13 +99,21 @@
 		if seen++; seen > 2*subset || seen > subset && len(free) > 0 {
 			break
 		}
-		if left := q.limit(t) - f.reservedMemory(t); left >= size.memory() {
+		if left, ok := f.freeFor(t, q.limit(t), size); ok {
 			free = append(free, freeMemory{t, left})
 		}
 	}
 	return q.beside(free), seen > 0
 }
 
+// freeFor returns the memory that is free at a target up to a limit, and whether a generation has room there. A target
+// at which nothing is reserved has room for any: engines accept generations beyond their limit, which would otherwise
+// have a place nowhere.
+func (f *Fleet) freeFor(t *targetState, limit int, size GenerationSize) (left int, ok bool) {
+	reserved := f.reservedMemory(t)
+	return limit - reserved, reserved == 0 || limit-reserved >= size.memory()
+}
+
 // freeMemory is the memory that is free at an engine.
 type freeMemory struct {
 	target *targetState
@@ -142,7 +150,7 @@
 		}
 		accepted = true
 		if f.prefersAmong(t) {
-			if left := q.limit(t) - f.reservedMemory(t); left >= size.memory() {
+			if left, ok := f.freeFor(t, q.limit(t), size); ok {
 				own = append(own, freeMemory{t, left})
 			}
 			continue
--- a/internal/core/placement/room_test.go
+++ b/internal/core/placement/room_test.go
@@ -53,3 +53,16 @@
 	// All engines together hold 360.
 	c.Check(places > 0 && places < 100 && places%9 == 0, qt.IsTrue, qt.Commentf("%d places", places))
 }
+
+// Guards against streams larger than the limit of any engine that wait until they are refused although an engine is
+// idle.
+func TestIdleEngineHasRoomForLargeStreams(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g", engines(1))
+	q, large := RoomQuery{FleetQuery: fleetQuery, Gateways: 1}, GenerationSize{PromptTokens: 70_000, OutputTokens: 600}
+	placed, room := f.PlaceInRoom(now, q, "", large, false)
+	c.Assert(room, qt.Equals, HasRoom)
+	f.BeginStream(now, placed.Target.ID, "", large)
+	_, room = f.PlaceInRoom(now, q, "", large, false)
+	c.Check(room, qt.Equals, Full)
+}
