Do not keep idle engines for work that none can take

A waiting stream larger than any engine, or an impossible report of another gateway, kept all engines from lower ranks until those were refused. Each work now counts with at most the memory of the largest engine, and aged work may use kept room after nothing was placed for 700 ms.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -106,6 +106,21 @@
 	return q.beside(free), seen > 0
 }
 
+// LargestCapacity returns the most memory that streams may fill at a target of a service, 0 if it is not known.
+func (f *Fleet) LargestCapacity(service string) int {
+	largest := 0
+	for _, t := range f.order {
+		if t.reg.Service != service {
+			continue
+		}
+		if t.memoryCapacity == 0 {
+			return 0
+		}
+		largest = max(largest, t.streamCapacity())
+	}
+	return largest
+}
+
 // freeFor returns the memory that is free at a target up to a limit, and whether a generation has room there. A target
 // at which nothing is reserved has room for any: engines accept generations beyond their limit, which would otherwise
 // have a place nowhere.
--- a/internal/core/precedence/loads_test.go
+++ b/internal/core/precedence/loads_test.go
@@ -143,6 +143,7 @@
 		s.ended = append(s.ended, g.streams[refusal.ID])
 		delete(g.streams, refusal.ID)
 	}
+	g.queue.SetLargest(g.fleet.LargestCapacity("s"))
 	g.queue.Dispatch(s.now, func(w *precedence.Waiting, offer precedence.Offer) precedence.Placing {
 		stream := g.streams[w.ID]
 		q := placement.RoomQuery{FleetQuery: placement.FleetQuery{Service: "s"}, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: len(s.gateways)}
@@ -310,3 +311,35 @@
 	c.Check(s.most <= engineMemory*11/10, qt.IsTrue)
 	c.Check(s.places > 300, qt.IsTrue)
 }
+
+// Load: patient streams at idle engines while urgent ones wait that no engine can take, or while another
+// gateway reports more than all engines hold. Guards against idle engines that are kept for these until the patient
+// streams are refused.
+func TestWorkThatCannotBePlacedKeepsNoIdleEngines(t *testing.T) {
+	c := qt.New(t)
+	for _, engines := range []int{1, 4} {
+		s := newSite(1, engines)
+		for _, reg := range s.engines {
+			s.gateways[0].fleet.BeginStream(s.now, reg.ID, "", placement.GenerationSize{PromptTokens: 1000})
+			s.enqueue(s.gateways[0], &siteStream{account: "a", work: precedence.Work{
+				Rank: urgentRank, Arrived: s.now, Deadline: s.now.Add(25 * time.Second), PromptTokens: 10 * engineMemory,
+			}})
+		}
+		s.run(20*time.Second, flow{0.8, s.patient})
+		refused, _, all := s.outcome(patientRank)
+		t.Logf("large streams, %d engines: %d refused of %d, %d places", engines, refused, all, s.places)
+		c.Check(refused, qt.Equals, 0)
+		c.Check(s.places > 5, qt.IsTrue)
+	}
+
+	s := newSite(1, 4)
+	queue := s.gateways[0].queue
+	for range 1000 {
+		queue.SetPeer(s.now, "g9", []precedence.RankLoad{{Rank: urgentRank, Streams: 1 << 30, Tokens: 1 << 30}})
+		s.run(tick, flow{4, s.patient})
+	}
+	refused, _, all := s.outcome(patientRank)
+	t.Logf("report: %d refused of %d, %d places", refused, all, s.places)
+	c.Check(refused, qt.Equals, 0)
+	c.Check(s.places > 8, qt.IsTrue)
+}
--- a/internal/core/precedence/queue.go
+++ b/internal/core/precedence/queue.go
@@ -20,6 +20,11 @@
 	// aged: the next one is for that. Without it, the highest rank alone could take all places until such work is
 	// refused, since its objectives are nearer.
 	agedTurn = 3
+	// stallTime is how long nothing is placed, while aged work finds no room, until such work may use the room that is
+	// kept for higher ranks. Without it, room that is kept for work that no target can take would be kept until all
+	// other work is refused. It is shorter than the time from aging to the refusal, which is 1 s with an objective of
+	// 4 s.
+	stallTime = 700 * time.Millisecond
 	// freedWindow is the time over which the rate is taken at which memory becomes free.
 	freedWindow = 5 * time.Second
 	// reportMaxAge is the age beyond which another gateway's report of waiting work does not count.
@@ -118,6 +123,11 @@
 	// passedAged counts the places in a row that went to other work while aged work of a lower rank waited.
 	passedAged int
 	pass       uint64
+	// largest is the most memory of a target, 0 if it is not known.
+	largest int
+	// stalledSince is when aged work found no room for the first time since the last place was given, zero if it has
+	// not.
+	stalledSince time.Time
 }
 
 type peerReport struct {
@@ -155,6 +165,18 @@
 	}
 }
 
+// SetLargest sets the most memory that a target has, 0 if it is not known. A larger work waits for one whole target,
+// so that no more memory is kept for it.
+func (q *Queue) SetLargest(tokens int) { q.largest = tokens }
+
+// kept returns the tokens of memory to be kept for works with a number of tokens together.
+func (q *Queue) kept(works, tokens int) int {
+	if q.largest > 0 {
+		return min(tokens, works*q.largest)
+	}
+	return tokens
+}
+
 // SetPeer replaces the report of another gateway.
 func (q *Queue) SetPeer(now time.Time, peer string, loads []RankLoad) {
 	if len(loads) == 0 {
@@ -172,7 +194,7 @@
 			continue
 		}
 		load := byRank[w.Work.Rank]
-		load.Rank, load.Streams, load.Tokens = w.Work.Rank, load.Streams+1, load.Tokens+w.Work.Tokens()
+		load.Rank, load.Streams, load.Tokens = w.Work.Rank, load.Streams+1, load.Tokens+q.kept(1, w.Work.Tokens())
 		load.Oldest = max(load.Oldest, now.Sub(w.Work.Arrived))
 		byRank[load.Rank] = load
 	}
@@ -194,7 +216,7 @@
 	rank := work.EffectiveRank(now)
 	for _, w := range q.waiting {
 		if !w.blocked && w.Work.EffectiveRank(now).Compare(rank) < 0 {
-			c.Higher += w.Work.Tokens()
+			c.Higher += q.kept(1, w.Work.Tokens())
 		}
 	}
 	for _, report := range q.peers {
@@ -203,7 +225,7 @@
 		}
 		for _, load := range report.loads {
 			if load.Rank.Compare(rank) < 0 {
-				c.Higher += load.Tokens
+				c.Higher += q.kept(load.Streams, load.Tokens)
 			}
 		}
 	}
@@ -227,7 +249,7 @@
 	// lacking holds the smallest work of each class and rank that found no room. A higher rank may have room where a
 	// lower one that goes first, since it has aged, has none.
 	lacking := map[roomClass]int{}
-	var passed passedOver
+	var passed []*Waiting
 	rotating := false
 	for try := 0; try < maxTries; try++ {
 		rotating = rotating || try >= orderedTries
@@ -249,8 +271,9 @@
 		}
 		w.pass, w.blocked = q.pass, false
 		offer := q.offer(now, &w.Work, class(w).highest)
-		if !offer.AsHighest && w.aged(now) {
-			offer.Higher += passed.above(w.Work.Rank)
+		stalled := !q.stalledSince.IsZero() && now.Sub(q.stalledSince) >= stallTime
+		if !offer.AsHighest && w.aged(now) && !stalled {
+			offer.Higher += q.above(passed, w.Work.Rank)
 		}
 		switch place(w, offer) {
 		case Placed:
@@ -260,6 +283,9 @@
 			q.Remove(w.ID)
 		case NoRoom:
 			passed = append(passed, w)
+			if q.stalledSince.IsZero() && w.aged(now) {
+				q.stalledSince = now
+			}
 			if w.Class != 0 {
 				lacking[class(w)] = w.Work.Tokens()
 			}
@@ -269,16 +295,14 @@
 	}
 }
 
-// passedOver holds the works that found no room in a pass.
-type passedOver []*Waiting
-
-// above returns the tokens of the works whose own rank is higher than a given one. Work that has aged leaves them room
-// too if they go before it: small works would otherwise take the memory that becomes free piece by piece.
-func (p passedOver) above(rank Rank) int {
+// above returns the tokens of those works that found no room in a pass whose own rank is higher than a given one. Work
+// that has aged leaves them room too if they go before it: small works would otherwise take the memory that becomes free
+// piece by piece.
+func (q *Queue) above(passed []*Waiting, rank Rank) int {
 	tokens := 0
-	for _, w := range p {
+	for _, w := range passed {
 		if w.Work.Rank.Compare(rank) < 0 {
-			tokens += w.Work.Tokens()
+			tokens += q.kept(1, w.Work.Tokens())
 		}
 	}
 	return tokens
@@ -322,6 +346,7 @@
 		q.given[w.Account] = given
 	}
 	given.add(now, w.Work.Tokens())
+	q.stalledSince = time.Time{}
 	q.passedAged++
 	if w.aged(now) || !slices.ContainsFunc(q.waiting, func(other *Waiting) bool { return other.aged(now) }) {
 		q.passedAged = 0
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -206,6 +206,7 @@
 		return
 	}
 	q.lastDispatch = now
+	q.queue.SetLargest(st.fleet.LargestCapacity(q.service))
 	q.queue.Dispatch(now, func(waiting *precedence.Waiting, offer precedence.Offer) precedence.Placing {
 		w := q.streams[waiting.ID]
 		placing := l.tryPlace(st, now, w, offer)
