Refuse only work that has not run as too late

Streams that had run ended as too late while they waited, by estimates from when they were enqueued, although other services deliver their events until the deadline. Expiry also went before the offer of room that had become free.

--- a/internal/core/precedence/queue.go
+++ b/internal/core/precedence/queue.go
@@ -81,7 +81,7 @@
 
 // Reasons.
 const (
-	// TooLate means that the work cannot end before its deadline any more.
+	// TooLate means that the work has not run and cannot end before its deadline any more.
 	TooLate Reason = iota + 1
 	// WaitedTooLong means that the work found no place within the time that it may wait.
 	WaitedTooLong
@@ -379,7 +379,8 @@
 // overdue returns why a work has to be refused, 0 if it has not.
 func (w *Waiting) overdue(now time.Time) Reason {
 	switch {
-	case w.Work.EarliestEnd(now).After(w.Work.Deadline):
+	// Some more events are of use to a caller that has some already.
+	case !w.Work.Ran && w.Work.EarliestEnd(now).After(w.Work.Deadline):
 		return TooLate
 	case !now.Before(w.waitsUntil()):
 		return WaitedTooLong
@@ -408,7 +409,9 @@
 	}
 	for _, w := range q.waiting {
 		consider(w.waitsUntil())
-		consider(w.Work.Deadline.Add(-w.Work.ToFirst - w.Work.Rest))
+		if !w.Work.Ran {
+			consider(w.Work.Deadline.Add(-w.Work.ToFirst - w.Work.Rest))
+		}
 		if aging := w.Work.Arrived.Add(time.Duration(agingFraction * float64(w.Work.Objective))); aging.After(now) {
 			consider(aging)
 		}
--- a/internal/core/precedence/queue_test.go
+++ b/internal/core/precedence/queue_test.go
@@ -52,3 +52,24 @@
 		c.Check(offered, qt.HasLen, 151)
 	}
 }
+
+// Guards against streams that have run and end as too late while they wait, although their clients would get some more
+// events before the deadline.
+func TestOnlyNewWorkIsTooLate(t *testing.T) {
+	c := qt.New(t)
+	for _, ran := range []bool{false, true} {
+		q := newQueue()
+		w := waitingWork(1, urgentRank, queueStart, 5000)
+		w.Work.Ran, w.Work.Rest = ran, 26*time.Second
+		q.Enqueue(queueStart, w, 10)
+		refusals := q.Expire(queueStart.Add(tick))
+		if !ran {
+			c.Assert(refusals, qt.HasLen, 1)
+			c.Check(refusals[0].Reason, qt.Equals, precedence.TooLate)
+			continue
+		}
+		c.Check(refusals, qt.HasLen, 0)
+		c.Check(q.NextCheck(queueStart).After(queueStart), qt.IsTrue)
+		c.Check(q.Expire(queueStart.Add(3 * time.Second))[0].Reason, qt.Equals, precedence.WaitedTooLong)
+	}
+}
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -156,18 +156,19 @@
 	}
 }
 
-// tickQueues refuses the streams that have waited too long and looks for places for the others.
+// tickQueues looks for places for the waiting streams and refuses those that have waited too long.
 func (l *eventLoop) tickQueues(st *state, now time.Time) {
 	waiting := 0
 	for _, q := range st.streamQueues {
+		// Room that has become free since the last pass is for a stream that would be refused now, too.
+		if q.queue.Len() > 0 {
+			l.dispatch(st, now, q)
+		}
 		if next := q.queue.NextCheck(now); next.IsZero() || !next.After(now) {
 			for _, refusal := range q.queue.Expire(now) {
 				l.expireQueued(st, now, q, refusal)
 			}
 		}
-		if q.queue.Len() > 0 {
-			l.dispatch(st, now, q)
-		}
 		waiting += q.queue.Len()
 	}
 	l.metrics.streamsWaiting.Set(float64(waiting))
--- a/internal/gateway/stream_queue_test.go
+++ b/internal/gateway/stream_queue_test.go
@@ -63,16 +63,22 @@
 	return g
 }
 
-// await starts a stream that seeks a place, and returns the end of its wait.
-func (g *Gateway) await(ctx context.Context, path string, objective time.Duration) (*stream, <-chan []relay.Effect) {
-	now := time.Now()
+// queued returns a stream that arrives at a time, as it waits.
+func (g *Gateway) queued(now time.Time, path string, objective time.Duration) (*stream, *queuedStream) {
 	request := &clientRequest{
-		g: g, ctx: ctx, service: "s", head: Request{Host: "h", Path: path, Key: "k"}, log: zerolog.Nop(), arrived: now, deadline: now.Add(25 * time.Second),
+		g: g, ctx: g.ctx, service: "s", head: Request{Host: "h", Path: path, Key: "k"}, log: zerolog.Nop(), arrived: now, deadline: now.Add(25 * time.Second),
 		route: &catalog.Route{Name: path, Kind: catalog.Stream, TargetLatency: objective, Resumable: true},
 	}
 	s := &stream{g: g, req: request, prompt: placement.GenerationSize{PromptTokens: 4000, OutputTokens: 600}}
 	s.machine = relay.New(relay.Options{Resumable: true, MaxAttempts: 5, Arrived: now, Deadline: request.deadline})
 	s.machine.Start()
+	return s, &queuedStream{s: s, result: make(chan placementResult, 1)}
+}
+
+// await starts a stream that seeks a place, and returns the end of its wait.
+func (g *Gateway) await(ctx context.Context, path string, objective time.Duration) (*stream, <-chan []relay.Effect) {
+	s, _ := g.queued(time.Now(), path, objective)
+	s.req.ctx = ctx
 	done := make(chan []relay.Effect, 1)
 	go func() { done <- s.chooseTarget(relay.ChooseTarget{}) }()
 	return s, done
@@ -166,3 +172,22 @@
 	}
 	c.Check(counted(c, other.metrics.invalidReports), qt.Equals, 2.0)
 }
+
+// Guards against a stream that is refused at the end of its wait although room became free since the last pass.
+func TestRoomIsOfferedBeforeRefusal(t *testing.T) {
+	c := qt.New(t)
+	g := queueGateway(t)
+	query(g.ctx, g.loop, func(st *state) bool {
+		now := time.Now()
+		_, w := g.queued(now, "/patient", 10*time.Second)
+		size := placement.GenerationSize{PromptTokens: 9000}
+		id := st.fleet.BeginStream(now, "e", "", size)
+		g.loop.enqueueStream(st, now, w)
+		c.Check(st.streamQueues["s"].queue.Len(), qt.Equals, 1)
+		now = now.Add(8 * time.Second)
+		st.fleet.EndStream(now, "e", "", id, size, false)
+		g.loop.tickQueues(st, now)
+		c.Check((<-w.result).ok, qt.IsTrue)
+		return true
+	})
+}
