Place streams at gateways that prefer no engine during a cut

While the exchange is cut, a gateway that is first by rendezvous hashing for no engine placed nothing although all were idle: 4 of 21 gateways with 28 engines. It may now have one stream at the engine for which it ranks highest. Owners leave it the room beyond the capacity.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -158,14 +158,18 @@
 	if len(f.sharers) <= 1 && q.Known != nil {
 		f.sharers = q.Known()
 	}
+	// What the highest rank may use beyond the capacity is left for the gateways of which the target is the nearest.
+	ownLimit := *q
+	ownLimit.Highest = false
 	var own, others []freeMemory
+	nearest := f.nearestOwn(now, q)
 	for _, t := range f.order {
 		if !q.admits(t, now) {
 			continue
 		}
 		accepted = true
 		if f.prefersAmong(t) {
-			if left, ok := f.freeFor(t, q.limit(t), size); ok {
+			if left, ok := f.freeFor(t, ownLimit.limit(t), size); ok {
 				own = append(own, freeMemory{t, left})
 			}
 			continue
@@ -174,7 +178,11 @@
 		if t.memoryCapacity == 0 {
 			part = unlimitedRoom
 		}
-		if left := part - f.reservedMemory(t); left >= size.memory() {
+		left, ok := f.freeFor(t, part, size)
+		if !ok {
+			continue
+		}
+		if t == nearest || left >= size.memory() {
 			others = append(others, freeMemory{t, left})
 		}
 	}
@@ -189,10 +197,10 @@
 	return t.streamMemory + t.copyMemory + t.reported.memory
 }
 
-// ownTargets holds the ids of the targets that this gateway prefers among certain gateways.
+// ownTargets holds by target id how many of certain gateways come before this one by rendezvous hashing.
 type ownTargets struct {
-	among []string
-	ids   map[string]bool
+	among  []string
+	before map[string]int
 }
 
 // prefersAmong is Prefers among the gateways of the last report of another one: those that do not answer leave the
@@ -201,16 +209,52 @@
 	if len(f.sharers) <= 1 {
 		return t.preferred && len(f.gateways) > 1
 	}
-	if f.own.ids == nil || !slices.Equal(f.own.among, f.sharers) {
-		f.own = ownTargets{f.sharers, map[string]bool{}}
+	return f.gatewaysBefore(t) == 0
+}
+
+// gatewaysBefore returns how many gateways of the last report have a higher rendezvous hash for a target.
+func (f *Fleet) gatewaysBefore(t *targetState) int {
+	if f.own.before == nil || !slices.Equal(f.own.among, f.sharers) {
+		f.own = ownTargets{f.sharers, map[string]int{}}
 	}
-	own, known := f.own.ids[t.reg.ID]
+	before, known := f.own.before[t.reg.ID]
 	if !known {
 		hash := preferenceHash(f.name, t.reg.ID)
-		own = !slices.ContainsFunc(f.sharers, func(name string) bool { return preferenceHash(name, t.reg.ID) > hash })
-		f.own.ids[t.reg.ID] = own
+		for _, name := range f.sharers {
+			if preferenceHash(name, t.reg.ID) > hash {
+				before++
+			}
+		}
+		f.own.before[t.reg.ID] = before
+	}
+	return before
+}
+
+// nearestOwn returns the target at which a gateway may have one stream although its part does not hold it, if it is
+// first for none of those that accept work: the one with the fewest gateways before it. Without it, such a gateway would
+// place nothing. If it filled the target as its own, with 10 gateways and 14 engines one was promised three times. It
+// returns nil if the gateway is first for one or knows of no other gateway.
+func (f *Fleet) nearestOwn(now time.Time, q *RoomQuery) *targetState {
+	if len(f.sharers) <= 1 {
+		return nil
+	}
+	// A target that a stream excludes is still the gateway's own.
+	query := q.FleetQuery
+	query.Exclude = nil
+	var nearest *targetState
+	for _, t := range f.order {
+		if !query.admits(t, now) {
+			continue
+		}
+		before := f.gatewaysBefore(t)
+		if before == 0 {
+			return nil
+		}
+		if nearest == nil || cmp.Or(cmp.Compare(before, f.gatewaysBefore(nearest)), cmp.Compare(preferenceHash(f.name, nearest.reg.ID), preferenceHash(f.name, t.reg.ID))) < 0 {
+			nearest = t
+		}
 	}
-	return own
+	return nearest
 }
 
 // ReadTime returns the time to the first event of a prompt at an engine of nominal speed that has no other work.
--- a/internal/core/placement/room_test.go
+++ b/internal/core/placement/room_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -66,3 +67,28 @@
 	_, room = f.PlaceInRoom(now, q, "", large, false)
 	c.Check(room, qt.Equals, Full)
 }
+
+// Scenario: 21 gateways with 28 idle engines reach no other one. Guards against gateways that place nothing since they
+// are first for no engine, and against engines that many of these take as their own.
+func TestEveryGatewayPlacesDuringCut(t *testing.T) {
+	c := qt.New(t)
+	var names []string
+	for i := range 21 {
+		names = append(names, fmt.Sprint("g", i))
+	}
+	promised, most := map[string]int{}, 0
+	for _, name := range names {
+		f := newFleet(name, engines(28))
+		q := RoomQuery{FleetQuery: fleetQuery, Gateways: len(names), Known: func() []string { return names }}
+		places := 0
+		for placed, room := f.PlaceInRoom(now, q, "", typicalSize, false); room == HasRoom; placed, room = f.PlaceInRoom(now, q, "", typicalSize, false) {
+			f.BeginStream(now, placed.Target.ID, "", typicalSize)
+			promised[placed.Target.ID] += typicalSize.memory()
+			most = max(most, promised[placed.Target.ID])
+			places++
+		}
+		c.Check(places > 0, qt.IsTrue, qt.Commentf("%s", name))
+	}
+	t.Logf("at most %d tokens promised", most)
+	c.Check(most <= 55_000+2*typicalSize.memory(), qt.IsTrue)
+}
