Correct the reasons, delays and classes of waiting streams

A refusal at the end of the wait did not say that the request is rejected or that the retry budget is spent. Tokens of attempts that were not sent, that were refused or whose engine was lost counted as freed memory, so that Retry-After was too short after a crash; freed memory was recorded for ever while nothing was refused. The class of a stream was taken when it was enqueued, so that a rollout that began meanwhile did not count.

--- a/internal/core/precedence/queue.go
+++ b/internal/core/precedence/queue.go
@@ -177,6 +177,13 @@
 	return tokens
 }
 
+// Reclass replaces the classes of the waiting works.
+func (q *Queue) Reclass(class func(id uint64) uint64) {
+	for _, w := range q.waiting {
+		w.Class = class(w.ID)
+	}
+}
+
 // SetPeer replaces the report of another gateway.
 func (q *Queue) SetPeer(now time.Time, peer string, loads []RankLoad) {
 	if len(loads) == 0 {
@@ -354,7 +361,10 @@
 }
 
 // Freed records that tokens of this gateway's works became free in the memory of targets.
-func (q *Queue) Freed(now time.Time, tokens int) { q.freed.add(now, tokens) }
+func (q *Queue) Freed(now time.Time, tokens int) {
+	q.freed.add(now, tokens)
+	q.freed.sum(now, freedWindow)
+}
 
 // Expire removes the works that can no longer be served in time or have waited too long, and drops what is too old to
 // count.
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -266,10 +266,24 @@
 		st.fleet.EndStream(now, placed.Target, copyHolder, a.streamID, a.size, failed)
 		st.removeAttempt(placed.Target, a.handle)
 		st.inflightStreams[s.req.service]--
-		s.g.loop.streamEnded(st, now, s.req.service, a.size.PromptTokens+a.size.OutputTokens)
+		s.g.loop.streamEnded(st, now, s.req.service, a.freedTokens(st, now, loss))
 	})
 }
 
+// freedTokens returns the tokens that become free with the end of the attempt in the memory of a live engine. Engines
+// that were lost with their streams free nothing, and those that did not run the request held nothing for it.
+func (a *attempt) freedTokens(st *state, now time.Time, loss relay.Loss) int {
+	switch loss {
+	case relay.Unsent, relay.Refused, relay.Replaced, relay.Interrupted, relay.TargetDown, relay.Failed:
+		return 0
+	}
+	reg, ok := st.fleet.Target(a.start.Placement.Target)
+	if !a.handle.sent.Load() || a.handle.interrupted.Load() || !ok || reg.StartUnixMS != a.reg.StartUnixMS || !st.fleet.Usable(now, reg.ID) {
+		return 0
+	}
+	return a.size.PromptTokens + a.size.OutputTokens
+}
+
 // recordFirstEvent records the first event of the attempt.
 func (a *attempt) recordFirstEvent(at time.Time) {
 	if !a.firstEventAt.IsZero() {
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -114,9 +114,6 @@
 	st.lastQueued++
 	w.id, w.since = st.lastQueued, now
 	waiting := precedence.Waiting{ID: w.id, Account: c.account, Work: st.work(w)}
-	if len(w.choose.Exclude) == 0 && w.resumeFrom == nil && st.orders[c.service] == nil {
-		waiting.Class = plainClass
-	}
 	if !q.queue.Enqueue(now, waiting, int(w.s.g.maxRequests)) {
 		l.refuseQueued(st, now, w, "queue_full", placementResult{retryAfter: q.queue.RetryDelay(now, &waiting.Work)})
 		return
@@ -125,6 +122,14 @@
 	l.dispatch(st, now, q)
 }
 
+// roomClass returns the class of a waiting stream, 0 if it may run only at some engines of its service.
+func (st *state) roomClass(w *queuedStream) uint64 {
+	if len(w.choose.Exclude) == 0 && w.resumeFrom == nil && st.orders[w.s.req.service] == nil {
+		return plainClass
+	}
+	return 0
+}
+
 // work describes a waiting stream to the queue.
 func (st *state) work(w *queuedStream) precedence.Work {
 	c, m := w.s.req, w.s.machine
@@ -180,16 +185,20 @@
 	w := q.streams[refusal.ID]
 	delete(q.streams, refusal.ID)
 	tooLate := refusal.Reason == precedence.TooLate
-	if w.ran && !tooLate && w.s.req.ctx.Err() == nil && !l.rejects(st, now, w.s.req, w.s.machine.Arrived()) {
+	refused := placementResult{retryAfter: refusal.Delay, deadlineTooShort: tooLate && !w.s.machine.Ran()}
+	if w.ran && !tooLate && w.s.req.ctx.Err() == nil {
+		if l.rejects(st, now, w.s.req, w.s.machine.Arrived()) {
+			w.result <- placementResult{rejected: true}
+			return
+		}
 		p := st.placeStream(now, st.queuedQuery(w), w.s.req.versionDraw, w.holder(), w.s.prompt)
 		if p.ok && st.takeQueuedRepeat(now, w, &p) {
 			l.placeQueued(st, now, w, p, "last_resort")
 			return
 		}
+		refused.budgetSpent = p.ok
 	}
-	l.refuseQueued(st, now, w, refusal.Reason.String(), placementResult{
-		retryAfter: refusal.Delay, deadlineTooShort: tooLate && !w.s.machine.Ran(),
-	})
+	l.refuseQueued(st, now, w, refusal.Reason.String(), refused)
 }
 
 // dispatch offers the waiting streams places in their order.
@@ -207,6 +216,8 @@
 		return
 	}
 	q.lastDispatch = now
+	// A rollout may have begun or ended since the last pass.
+	q.queue.Reclass(func(id uint64) uint64 { return st.roomClass(q.streams[id]) })
 	q.queue.SetLargest(st.fleet.LargestCapacity(q.service))
 	q.queue.Dispatch(now, func(waiting *precedence.Waiting, offer precedence.Offer) precedence.Placing {
 		w := q.streams[waiting.ID]
@@ -336,10 +347,13 @@
 	return st.streamQueues[w.s.req.service].queue.RetryDelay(now, &work)
 }
 
-// streamEnded offers the memory that a stream of this gateway has left to those that wait.
+// streamEnded offers the memory that a stream of this gateway has left to those that wait. Only tokens that became
+// free at a live engine count for the delays that refusals state.
 func (l *eventLoop) streamEnded(st *state, now time.Time, service string, tokens int) {
 	if q := st.streamQueues[service]; q != nil {
-		q.queue.Freed(now, tokens)
+		if tokens > 0 {
+			q.queue.Freed(now, tokens)
+		}
 		if q.queue.Len() > 0 {
 			l.dispatch(st, now, q)
 		}
--- a/internal/gateway/stream_queue_test.go
+++ b/internal/gateway/stream_queue_test.go
@@ -12,7 +12,9 @@
 	"bramleygap/internal/core/catalog"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/precedence"
 	"bramleygap/internal/core/relay"
+	"bramleygap/internal/core/retry"
 	"bramleygap/internal/obs"
 	"bramleygap/internal/settings"
 	"bramleygap/internal/wire"
@@ -191,3 +193,82 @@
 		return true
 	})
 }
+
+// Guards against a class from the time of the enqueue: streams that a rollout restricts to other versions would be
+// taken to find no room where the first one finds none.
+func TestRolloutChangesClassOfWaitingStreams(t *testing.T) {
+	c := qt.New(t)
+	g := queueGateway(t)
+	query(g.ctx, g.loop, func(st *state) bool {
+		now := time.Now()
+		st.fleet.BeginStream(now, "e", "", placement.GenerationSize{PromptTokens: 9000})
+		for range 2 {
+			_, w := g.queued(now, "/patient", 10*time.Second)
+			g.loop.enqueueStream(st, now, w)
+		}
+		q := st.streamQueues["s"]
+		offers := func() int {
+			n := 0
+			q.lastDispatch = time.Time{}
+			g.loop.dispatch(st, now, q)
+			q.queue.Dispatch(now, func(*precedence.Waiting, precedence.Offer) precedence.Placing {
+				n++
+				return precedence.NoRoom
+			})
+			return n
+		}
+		c.Check(offers(), qt.Equals, 1)
+		st.orders["s"] = &trackedOrder{}
+		c.Check(offers(), qt.Equals, 2)
+		delete(st.orders, "s")
+		c.Check(offers(), qt.Equals, 1)
+		return true
+	})
+}
+
+// Guards against streams at the end of their wait whose refusal does not say that the retry budget was spent.
+func TestRefusalSaysThatBudgetIsSpent(t *testing.T) {
+	c := qt.New(t)
+	g := queueGateway(t)
+	query(g.ctx, g.loop, func(st *state) bool {
+		now := time.Now()
+		st.budgets["s"] = retry.NewSharedBudget(now, retry.Bounds{Window: time.Minute}, 1)
+		st.fleet.BeginStream(now, "e", "", placement.GenerationSize{PromptTokens: 9000})
+		s, w := g.queued(now, "/patient", 10*time.Second)
+		s.machine.Placed(now, relay.Placement{Target: "other"})
+		s.machine.AttemptFailed(now, relay.Interrupted)
+		c.Assert(s.machine.Arrived(), qt.IsTrue)
+		w.ran = true
+		g.loop.enqueueStream(st, now, w)
+		g.loop.tickQueues(st, now.Add(4*time.Second))
+		p := <-w.result
+		c.Check(p.ok, qt.IsFalse)
+		c.Check(p.budgetSpent, qt.IsTrue)
+		return true
+	})
+}
+
+// Guards against a Retry-After that is too short after a crash: only attempts that ran at a live engine free memory.
+func TestFreedTokensAreOfLiveEngines(t *testing.T) {
+	c := qt.New(t)
+	g := queueGateway(t)
+	query(g.ctx, g.loop, func(st *state) bool {
+		now := time.Now()
+		freed := func(loss relay.Loss, sent bool) int {
+			a := &attempt{size: placement.GenerationSize{PromptTokens: 4000, OutputTokens: 600}, handle: &attemptHandle{}}
+			a.start.Placement.Target = "e"
+			a.reg.ID = "e"
+			a.handle.sent.Store(sent)
+			return a.freedTokens(st, now, loss)
+		}
+		c.Check(freed(0, true), qt.Equals, 4600)
+		c.Check(freed(relay.Stalled, true), qt.Equals, 4600)
+		c.Check(freed(0, false), qt.Equals, 0)
+		for _, loss := range []relay.Loss{relay.Unsent, relay.Refused, relay.Replaced, relay.Interrupted, relay.TargetDown, relay.Failed} {
+			c.Check(freed(loss, true), qt.Equals, 0, qt.Commentf("%s", loss))
+		}
+		st.fleet.MarkDown(now, "e")
+		c.Check(freed(0, true), qt.Equals, 0)
+		return true
+	})
+}
