--- a/internal/core/precedence/queue.go
+++ b/internal/core/precedence/queue.go
@@ -20,6 +20,11 @@
 	// aged: the next one is for that. Without it, the highest rank alone could take all places until such work is
 	// refused, since its objectives are nearer.
 	agedTurn = 3
+	// stallTime is how long nothing is placed, while aged work finds no room, until such work may use the room that is
+	// kept for higher ranks. Without it, room that is kept for work that no target can take would be kept until all
+	// other work is refused. It is shorter than the time from aging to the refusal, which is 1 s with an objective of
+	// 4 s.
+	stallTime = 700 * time.Millisecond
 	// freedWindow is the time over which the rate is taken at which memory becomes free.
 	freedWindow = 5 * time.Second
 	// reportMaxAge is the age beyond which another gateway's report of waiting work does not count.
@@ -28,6 +33,9 @@
 	maxReportedRanks = 16
 	// maxTries bounds the works that are offered for placement in one pass.
 	maxTries = 64
+	// orderedTries bounds those offered in their order. The other tries are for the works that were offered least
+	// recently, and for blocked ones. Without them, works that find no place would hold up those behind them.
+	orderedTries = maxTries / 2
 	// minRetryDelay is the least delay to state in a refusal, without its random part. A lost target recovers or is
 	// replaced within seconds.
 	minRetryDelay = 800 * time.Millisecond
@@ -73,7 +81,7 @@
 
 // Reasons.
 const (
-	// TooLate means that the work cannot end before its deadline any more.
+	// TooLate means that the work has not run and cannot end before its deadline any more.
 	TooLate Reason = iota + 1
 	// WaitedTooLong means that the work found no place within the time that it may wait.
 	WaitedTooLong
@@ -115,6 +123,11 @@
 	// passedAged counts the places in a row that went to other work while aged work of a lower rank waited.
 	passedAged int
 	pass       uint64
+	// largest is the most memory of a target, 0 if it is not known.
+	largest int
+	// stalledSince is when aged work found no room for the first time since the last place was given, zero if it has
+	// not.
+	stalledSince time.Time
 }
 
 type peerReport struct {
@@ -135,7 +148,7 @@
 	if len(q.waiting) >= limit {
 		return false
 	}
-	w.since = now
+	w.since, w.pass = now, q.pass
 	q.waiting = append(q.waiting, &w)
 	return true
 }
@@ -152,6 +165,25 @@
 	}
 }
 
+// SetLargest sets the most memory that a target has, 0 if it is not known. A larger work waits for one whole target,
+// so that no more memory is kept for it.
+func (q *Queue) SetLargest(tokens int) { q.largest = tokens }
+
+// kept returns the tokens of memory to be kept for works with a number of tokens together.
+func (q *Queue) kept(works, tokens int) int {
+	if q.largest > 0 {
+		return min(tokens, works*q.largest)
+	}
+	return tokens
+}
+
+// Reclass replaces the classes of the waiting works.
+func (q *Queue) Reclass(class func(id uint64) uint64) {
+	for _, w := range q.waiting {
+		w.Class = class(w.ID)
+	}
+}
+
 // SetPeer replaces the report of another gateway.
 func (q *Queue) SetPeer(now time.Time, peer string, loads []RankLoad) {
 	if len(loads) == 0 {
@@ -169,7 +201,7 @@
 			continue
 		}
 		load := byRank[w.Work.Rank]
-		load.Rank, load.Streams, load.Tokens = w.Work.Rank, load.Streams+1, load.Tokens+w.Work.Tokens()
+		load.Rank, load.Streams, load.Tokens = w.Work.Rank, load.Streams+1, load.Tokens+q.kept(1, w.Work.Tokens())
 		load.Oldest = max(load.Oldest, now.Sub(w.Work.Arrived))
 		byRank[load.Rank] = load
 	}
@@ -191,7 +223,7 @@
 	rank := work.EffectiveRank(now)
 	for _, w := range q.waiting {
 		if !w.blocked && w.Work.EffectiveRank(now).Compare(rank) < 0 {
-			c.Higher += w.Work.Tokens()
+			c.Higher += q.kept(1, w.Work.Tokens())
 		}
 	}
 	for _, report := range q.peers {
@@ -200,7 +232,7 @@
 		}
 		for _, load := range report.loads {
 			if load.Rank.Compare(rank) < 0 {
-				c.Higher += load.Tokens
+				c.Higher += q.kept(load.Streams, load.Tokens)
 			}
 		}
 	}
@@ -224,23 +256,31 @@
 	// lacking holds the smallest work of each class and rank that found no room. A higher rank may have room where a
 	// lower one that goes first, since it has aged, has none.
 	lacking := map[roomClass]int{}
-	var passed passedOver
-	for range maxTries {
+	var passed []*Waiting
+	rotating := false
+	for try := 0; try < maxTries; try++ {
+		rotating = rotating || try >= orderedTries
 		agedFirst := q.passedAged >= agedTurn
 		class := func(w *Waiting) roomClass {
 			return roomClass{w.Class, w.Work.Rank, w.Work.Rank == Rank{} || agedFirst && w.aged(now)}
 		}
-		w := q.next(now, agedFirst, func(w *Waiting) bool {
+		admits := func(w *Waiting) bool {
 			tokens, known := lacking[class(w)]
-			return w.pass < q.pass && (!known || w.Work.Tokens() < tokens)
-		})
+			return w.pass < q.pass && (rotating || !w.blocked) && (!known || w.Work.Tokens() < tokens)
+		}
+		w := q.next(now, agedFirst, rotating, admits)
+		if w == nil && !rotating {
+			rotating = true
+			w = q.next(now, agedFirst, rotating, admits)
+		}
 		if w == nil {
 			return
 		}
 		w.pass, w.blocked = q.pass, false
 		offer := q.offer(now, &w.Work, class(w).highest)
-		if !offer.AsHighest && w.aged(now) {
-			offer.Higher += passed.above(w.Work.Rank)
+		stalled := !q.stalledSince.IsZero() && now.Sub(q.stalledSince) >= stallTime
+		if !offer.AsHighest && w.aged(now) && !stalled {
+			offer.Higher += q.above(passed, w.Work.Rank)
 		}
 		switch place(w, offer) {
 		case Placed:
@@ -250,6 +290,9 @@
 			q.Remove(w.ID)
 		case NoRoom:
 			passed = append(passed, w)
+			if q.stalledSince.IsZero() && w.aged(now) {
+				q.stalledSince = now
+			}
 			if w.Class != 0 {
 				lacking[class(w)] = w.Work.Tokens()
 			}
@@ -259,25 +302,27 @@
 	}
 }
 
-// passedOver holds the works that found no room in a pass.
-type passedOver []*Waiting
-
-// above returns the tokens of the works whose own rank is higher than a given one. Work that has aged leaves them room
-// too if they go before it: small works would otherwise take the memory that becomes free piece by piece.
-func (p passedOver) above(rank Rank) int {
+// above returns the tokens of those works that found no room in a pass whose own rank is higher than a given one. Work
+// that has aged leaves them room too if they go before it: small works would otherwise take the memory that becomes free
+// piece by piece.
+func (q *Queue) above(passed []*Waiting, rank Rank) int {
 	tokens := 0
-	for _, w := range p {
+	for _, w := range passed {
 		if w.Work.Rank.Compare(rank) < 0 {
-			tokens += w.Work.Tokens()
+			tokens += q.kept(1, w.Work.Tokens())
 		}
 	}
 	return tokens
 }
 
-// next returns the work that goes first among the admitted ones, nil if there is none.
-func (q *Queue) next(now time.Time, agedFirst bool, admits func(*Waiting) bool) *Waiting {
+// next returns the work that goes first among the admitted ones, nil if there is none. If rotating is set, it is among
+// those that were offered least recently.
+func (q *Queue) next(now time.Time, agedFirst, rotating bool, admits func(*Waiting) bool) *Waiting {
 	var first, firstAged *Waiting
 	better := func(w, than *Waiting) bool {
+		if rotating && than != nil && w.pass != than.pass {
+			return w.pass < than.pass
+		}
 		return than == nil || compare(now, &w.Work, &than.Work, cmp.Compare(w.turn, than.turn)) < 0
 	}
 	for _, w := range q.waiting {
@@ -308,6 +353,7 @@
 		q.given[w.Account] = given
 	}
 	given.add(now, w.Work.Tokens())
+	q.stalledSince = time.Time{}
 	q.passedAged++
 	if w.aged(now) || !slices.ContainsFunc(q.waiting, func(other *Waiting) bool { return other.aged(now) }) {
 		q.passedAged = 0
@@ -315,7 +361,10 @@
 }
 
 // Freed records that tokens of this gateway's works became free in the memory of targets.
-func (q *Queue) Freed(now time.Time, tokens int) { q.freed.add(now, tokens) }
+func (q *Queue) Freed(now time.Time, tokens int) {
+	q.freed.add(now, tokens)
+	q.freed.sum(now, freedWindow)
+}
 
 // Expire removes the works that can no longer be served in time or have waited too long, and drops what is too old to
 // count.
@@ -340,7 +389,8 @@
 // overdue returns why a work has to be refused, 0 if it has not.
 func (w *Waiting) overdue(now time.Time) Reason {
 	switch {
-	case w.Work.EarliestEnd(now).After(w.Work.Deadline):
+	// Some more events are of use to a caller that has some already.
+	case !w.Work.Ran && w.Work.EarliestEnd(now).After(w.Work.Deadline):
 		return TooLate
 	case !now.Before(w.waitsUntil()):
 		return WaitedTooLong
@@ -369,7 +419,9 @@
 	}
 	for _, w := range q.waiting {
 		consider(w.waitsUntil())
-		consider(w.Work.Deadline.Add(-w.Work.ToFirst - w.Work.Rest))
+		if !w.Work.Ran {
+			consider(w.Work.Deadline.Add(-w.Work.ToFirst - w.Work.Rest))
+		}
 		if aging := w.Work.Arrived.Add(time.Duration(agingFraction * float64(w.Work.Objective))); aging.After(now) {
 			consider(aging)
 		}
