Send a failed call to another target without waiting for a share there

A gateway with few units has a share at one target only. A call that failed there waited until its deadline. It now takes a single place at another target or ends with its failure. A call that was rejected without running may go to the target with the share again.

--- a/internal/core/placement/paced.go
+++ b/internal/core/placement/paced.go
@@ -30,3 +30,15 @@
 	}
 	return sound
 }
+
+// HasCallShare reports whether a target that may be chosen has a limit above 0 in the query, reached or not.
+func (f *Fleet) HasCallShare(now time.Time, q FleetQuery) bool {
+	limits := q.CallLimits
+	q.CallLimits = nil
+	for _, t := range f.order {
+		if limits[t.reg.ID] > 0 && q.admits(t, now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -156,10 +156,12 @@
 	}
 	limits := q.pacer.Limits()
 	for _, call := range slices.Clone(q.pacer.Order(now)) {
-		if !q.pacer.HasRoom() {
-			return
-		}
 		w := q.waiting[call.ID]
+		// A call that may have run at a target needs another one, where this gateway may have no share.
+		needsOther := len(limits) > 0 && len(w.send.Exclude) > 0 && w.f.machine.MayHaveRun()
+		if !q.pacer.HasRoom() && !needsOther {
+			continue
+		}
 		placed := l.placeCall(st, now, w.f, w.send, w.handle, limits)
 		if placed.noTarget && len(limits) > 0 {
 			continue
@@ -171,6 +173,17 @@
 	}
 }
 
+// singleCallLimits returns limits of one call at each target that accepts calls now.
+func (st *state) singleCallLimits(now time.Time, service string) map[string]int {
+	limits := map[string]int{}
+	for _, t := range st.fleet.CallTargets(now, service) {
+		if !now.Before(t.HeldUntil) {
+			limits[t.ID] = 1
+		}
+	}
+	return limits
+}
+
 // decision returns the label of the metric for a call that waits no more.
 func (w *waitingCall) decision(sent bool) string {
 	switch {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -198,17 +198,23 @@
 	}
 	fleetQuery := placement.FleetQuery{Service: f.req.service, Exclude: e.Exclude}
 	st.restrictVersion(now, &fleetQuery, f.req.versionDraw)
-	if limits != nil && !st.fleet.HasTarget(now, fleetQuery) {
-		if f.machine.MayHaveRun() {
-			return callPlacement{held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
-		}
-		// All targets have rejected the call without running it. It may go to one of them when its turn has come.
+	fleetQuery.CallLimits = limits
+	withoutShare := limits != nil && !st.fleet.HasCallShare(now, fleetQuery)
+	switch {
+	case !withoutShare:
+	case e.Hedge:
+		return callPlacement{noTarget: true}
+	case f.machine.MayHaveRun():
+		// It must go to another target. Waiting for a share there may last until the deadline.
+		fleetQuery.CallLimits = st.singleCallLimits(now, f.req.service)
+	default:
+		// The targets with a share have rejected the call without running it. It may go to one of them again.
 		fleetQuery.Exclude = nil
 	}
-	fleetQuery.CallLimits = limits
 	reg, ok := st.fleet.ChooseCall(now, fleetQuery)
 	if !ok {
-		return callPlacement{noTarget: true, held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
+		mayWait := !withoutShare || !f.machine.MayHaveRun()
+		return callPlacement{noTarget: mayWait, held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
 	}
 	if e.Repeat && !l.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
 		l.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
