End pacing without demand

The average number of calls decays and is never 0, so that each gateway that paced a service counted with one call for ever, and pacing did not end with more gateways than units. Small averages count as 0, and the end of pacing looks at the calls without the least share of each gateway. Gateways that are not heard from count only while others are; while none is, the average stays as it was for 20 s, since TestExchangeCutWhileCallsArePaced fails if pacing ends at a cut. Pacing also ends without targets and without own calls. The average advances with ticks, not with each event.

--- a/internal/core/pacing/pacing.go
+++ b/internal/core/pacing/pacing.go
@@ -31,6 +31,9 @@
 	maxRetryAfter = 5 * time.Second
 	// totalSampleWeight is the weight of a new sample in the average number of all gateways' calls, taken once a tick.
 	totalSampleWeight = 0.1
+	// maxExchangeCut is the time without news of any other gateway for which the average stays what it was. Without
+	// it, pacing ends at a cut of the exchange and the gateways overload the targets.
+	maxExchangeCut = 20 * time.Second
 )
 
 // Pacer paces the calls of one service at one gateway. It is not safe for concurrent use.
@@ -54,8 +57,13 @@
 	total         int
 	// returns is when the first held target accepts calls again, if all are held.
 	returns time.Time
-	// calls is the average number of calls at all gateways.
-	calls float64
+	// known is the number of calls at all gateways, without the least share of each, and calls its average over ticks.
+	known, calls float64
+	// heard is whether another gateway was heard from or there is none, and heardAt when it was last so.
+	heard   bool
+	heardAt time.Time
+	// idleSince is when this gateway's last call of the service ended, zero if it has calls.
+	idleSince time.Time
 }
 
 // New returns a pacer of a service at a gateway.
@@ -114,18 +122,27 @@
 			p.returns = t.HeldUntil
 		}
 	}
-	from, to, total := interval(now, names, p.self, max(1, p.demand.get()), reports, p.key)
+	from, to := interval(now, names, p.self, max(1, p.demand.get()), reports, p.key)
 	p.limits, p.total = limits(now, p.targets, p.units, from, to)
 	p.room = 0
 	for i := range p.targets {
 		p.room += max(0, p.limits[p.targets[i].ID]-p.targets[i].Active)
 	}
-	p.calls += totalSampleWeight * (total - p.calls)
+
+	if p.known, p.heard = knownCalls(now, names, p.self, p.demand.get(), reports, p.key); p.heard || p.heardAt.IsZero() {
+		p.heardAt = now
+	}
+	if p.demand.get() > 0 {
+		p.idleSince = time.Time{}
+	} else if p.idleSince.IsZero() {
+		p.idleSince = now
+	}
 }
 
-// Tick ends the pacing, and reports whether it did, if no target has rejected a call for calmTime and the calls of all
-// gateways fit into the targets' room. Without the second condition, pacing under lasting scarcity would end and begin
-// again with a wave of rejections each time.
+// Tick ends the pacing, and reports whether it did, if no target has rejected a call for calmTime and the calls of
+// all gateways fit into the targets' room, or there is no target, or this gateway has had no calls for calmTime.
+// Without the condition on the room, pacing under lasting scarcity would end and begin again with a wave of rejections
+// each time.
 func (p *Pacer) Tick(now time.Time) bool {
 	for target, until := range p.rejectedUntil {
 		if !now.Before(until) {
@@ -137,7 +154,11 @@
 			delete(p.arrivals, class)
 		}
 	}
-	if !p.evidence.paced || !p.evidence.calm(now) || p.calls > float64(len(p.units)) {
+	if p.heard || now.Sub(p.heardAt) > maxExchangeCut {
+		p.calls += totalSampleWeight * (p.known - p.calls)
+	}
+	idle := !p.idleSince.IsZero() && now.Sub(p.idleSince) >= calmTime
+	if !p.evidence.paced || !p.evidence.calm(now) || len(p.units) > 0 && !idle && p.calls > float64(len(p.units)) {
 		return false
 	}
 	p.evidence.paced = false
--- a/internal/core/pacing/shares.go
+++ b/internal/core/pacing/shares.go
@@ -13,6 +13,9 @@
 // heard of it and what the gateway itself counts with are the same in most rounds.
 const demandTime = 500 * time.Millisecond
 
+// minDemand is the least average that counts. A call of 10 ms each 0.5 s has an average of 0.02.
+const minDemand = 0.01
+
 // demand is the average number of calls of a gateway.
 type demand struct {
 	value float64
@@ -28,8 +31,14 @@
 	d.calls, d.at = calls, now
 }
 
-// get returns the average as it is reported: a gateway that has calls has at least one.
-func (d *demand) get() int { return int(math.Ceil(d.value)) }
+// get returns the average as it is reported: a gateway that has calls has at least one. The average decays and is
+// never 0 by itself.
+func (d *demand) get() int {
+	if d.value < minDemand {
+		return 0
+	}
+	return int(math.Ceil(d.value))
+}
 
 // Target is a target of a service as this gateway sees it.
 type Target struct {
@@ -69,10 +78,28 @@
 	return units
 }
 
-// interval returns the part of the whole that a gateway may use, in the order of the names, and the number of calls of
-// all gateways. Gateways that were not heard from count with the average demand of those that were; if none was,
-// all count the same.
-func interval(now time.Time, names []string, self string, own int, reports *Reports, service ServiceKey) (from, to, total float64) {
+// knownCalls returns the number of calls of all gateways, and false if there are others and none was heard from. Those
+// that were not heard from count with the average of those that were, since most are not in a large installation.
+func knownCalls(now time.Time, names []string, self string, own int, reports *Reports, service ServiceKey) (float64, bool) {
+	sum, heard, others := 0, 0, 0
+	for _, name := range names {
+		if name == self {
+			continue
+		}
+		others++
+		if calls, ok := reports.calls(now, name, service); ok {
+			sum, heard = sum+calls, heard+1
+		}
+	}
+	if heard == 0 {
+		return float64(own), others == 0
+	}
+	return float64(own) + float64(sum)*float64(others)/float64(heard), true
+}
+
+// interval returns the part of the whole that a gateway may use, in the order of the names. Gateways that were not
+// heard from count with the average demand of those that were; if none was, all count the same.
+func interval(now time.Time, names []string, self string, own int, reports *Reports, service ServiceKey) (from, to float64) {
 	sum, heard := 0, 0
 	for _, name := range names {
 		if calls, ok := reports.calls(now, name, service); ok && name != self {
@@ -83,7 +110,7 @@
 	if heard > 0 {
 		average = float64(sum) / float64(heard)
 	}
-	begin, end := 0.0, 0.0
+	begin, end, total := 0.0, 0.0, 0.0
 	for _, name := range names {
 		calls, ok := reports.calls(now, name, service)
 		switch {
@@ -97,9 +124,9 @@
 		}
 	}
 	if total <= 0 {
-		return 0, 1, 0
+		return 0, 1
 	}
-	return begin / total, end / total, total
+	return begin / total, end / total
 }
 
 // limits returns how many calls this gateway may have at each target, given its part of the units. A gateway with less
