Give no share of calls to a failing target that is due for a trial

A paced service counted a failing target as sound while its trial was due, so that a whole share of calls waited for it. It now has room for one more call than it has. Further attempts of a call are no trials, and do not go to a failing target while the sound ones are full.

--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -154,7 +155,11 @@
 			Dur("retry_after", delay).Msg("call is not sent: it cannot be answered before its deadline")
 		l.endWait(q, w, "refused", callPlacement{refusedFor: delay})
 	}
-	limits := q.pacer.Limits()
+	limits, trialLimits := q.pacer.Limits(), q.pacer.Limits()
+	if trials := st.fleet.CallTrials(now, q.service); len(trials) > 0 && len(limits) > 0 {
+		trialLimits = maps.Clone(limits)
+		maps.Copy(trialLimits, trials)
+	}
 	for _, call := range slices.Clone(q.pacer.Order(now)) {
 		w := q.waiting[call.ID]
 		// A call that may have run at a target needs another one, where this gateway may have no share.
@@ -162,7 +167,12 @@
 		if !q.pacer.HasRoom() && !needsOther {
 			continue
 		}
-		placed := l.placeCall(st, now, w.f, w.send, w.handle, limits)
+		callLimits := trialLimits
+		if len(w.send.Exclude) > 0 {
+			// A further attempt may be the last one of its call and is no trial.
+			callLimits = limits
+		}
+		placed := l.placeCall(st, now, w.f, w.send, w.handle, callLimits)
 		if placed.noTarget && len(limits) > 0 {
 			continue
 		}
--- a/internal/gateway/call_queue_share_test.go
+++ b/internal/gateway/call_queue_share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"bramleygap/internal/core/catalog"
 	"bramleygap/internal/core/forward"
 	"bramleygap/internal/core/pacing"
+	"bramleygap/internal/core/placement"
 )
 
 // pacedGateway returns a gateway that has a share at one of three targets only, and the ID of that target.
@@ -76,3 +78,53 @@
 		})
 	}
 }
+
+// Guards against a trial of a failing target that takes a whole share of calls, and against a failing target that gets
+// the further attempt of a call while sound ones are full.
+func TestTrialOfPacedTargetTakesNoShare(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		t.Run(fmt.Sprint("again ", again), func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Now()
+			gateway := newControlGateway(controlSize{gateways: 1, targets: 3}, 0)
+			st, g, failing := gateway.st, gateway.peers.g, controlTargetID(0)
+			st.settings.Bounds.RetrySlack = 1e6
+			for range 3 {
+				st.fleet.BeginCall(failing)
+				st.fleet.EndCall(now.Add(-30*time.Second), failing, 0, true)
+			}
+			for range 10 {
+				reg, _ := st.fleet.ChooseCall(now.Add(-29*time.Second), placement.FleetQuery{Service: "s"})
+				c.Assert(reg.ID, qt.Not(qt.Equals), failing)
+			}
+			q := &callQueue{service: "s", pacer: pacing.New(controlGatewayName(0), "s"), waiting: map[uint64]*waitingCall{}}
+			st.calls.byService["s"] = q
+			q.pacer.Observe(now.Add(-time.Second), controlTargetID(1), true)
+			g.loop.updatePacer(st, now, q)
+			c.Check(q.pacer.Limits()[failing], qt.Equals, 0, qt.Commentf("share of the failing target"))
+			c.Check(st.fleet.CallTrials(now, "s"), qt.DeepEquals, map[string]int{failing: 1})
+			counts := map[string]int{}
+			for range 400 {
+				f, send := pacedCall(g, now)
+				if again {
+					f.machine.TargetChosen(controlTargetID(1))
+					send = f.machine.AttemptEnded(now, send.Attempt, forward.Refused)[0].(forward.Send)
+				}
+				waiting := g.loop.enqueueCall(st, now, q, f, send, &attemptHandle{cancel: func() {}})
+				select {
+				case placed := <-waiting.waiting.placed:
+					counts[placed.reg.ID]++
+				default:
+				}
+			}
+			c.Check(counts[controlTargetID(2)] > 0, qt.IsTrue)
+			if again {
+				c.Check(counts[failing], qt.Equals, 0)
+			} else {
+				// One call in five may be a trial.
+				sound := counts[controlTargetID(1)] + counts[controlTargetID(2)]
+				c.Check(counts[failing] > 0 && counts[failing] <= 1+sound/5, qt.IsTrue, qt.Commentf("%v", counts))
+			}
+		})
+	}
+}
