Count only attempts that judge a target among its recent ones

Refused, withheld and abandoned attempts, and those whose client has left, counted as successes and cleared the failing state of a target. They say nothing about whether it fails its calls. The decaying failure rate is updated as before.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -549,6 +549,16 @@
 // EndCall records the end of a short call. A latency of 0 means that the call says nothing
 // about the target's speed.
 func (f *Fleet) EndCall(now time.Time, id string, latency time.Duration, failed bool) {
+	f.endCall(now, id, latency, failed)
+	if t := f.targets[id]; t != nil {
+		t.recent.add(now, failed)
+	}
+}
+
+// EndCallWithoutVerdict records the end of a short call that does not tell whether the target fails its calls.
+func (f *Fleet) EndCallWithoutVerdict(now time.Time, id string) { f.endCall(now, id, 0, false) }
+
+func (f *Fleet) endCall(now time.Time, id string, latency time.Duration, failed bool) {
 	t := f.targets[id]
 	if t == nil {
 		return
@@ -559,7 +569,6 @@
 		sample = 1
 	}
 	t.failures.add(now, sample, failureWeight)
-	t.recent.add(now, failed)
 	if latency > 0 {
 		t.latency += time.Duration(latencyWeight * float64(latency-t.latency))
 		t.latencyAt = now
--- a/internal/core/placement/recent_failures_test.go
+++ b/internal/core/placement/recent_failures_test.go
@@ -92,6 +92,20 @@
 	c.Check(tried, qt.HasLen, 5)
 }
 
+// Guards against a failing target that counts as sound after a call that was refused, withheld or abandoned.
+func TestCallWithoutVerdictKeepsTargetFailing(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g", engines(2))
+	endCalls(f, "e00", 4, 0, true)
+	at := now.Add(time.Minute)
+	f.BeginCall("e00")
+	f.EndCallWithoutVerdict(at, "e00")
+	c.Check(f.CallTargets(at, "s"), qt.HasLen, 1)
+	c.Check(f.targets["e00"].activeCalls, qt.Equals, 0)
+	f.EndCall(at, "e00", time.Millisecond, false)
+	c.Check(f.CallTargets(at, "s"), qt.HasLen, 2)
+}
+
 // BenchmarkCallTargets measures the list of the targets whose room is shared, with one choice among them.
 func BenchmarkCallTargets(b *testing.B) {
 	f := newFleet("g", engines(1100))
--- a/internal/gateway/call_queue_share_test.go
+++ b/internal/gateway/call_queue_share_test.go
@@ -128,3 +128,29 @@
 		})
 	}
 }
+
+// Guards against attempts that count as successes of their target although they say nothing about it.
+func TestResultsThatJudgeTarget(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		result               forward.Result
+		withheld, clientLeft bool
+		want                 bool
+	}{
+		{forward.Success, false, false, true},
+		{forward.Success, false, true, true},
+		{forward.TargetError, false, false, true},
+		{forward.TargetError, false, true, false},
+		{forward.Unknown, false, false, true},
+		{forward.Unknown, false, true, false},
+		{forward.Unsent, false, false, true},
+		{forward.Unsent, true, false, false},
+		{forward.Unsent, false, true, false},
+		{forward.Refused, false, false, false},
+		{forward.Replaced, false, false, false},
+		{forward.ClientError, false, false, false},
+	} {
+		r := attemptResult{result: test.result, withheld: test.withheld}
+		c.Check(r.judgesTarget(test.clientLeft), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -40,6 +40,20 @@
 	withheld bool
 }
 
+// judgesTarget reports whether the result tells whether the target fails its calls. After the client has left, only a
+// success does.
+func (r *attemptResult) judgesTarget(clientLeft bool) bool {
+	switch r.result {
+	case forward.Success:
+		return true
+	case forward.TargetError, forward.Unknown:
+		return !clientLeft
+	case forward.Unsent:
+		return !clientLeft && !r.withheld
+	}
+	return false
+}
+
 // callForwarder forwards one non-streaming request.
 type callForwarder struct {
 	g         *Gateway
@@ -271,7 +285,11 @@
 		if r.result.Ran() {
 			st.observeAttempt(now, reg, f.req.route.Name, took, failed)
 		}
-		st.fleet.EndCall(now, reg.ID, latency, failed)
+		if r.judgesTarget(f.req.ctx.Err() != nil) {
+			st.fleet.EndCall(now, reg.ID, latency, failed)
+		} else {
+			st.fleet.EndCallWithoutVerdict(now, reg.ID)
+		}
 		if r.result == forward.Replaced {
 			st.fleet.MarkReplaced(time.Now(), reg.ID)
 		}
