Count a full queue of the event loop as its delay

The message that measures the delay does not get into a full queue, and the sample reported no delay. It now reports the time since the first failed try.

--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -41,6 +41,9 @@
 	// sentToLoop is when the message was sent that the event loop has not handled yet, in ns since the gateway's
 	// start; 0 for none.
 	sentToLoop atomic.Int64
+	// queueFullSince is when the first message was not sent because the event loop's queue is full, zero if the last
+	// one was sent. It belongs to the task that takes samples.
+	queueFullSince time.Time
 	// boundsWriters is set if clients that accept nothing lose their streams.
 	boundsWriters bool
 }
@@ -177,9 +180,14 @@
 	}
 	select {
 	case c.g.loop.queue <- handle:
+		c.queueFullSince = time.Time{}
 	default:
 		// The queue is full. The next sample tries again.
 		c.sentToLoop.Store(0)
+		if c.queueFullSince.IsZero() {
+			c.queueFullSince = now
+		}
+		delay = max(delay, now.Sub(c.queueFullSince))
 	}
 	return delay
 }
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -53,6 +53,23 @@
 	c.Check(strings.Count(output.String(), "\n"), qt.Equals, 2, qt.Commentf("%s", &output))
 }
 
+// Guards against a full queue of the event loop that counts as no delay.
+func TestFullEventQueueCountsAsDelay(t *testing.T) {
+	c := qt.New(t)
+	g := newControlGateway(controlSize{gateways: 1, targets: 1}, 0).peers.g
+	now := time.Now()
+	g.startedAt, g.capacity.g = now.Add(-time.Minute), g
+	for range cap(g.loop.queue) - len(g.loop.queue) {
+		g.loop.queue <- func(*state) {}
+	}
+	for i, want := range []time.Duration{0, time.Second, 2 * time.Second} {
+		c.Check(g.capacity.eventLoopDelay(now.Add(time.Duration(i)*time.Second)), qt.Equals, want)
+	}
+	<-g.loop.queue
+	c.Check(g.capacity.eventLoopDelay(now.Add(3*time.Second)), qt.Equals, time.Duration(0))
+	c.Check(g.capacity.queueFullSince.IsZero(), qt.IsTrue)
+}
+
 // Scenario: 200 clients stop reading their streams. Guards against streams that are held for them without end, and
 // against bytes that the gauge does not show.
 func Test200ClientsThatStopReading(t *testing.T) {
