--- a/internal/core/capacity/capacity.go
+++ b/internal/core/capacity/capacity.go
@@ -125,7 +125,9 @@
 		m.linkFullSince = s.At.Add(-interval)
 	}
 	m.held = count(m.held, held >= highHeld)
-	low := s.Delay < lowDelay && link < lowLink && held < lowHeld
+	// Without a known share, the delay says nothing, as in observeDelay.
+	onTime := s.Delay < lowDelay || m.limits.Processor <= 0
+	low := onTime && link < lowLink && held < lowHeld
 	if !low {
 		m.lowSince = time.Time{}
 	} else if m.lowSince.IsZero() {
--- a/internal/core/capacity/capacity_test.go
+++ b/internal/core/capacity/capacity_test.go
@@ -102,3 +102,22 @@
 		c.Check(state.Reason, qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against a gateway without a known share of the processor that stays full because of its delay, which says
+// nothing there.
+func TestFullLinkEndsWithoutRegardToDelay(t *testing.T) {
+	c := qt.New(t)
+	m, at := NewMonitor(start, Limits{Link: 1e6}), start
+	observe := func(sent int64) State {
+		at = at.Add(100 * time.Millisecond)
+		return m.Observe(&Sample{At: at, Sent: sent, Delay: 150 * time.Millisecond})
+	}
+	for range 20 {
+		observe(100_000)
+	}
+	c.Assert(observe(100_000).Reason, qt.Equals, Link)
+	for range 5 {
+		c.Check(observe(0).Reason, qt.Equals, Link)
+	}
+	c.Check(observe(0).Reason, qt.Equals, None)
+}
