--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -154,13 +155,24 @@
 			Dur("retry_after", delay).Msg("call is not sent: it cannot be answered before its deadline")
 		l.endWait(q, w, "refused", callPlacement{refusedFor: delay})
 	}
-	limits := q.pacer.Limits()
+	limits, trialLimits := q.pacer.Limits(), q.pacer.Limits()
+	if trials := st.fleet.CallTrials(now, q.service); len(trials) > 0 && len(limits) > 0 {
+		trialLimits = maps.Clone(limits)
+		maps.Copy(trialLimits, trials)
+	}
 	for _, call := range slices.Clone(q.pacer.Order(now)) {
-		if !q.pacer.HasRoom() {
-			return
-		}
 		w := q.waiting[call.ID]
-		placed := l.placeCall(st, now, w.f, w.send, w.handle, limits)
+		// A call that may have run at a target needs another one, where this gateway may have no share.
+		needsOther := len(limits) > 0 && len(w.send.Exclude) > 0 && w.f.machine.MayHaveRun()
+		if !q.pacer.HasRoom() && !needsOther {
+			continue
+		}
+		callLimits := trialLimits
+		if len(w.send.Exclude) > 0 {
+			// A further attempt may be the last one of its call and is no trial.
+			callLimits = limits
+		}
+		placed := l.placeCall(st, now, w.f, w.send, w.handle, callLimits)
 		if placed.noTarget && len(limits) > 0 {
 			continue
 		}
@@ -171,6 +183,17 @@
 	}
 }
 
+// singleCallLimits returns limits of one call at each target that accepts calls now.
+func (st *state) singleCallLimits(now time.Time, service string) map[string]int {
+	limits := map[string]int{}
+	for _, t := range st.fleet.CallTargets(now, service) {
+		if !now.Before(t.HeldUntil) {
+			limits[t.ID] = 1
+		}
+	}
+	return limits
+}
+
 // decision returns the label of the metric for a call that waits no more.
 func (w *waitingCall) decision(sent bool) string {
 	switch {
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -40,6 +40,20 @@
 	withheld bool
 }
 
+// judgesTarget reports whether the result tells whether the target fails its calls. After the client has left, only a
+// success does.
+func (r *attemptResult) judgesTarget(clientLeft bool) bool {
+	switch r.result {
+	case forward.Success:
+		return true
+	case forward.TargetError, forward.Unknown:
+		return !clientLeft
+	case forward.Unsent:
+		return !clientLeft && !r.withheld
+	}
+	return false
+}
+
 // callForwarder forwards one non-streaming request.
 type callForwarder struct {
 	g         *Gateway
@@ -198,17 +212,23 @@
 	}
 	fleetQuery := placement.FleetQuery{Service: f.req.service, Exclude: e.Exclude}
 	st.restrictVersion(now, &fleetQuery, f.req.versionDraw)
-	if limits != nil && !st.fleet.HasTarget(now, fleetQuery) {
-		if f.machine.MayHaveRun() {
-			return callPlacement{held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
-		}
-		// All targets have rejected the call without running it. It may go to one of them when its turn has come.
+	fleetQuery.CallLimits = limits
+	withoutShare := limits != nil && !st.fleet.HasCallShare(now, fleetQuery)
+	switch {
+	case !withoutShare:
+	case e.Hedge:
+		return callPlacement{noTarget: true}
+	case f.machine.MayHaveRun():
+		// It must go to another target. Waiting for a share there may last until the deadline.
+		fleetQuery.CallLimits = st.singleCallLimits(now, f.req.service)
+	default:
+		// The targets with a share have rejected the call without running it. It may go to one of them again.
 		fleetQuery.Exclude = nil
 	}
-	fleetQuery.CallLimits = limits
 	reg, ok := st.fleet.ChooseCall(now, fleetQuery)
 	if !ok {
-		return callPlacement{noTarget: true, held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
+		mayWait := !withoutShare || !f.machine.MayHaveRun()
+		return callPlacement{noTarget: mayWait, held: st.heldPlacement(now, fleetQuery, callRetryAfter)}
 	}
 	if e.Repeat && !l.budget(st, now, f.req.service).TakeRetry(st.inflightStreams[f.req.service]) {
 		l.metrics.retriesRefused.WithLabelValues(f.req.service).Inc()
@@ -265,7 +285,11 @@
 		if r.result.Ran() {
 			st.observeAttempt(now, reg, f.req.route.Name, took, failed)
 		}
-		st.fleet.EndCall(now, reg.ID, latency, failed)
+		if r.judgesTarget(f.req.ctx.Err() != nil) {
+			st.fleet.EndCall(now, reg.ID, latency, failed)
+		} else {
+			st.fleet.EndCallWithoutVerdict(now, reg.ID)
+		}
 		if r.result == forward.Replaced {
 			st.fleet.MarkReplaced(time.Now(), reg.ID)
 		}
