Count and log impossible values in reports of other gateways in one place

Reports of waiting streams, speeds, calls and retry tokens had a counter and a log line each; bramleygap_gateway_invalid_reports_total{report} has all of them.

--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -16,17 +16,12 @@
 	"bramleygap/internal/wire"
 )
 
-// ignoredReportInterval is the least time between two log lines about ignored reports.
-const ignoredReportInterval = time.Second
-
 // callQueues holds the pacing of calls at plain services. It is part of the event loop's state.
 type callQueues struct {
 	byService map[string]*callQueue
 	reports   *pacing.Reports
 	rng       *rand.Rand
 	nextID    uint64
-	// lastIgnored is when an ignored report was last logged.
-	lastIgnored time.Time
 }
 
 func newCallQueues(rng *rand.Rand) *callQueues {
@@ -301,12 +296,7 @@
 			loads[pacing.ServiceKey(load.Service)] = pacing.Load{Active: int(load.Active), Waiting: int(load.Waiting)}
 		}
 	}
-	if st.calls.reports.Set(now, remote.Name, loads) {
-		return
-	}
-	l.metrics.callReportsIgnored.Inc()
-	if now.Sub(st.calls.lastIgnored) >= ignoredReportInterval {
-		st.calls.lastIgnored = now
-		l.log.Warn().Str("peer", remote.Name).Int("services", len(remote.CallLoads)).Msg("calls reported by a gateway are out of range; ignoring them")
+	if !st.calls.reports.Set(now, remote.Name, loads) {
+		l.ignoreInvalid(st, now, remote.Name, "calls", 1)
 	}
 }
--- a/internal/gateway/call_queue_test.go
+++ b/internal/gateway/call_queue_test.go
@@ -35,6 +35,6 @@
 	for range 3 {
 		l.mergeCallLoads(st, now, remote)
 	}
-	c.Check(counterValue(c, registry, "bramleygap_gateway_call_reports_ignored_total"), qt.Equals, 3.0)
-	c.Check(strings.Count(output.String(), "out of range"), qt.Equals, 1)
+	c.Check(counterValue(c, registry, "bramleygap_gateway_invalid_reports_total"), qt.Equals, 3.0)
+	c.Check(strings.Count(output.String(), "impossible values"), qt.Equals, 1)
 }
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -118,8 +118,8 @@
 	// streamQueues holds the queues of the ranked services, and lastQueued the last id in them.
 	streamQueues map[string]*streamQueue
 	lastQueued   uint64
-	// invalidReportLogged is when a report of another gateway with impossible values was last logged.
-	invalidReportLogged time.Time
+	// invalidReportsLogged holds when impossible values of other gateways were last logged, by the kind of report.
+	invalidReportsLogged map[string]time.Time
 	// calls holds the calls that wait for their turn, and what other gateways reported about theirs.
 	calls  *callQueues
 	speeds speedReports
@@ -164,32 +164,33 @@
 func (l *eventLoop) newState(now time.Time) *state {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	st := &state{
-		settings:        l.options.Settings,
-		registrations:   map[string]membership.Registration{},
-		registry:        membership.NewRegistry(),
-		fleet:           placement.NewFleet(l.options.Settings.Name, l.options.Settings.Zone, rng),
-		budgets:         map[string]*retry.SharedBudget{},
-		gatewayCount:    1,
-		peakGateways:    retry.PeakCount{Memory: gatewayCountMemory},
-		startedAt:       now,
-		inflightStreams: map[string]int{},
-		latencies:       map[string]*retry.Estimate{},
-		completions:     map[string]*placement.Completion{},
-		suspects:        suspect.NewTracker(),
-		suspectExchange: suspectExchange{merged: map[string]mergedSuspects{}, sent: map[string]uint64{}},
-		attempts:        map[string]map[*attemptHandle]struct{}{},
-		outages:         placement.NewOutages(),
-		stopTimes:       map[string]time.Time{},
-		orders:          map[string]*trackedOrder{},
-		baselines:       map[string]*evidence.Baseline{},
-		evidence:        evidence.NewCounters(l.options.Settings.Name, rng.Uint64()),
-		calls:           newCallQueues(rng),
-		runIndex:        runindex.New(),
-		activeRuns:      map[string]*activeRun{},
-		streamQueues:    map[string]*streamQueue{},
-		lastTick:        now,
-		tableNews:       make(chan struct{}),
-		partNews:        make(chan struct{}),
+		settings:             l.options.Settings,
+		registrations:        map[string]membership.Registration{},
+		registry:             membership.NewRegistry(),
+		fleet:                placement.NewFleet(l.options.Settings.Name, l.options.Settings.Zone, rng),
+		budgets:              map[string]*retry.SharedBudget{},
+		gatewayCount:         1,
+		peakGateways:         retry.PeakCount{Memory: gatewayCountMemory},
+		startedAt:            now,
+		inflightStreams:      map[string]int{},
+		latencies:            map[string]*retry.Estimate{},
+		completions:          map[string]*placement.Completion{},
+		suspects:             suspect.NewTracker(),
+		suspectExchange:      suspectExchange{merged: map[string]mergedSuspects{}, sent: map[string]uint64{}},
+		attempts:             map[string]map[*attemptHandle]struct{}{},
+		outages:              placement.NewOutages(),
+		stopTimes:            map[string]time.Time{},
+		orders:               map[string]*trackedOrder{},
+		baselines:            map[string]*evidence.Baseline{},
+		evidence:             evidence.NewCounters(l.options.Settings.Name, rng.Uint64()),
+		calls:                newCallQueues(rng),
+		runIndex:             runindex.New(),
+		activeRuns:           map[string]*activeRun{},
+		invalidReportsLogged: map[string]time.Time{},
+		streamQueues:         map[string]*streamQueue{},
+		lastTick:             now,
+		tableNews:            make(chan struct{}),
+		partNews:             make(chan struct{}),
 	}
 	for i := range st.tables {
 		st.tables[i] = replica.NewTable()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,13 +54,11 @@
 	stalledClients    prometheus.Counter
 	undeliveredBodies prometheus.Counter
 	// The metrics of paced calls.
-	pacedCalls         *prometheus.CounterVec
-	callReportsIgnored prometheus.Counter
-	pacedServices      prometheus.Gauge
-	callsWaiting       prometheus.Gauge
-	speedSamples       *prometheus.CounterVec
-	speedsIgnored      prometheus.Counter
-	speedsInUse        *prometheus.GaugeVec
+	pacedCalls    *prometheus.CounterVec
+	pacedServices prometheus.Gauge
+	callsWaiting  prometheus.Gauge
+	speedSamples  *prometheus.CounterVec
+	speedsInUse   *prometheus.GaugeVec
 }
 
 // latencyBuckets, in seconds, range from a response within the zone to the longest stream.
@@ -88,7 +86,7 @@
 		attempts:          counterVec("call_attempts_total", "Attempts of short calls by result.", "result"),
 		losses:            counterVec("stream_losses_total", "Attempts of streams that ended without completing, by loss.", "loss"),
 		retriesRefused:    counterVec("retries_refused_total", "Retries not made because the budget was spent.", "service"),
-		retryTransfers:    counterVec("retry_tokens_total", "Tokens of the retry budget that gateways gave each other, by direction; invalid counts answers with more than was asked for.", "direction"),
+		retryTransfers:    counterVec("retry_tokens_total", "Tokens of the retry budget that gateways gave each other, by direction.", "direction"),
 		capacityDecisions: counterVec("capacity_decisions_total", "New requests that arrived while the gateway was full, by what happened to them and by reason.", "decision", "reason"),
 		capacityFull: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramleygap_gateway_full", Help: "1 while the gateway is full and refuses most new requests, by reason.",
@@ -112,7 +110,6 @@
 		queueRefusals:     counterVec("stream_queue_refusals_total", "Streams of ranked services that left the queue without a place, by reason.", "reason"),
 		invalidReports:    counterVec("invalid_reports_total", "Impossible values in reports of other gateways, by kind of report.", "report"),
 		speedSamples:      counterVec("speed_samples_total", "Samples of the lasting speeds of targets, by kind and by what became of them.", "kind", "outcome"),
-		speedsIgnored:     counter("speeds_ignored_total", "Impossible speeds in messages of other gateways."),
 		connections:       counter("target_connections_total", "New connections to targets."),
 		strayResponses:    counter("stray_answers_total", "Answers of targets that belong to another request."),
 		targetsDown:       counter("targets_down_total", "Targets found unreachable."),
@@ -139,16 +136,15 @@
 		speedsInUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramleygap_gateway_speeds_in_use", Help: "1 while the choice among a service's targets regards their measured speeds.",
 		}, []string{"service"}),
-		pacedCalls:         counterVec("paced_calls_total", "Attempts of calls at services whose calls wait for this gateway's share, by decision.", "decision"),
-		callReportsIgnored: counter("call_reports_ignored_total", "Reports of other gateways about their calls with values out of range."),
-		pacedServices:      gauge("paced_services", "Plain services whose calls wait for this gateway's share of the targets."),
-		callsWaiting:       gauge("calls_waiting", "Calls that wait for this gateway's share of the targets."),
-		targetCrashes:      counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
+		pacedCalls:    counterVec("paced_calls_total", "Attempts of calls at services whose calls wait for this gateway's share, by decision.", "decision"),
+		pacedServices: gauge("paced_services", "Plain services whose calls wait for this gateway's share of the targets."),
+		callsWaiting:  gauge("calls_waiting", "Calls that wait for this gateway's share of the targets."),
+		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
 		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.invalidReports,
 		m.retryTransfers, m.capacityDecisions, m.capacityFull, m.stalledClients, m.undeliveredBodies,
-		m.pacedCalls, m.callReportsIgnored, m.pacedServices, m.callsWaiting, m.speedSamples, m.speedsIgnored, m.speedsInUse)
+		m.pacedCalls, m.pacedServices, m.callsWaiting, m.speedSamples, m.speedsInUse)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -388,7 +388,7 @@
 		return "", err
 	}
 	p.g.loop.post(ctx, func(st *state) {
-		p.receiveRetryTokens(st, local, remote)
+		p.receiveRetryTokens(st, time.Now(), local, remote)
 		p.mergeAnswer(st, remote, address, start)
 		if kind.held {
 			st.recordSentSuspects(address)
--- a/internal/gateway/retry_tokens.go
+++ b/internal/gateway/retry_tokens.go
@@ -51,13 +51,11 @@
 
 // receiveRetryTokens adds the tokens of an answer to the budgets. An answer that gives more than was asked for is of a
 // faulty gateway and gives nothing.
-func (p *peers) receiveRetryTokens(st *state, request, answer *wire.GatewayState) {
+func (p *peers) receiveRetryTokens(st *state, now time.Time, request, answer *wire.GatewayState) {
 	for _, given := range answer.RetryTokens {
 		i := slices.IndexFunc(request.RetryTokens, func(wanted *wire.RetryTokens) bool { return wanted.Service == given.Service })
 		if i < 0 || given.Tokens > request.RetryTokens[i].Tokens {
-			p.g.metrics.retryTransfers.WithLabelValues("invalid").Inc()
-			p.g.log.Warn().Str("peer", answer.Name).Str("service", given.Service).Uint32("tokens", given.Tokens).
-				Msg("gateway gives more retry tokens than were asked for; ignored")
+			p.g.loop.ignoreInvalid(st, now, answer.Name, "retry_tokens", 1)
 			continue
 		}
 		if budget := st.budgets[given.Service]; budget != nil {
--- a/internal/gateway/retry_tokens_test.go
+++ b/internal/gateway/retry_tokens_test.go
@@ -34,7 +34,7 @@
 		before := other.st.budgets["s"].Tokens()
 		request := short.peers.request(short.st, "other", exchangeKind{})
 		answer := other.peers.answer(other.st, request, time.Now(), exchangeKind{})
-		short.peers.receiveRetryTokens(short.st, request, answer)
+		short.peers.receiveRetryTokens(short.st, time.Now(), request, answer)
 		c.Check(short.st.budgets["s"].TakeResume(), qt.Equals, share)
 		spent := before - other.st.budgets["s"].Tokens()
 		c.Check(spent > 0.9, qt.Equals, share, qt.Commentf("%.2f tokens left the giver", spent))
@@ -48,7 +48,7 @@
 	short, other := retryGateways(true)
 	request := short.peers.request(short.st, "other", exchangeKind{})
 	for _, answer := range []*wire.RetryTokens{{Service: "s", Tokens: 60}, {Service: "unknown", Tokens: 1}} {
-		short.peers.receiveRetryTokens(short.st, request, &wire.GatewayState{RetryTokens: []*wire.RetryTokens{answer}})
+		short.peers.receiveRetryTokens(short.st, time.Now(), request, &wire.GatewayState{RetryTokens: []*wire.RetryTokens{answer}})
 	}
 	c.Check(short.st.budgets["s"].TakeResume(), qt.IsFalse)
 	other.peers.answer(other.st, &wire.GatewayState{RetryTokens: []*wire.RetryTokens{{Service: "made-up", Tokens: 4}}}, time.Now(), exchangeKind{})
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -11,8 +11,6 @@
 const (
 	// speedEvaluationInterval is the time between two evaluations of the measured speeds.
 	speedEvaluationInterval = 500 * time.Millisecond
-	// impossibleSpeedsInterval is the least time between two log lines about impossible values.
-	impossibleSpeedsInterval = time.Second
 	// slowDelivery is the time to pass an event on from which on the next gap counts for the client, not for the target.
 	slowDelivery = 5 * time.Millisecond
 )
@@ -22,9 +20,6 @@
 	evaluatedAt time.Time
 	// counted holds the samples that are in the metrics.
 	counted placement.SampleCounts
-	// impossible is the number of impossible values since the last log line.
-	impossible int
-	loggedAt   time.Time
 }
 
 // configurePlacement applies the settings of the choice of targets.
@@ -70,15 +65,7 @@
 	if ok {
 		impossible = st.fleet.MergeSpeeds(records)
 	}
-	if impossible == 0 {
-		return
-	}
-	l.metrics.speedsIgnored.Add(float64(impossible))
-	st.speeds.impossible += impossible
-	if now.Sub(st.speeds.loggedAt) >= impossibleSpeedsInterval {
-		l.log.Warn().Str("gateway", remote.Name).Int("values", st.speeds.impossible).Msg("impossible speeds in a message of another gateway; ignoring them")
-		st.speeds.loggedAt, st.speeds.impossible = now, 0
-	}
+	l.ignoreInvalid(st, now, remote.Name, "speeds", impossible)
 }
 
 // permille is the unit of speeds in messages.
--- a/internal/gateway/speeds_test.go
+++ b/internal/gateway/speeds_test.go
@@ -62,11 +62,12 @@
 	faulty := speedsOf(3).PackedSpeeds
 	faulty.Starts = faulty.Starts[:2]
 	next.mergeSpeeds(third, now, &wire.GatewayState{PackedSpeeds: faulty})
-	c.Check(third.speeds.impossible, qt.Equals, 0, qt.Commentf("the first fault is not logged at once"))
+	c.Check(third.invalidReportsLogged["speeds"], qt.Equals, now, qt.Commentf("the first fault is not logged at once"))
 	huge := speedsOf(3).PackedSpeeds
 	huge.PrefillPermille[1], huge.PrefillSamples[1] = 1<<31, 1000
-	next.mergeSpeeds(third, now, &wire.GatewayState{PackedSpeeds: huge})
-	c.Check(third.speeds.impossible, qt.Equals, 1, qt.Commentf("a second line within a second"))
+	next.mergeSpeeds(third, now.Add(time.Second/2), &wire.GatewayState{PackedSpeeds: huge})
+	c.Check(third.invalidReportsLogged["speeds"], qt.Equals, now, qt.Commentf("a second line within a second"))
+	c.Check(counted(c, next.metrics.invalidReports), qt.Equals, 2.0)
 	next.evaluateSpeeds(third, now.Add(time.Second))
 	c.Check(third.fleet.SpeedsInUse("s"), qt.IsTrue)
 }
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -26,8 +26,6 @@
 	// maxReportedCount what one may state.
 	maxWaitingReports = 256
 	maxReportedCount  = 1 << 30
-	// invalidReportLogInterval is the least time between two log lines about messages with impossible values.
-	invalidReportLogInterval = time.Second
 )
 
 // streamQueue holds the streams of one ranked service that wait for a place. The event loop owns it.
@@ -403,14 +401,7 @@
 	for _, q := range st.streamQueues {
 		q.queue.SetPeer(now, remote.Name, loads[serviceKey(q.service)])
 	}
-	if invalid == 0 {
-		return
-	}
-	l.metrics.invalidReports.WithLabelValues("waiting").Add(float64(invalid))
-	if now.Sub(st.invalidReportLogged) >= invalidReportLogInterval {
-		st.invalidReportLogged = now
-		l.log.Warn().Str("peer", remote.Name).Int("entries", invalid).Msg("report of another gateway has impossible values; ignoring them")
-	}
+	l.ignoreInvalid(st, now, remote.Name, "waiting", invalid)
 }
 
 // reportPriorities logs and counts the priorities of a new version of the desired state that are out of range.
