Give calls that waited for their turn their time to seek a target

The time for which a call seeks a target began before its wait for its turn, so that it was over afterwards. Calls whose client has left are no longer placed, and a call that was not sent gives back its trial of a rejected request.

--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -162,6 +162,10 @@
 	}
 	for _, call := range slices.Clone(q.pacer.Order(now)) {
 		w := q.waiting[call.ID]
+		if w.f.req.ctx.Err() != nil {
+			l.endWait(q, w, "left", callPlacement{noTarget: true})
+			continue
+		}
 		// A call that may have run at a target needs another one, where this gateway may have no share.
 		needsOther := len(limits) > 0 && len(w.send.Exclude) > 0 && w.f.machine.MayHaveRun()
 		if !q.pacer.HasRoom() && !needsOther {
--- a/internal/gateway/call_queue_share_test.go
+++ b/internal/gateway/call_queue_share_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"bramleygap/internal/core/forward"
 	"bramleygap/internal/core/pacing"
 	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/suspect"
 )
 
 // pacedGateway returns a gateway that has a share at one of three targets only, and the ID of that target.
@@ -154,3 +157,78 @@
 		c.Check(r.judgesTarget(test.clientLeft), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against a call that is sent although its client left while it waited for its turn.
+func TestCallOfLeftClientIsNotPlaced(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	gateway, q, _ := pacedGateway(c, now)
+	f, send := pacedCall(gateway.peers.g, now)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	f.req.ctx = ctx
+	waiting := gateway.peers.g.loop.enqueueCall(gateway.st, now, q, f, send, &attemptHandle{cancel: func() {}})
+	placed := <-waiting.waiting.placed
+	c.Check(placed.ok, qt.IsFalse)
+	c.Check(q.waiting, qt.HasLen, 0)
+}
+
+// Guards against a call that has no time left to seek a target after it has waited for its turn.
+func TestWaitForTargetBeginsAfterTurn(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	gateway, q, _ := pacedGateway(c, now)
+	st, g := gateway.st, gateway.peers.g
+	st.settings.Calls.Pace = true
+	g.ctx = context.Background()
+	f, send := pacedCall(g, now)
+	f.attemptsCtx, f.req.route.TargetLatency = context.Background(), time.Second
+	for id, limit := range q.pacer.Limits() {
+		for range limit {
+			st.fleet.BeginCall(id)
+		}
+	}
+	f.limitWait()
+	seeks := f.waitUntil.Sub(now)
+	go func() {
+		(<-g.loop.queue)(st)
+		time.Sleep(2 * seeks)
+		for _, w := range q.waiting {
+			g.loop.endWait(q, w, "unplaced", callPlacement{noTarget: true})
+		}
+	}()
+	f.chooseTarget(send, &attemptHandle{cancel: func() {}})
+	c.Check(f.waitUntil.Sub(now) >= 3*seeks, qt.IsTrue)
+}
+
+// refusalProtocol states no delay in refusals.
+type refusalProtocol struct{ Protocol }
+
+func (refusalProtocol) SetRetryAfter(http.Header, time.Duration) {}
+
+// Guards against a trial of a rejected request that is lost with a call that was not sent.
+func TestTrialOfUnsentCallIsGivenBack(t *testing.T) {
+	c := qt.New(t)
+	g, _, _ := startNoticeGateway(t)
+	g.options.Protocol = refusalProtocol{g.options.Protocol}
+	due := time.Now()
+	request := func(whole uint64) *clientRequest {
+		r := g.testRequest(t)
+		r.identity, r.parts = suspect.Request{Content: sharedText, Whole: whole}, []uint64{sharedPart, lastPart}
+		return r
+	}
+	rejects := func(r *clientRequest) bool {
+		return query(t.Context(), g.loop, func(st *state) bool { return g.loop.rejects(st, due, r, false) })
+	}
+	query(t.Context(), g.loop, func(st *state) bool {
+		st.setLiveGateways([]string{"g"})
+		crashAll(st, 4, 500*time.Millisecond, due.Add(-3*time.Second))
+		return true
+	})
+	unsent := request(1)
+	c.Assert(rejects(unsent), qt.IsFalse)
+	c.Assert(rejects(request(2)), qt.IsTrue)
+	unsent.deadline = due
+	g.serveCall(httptest.NewRecorder(), unsent)
+	c.Check(rejects(request(3)), qt.IsFalse)
+}
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -66,6 +66,8 @@
 	attemptsCtx    context.Context
 	cancelAttempts context.CancelFunc
 	sendCount      int
+	// waitUntil is until when the call waits for a target, not counting its wait for its turn.
+	waitUntil time.Time
 	// sentTo holds the addresses to which the request has been sent.
 	sentTo map[string]bool
 	// refusedFor is the delay to state to the client because the call cannot be answered in time, 0 if it can.
@@ -92,6 +94,9 @@
 	defer close(f.responded)
 	f.attemptsCtx, f.cancelAttempts = context.WithDeadline(g.ctx, c.deadline)
 	finish := f.run()
+	if f.sendCount == 0 {
+		g.loop.post(g.ctx, func(st *state) { g.loop.returnTrials(st, c) })
+	}
 	if finish.Outcome == forward.CallerLeft {
 		f.cancelAttempts()
 	} else {
@@ -145,7 +150,7 @@
 		requestID: f.req.head.ID, identity: f.req.identity, promptParts: f.req.head.PromptParts, parts: f.req.parts,
 		cancel: cancel, startedAt: time.Now(),
 	}
-	waitUntil := time.Now().Add(time.Duration(placementWaitFraction * float64(f.req.route.TargetLatency)))
+	f.limitWait()
 	for {
 		reg, held, ok := f.chooseTarget(e, handle)
 		if f.refusedFor > 0 {
@@ -164,14 +169,14 @@
 			return nil
 		}
 		f.req.heldDelay = held.delay
-		if held.hopeless(waitUntil) {
+		if held.hopeless(f.waitUntil) {
 			if !e.Hedge {
 				f.req.logHeld(&held)
 			}
 			cancel()
 			return f.machine.NoTarget(time.Now(), e.Attempt)
 		}
-		if e.Retry || f.req.rejected || !time.Now().Before(f.req.deadline) || !time.Now().Before(waitUntil) || f.req.ctx.Err() != nil {
+		if e.Retry || f.req.rejected || !time.Now().Before(f.req.deadline) || !time.Now().Before(f.waitUntil) || f.req.ctx.Err() != nil {
 			cancel()
 			return f.machine.NoTarget(time.Now(), e.Attempt)
 		}
@@ -179,6 +184,11 @@
 	}
 }
 
+// limitWait sets until when the call waits for a target from now on.
+func (f *callForwarder) limitWait() {
+	f.waitUntil = time.Now().Add(time.Duration(placementWaitFraction * float64(f.req.route.TargetLatency)))
+}
+
 func (f *callForwarder) chooseTarget(e forward.Send, handle *attemptHandle) (membership.Registration, heldPlacement, bool) {
 	// The choice is made or not, whether or not the client leaves meanwhile: what it takes is given back
 	// only if its result is known here.
@@ -196,6 +206,7 @@
 		c = f.awaitTurn(c.waiting)
 		f.refusedFor = c.refusedFor
 		f.machine.Waited(time.Now())
+		f.limitWait()
 	}
 	if c.ok && e.Retry {
 		f.req.log.Info().Str("target", c.reg.ID).Bool("hedge", e.Hedge).Int("attempt", e.Attempt).Msg("request sent to another target")
