--- a/internal/gateway/stream_queue_test.go
+++ b/internal/gateway/stream_queue_test.go
@@ -248,6 +248,32 @@
 	})
 }
 
+// Guards against streams at the end of their wait whose refusal does not say that their request is rejected.
+func TestRefusalSaysThatRequestIsRejected(t *testing.T) {
+	c := qt.New(t)
+	g := queueGateway(t)
+	query(g.ctx, g.loop, func(st *state) bool {
+		now := time.Now()
+		st.fleet.BeginStream(now, "e", "", placement.GenerationSize{PromptTokens: 9000})
+		s, w := g.queued(now, "/patient", 10*time.Second)
+		w.ran = true
+		g.loop.enqueueStream(st, now, w)
+		crashAll(st, 4, 500*time.Millisecond, now)
+		rejected := streamOf(g, 1)
+		s.req.identity, s.req.parts = rejected.identity, rejected.parts
+		refusals := st.streamQueues["s"].queue.Expire(now.Add(4 * time.Second))
+		c.Assert(refusals, qt.HasLen, 1)
+		// Trials are due only for requests that have reached no target.
+		s.machine.Placed(now, relay.Placement{Target: "other"})
+		s.machine.AttemptFailed(now, relay.Interrupted)
+		g.loop.expireQueued(st, now.Add(4*time.Second), st.streamQueues["s"], refusals[0])
+		p := <-w.result
+		c.Check(p.ok, qt.IsFalse)
+		c.Check(p.rejected, qt.IsTrue)
+		return true
+	})
+}
+
 // Guards against a Retry-After that is too short after a crash: only attempts that ran at a live engine free memory.
 func TestFreedTokensAreOfLiveEngines(t *testing.T) {
 	c := qt.New(t)
