--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -55,7 +56,7 @@
 
 // RequestTrialDue reports whether TakeRequestTrial would permit a trial by a request with the given prompt parts.
 func (t *Tracker) RequestTrialDue(r Request, parts []uint64, now time.Time) bool {
-	waited := trialPatience
+	waited := time.Duration(math.MaxInt64)
 	for _, id := range []uint64{r.Content, r.Whole} {
 		if !t.Rejected(id, now) {
 			continue
@@ -66,7 +67,16 @@
 		}
 		waited = min(waited, since)
 	}
-	return waited >= trialPatience || !t.mostSuspect(r.Content, parts)
+	if !t.mostSuspect(r.Content, parts) {
+		return true
+	}
+	// The time counts from the first such request, since the owner may have been away or without targets when the
+	// trial was due.
+	s := t.suspects[r.Content]
+	if s.heldSince.IsZero() || s.heldSince.Before(now.Add(-waited)) {
+		s.heldSince = now
+	}
+	return now.Sub(s.heldSince) >= trialPatience
 }
 
 // TakeRequestTrial reports whether a rejected request may be sent to find out whether it still crashes targets. Of all
@@ -79,7 +89,7 @@
 	}
 	for _, id := range []uint64{r.Content, r.Whole} {
 		if s := t.suspects[id]; s != nil {
-			s.triedAt = now
+			s.triedAt, s.heldSince = now, time.Time{}
 		}
 	}
 	return true
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -83,6 +83,8 @@
 	known bool
 	// triedAt is when this tracker last let a rejected request through, zero for never.
 	triedAt time.Time
+	// heldSince is when this tracker first held back a due trial for a less suspect request, zero for never.
+	heldSince time.Time
 	// changed is the tracker's version at which deaths or known last changed.
 	changed           uint64
 	expires           time.Time
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -307,7 +307,10 @@
 	crashing, sound := Request{text, 999}, Request{text, 998}
 	c.Assert(tr.Rejects(sound, due), qt.IsTrue)
 	c.Assert(tr.CondemnedParts([]uint64{popular, alsoCrashing}), qt.IsNil)
+	// No gateway could make the trial when it was due.
+	due = due.Add(3 * time.Second)
 	c.Check(tr.TakeRequestTrial(crashing, []uint64{popular, alsoCrashing}, due), qt.IsFalse)
+	c.Check(tr.RequestTrialDue(crashing, []uint64{popular, alsoCrashing}, due.Add(trialPatience/2)), qt.IsFalse)
 	c.Check(tr.RequestTrialDue(crashing, []uint64{popular, alsoCrashing}, due.Add(trialPatience)), qt.IsTrue, qt.Commentf("no sound request comes"))
 	c.Check(tr.TakeRequestTrial(sound, []uint64{popular, session + 9}, due), qt.IsTrue)
 	tr.Completed(sound, time.Second)
