--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -95,8 +95,8 @@
 	return true
 }
 
-// mostSuspect reports whether no other set of as many prompt parts was present at more of the crashes that count
-// against a content.
+// mostSuspect reports whether each of the prompt parts was present at crashes that count against a content, and no other
+// set of as many parts at more of them.
 func (t *Tracker) mostSuspect(content uint64, parts []uint64) bool {
 	s := t.suspects[content]
 	if s == nil || len(parts) == 0 {
@@ -113,6 +113,9 @@
 	}
 	own := 0
 	for _, part := range parts {
+		if present[part] == 0 {
+			return false
+		}
 		own += present[part]
 	}
 	counts := slices.SortedFunc(maps.Values(present), func(a, b int) int { return cmp.Compare(b, a) })
@@ -120,7 +123,7 @@
 	for _, n := range counts[:min(len(parts), len(counts))] {
 		most += n
 	}
-	return own > 0 && own >= most
+	return own >= most
 }
 
 // ReturnRequestTrial undoes TakeRequestTrial for a request that has reached no target.
