Tell targets the priorities of ranked calls

One ranking in the catalog serves streams and calls; the queue of paced calls computed its own from the raw priorities.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -139,8 +139,9 @@
 	routes      map[string][]Route
 	accounts    map[string]*Account
 	requireKeys bool
-	// rankings holds the ranks of the streams of each service.
+	// rankings holds the ranks of the streams of each service, and callRankings those of its calls.
 	rankings          map[string]*ranking
+	callRankings      map[string]*ranking
 	accountPriorities priorities
 	invalidPriorities []string
 }
--- a/internal/core/catalog/ranks.go
+++ b/internal/core/catalog/ranks.go
@@ -40,7 +40,7 @@
 // ranking holds the ranks that occur in a service.
 type ranking struct {
 	routes priorities
-	// ranked is set if two stream routes state different priorities.
+	// ranked is set if two routes state different priorities.
 	ranked bool
 	// ranks are relative to the highest one, which is zero, in order.
 	ranks []precedence.Rank
@@ -58,25 +58,33 @@
 	}
 	c.accountPriorities = rangeOf(ofAccounts)
 	for i := range routes {
-		if routes[i].Kind == Stream && !validPriority(routes[i].Priority) {
+		if !validPriority(routes[i].Priority) {
 			c.invalidPriorities = append(c.invalidPriorities, "route "+routes[i].Name)
 		}
 	}
-	c.rankings = make(map[string]*ranking, len(c.services))
+	c.rankings, c.callRankings = make(map[string]*ranking, len(c.services)), make(map[string]*ranking, len(c.services))
 	for name := range c.services {
-		var ofRoutes []int
+		var ofStreams, ofCalls []int
 		for i := range routes {
-			if routes[i].Kind == Stream && routes[i].Allows(name) {
-				ofRoutes = append(ofRoutes, routes[i].Priority)
+			switch r := &routes[i]; {
+			case !r.Allows(name):
+			case r.Kind == Stream:
+				ofStreams = append(ofStreams, r.Priority)
+			case c.RequiresKey(r):
+				// Calls without a key serve to test which version is in force.
+				ofCalls = append(ofCalls, r.Priority)
 			}
 		}
-		r := &ranking{routes: rangeOf(ofRoutes)}
-		r.ranked = r.routes.first != r.routes.last
-		if r.ranked {
-			r.ranks = c.crossRanks(ofAccounts, ofRoutes, r.routes)
-		}
-		c.rankings[name] = r
+		c.rankings[name], c.callRankings[name] = c.newRanking(ofAccounts, ofStreams), c.newRanking(ofAccounts, ofCalls)
+	}
+}
+
+func (c *Config) newRanking(ofAccounts, ofRoutes []int) *ranking {
+	r := &ranking{routes: rangeOf(ofRoutes)}
+	if r.ranked = r.routes.first != r.routes.last; r.ranked {
+		r.ranks = c.crossRanks(ofAccounts, ofRoutes, r.routes)
 	}
+	return r
 }
 
 // crossRanks returns the ranks of each account on each route, in order.
@@ -109,7 +117,7 @@
 	return r != nil && r.ranked
 }
 
-// Ranks returns the ranks that occur in a ranked service, the highest first, which is zero.
+// Ranks returns the ranks of the streams of a ranked service, the highest first, which is zero.
 func (c *Config) Ranks(service string) []precedence.Rank {
 	if r := c.rankings[service]; r != nil {
 		return r.ranks
@@ -117,10 +125,22 @@
 	return nil
 }
 
-// Rank returns the rank of the streams of an account on a route to a service, relative to the highest one there.
-// Without an account, which is nil, it is that of the least important account.
+// CallRanks returns the ranks of the calls of a service, the highest first, which is zero. It returns nil unless two
+// routes of calls that require a key state different priorities.
+func (c *Config) CallRanks(service string) []precedence.Rank {
+	if r := c.callRankings[service]; r != nil {
+		return r.ranks
+	}
+	return nil
+}
+
+// Rank returns the rank of the requests of an account on a route to a service, relative to the highest one of the
+// service's streams or calls. Without an account, which is nil, it is that of the least important account.
 func (c *Config) Rank(service string, route *Route, account *Account) precedence.Rank {
-	r := c.rankings[service]
+	r := c.callRankings[service]
+	if route.Kind == Stream {
+		r = c.rankings[service]
+	}
 	if r == nil {
 		return precedence.Rank{}
 	}
@@ -131,6 +151,6 @@
 	return rank
 }
 
-// InvalidPriorities names the accounts and stream routes whose priorities are not valid. They count as of the lowest
-// valid priority of all accounts, or of the service's stream routes.
+// InvalidPriorities names the accounts and routes whose priorities are not valid. They count as of the lowest valid
+// priority of all accounts, or of the service's routes of streams or calls.
 func (c *Config) InvalidPriorities() []string { return c.invalidPriorities }
--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -33,9 +32,6 @@
 	service string
 	pacer   *pacing.Pacer
 	waiting map[uint64]*waitingCall
-	// ranked is whether priorities order the calls, as of a version of the desired state.
-	ranked bool
-	config *catalog.Config
 }
 
 // waitingCall is a call whose request goroutine waits for placed.
@@ -85,24 +81,24 @@
 
 // callRank returns the rank of a call, which is that of all others unless the service's routes state different
 // priorities.
-func (q *callQueue) callRank(st *state, c *clientRequest) precedence.Rank {
-	if config := st.desired.Config; q.config != config {
-		q.config, q.ranked = config, config.CallsRanked(q.service)
-	}
-	if !q.ranked {
+func (c *clientRequest) callRank(config *catalog.Config) precedence.Rank {
+	if config.CallRanks(c.service) == nil {
 		return precedence.Rank{}
 	}
-	valid := func(priority int) int {
-		if priority < 0 || priority > catalog.MaxPriority {
-			return math.MaxInt32
-		}
-		return priority
+	return config.Rank(c.service, c.route, config.Account(c.head.Key))
+}
+
+// callPriority returns the priority that a target is told for a call, negative if the calls of the service have none.
+func (c *clientRequest) callPriority() int {
+	p := c.g.loop.published.Load()
+	if p == nil || p.desired.Config == nil {
+		return -1
 	}
-	rank := precedence.Rank{Account: math.MaxInt32, Route: valid(c.route.Priority)}
-	if account := st.desired.Config.Account(c.head.Key); account != nil {
-		rank.Account = valid(account.Priority)
+	ranks := p.desired.Config.CallRanks(c.service)
+	if ranks == nil {
+		return -1
 	}
-	return rank
+	return precedence.EnginePriority(c.callRank(p.desired.Config), ranks)
 }
 
 // enqueueCall adds a call to those that wait for their turn, which may have come at once. A hedged request does not
@@ -126,7 +122,7 @@
 		objective = f.req.arrived.Add(f.req.route.TargetLatency)
 	}
 	w.call = pacing.Call{
-		ID: st.calls.nextID, Rank: q.callRank(st, f.req), Once: !f.req.route.Repeatable(), Arrived: f.req.arrived,
+		ID: st.calls.nextID, Rank: f.req.callRank(st.desired.Config), Once: !f.req.route.Repeatable(), Arrived: f.req.arrived,
 		Objective: objective, Deadline: f.req.deadline, Again: e.Retry,
 	}
 	q.waiting[w.call.ID] = w
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -325,7 +325,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	msg := f.req.targetRequest(f.g.options.Protocol.EncodeAttempt(&Attempt{
-		Request: &f.req.head, Target: reg, Account: f.req.account, Timeout: time.Until(f.req.deadline), Priority: -1,
+		Request: &f.req.head, Target: reg, Account: f.req.account, Timeout: time.Until(f.req.deadline), Priority: f.req.callPriority(),
 	}))
 	msg.Permit = f.g.sendPermit(reg, f.req)
 	handle.sent.Store(true)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -104,7 +104,7 @@
 		copyOrders:        counterVec("copy_orders_total", "Orders to copy a run's memory by outcome.", "outcome"),
 		notices:           counterVec("target_notices_total", "Targets that said that they leave or asked for a pause, by kind of answer.", "notice", "source"),
 		withheld:          counterVec("requests_withheld_total", "Requests not sent to the chosen target because it meanwhile left or asked for a pause, or because a part of their prompt crashes targets, by kind of route.", "kind"),
-		priorities:        counter("invalid_priorities_total", "Priorities of accounts and stream routes that were out of range, by version of the desired state."),
+		priorities:        counter("invalid_priorities_total", "Priorities of accounts and routes that were out of range, by version of the desired state."),
 		streamsWaiting:    gauge("streams_waiting", "Streams of ranked services that wait for a place."),
 		queuePlaces:       counterVec("stream_queue_places_total", "Streams of ranked services that got a place, by when.", "when"),
 		queueRefusals:     counterVec("stream_queue_refusals_total", "Streams of ranked services that left the queue without a place, by reason.", "reason"),
--- a/internal/gateway/stream_queue_test.go
+++ b/internal/gateway/stream_queue_test.go
@@ -49,6 +49,25 @@
 	c.Check(priority("/plain", "t", true), qt.Equals, -1)
 }
 
+// Guards against calls whose targets are not told which of them can wait, and against targets of a service whose calls
+// all have one priority that are told anything.
+func TestTargetsAreToldPrioritiesOfCalls(t *testing.T) {
+	c := qt.New(t)
+	g := &Gateway{log: zerolog.Nop(), metrics: newMetrics(obs.NewRegistry()), options: &Options{Logger: zerolog.Nop()}}
+	g.loop = newEventLoop(g.options, g.metrics)
+	route := func(path, service string, priority int) catalog.Route {
+		return catalog.Route{Name: path, Host: "h", Prefix: path, Kind: catalog.Once, Priority: priority, Shares: []catalog.Share{{Service: service, Weight: 1}}}
+	}
+	routes := []catalog.Route{route("/order", "s", 0), route("/read", "s", 2), route("/alone", "t", 1)}
+	config := catalog.New(1, routes, []catalog.Service{{Name: "s"}, {Name: "t"}}, []catalog.Account{{Name: "x", Keys: []string{"k"}, Priority: 1}}, catalog.Limits{})
+	g.loop.published.Store(&publishedState{desired: DesiredState{Config: config}})
+	for path, want := range map[string]int{"/order": 1, "/read": 9, "/alone": -1} {
+		r := config.Route("h", path)
+		request := &clientRequest{g: g, service: r.Shares[0].Service, head: Request{Host: "h", Path: path, Key: "k"}, route: r}
+		c.Check(request.callPriority(), qt.Equals, want, qt.Commentf(path))
+	}
+}
+
 // queueGateway is a gateway whose event loop runs, with one engine of the ranked service that has room for two streams.
 func queueGateway(t *testing.T) *Gateway {
 	g := &Gateway{log: zerolog.Nop(), metrics: newMetrics(obs.NewRegistry()), options: &Options{Logger: zerolog.Nop()}, ctx: t.Context(), maxRequests: 10}
