--- a/internal/gateway/call_queue.go
+++ b/internal/gateway/call_queue.go
@@ -82,7 +82,7 @@
 // callRank returns the rank of a call, which is that of all others unless the service's routes state different
 // priorities.
 func (c *clientRequest) callRank(config *catalog.Config) precedence.Rank {
-	if config.CallRanks(c.service) == nil {
+	if config == nil || config.CallRanks(c.service) == nil {
 		return precedence.Rank{}
 	}
 	return config.Rank(c.service, c.route, config.Account(c.head.Key))
