--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -241,6 +241,18 @@
 	return t.streamMemory + t.copyMemory + r.memory, len(t.streams) + r.streams, t.copies + r.copies
 }
 
+// StreamsBesides returns the number of streams at the targets of a service that have another version than the given one.
+func (f *Fleet) StreamsBesides(now time.Time, service, version string) int {
+	total := 0
+	for _, t := range f.order {
+		if t.reg.Service == service && t.reg.Version != version {
+			_, streams, _ := f.totalLoad(now, t)
+			total += streams
+		}
+	}
+	return total
+}
+
 // Load is the load of a target from all gateways, as far as this one knows.
 type Load struct {
 	// Backlog is the time that the target needs to prefill its pending prompts.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -29,6 +29,10 @@
 	written   bool
 	firstSeen time.Time
 	evaluator *evidence.Evaluator
+	// share is the share of requests that the version gets while the order runs, 0 for the usual one.
+	share float64
+	// drainingSince is when draining of the previous version began.
+	drainingSince time.Time
 	// statusRevision is the revision of the status row when it was last read.
 	statusRevision uint64
 }
@@ -56,7 +60,17 @@
 	}
 	l.log.Info().Str("service", o.Service).Str("version", o.Version).Uint64("revision", o.Revision).Int("from", int(o.state)).
 		Int("to", int(merged)).Str("source", source).Str("reason", reason).Msg("rollout changed")
-	o.state, o.written = merged, source == "store"
+	o.state = merged
+	if merged == rollout.OrderDraining {
+		o.drainingSince = time.Now()
+		return
+	}
+	o.written = source == "store"
+}
+
+// trafficShare returns the share of requests that the version gets.
+func (o *trackedOrder) trafficShare() float64 {
+	return rollout.OrderShare(o.state, max(rollout.TrialShare, o.share))
 }
 
 // restrictVersion restricts a query to the versions to which a request may be sent. draw is a
@@ -67,7 +81,7 @@
 	if o == nil {
 		return
 	}
-	if float64(draw%shareResolution) < rollout.OrderShare(o.state)*shareResolution {
+	if float64(draw%shareResolution) < o.trafficShare()*shareResolution {
 		fleetQuery.Version = o.Version
 	} else {
 		fleetQuery.ExcludeVersion = o.Version
@@ -82,7 +96,7 @@
 func (st *state) observeAttempt(now time.Time, reg membership.Registration, route string, latency time.Duration, failed bool) {
 	baseline := st.baselines[reg.Service]
 	o := st.orders[reg.Service]
-	if o == nil || baseline == nil || o.state != rollout.OrderRunning {
+	if o == nil || baseline == nil || !o.state.Judged() {
 		return
 	}
 	slow := false
@@ -99,7 +113,7 @@
 // evidenceShared reports whether evidence on a service is exchanged with other gateways.
 func (st *state) evidenceShared(service string) bool {
 	o := st.orders[service]
-	return o != nil && o.state == rollout.OrderRunning
+	return o != nil && o.state.Judged()
 }
 
 // evaluateTrial evaluates the evidence on the version that an order rolls out.
@@ -108,10 +122,19 @@
 		o.evaluator = evidence.NewEvaluator(o.Service, o.Version, st.previousVersion(o))
 	}
 	verdict := o.evaluator.Evaluate(now, st.evidence)
-	return rollout.OrderTrial{
+	trial := rollout.OrderTrial{
 		Elapsed: now.Sub(o.firstSeen), Duration: o.Duration, Requests: verdict.Requests, Failures: verdict.Failures, Slow: verdict.Slow,
-		Bad: verdict.Withdraw, Good: verdict.Passed, LikelyBad: verdict.LikelyBad,
+		Bad: verdict.Withdraw, Good: verdict.Passed, LikelyBad: verdict.LikelyBad, DrainPrevious: st.settings.Rollouts.DrainPrevious,
+	}
+	if o.state == rollout.OrderDraining {
+		trial.Draining = max(1, now.Sub(o.drainingSince))
+		trial.PreviousStreams = st.fleet.StreamsBesides(now, o.Service, o.Version)
+		if !placement.SharesAll(len(st.liveGateways)) {
+			// The loads of gateways further away are not known.
+			trial.PreviousStreams = max(1, trial.PreviousStreams)
+		}
 	}
+	return trial
 }
 
 // previousVersion returns the most common other version of the order's service, or "" if there
@@ -173,11 +196,15 @@
 		}
 		owner := st.ownsOrder(o.Service, c.g.options.Settings.Name)
 		next := o.state
-		if o.state == rollout.OrderRunning {
+		if o.state.Judged() {
 			trial := st.evaluateTrial(now, o)
 			next = rollout.DecideOrder(&trial)
-			if next == rollout.OrderWithdrawn && trial.Bad {
+			o.share = rollout.RunningShare(&trial)
+			switch {
+			case next == rollout.OrderWithdrawn && trial.Bad:
 				c.g.loop.setOrderState(o, next, "evidence", o.withdrawReason(now, st))
+			case next == rollout.OrderDraining && owner:
+				c.g.loop.setOrderState(o, next, "evidence", "the previous version ends its streams")
 			}
 		}
 		if owner && (next != o.state || !o.written) {
@@ -242,7 +269,7 @@
 // writeStatus writes the state of an order to the store. The write fails with ErrConflict if
 // another gateway has written the status since it was last read.
 func (c *rolloutController) writeStatus(ctx context.Context, action orderAction) {
-	write := c.g.options.Protocol.EncodeRolloutStatus(action.order.Service, action.order.Version, action.state)
+	write := c.g.options.Protocol.EncodeRolloutStatus(action.order.Service, action.order.Version, action.state.Stored())
 	write.ExpectedRevision = action.statusRevision
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
@@ -284,7 +311,7 @@
 		if o == nil || o.Revision != view.Revision {
 			continue
 		}
-		if state := rollout.OrderState(view.State); state.Final() {
+		if state := rollout.OrderState(view.State); state.Final() || state == rollout.OrderDraining {
 			l.setOrderState(o, state, remote.Name, "")
 		}
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -40,9 +40,16 @@
 	Calls  Calls             `toml:"calls"`
 	// Placement controls the choice of targets.
 	Placement Placement `toml:"placement"`
+	Rollouts  Rollouts  `toml:"rollouts"`
 	Log       Log       `toml:"log"`
 }
 
+// Rollouts holds the settings of rollout orders.
+type Rollouts struct {
+	// DrainPrevious lets the previous version end its streams before an order is completed.
+	DrainPrevious bool `toml:"drain_previous"`
+}
+
 // Placement controls the choice of targets.
 type Placement struct {
 	// EngineSpeeds lets gateways measure the lasting speeds of targets and choose by them where they differ.
