Keep interrupted runs in a gateway's stored row

Cause: a gateway that restarts overwrites its row with its new runs alone, and an interrupted stream leaves the next row of its gateway.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -98,10 +98,12 @@
 	// runIndex holds the run records of this gateway and those replicated to it.
 	runIndex *runindex.Index
 	// pendingRuns holds records to be sent to their replicas. activeRuns holds the streams that
-	// this gateway relays by their request's ID, and activeRunsChanged is set if it has records
+	// this gateway relays by their request's ID, endedRuns those that ended here, or in an earlier process of this
+	// gateway, before their clients had the whole answer, and activeRunsChanged is set if it has records
 	// that are not stored yet. runsLoaded is set once the stored records are in runIndex.
 	pendingRuns       []pendingRun
 	activeRuns        map[string]*activeRun
+	endedRuns         map[string]endedRun
 	activeRunsChanged bool
 	runsLoaded        bool
 	lastTick          time.Time
@@ -186,6 +188,7 @@
 		calls:                newCallQueues(rng),
 		runIndex:             runindex.New(),
 		activeRuns:           map[string]*activeRun{},
+		endedRuns:            map[string]endedRun{},
 		invalidReportsLogged: map[string]time.Time{},
 		streamQueues:         map[string]*streamQueue{},
 		lastTick:             now,
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -54,6 +54,13 @@
 	delivered *atomic.Uint64
 }
 
+// endedRun is a run whose client may return. It stays in the stored row until it expires: otherwise a client whose
+// gateway and replicas restart within seconds would find only the record of another client's equal request.
+type endedRun struct {
+	record runindex.Record
+	until  time.Time
+}
+
 // pendingRun is a run record to be sent to its replicas.
 type pendingRun struct {
 	record runindex.Record
@@ -108,6 +115,11 @@
 // which only a new run triggers. A completed request is no longer suspected of crashing targets.
 func (g *Gateway) endRun(c *clientRequest, completed bool) {
 	g.loop.post(g.ctx, func(st *state) {
+		if run := st.activeRuns[c.head.ID]; run != nil && !completed {
+			record := run.record
+			record.Delivered = run.delivered.Load()
+			st.keepEndedRun(time.Now(), record)
+		}
 		delete(st.activeRuns, c.head.ID)
 		if completed {
 			st.suspects.Completed(c.identity, time.Since(c.arrived))
@@ -150,7 +162,8 @@
 	}
 	records := &wire.RunRecords{}
 	st.addRejections(records, now)
-	if len(st.activeRuns)+len(records.Parts)+len(records.Suspects) == 0 {
+	maps.DeleteFunc(st.endedRuns, func(_ string, run endedRun) bool { return !now.Before(run.until) })
+	if len(st.activeRuns)+len(st.endedRuns)+len(records.Parts)+len(records.Suspects) == 0 {
 		return nil
 	}
 	st.activeRunsChanged = false
@@ -162,9 +175,22 @@
 		r.Delivered = run.delivered.Load()
 		records.Records = append(records.Records, r)
 	}
+	for _, run := range st.endedRuns {
+		if len(records.Records) == maxStoredRuns {
+			break
+		}
+		records.Records = append(records.Records, encodeRun(run.record))
+	}
 	return records
 }
 
+// keepEndedRun keeps a run that has ended without its client having the whole answer in the stored row.
+func (st *state) keepEndedRun(now time.Time, record runindex.Record) {
+	if len(st.endedRuns) < maxStoredRuns {
+		st.endedRuns[record.Run] = endedRun{record, now.Add(runindex.Lifetime)}
+	}
+}
+
 // addRejections adds to the records to save what must be rejected also after the loss of all gateways, up to
 // maxStoredRejections bytes of prompt parts and of requests.
 func (st *state) addRejections(records *wire.RunRecords, now time.Time) {
@@ -218,6 +244,9 @@
 					st.runIndex.Put(now, run)
 					loaded++
 				}
+				if run, ok := decodeRun(r); ok && row.Key == g.options.Settings.Name {
+					st.keepEndedRun(now, run)
+				}
 			}
 		}
 		st.runsLoaded = true
--- a/internal/gateway/runs_test.go
+++ b/internal/gateway/runs_test.go
@@ -20,7 +20,7 @@
 // each call is billed.
 func TestRunsToSave(t *testing.T) {
 	c := qt.New(t)
-	st := &state{activeRuns: map[string]*activeRun{}, suspects: suspect.NewTracker()}
+	st := &state{activeRuns: map[string]*activeRun{}, endedRuns: map[string]endedRun{}, suspects: suspect.NewTracker()}
 	c.Check(st.runsToSave(time.Now()), qt.IsNil)
 	st.activeRunsChanged = true
 	c.Check(st.runsToSave(time.Now()), qt.IsNil)
@@ -123,3 +123,27 @@
 	crashed.activeRunsChanged = true
 	c.Check(proto.Size(crashed.runsToSave(now)) < 1<<16, qt.IsTrue)
 }
+
+// Scenario: a stream is interrupted, and its gateway saves its row again before the client returns. Guards against a row
+// without that run, so that only the record of another client's equal request is left once the replicas are lost too.
+func TestInterruptedRunsStayStored(t *testing.T) {
+	c := qt.New(t)
+	st := &state{activeRuns: map[string]*activeRun{}, endedRuns: map[string]endedRun{}, suspects: suspect.NewTracker()}
+	now := time.Now()
+	interrupted := runindex.Record{Key: 7, Run: "interrupted", Holder: "b", Address: "b:1", Handle: "h", Delivered: 12}
+	st.keepEndedRun(now, interrupted)
+	st.activeRuns["other"] = &activeRun{runindex.Record{Key: 7, Run: "other"}, &atomic.Uint64{}}
+	save := func(at time.Time) []*wire.RunRecord {
+		st.activeRunsChanged = true
+		return st.runsToSave(at).Records
+	}
+	records := save(now.Add(runindex.Lifetime - time.Millisecond))
+	c.Assert(records, qt.HasLen, 2)
+	decoded, _ := decodeRun(records[1])
+	c.Check(decoded, qt.DeepEquals, interrupted)
+	c.Check(save(now.Add(runindex.Lifetime)), qt.HasLen, 1)
+	for i := range 2 * maxStoredRuns {
+		st.keepEndedRun(now, runindex.Record{Key: 8, Run: strconv.Itoa(i)})
+	}
+	c.Check(save(now), qt.HasLen, maxStoredRuns)
+}
