Serve the desired state in use at a gateway's administration listener

Cause: the version in force could be compared with only as a file, which operators had to export by hand. Change: GET /desired-state returns it in the platform's format. One request is answered at a time, others get 429; at most 10 MB and 10,000 list elements are encoded, and writing ends after 5 s. The handler reads the published pointer, not the event loop. The text stays with the version in use when a newer row is older or cannot be decoded.

--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -437,12 +437,12 @@
 		l.log.Error().Err(err).Msg("row of the desired state cannot be decoded; ignoring it")
 	}
 	if desired.Config == nil {
-		desired.Config = st.desired.Config
+		desired.Config, desired.Text = st.desired.Config, st.desired.Text
 	}
 	current := st.desired.Config
 	if current != nil && desired.Config != nil && desired.Config.Version < current.Version {
 		l.log.Warn().Uint64("version", desired.Config.Version).Uint64("in_force", current.Version).Msg("desired state is older than the one in use; ignoring it")
-		desired.Config = current
+		desired.Config, desired.Text = current, st.desired.Text
 	}
 	st.desired = desired
 	l.addOrders(st, now, desired.Rollouts)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,9 @@
 	startedAt      time.Time
 	tasks          sync.WaitGroup
 	stopping       atomic.Bool
-	activeRequests atomic.Int64
+	// sendsDesiredState is set while serveDesiredState answers a request.
+	sendsDesiredState atomic.Bool
+	activeRequests    atomic.Int64
 	// stopDeadline is the end of the grace period, nil until a stop is requested. It keeps
 	// its monotonic clock reading.
 	stopDeadline atomic.Pointer[time.Time]
@@ -146,6 +148,7 @@
 	}
 	if s.AdminListen != "" {
 		handler := obs.AdminHandler(g.options.Registerer, g.unreadyReason)
+		handler.Get(DesiredStatePath, g.serveDesiredState)
 		admin := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.httpErrorLog("admin")}
 		if err := listen(group, s.AdminListen, admin, nil); err != nil {
 			return err
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -95,6 +95,9 @@
 type DesiredState struct {
 	// Config is nil until a desired state has been written.
 	Config *catalog.Config
+	// Text is the value of the row that Config was decoded from, with the client keys in plain text. It must not
+	// be modified.
+	Text []byte
 	// Rollouts holds the rollout orders, at most one per service.
 	Rollouts []RolloutOrder
 }
@@ -230,6 +233,10 @@
 	// DecodeDesiredState decodes the rows of TableConfig. It skips rows that cannot be decoded
 	// and returns an error for each.
 	DecodeDesiredState(rows []replica.Row) (DesiredState, []error)
+	// WithKeyDigests returns a desired state in the platform's format with configcheck.KeyDigest in place of each
+	// client key, and without all that the gateway does not read. It returns an error if the lists have too many
+	// elements.
+	WithKeyDigests(text []byte) ([]byte, error)
 	// DecodeRegistration decodes a row of TableTargets.
 	DecodeRegistration(row replica.Row) (membership.Registration, error)
 	// EncodeRolloutStatus returns the write to TableStatus that reports the state of a rollout.
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -73,8 +73,8 @@
 }
 
 // AdminHandler serves /metrics, /healthz and /readyz; unready returns the reason why the
-// process is not ready, empty if it is.
-func AdminHandler(registry *prometheus.Registry, unready func() string) http.Handler {
+// process is not ready, empty if it is. A process may add paths of its own.
+func AdminHandler(registry *prometheus.Registry, unready func() string) chi.Router {
 	router := chi.NewRouter()
 	router.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
