Compare a configuration with the version in force at a live node

Keys of the checked file become the digests that the gateway sends. What cannot be read or compared is C109, exit code 2, with address and cause. Unprintable characters are escaped in the text output.

--- a/internal/operator/check.go
+++ b/internal/operator/check.go
@@ -29,7 +29,9 @@
 type CheckOptions struct {
 	// Files are settings and configurations. Configurations are also checked against the gateways' settings among them.
 	Files []string
-	// Against is a configuration in force, with which configurations of its format are compared; empty for none.
+	// Against is a configuration in force, with which configurations of its format are compared: a file, or host:port of
+	// an entry for operator configurations and of a gateway's administration listener for desired states. Empty means
+	// none.
 	Against string
 	// Platform reads files in JSON.
 	Platform PlatformFormat
@@ -41,6 +43,8 @@
 	Accept []string
 	// Now is the time that deadlines are compared with.
 	Now time.Time
+	// answerTimeout replaces the limit of the same name in tests.
+	answerTimeout time.Duration
 }
 
 // ErrInvalid is returned by Check if a file has errors, which Check prints. ErrWarnings is returned if files have
@@ -71,23 +75,35 @@
 	gateway *configcheck.Gateway
 	// differences is set if config was compared with the version in force.
 	differences bool
+	// version is set for a configuration that was read from a live node. The keys of a desired state are then digests.
+	version *comparedVersion
+}
+
+// Kinds of configurations.
+const (
+	kindOperator = "operator configuration"
+	kindPlatform = "desired state of the platform"
+)
+
+// comparable reports whether f is a configuration with which others can be compared.
+func (f *checkedFile) comparable() bool {
+	return f.config != nil && !configcheck.Has(f.findings, configcheck.Error)
 }
 
 // Check validates files and prints every finding. It recognises the type of a file by its keys: settings of an entry,
 // gateway or agent, an operator configuration, or a desired state of the platform in JSON.
-func Check(_ context.Context, options CheckOptions, w io.Writer) error {
+func Check(ctx context.Context, options CheckOptions, w io.Writer) error {
 	files := make([]*checkedFile, 0, len(options.Files))
 	for _, name := range options.Files {
 		files = append(files, readChecked(name, options))
 	}
-	var inForce *checkedFile
-	if options.Against != "" {
-		inForce = readChecked(options.Against, options)
-	}
+	inForce := &inForceReader{options: options, read: make(map[string]*checkedFile)}
 	var all []configcheck.Finding
 	for _, f := range files {
 		f.checkGateways(files)
-		f.compare(inForce, options.Now)
+		if f.config != nil {
+			f.compare(inForce.get(ctx, f.kind), options.Now)
+		}
 		f.findings = configcheck.Report(f.findings)
 		for _, finding := range f.findings {
 			if finding.Severity != configcheck.Warning || !slices.Contains(options.Accept, string(finding.Code)) {
@@ -95,7 +111,7 @@
 			}
 		}
 	}
-	if err := printChecked(w, files, options.JSON); err != nil {
+	if err := printChecked(w, files, inForce.versions(), options.JSON); err != nil {
 		return err
 	}
 	switch configcheck.ExitCode(all, options.Strict) {
@@ -107,9 +123,12 @@
 	return nil
 }
 
-// printChecked prints the findings of all files.
-func printChecked(w io.Writer, files []*checkedFile, asJSON bool) error {
+// printChecked prints the findings of all files and the versions that they were compared with.
+func printChecked(w io.Writer, files []*checkedFile, inForce []*comparedVersion, asJSON bool) error {
 	if !asJSON {
+		for _, version := range inForce {
+			_, _ = fmt.Fprintf(w, "%s: %s\n", version.Address, version)
+		}
 		for _, f := range files {
 			printFindings(w, f)
 		}
@@ -130,8 +149,9 @@
 	encoder.SetEscapeHTML(false)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(struct {
-		Files []report `json:"files"`
-	}{reports})
+		Files   []report           `json:"files"`
+		Against []*comparedVersion `json:"against,omitempty"`
+	}{reports, inForce})
 }
 
 // readChecked reads a file and checks it by itself.
@@ -194,7 +214,7 @@
 		_, err := settings.ParseAgent("", f.text)
 		f.addError(err)
 	default:
-		f.kind = "operator configuration"
+		f.kind = kindOperator
 		config, err := opconfig.Model(f.text)
 		f.addError(err)
 		if err != nil {
@@ -208,7 +228,7 @@
 }
 
 func (f *checkedFile) checkPlatform(options CheckOptions) {
-	f.kind = "desired state of the platform"
+	f.kind = kindPlatform
 	if options.Platform == nil {
 		f.add(configcheck.Unreadable, "is JSON, and this program has no platform to read it for")
 		return
@@ -253,13 +273,17 @@
 
 // compare adds the differences from the configuration in force, nil for none.
 func (f *checkedFile) compare(inForce *checkedFile, now time.Time) {
-	if inForce == nil || f.config == nil {
+	if inForce == nil {
 		return
 	}
-	if inForce.config == nil || configcheck.Has(inForce.findings, configcheck.Error) {
+	if !inForce.comparable() {
 		reason := "it is no configuration"
 		if sorted := configcheck.Report(inForce.findings); len(sorted) > 0 {
 			reason = fmt.Sprintf("line %d: %s", sorted[0].Line, sorted[0].Text)
+			if inForce.version != nil {
+				// There is no file whose line the user could look up.
+				reason = strings.TrimPrefix(sorted[0].Key+": "+sorted[0].Text, ": ")
+			}
 		}
 		f.add(configcheck.Unreadable, "cannot be compared with %s: %s", inForce.name, reason)
 		return
@@ -273,7 +297,11 @@
 	}
 	if !configcheck.Has(f.findings, configcheck.Error) {
 		f.differences = true
-		f.findings = append(f.findings, configcheck.Compare(inForce.config, f.config)...)
+		config := f.config
+		if inForce.version != nil && config.PerRoute {
+			config = configcheck.WithKeyDigests(config)
+		}
+		f.findings = append(f.findings, configcheck.Compare(inForce.config, config)...)
 	}
 }
 
@@ -283,7 +311,7 @@
 		if finding.Key != "" {
 			key = finding.Key + ": "
 		}
-		_, _ = fmt.Fprintf(w, "%s:%d: %s%s (%s %s)\n", f.name, finding.Line, key, finding.Text, finding.Severity, finding.Code)
+		_, _ = fmt.Fprintf(w, "%s:%d: %s%s (%s %s)\n", f.name, finding.Line, printable(key), printable(finding.Text), finding.Severity, finding.Code)
 	}
 	if f.differences && !configcheck.Has(f.findings, configcheck.Change) {
 		_, _ = fmt.Fprintf(w, "%s: no difference from the version in force\n", f.name)
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -4,6 +4,8 @@
 	"context"
 	"os"
 	"time"
+
+	"github.com/alecthomas/kong"
 )
 
 // Connection holds the flags of all commands that query an entry.
@@ -19,7 +21,7 @@
 // CheckCommand is `check FILE...`.
 type CheckCommand struct {
 	Files   []string `arg:"" name:"file" help:"Settings files, operator configurations, or desired states of the platform (JSON) to check. Desired states are also checked against gateways' settings among them." type:"path"`
-	Against string   `help:"Configuration in force, to show what differs from it and what traffic moves." placeholder:"FILE" type:"path"`
+	Against string   `help:"Configuration in force, to show what differs from it and what traffic moves: a file, or host:port of a live entry's peer listener (for operator configurations) or of a live gateway's administration listener (for desired states)." placeholder:"FILE|HOST:PORT"`
 	Strict  bool     `help:"Exit with status 1 if there are warnings."`
 	Accept  []string `help:"Code of a warning that is meant as it is, such as C302; it is shown and does not count for --strict. Repeat for more." placeholder:"CODE"`
 	JSON    bool     `help:"Print JSON in place of text."`
@@ -27,7 +29,11 @@
 
 // Run checks the files. The exit status is 2 with errors, 1 with warnings and --strict, and 0 otherwise.
 func (c *CheckCommand) Run(ctx context.Context, platform PlatformFormat) error {
-	options := CheckOptions{Files: c.Files, Against: c.Against, Platform: platform, Strict: c.Strict, JSON: c.JSON, Accept: c.Accept, Now: time.Now()}
+	against := c.Against
+	if against != "" && !isAddress(against) {
+		against = kong.ExpandPath(against)
+	}
+	options := CheckOptions{Files: c.Files, Against: against, Platform: platform, Strict: c.Strict, JSON: c.JSON, Accept: c.Accept, Now: time.Now()}
 	return Check(ctx, options, os.Stdout)
 }
 
