--- a/internal/operator/inforce_test.go
+++ b/internal/operator/inforce_test.go
@@ -59,9 +59,11 @@
 	}
 	const anyPort = "127.0.0.1:0"
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error)
+	var ended error
+	done := make(chan struct{})
 	go func() {
-		done <- gateway.Run(ctx, gateway.Options{
+		defer close(done)
+		ended = gateway.Run(ctx, gateway.Options{
 			Settings: settings.Gateway{Name: "g1", Zone: "a", ClientListen: anyPort, ReadinessListen: anyPort, PeerListen: anyPort, AdminListen: address},
 			Protocol: platform.Protocol{}, Store: configStore{desiredState}, Logger: zerolog.Nop(), Registerer: obs.NewRegistry(),
 		})
@@ -75,7 +77,11 @@
 				return address
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case <-done:
+			t.Fatalf("gateway ended: %v", ended)
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -20,7 +20,7 @@
 	ReadinessListen string `toml:"readiness_listen"`
 	// PeerListen is host:port for gRPC from other gateways; they dial it.
 	PeerListen string `toml:"peer_listen"`
-	// AdminListen is host:port for metrics; empty means none.
+	// AdminListen is host:port for metrics and the desired state in use; empty means none.
 	AdminListen string `toml:"admin_listen"`
 	// StoreAddress is host:port of the platform's store.
 	StoreAddress string `toml:"store_address"`
