Count prompts that wait to be read as part of an engine's room

Cause: engines read prompts one after the other in the order of admission. A burst of patient streams with room in memory filled all engines with prompts, and urgent streams behind it waited for all of them, whatever their priority.

Change: in ranked services, an engine has room for a stream below the highest rank only if its unread prompts and the stream's own take at most half of the shortest objective, or none waits; for work of the highest rank, the time until its own objective, as long as some engine meets it. The backlog of engines in ranked services counts prompts one by one: the times of several gateways ran down at once although an engine reads one prompt at a time. While work waits at several gateways, each engine gets prompts below the highest rank from one of them, by rendezvous hashing weighted by waiting tokens: without it, all gateways refilled the same engines before they learned of each other's prompts. Backlogs above 10 min in reports count as none. New metric: bramleygap_gateway_stream_queue_held_total{reason}. Unranked services choose as before.

--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -108,3 +109,16 @@
 	c.Check(ranked(func(r *Route) { r.Kind = Stream }), qt.IsFalse)
 	c.Check(ranked(func(r *Route) { r.Shares = []Share{{Service: "t", Weight: 1}} }), qt.IsFalse)
 }
+
+// Guards against a shortest objective of routes that state none, or of another service.
+func TestShortestObjective(t *testing.T) {
+	c := qt.New(t)
+	route := func(path, service string, kind Kind, objective time.Duration) Route {
+		return Route{Name: path, Host: "h", Prefix: path, Kind: kind, TargetLatency: objective, Shares: []Share{{Service: service, Weight: 1}}}
+	}
+	routes := []Route{route("/a", "s", Stream, 10*time.Second), route("/b", "s", Stream, 4*time.Second), route("/c", "s", Stream, 0), route("/d", "s", Once, time.Second), route("/e", "t", Stream, 0)}
+	config := New(1, routes, []Service{{Name: "s"}, {Name: "t"}}, nil, Limits{})
+	c.Check(config.ShortestObjective("s"), qt.Equals, 4*time.Second)
+	c.Check(config.ShortestObjective("t"), qt.Equals, time.Duration(0))
+	c.Check(config.ShortestObjective("u"), qt.Equals, time.Duration(0))
+}
--- a/internal/core/catalog/ranks.go
+++ b/internal/core/catalog/ranks.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"bramleygap/internal/core/precedence"
 )
@@ -44,6 +45,8 @@
 	ranked bool
 	// ranks are relative to the highest one, which is zero, in order.
 	ranks []precedence.Rank
+	// objective is the shortest objective of the routes, 0 if none states one.
+	objective time.Duration
 }
 
 // rankServices computes the ranking of each service, and the names of the routes and accounts whose priority is
@@ -65,17 +68,22 @@
 	c.rankings, c.callRankings = make(map[string]*ranking, len(c.services)), make(map[string]*ranking, len(c.services))
 	for name := range c.services {
 		var ofStreams, ofCalls []int
+		var shortest time.Duration
 		for i := range routes {
 			switch r := &routes[i]; {
 			case !r.Allows(name):
 			case r.Kind == Stream:
 				ofStreams = append(ofStreams, r.Priority)
+				if r.TargetLatency > 0 && (shortest == 0 || r.TargetLatency < shortest) {
+					shortest = r.TargetLatency
+				}
 			case c.RequiresKey(r):
 				// Calls without a key serve to test which version is in force.
 				ofCalls = append(ofCalls, r.Priority)
 			}
 		}
 		c.rankings[name], c.callRankings[name] = c.newRanking(ofAccounts, ofStreams), c.newRanking(ofAccounts, ofCalls)
+		c.rankings[name].objective = shortest
 	}
 }
 
@@ -125,6 +133,14 @@
 	return nil
 }
 
+// ShortestObjective returns the shortest objective of the stream routes of a service, 0 if none states one.
+func (c *Config) ShortestObjective(service string) time.Duration {
+	if r := c.rankings[service]; r != nil {
+		return r.objective
+	}
+	return 0
+}
+
 // CallRanks returns the ranks of the calls of a service, the highest first, which is zero. It returns nil unless two
 // routes of calls that require a key state different priorities.
 func (c *Config) CallRanks(service string) []precedence.Rank {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -214,6 +214,9 @@
 // gateways.
 func (f *Fleet) backlog(now time.Time, t *targetState) time.Duration {
 	f.expireReports(now)
+	if f.prompts[t.reg.Service] {
+		return f.unread(now, t)
+	}
 	return f.localBacklog(now, t) + t.reported.backlog(now)
 }
 
@@ -221,6 +224,10 @@
 // time by which a prompt is overdue: what delays that prompt also delays those after it. A target that
 // hangs looks idle and would attract streams.
 func (f *Fleet) localBacklog(now time.Time, t *targetState) time.Duration {
+	if f.prompts[t.reg.Service] {
+		own, _ := f.ownUnread(now, t)
+		return own
+	}
 	remaining := max(0, t.prefillEnd.Sub(now))
 	if t.hangs(now) {
 		remaining = max(remaining, hungBacklog)
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -130,14 +130,16 @@
 
 // reportedBacklog is when a target will have read the pending prompts of one other gateway.
 type reportedBacklog struct {
-	peer string
-	end  time.Time
+	peer    string
+	at, end time.Time
 }
 
+func (b *reportedBacklog) length() time.Duration { return b.end.Sub(b.at) }
+
 func (r *loadSums) add(peer string, at time.Time, load PeerLoad) {
 	r.memory, r.streams, r.copies, r.reports = r.memory+load.Memory, r.streams+load.Streams, r.copies+load.Copies, r.reports+1
 	if load.Backlog > 0 {
-		r.backlogs = append(r.backlogs, reportedBacklog{peer, at.Add(load.Backlog)})
+		r.backlogs = append(r.backlogs, reportedBacklog{peer, at, at.Add(load.Backlog)})
 	}
 }
 
@@ -274,11 +276,13 @@
 	speeds   *speed.Book
 	samples  SampleCounts
 	transfer zoneTransfer
+	// prompts holds the services for whose targets unread counts the prompts one by one.
+	prompts map[string]bool
 }
 
 // NewFleet returns an empty fleet for a gateway in a zone.
 func NewFleet(name, zone string, rng *rand.Rand) *Fleet {
-	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, reported: map[TargetKey]*loadSums{}, notices: newNotices(), callsSinceTrial: map[string]int{}}
+	return &Fleet{name: name, zone: zone, gateways: []string{name}, rng: rng, targets: map[string]*targetState{}, peers: map[string]peerReport{}, reported: map[TargetKey]*loadSums{}, notices: newNotices(), callsSinceTrial: map[string]int{}, prompts: map[string]bool{}}
 }
 
 // Update replaces the registered targets. The state of targets that are still registered is
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -27,6 +27,13 @@
 	// Known returns the names of all gateways that the store lists, for a gateway that has not heard from any since its
 	// start. It may be nil.
 	Known func() []string
+	// MaxUnread is the longest time that a target may need for its unread prompts with that of the generation, 0 for no
+	// limit. It does not apply to work of the highest rank if no target meets it.
+	MaxUnread time.Duration
+	// Shares divides the prompts that may wait at each target among the gateways with waiting work, nil for no division.
+	Shares *PromptShares
+	// unread is set if a target has memory and too many unread prompts.
+	unread bool
 }
 
 // limit returns the memory that the work may fill up to.
@@ -49,6 +56,8 @@
 	NoTarget Room = iota
 	// Full means that targets accept it and none has room.
 	Full
+	// Unread means that targets have memory for it, and all of these have too many prompts to read.
+	Unread
 	// HasRoom means that a target has room.
 	HasRoom
 )
@@ -66,15 +75,17 @@
 
 // PlaceInRoom is Place among the engines that have room. The holder of the generation's copy needs none.
 func (f *Fleet) PlaceInRoom(now time.Time, q RoomQuery, holder string, size GenerationSize, keepCopy bool) (Placement, Room) {
-	room, accepted := f.room(now, &q, size)
+	room, accepted := f.roomForPrompt(now, &q, size)
 	if !accepted && len(q.LastResort) > 0 {
 		q.Exclude = slices.DeleteFunc(slices.Clone(q.Exclude), func(id string) bool { return slices.Contains(q.LastResort, id) })
-		room, accepted = f.room(now, &q, size)
+		room, accepted = f.roomForPrompt(now, &q, size)
 	}
 	q.FleetQuery.room = room
 	switch chosen, ok := f.Place(now, q.FleetQuery, holder, size, keepCopy); {
 	case ok:
 		return chosen, HasRoom
+	case q.unread:
+		return Placement{}, Unread
 	case accepted:
 		return Placement{}, Full
 	}
@@ -99,7 +110,7 @@
 		if seen++; seen > 2*subset || seen > subset && len(free) > 0 {
 			break
 		}
-		if left, ok := f.freeFor(t, q.limit(t), size); ok {
+		if left, ok := f.freeFor(now, q, t, q.limit(t), size); ok {
 			free = append(free, freeMemory{t, left})
 		}
 	}
@@ -121,12 +132,15 @@
 	return largest
 }
 
-// freeFor returns the memory that is free at a target up to a limit, and whether a generation has room there. A target
-// at which nothing is reserved has room for any: engines accept generations beyond their limit, which would otherwise
-// have a place nowhere.
-func (f *Fleet) freeFor(t *targetState, limit int, size GenerationSize) (left int, ok bool) {
+// freeFor returns the memory that is free at a target up to a limit, and whether a generation has room there: memory,
+// and time for its prompt. A target at which nothing is reserved has memory for any: engines accept generations beyond
+// their limit, which would otherwise have a place nowhere.
+func (f *Fleet) freeFor(now time.Time, q *RoomQuery, t *targetState, limit int, size GenerationSize) (left int, ok bool) {
 	reserved := f.reservedMemory(t)
-	return limit - reserved, reserved == 0 || limit-reserved >= size.memory()
+	if ok = reserved == 0 || limit-reserved >= size.memory(); ok && !f.readsInTime(now, q, t, size) {
+		q.unread, ok = true, false
+	}
+	return limit - reserved, ok
 }
 
 // freeMemory is the memory that is free at an engine.
@@ -169,7 +183,7 @@
 		}
 		accepted = true
 		if f.prefersAmong(t) {
-			if left, ok := f.freeFor(t, ownLimit.limit(t), size); ok {
+			if left, ok := f.freeFor(now, q, t, ownLimit.limit(t), size); ok {
 				own = append(own, freeMemory{t, left})
 			}
 			continue
@@ -178,7 +192,7 @@
 		if t.memoryCapacity == 0 {
 			part = unlimitedRoom
 		}
-		left, ok := f.freeFor(t, part, size)
+		left, ok := f.freeFor(now, q, t, part, size)
 		if !ok {
 			continue
 		}
--- a/internal/core/precedence/loads_test.go
+++ b/internal/core/precedence/loads_test.go
@@ -38,9 +38,12 @@
 	// places counts the placements, beyond those that exceeded overcommit times the memory of their engine, and most is
 	// the most memory that an engine was promised.
 	places, beyond, most int
+	// reading is nil unless engines prefill one prompt after the other.
+	reading *reading
 }
 
 type siteGateway struct {
+	name    string
 	fleet   *placement.Fleet
 	queue   *precedence.Queue
 	streams map[uint64]*siteStream
@@ -52,6 +55,7 @@
 	engine          string
 	fleetID         uint64
 	placed, resumed time.Time
+	firstEvent      time.Time
 	runs            time.Duration
 	refused         bool
 }
@@ -70,7 +74,7 @@
 		names = append(names, fmt.Sprint("g", i))
 	}
 	for _, name := range names {
-		g := &siteGateway{placement.NewFleet(name, "0", s.rng), precedence.NewQueue(s.rng), map[uint64]*siteStream{}}
+		g := &siteGateway{name, placement.NewFleet(name, "0", s.rng), precedence.NewQueue(s.rng), map[uint64]*siteStream{}}
 		g.fleet.SetGateways(names)
 		s.gateways = append(s.gateways, g)
 	}
@@ -114,6 +118,10 @@
 		}
 		for i, g := range s.gateways {
 			s.step(g)
+			if s.reading != nil {
+				s.exchange(i)
+				continue
+			}
 			if !s.cut && s.now.UnixMilli()/tick.Milliseconds()%(lag/tick).Nanoseconds() == int64(i)%(lag/tick).Nanoseconds() {
 				s.report(i)
 			}
@@ -147,13 +155,14 @@
 	g.queue.Dispatch(s.now, func(w *precedence.Waiting, offer precedence.Offer) precedence.Placing {
 		stream := g.streams[w.ID]
 		q := placement.RoomQuery{FleetQuery: placement.FleetQuery{Service: "s"}, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: len(s.gateways)}
+		s.limitUnread(g, &q, &w.Work)
 		placed, room := g.fleet.PlaceInRoom(s.now, q, "", stream.size(), false)
 		if room != placement.HasRoom {
 			return precedence.NoRoom
 		}
 		stream.engine, stream.placed = placed.Target.ID, s.now
 		stream.fleetID = g.fleet.BeginStream(s.now, stream.engine, "", stream.size())
-		g.fleet.RecordFirstEvent(s.now, stream.engine, stream.fleetID)
+		s.read(g, stream)
 		s.held[stream.engine] += w.Work.Tokens()
 		s.most = max(s.most, s.held[stream.engine])
 		s.places++
--- a/internal/emulator/ranked.go
+++ b/internal/emulator/ranked.go
@@ -117,9 +117,14 @@
 			return precedence.Dropped
 		}
 	}
-	chosen, room := g.fleet.PlaceInRoom(now, placement.RoomQuery{
+	query := placement.RoomQuery{
 		FleetQuery: q, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: len(g.sim.gateways),
-	}, w.holder(), s.size, g.mayCopy(now))
+		MaxUnread: placement.UnreadLimit(urgentObjective), Shares: placement.NewPromptShares(g.name, g.queue.TokensByGateway(now, g.name)),
+	}
+	if offer.AsHighest {
+		query.MaxUnread = placement.UnreadLimitOfHighest(now, s.client.arrived, s.client.objective)
+	}
+	chosen, room := g.fleet.PlaceInRoom(now, query, w.holder(), s.size, g.mayCopy(now))
 	if room != placement.HasRoom {
 		return precedence.NoRoom
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,6 +47,7 @@
 	streamsWaiting prometheus.Gauge
 	queuePlaces    *prometheus.CounterVec
 	queueRefusals  *prometheus.CounterVec
+	queueHeld      *prometheus.CounterVec
 	invalidReports *prometheus.CounterVec
 	// capacityDecisions and capacityFull are about what the gateway can carry.
 	capacityDecisions *prometheus.CounterVec
@@ -108,6 +109,7 @@
 		streamsWaiting:    gauge("streams_waiting", "Streams of ranked services that wait for a place."),
 		queuePlaces:       counterVec("stream_queue_places_total", "Streams of ranked services that got a place, by when.", "when"),
 		queueRefusals:     counterVec("stream_queue_refusals_total", "Streams of ranked services that left the queue without a place, by reason.", "reason"),
+		queueHeld:         counterVec("stream_queue_held_total", "Streams of ranked services that engines had no room for when they were offered, by reason; once for each.", "reason"),
 		invalidReports:    counterVec("invalid_reports_total", "Impossible values in reports of other gateways, by kind of report.", "report"),
 		speedSamples:      counterVec("speed_samples_total", "Samples of the lasting speeds of targets, by kind and by what became of them.", "kind", "outcome"),
 		connections:       counter("target_connections_total", "New connections to targets."),
@@ -142,7 +144,7 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.invalidReports,
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.queueHeld, m.invalidReports,
 		m.retryTransfers, m.capacityDecisions, m.capacityFull, m.stalledClients, m.undeliveredBodies,
 		m.pacedCalls, m.pacedServices, m.callsWaiting, m.speedSamples, m.speedsInUse)
 	return m
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -571,7 +571,9 @@
 func (p *peers) mergeState(st *state, remote *wire.GatewayState, requestedAt time.Time) {
 	now := time.Now()
 	if remote.PackedLoads != nil || len(remote.Loads) > 0 {
-		st.fleet.SetPeerLoads(remote.Name, now, unpackLoads(remote))
+		loads := unpackLoads(remote)
+		p.g.loop.ignoreInvalid(st, now, remote.Name, "backlogs", placement.DropImpossible(loads))
+		st.fleet.SetPeerLoads(remote.Name, now, loads)
 		p.g.loop.mergeWaiting(st, now, remote)
 	}
 	p.g.loop.mergeCallLoads(st, now, remote)
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -38,6 +38,8 @@
 	lastDispatch time.Time
 	// scheduled is set while a pass is scheduled.
 	scheduled bool
+	// shares divides the prompts that may wait at engines, as of the last pass.
+	shares *placement.PromptShares
 }
 
 // queuedStream is a stream that waits. Its task waits for the result meanwhile, so that the event loop may use what
@@ -50,6 +52,8 @@
 	since      time.Time
 	// ran is set if the stream has run, also for an earlier attempt of its client.
 	ran bool
+	// heldBy holds the reasons for which the stream has been held and counted.
+	heldBy [2]bool
 	// result gets one value when the stream leaves the queue.
 	result chan placementResult
 }
@@ -217,6 +221,7 @@
 	// A rollout may have begun or ended since the last pass.
 	q.queue.Reclass(func(id uint64) uint64 { return st.roomClass(q.streams[id]) })
 	q.queue.SetLargest(st.fleet.LargestCapacity(q.service))
+	q.shares = placement.NewPromptShares(st.settings.Name, q.queue.TokensByGateway(now, st.settings.Name))
 	q.queue.Dispatch(now, func(waiting *precedence.Waiting, offer precedence.Offer) precedence.Placing {
 		w := q.streams[waiting.ID]
 		placing := l.tryPlace(st, now, w, offer)
@@ -257,7 +262,8 @@
 		waitUntil = w.since.Add(resumePlacementWait)
 	}
 	switch {
-	case room == placement.Full:
+	case room == placement.Full || room == placement.Unread:
+		l.countHeld(w, room)
 		return precedence.NoRoom
 	case room == placement.NoTarget:
 		held := st.heldPlacement(now, fleetQuery, streamRetryAfter)
@@ -295,6 +301,7 @@
 	}
 	st.restrictVersion(now, &fleetQuery, c.versionDraw)
 	q := placement.RoomQuery{FleetQuery: fleetQuery, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: st.gatewayCount, Known: st.knownGateways}
+	st.limitUnread(now, w, &q)
 	chosen, room := st.fleet.PlaceInRoom(now, q, w.holder(), w.s.prompt, st.mayCopy(now, c.service))
 	return newPlacementResult(&chosen, room == placement.HasRoom), room
 }
@@ -360,6 +367,7 @@
 
 // rerankQueues applies the ranks of a new desired state to the waiting streams.
 func (st *state) rerankQueues() {
+	st.fleet.KeepPromptsOf(st.desired.Config.Ranked)
 	for _, q := range st.streamQueues {
 		q.queue.Rerank(func(id uint64) precedence.Rank { return q.streams[id].s.req.rank(st.desired.Config) })
 	}
