Let streams that lost their engine before the first event wait for room

Cause: such streams were sent to the best engine after 3 s, although it had no room. When a zone was lost, 234 of them went to full engines at once.

Change: a stream that has run and whose client has no event waits for room until 500 ms before its latest start and is then sent without room, if the chosen engine can finish it. Once it cannot end before its deadline, it ends at once with its true outcome (refusal reason ran_too_late, never 503). A stream whose client has events keeps the wait of 3 s and, if the client came back with it, is no longer refused as too late. The order does not change.

--- a/internal/core/precedence/precedence.go
+++ b/internal/core/precedence/precedence.go
@@ -12,6 +12,9 @@
 	// agingFraction is the fraction of its objective after which waiting work counts as of the highest
 	// rank. The other half is left for finding a place and reading the prompt.
 	agingFraction = 0.5
+	// latestStartMargin is how long before its latest start work that has run is sent without room. It covers two passes
+	// over the queue, 100 ms apart, and what the choice of an engine adds for a target that another gateway prefers, 250 ms.
+	latestStartMargin = 500 * time.Millisecond
 	// highestEnginePriority and lowestEnginePriority bound the priorities that engines are told, and
 	// assumedEnginePriority is what an engine assumes for a request without one.
 	highestEnginePriority, lowestEnginePriority = 1, 9
@@ -72,6 +75,21 @@
 // EarliestEnd returns when the work ends if it starts now.
 func (w *Work) EarliestEnd(now time.Time) time.Time { return now.Add(w.ToFirst + w.Rest) }
 
+// Continues reports whether the caller has a part of the result.
+func (w *Work) Continues() bool { return w.Ran && w.Events > 0 }
+
+// RanUntil returns until when work that has run waits for room, given when it began to wait. Without an event its caller
+// loses nothing until its latest start.
+func (w *Work) RanUntil(since time.Time) time.Time {
+	if w.Continues() {
+		return since.Add(ranWait)
+	}
+	return w.Deadline.Add(-w.ToFirst - w.Rest - latestStartMargin)
+}
+
+// AtLatestStart reports whether work has to start now if it would end at a given time.
+func (w *Work) AtLatestStart(end time.Time) bool { return end.Add(latestStartMargin).After(w.Deadline) }
+
 // Before reports whether a goes before b. It is a strict weak ordering for any fixed time.
 func Before(now time.Time, a, b *Work) bool { return compare(now, a, b, 0) < 0 }
 
--- a/internal/core/precedence/queue.go
+++ b/internal/core/precedence/queue.go
@@ -12,7 +12,8 @@
 	// waitFraction is the fraction of its objective that new work waits for a place. From agingFraction on it counted
 	// as of the highest rank; what is left is for another gateway.
 	waitFraction = 0.75
-	// ranWait is how long work that has run waits for a target on which to continue.
+	// ranWait is how long work that has run waits for a target on which to continue if its caller has events, and thus
+	// sees a pause.
 	ranWait = 3 * time.Second
 	// turnWindow is the time over which the tokens of an account's placed work are counted.
 	turnWindow = 10 * time.Second
@@ -390,7 +391,7 @@
 func (w *Waiting) overdue(now time.Time) Reason {
 	switch {
 	// Some more events are of use to a caller that has some already.
-	case !w.Work.Ran && w.Work.EarliestEnd(now).After(w.Work.Deadline):
+	case !w.Work.Continues() && w.Work.EarliestEnd(now).After(w.Work.Deadline):
 		return TooLate
 	case !now.Before(w.waitsUntil()):
 		return WaitedTooLong
@@ -402,7 +403,7 @@
 func (w *Waiting) waitsUntil() time.Time {
 	switch {
 	case w.Work.Ran:
-		return w.since.Add(ranWait)
+		return w.Work.RanUntil(w.since)
 	case w.Work.Objective <= 0:
 		return w.Work.Deadline
 	}
--- a/internal/emulator/ranked.go
+++ b/internal/emulator/ranked.go
@@ -47,6 +47,7 @@
 	s      *stream
 	choose relay.ChooseTarget
 	ran    bool
+	work   precedence.Work
 }
 
 func (w *queuedStream) holder() string {
@@ -71,15 +72,16 @@
 // awaitPlace queues a stream for a place, as gateways do in ranked services.
 func (s *stream) awaitPlace(e relay.ChooseTarget) {
 	g, c, now := s.gateway, s.client, s.gateway.sim.clock.now
-	w := &queuedStream{s, e, s.machine.Ran() || c.received > 0}
+	w := &queuedStream{s: s, choose: e, ran: s.machine.Ran() || c.received > 0}
 	work := precedence.Work{
 		Rank: c.rank, Arrived: c.arrived, Objective: c.objective, Deadline: c.deadline, PromptTokens: s.size.PromptTokens, OutputTokens: s.size.OutputTokens,
 		ToFirst: placement.ReadTime(s.size.PromptTokens), Rest: g.completion.Least(maxOutputTokens, s.machine.LastEvent()),
-		Ran: w.ran, Events: s.machine.LastEvent(),
+		Ran: w.ran, Events: max(s.machine.LastEvent(), uint64(c.received)),
 	}
 	if w.holder() != "" {
 		work.ToFirst = 0
 	}
+	w.work = work
 	g.queue.last++
 	g.queue.streams[g.queue.last] = w
 	g.queue.Enqueue(now, precedence.Waiting{ID: g.queue.last, Work: work}, queueLimit)
@@ -110,9 +112,11 @@
 		return precedence.Dropped
 	}
 	q := placement.FleetQuery{Service: service, Exclude: w.choose.Exclude, LastResort: s.machine.LastResort(), WarmTarget: s.warmTarget}
-	if !s.machine.Ran() {
+	var end time.Time
+	if !w.work.Continues() {
 		rest := g.completion.Least(maxOutputTokens, uint64(s.client.received))
-		if end, ok := g.fleet.EarliestEnd(now, q, s.size, w.holder(), rest); ok && end.After(s.client.deadline) {
+		var ok bool
+		if end, ok = g.fleet.EarliestEnd(now, q, s.size, w.holder(), rest); ok && end.After(s.client.deadline) {
 			s.apply(s.machine.PlacementFailed())
 			return precedence.Dropped
 		}
@@ -126,12 +130,27 @@
 	}
 	chosen, room := g.fleet.PlaceInRoom(now, query, w.holder(), s.size, g.mayCopy(now))
 	if room != placement.HasRoom {
+		if w.ran && !w.work.Continues() && w.work.AtLatestStart(end) && w.startLate(q) {
+			return precedence.Placed
+		}
 		return precedence.NoRoom
 	}
 	s.begin(chosen, offer.AsHighest)
 	return precedence.Placed
 }
 
+// startLate starts an attempt of a stream that has run at the best engine, although that has no room, unless the stream
+// cannot end there before its deadline and its client has no event.
+func (w *queuedStream) startLate(q placement.FleetQuery) bool {
+	g, now := w.s.gateway, w.s.gateway.sim.clock.now
+	chosen, ok := g.fleet.Place(now, q, w.holder(), w.s.size, g.mayCopy(now))
+	if !ok || !w.work.Continues() && now.Add(chosen.Expected+w.work.Rest).After(w.work.Deadline) {
+		return false
+	}
+	w.s.begin(chosen, false)
+	return true
+}
+
 // begin starts the attempt at a chosen target.
 func (s *stream) begin(chosen placement.Placement, asHighest bool) {
 	s.placed, s.asHighest = chosen.Target, asHighest
@@ -152,8 +171,7 @@
 		}
 		if w.ran && refusal.Reason == precedence.WaitedTooLong {
 			q := placement.FleetQuery{Service: service, Exclude: w.choose.Exclude, LastResort: w.s.machine.LastResort(), WarmTarget: w.s.warmTarget}
-			if chosen, ok := g.fleet.Place(now, q, w.holder(), w.s.size, g.mayCopy(now)); ok {
-				w.s.begin(chosen, false)
+			if w.startLate(q) {
 				continue
 			}
 		}
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -181,12 +181,12 @@
 	l.metrics.streamsWaiting.Set(float64(waiting))
 }
 
-// expireQueued ends the wait of a stream. One that has run is sent to the best target although that has no room: its
-// client has lost more than another one that waits.
+// expireQueued ends the wait of a stream. One that has run is sent to the best target although that has no room, if it
+// can end there before its deadline or its client has events: it has lost more than another one that waits.
 func (l *eventLoop) expireQueued(st *state, now time.Time, q *streamQueue, refusal precedence.Refusal) {
 	w := q.streams[refusal.ID]
 	delete(q.streams, refusal.ID)
-	tooLate := refusal.Reason == precedence.TooLate
+	tooLate, reason := refusal.Reason == precedence.TooLate, w.reason(refusal.Reason)
 	refused := placementResult{retryAfter: refusal.Delay, deadlineTooShort: tooLate && !w.s.machine.Ran()}
 	if w.ran && !tooLate && w.s.req.ctx.Err() == nil {
 		if l.rejects(st, now, w.s.req, w.s.machine.Arrived()) {
@@ -194,13 +194,17 @@
 			return
 		}
 		p := st.placeStream(now, st.queuedQuery(w), w.s.req.versionDraw, w.holder(), w.s.prompt)
-		if p.ok && st.takeQueuedRepeat(now, w, &p) {
+		switch {
+		case p.ok && !st.endsInTime(now, w, &p):
+			reason = w.reason(precedence.TooLate)
+		case p.ok && st.takeQueuedRepeat(now, w, &p):
 			l.placeQueued(st, now, w, p, "last_resort")
 			return
+		default:
+			refused.budgetSpent = p.ok
 		}
-		refused.budgetSpent = p.ok
 	}
-	l.refuseQueued(st, now, w, refusal.Reason.String(), refused)
+	l.refuseQueued(st, now, w, reason, refused)
 }
 
 // dispatch offers the waiting streams places in their order.
@@ -250,16 +254,28 @@
 		return precedence.Dropped
 	}
 	fleetQuery := st.queuedQuery(w)
-	if !m.Ran() {
-		if end, ok := st.earliestEnd(now, c, fleetQuery, w.s.prompt, w.holder()); ok && end.After(c.deadline) {
-			return l.refuseQueued(st, now, w, precedence.TooLate.String(), placementResult{deadlineTooShort: true, retryAfter: l.retryDelay(st, now, w)})
+	work := st.work(w)
+	var end time.Time
+	if !work.Continues() {
+		var ok bool
+		if end, ok = st.earliestEnd(now, c, fleetQuery, w.s.prompt, w.holder()); ok && end.After(c.deadline) {
+			return l.refuseQueued(st, now, w, w.reason(precedence.TooLate), placementResult{deadlineTooShort: !m.Ran(), retryAfter: l.retryDelay(st, now, w)})
 		}
 	}
+	terms := "at_once"
+	if now.Sub(w.since) >= dispatchInterval {
+		terms = "waited"
+	}
 	p, room := st.placeInRoom(now, w, fleetQuery, offer)
+	if (room == placement.Full || room == placement.Unread) && w.ran && !work.Continues() && work.AtLatestStart(end) {
+		if late := st.placeStream(now, fleetQuery, c.versionDraw, w.holder(), w.s.prompt); late.ok && st.endsInTime(now, w, &late) {
+			p, room, terms = late, placement.HasRoom, "last_resort"
+		}
+	}
 	// Without a target or a token of the retry budget, new streams wait no longer than those of other services.
 	waitUntil := w.since.Add(time.Duration(placementWaitFraction * float64(c.route.TargetLatency)))
 	if w.ran {
-		waitUntil = w.since.Add(resumePlacementWait)
+		waitUntil = work.RanUntil(w.since)
 	}
 	switch {
 	case room == placement.Full || room == placement.Unread:
@@ -281,10 +297,6 @@
 		return precedence.Blocked
 	}
 	p.asHighest = offer.AsHighest
-	terms := "at_once"
-	if now.Sub(w.since) >= dispatchInterval {
-		terms = "waited"
-	}
 	l.placeQueued(st, now, w, p, terms)
 	return precedence.Placed
 }
--- a/internal/gateway/stream_unread.go
+++ b/internal/gateway/stream_unread.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/precedence"
 )
 
 // limitUnread sets the limit of the prompts that may wait at an engine to be read before that of a stream.
@@ -29,3 +30,18 @@
 		l.metrics.queueHeld.WithLabelValues(label).Inc()
 	}
 }
+
+// reason returns the label of a refusal. A stream that has run is not refused as one that has not.
+func (w *queuedStream) reason(reason precedence.Reason) string {
+	if reason == precedence.TooLate && w.ran {
+		return "ran_too_late"
+	}
+	return reason.String()
+}
+
+// endsInTime reports whether a stream without an event can end before its deadline at a chosen engine. One whose client
+// has events goes on to the deadline.
+func (st *state) endsInTime(now time.Time, w *queuedStream, p *placementResult) bool {
+	work := st.work(w)
+	return work.Continues() || !now.Add(p.placement.ExpectedFirstEvent+work.Rest).After(work.Deadline)
+}
