--- a/internal/core/precedence/unread_test.go
+++ b/internal/core/precedence/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
 	"bramleygap/internal/core/precedence"
 )
@@ -129,3 +131,43 @@
 		c.Check(busy >= 1, qt.IsTrue)
 	}
 }
+
+// Load: a third of the engines is lost while all are full. Guards against streams that lost their engine before their
+// first event and are sent to engines without room.
+func TestThirdOfEnginesLostWhileFull(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(4, 12)
+	s.reading = &reading{busyUntil: map[string]time.Time{}}
+	s.run(10*time.Second, flow{1.2, s.urgent}, flow{20, s.patient})
+	lost := func(id string) bool { return id == "e0" || id == "e3" || id == "e6" || id == "e9" }
+	s.engines = slices.DeleteFunc(s.engines, func(reg membership.Registration) bool { return lost(reg.ID) })
+	s.register()
+	s.ended, s.most = nil, 0
+	s.reading.firstEvents = slices.DeleteFunc(s.reading.firstEvents, func(e firstEvent) bool { return lost(e.stream.engine) })
+	waiting := 0
+	for _, g := range s.gateways {
+		for _, id := range slices.Sorted(maps.Keys(g.streams)) {
+			if stream := g.streams[id]; lost(stream.engine) {
+				s.release(g, id)
+				stream.runs = runTime
+				stream.engine, stream.work.Ran, stream.resumed = "", true, s.now
+				s.enqueue(g, stream)
+				waiting++
+			}
+		}
+	}
+	s.run(25*time.Second, flow{1.2, s.urgent}, flow{8, s.patient})
+	refused, resumed := 0, 0
+	for _, stream := range s.ended {
+		if !stream.resumed.IsZero() {
+			resumed++
+			if stream.refused {
+				refused++
+			}
+		}
+	}
+	t.Logf("%d streams lost their engine, %d of %d ended without another one; most memory %d", waiting, refused, resumed, s.most)
+	c.Check(waiting > 10, qt.IsTrue)
+	c.Check(refused, qt.Equals, 0)
+	c.Check(s.most <= engineMemory*11/10, qt.IsTrue)
+}
