Let urgent streams use engines that their gateway does not own

Cause: an account's priority goes before its route's, so that streams of the urgent route are mostly not of the highest rank. Change: work with the shortest objective of its service may use any engine that reads its prompt in time, as work of the highest rank. Measured: TestUrgentStreamNeedsNoOwnedTarget fails before.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -28,8 +28,11 @@
 	// start. It may be nil.
 	Known func() []string
 	// MaxUnread is the longest time that a target may need for its unread prompts with that of the generation, 0 for no
-	// limit. It does not apply to work of the highest rank if no target meets it.
+	// limit.
 	MaxUnread time.Duration
+	// OwnObjective is set if MaxUnread is the time left until the generation's own objective. The limit then does not
+	// apply if no target meets it, and Shares never does.
+	OwnObjective bool
 	// Shares divides the prompts that may wait at each target among the gateways with waiting work, nil for no division.
 	Shares *PromptShares
 	// unread is set if a target has memory and too many unread prompts.
--- a/internal/core/placement/unread.go
+++ b/internal/core/placement/unread.go
@@ -20,10 +20,15 @@
 // engine reads prompts in the order of admission, so that half of it is left to more urgent work behind them.
 func UnreadLimit(shortest time.Duration) time.Duration { return shortest / 2 }
 
-// UnreadLimitOfHighest is UnreadLimit for work of the highest rank: the time that is left until its objective, 0 if
-// there is none.
-func UnreadLimitOfHighest(now, arrived time.Time, objective time.Duration) time.Duration {
-	return max(0, arrived.Add(objective-firstEventOverhead).Sub(now))
+// LimitUnread sets the limit of the prompts that may wait at a target before that of a generation, given the shortest
+// objective of the service. For work of the highest rank and work with that objective it is the time that is left until
+// its own: most urgent work is not of the highest rank, since an account's priority goes before its route's, and would
+// wait for its gateway's share of the targets although they can still serve it in time.
+func (q *RoomQuery) LimitUnread(now, arrived time.Time, objective, shortest time.Duration) {
+	q.MaxUnread = UnreadLimit(shortest)
+	if q.OwnObjective = q.Highest || objective > 0 && objective <= shortest; q.OwnObjective {
+		q.MaxUnread = max(0, arrived.Add(objective-firstEventOverhead).Sub(now))
+	}
 }
 
 // DropImpossible sets impossible backlogs of a report to none and returns their number.
@@ -97,21 +102,21 @@
 	switch {
 	case reading == 0:
 		return true
-	case q.Highest || q.Shares == nil:
+	case q.OwnObjective || q.Shares == nil:
 		return unread == 0 || unread+reading <= q.MaxUnread
 	}
 	return (unread == 0 || unread+reading+unseenTime <= q.MaxUnread) && q.Shares.owns(t)
 }
 
-// roomForPrompt is room, for work of the highest rank without the limit if no target with memory meets it: such work
-// goes where its prompt is read earliest.
+// roomForPrompt is room, without the limit if it is the generation's own objective and no target with memory meets it:
+// such work goes where its prompt is read earliest.
 func (f *Fleet) roomForPrompt(now time.Time, q *RoomQuery, size GenerationSize) (set roomSet, accepted bool) {
 	if q.MaxUnread > 0 {
 		f.prompts[q.Service] = true
 	}
 	q.unread = false
 	set, accepted = f.room(now, q, size)
-	if q.Highest && q.unread && len(set) == 0 {
+	if q.OwnObjective && q.unread && len(set) == 0 {
 		unlimited := *q
 		unlimited.MaxUnread = 0
 		return f.room(now, &unlimited, size)
--- a/internal/core/placement/unread_test.go
+++ b/internal/core/placement/unread_test.go
@@ -26,11 +26,14 @@
 	warm := q
 	warm.WarmTarget = engineID(0)
 	c.Check(room(now, warm, typicalSize), qt.Equals, HasRoom, qt.Commentf("a prompt that is cached is not read"))
-	urgent := q
-	urgent.Highest, urgent.MaxUnread = true, UnreadLimitOfHighest(now, now, 4*time.Second)
-	c.Check(room(now, urgent, typicalSize), qt.Equals, HasRoom)
-	urgent.MaxUnread = UnreadLimitOfHighest(now, now, 2*time.Second)
-	c.Check(room(now, urgent, typicalSize), qt.Equals, HasRoom, qt.Commentf("no engine meets it"))
+	for _, highest := range []bool{false, true} {
+		urgent := q
+		urgent.Highest = highest
+		urgent.LimitUnread(now, now, 4*time.Second, 4*time.Second)
+		c.Check(room(now, urgent, typicalSize), qt.Equals, HasRoom)
+		urgent.LimitUnread(now, now, 2*time.Second, 2*time.Second)
+		c.Check(room(now, urgent, typicalSize), qt.Equals, HasRoom, qt.Commentf("no engine meets it"))
+	}
 	second := f.BeginStream(now, engineID(0), "", typicalSize)
 	third := f.BeginStream(now, engineID(0), "", typicalSize)
 	at := now.Add(2300 * time.Millisecond)
@@ -127,3 +130,18 @@
 		})
 	}
 }
+
+// Scenario: an urgent stream waits at a gateway where little else does, while much patient work waits elsewhere. Its
+// account has a usual priority, so that it is not of the highest rank. Guards against one that waits for a target that
+// its gateway owns: with scarce room, urgent streams waited for 3 s and were refused.
+func TestUrgentStreamNeedsNoOwnedTarget(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet("g", engines(1))
+	q := RoomQuery{FleetQuery: fleetQuery, Gateways: 2, Shares: NewPromptShares("g", map[string]int{"g": 6_000, "h": 6_000_000})}
+	f.BeginStream(now, engineID(0), "", typicalSize)
+	for _, objective := range []time.Duration{10 * time.Second, 4 * time.Second} {
+		q.LimitUnread(now, now, objective, 4*time.Second)
+		_, room := f.PlaceInRoom(now, q, "", typicalSize, false)
+		c.Check(room == HasRoom, qt.Equals, objective == 4*time.Second, qt.Commentf("objective %s", objective))
+	}
+}
--- a/internal/core/precedence/unread_test.go
+++ b/internal/core/precedence/unread_test.go
@@ -35,10 +35,8 @@
 	if s.reading == nil {
 		return
 	}
-	q.MaxUnread, q.Shares = placement.UnreadLimit(4*time.Second), placement.NewPromptShares(g.name, g.queue.TokensByGateway(s.now, g.name))
-	if q.Highest {
-		q.MaxUnread = placement.UnreadLimitOfHighest(s.now, w.Arrived, w.Objective)
-	}
+	q.Shares = placement.NewPromptShares(g.name, g.queue.TokensByGateway(s.now, g.name))
+	q.LimitUnread(s.now, w.Arrived, w.Objective, 4*time.Second)
 }
 
 // read records the first event of a stream that was placed: at once, or when its engine has read its prompt.
--- a/internal/emulator/ranked.go
+++ b/internal/emulator/ranked.go
@@ -123,11 +123,9 @@
 	}
 	query := placement.RoomQuery{
 		FleetQuery: q, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: len(g.sim.gateways),
-		MaxUnread: placement.UnreadLimit(urgentObjective), Shares: placement.NewPromptShares(g.name, g.queue.TokensByGateway(now, g.name)),
-	}
-	if offer.AsHighest {
-		query.MaxUnread = placement.UnreadLimitOfHighest(now, s.client.arrived, s.client.objective)
+		Shares: placement.NewPromptShares(g.name, g.queue.TokensByGateway(now, g.name)),
 	}
+	query.LimitUnread(now, s.client.arrived, s.client.objective, urgentObjective)
 	chosen, room := g.fleet.PlaceInRoom(now, query, w.holder(), s.size, g.mayCopy(now))
 	if room != placement.HasRoom {
 		if w.ran && !w.work.Continues() && w.work.AtLatestStart(end) && w.startLate(q) {
--- a/internal/gateway/stream_unread.go
+++ b/internal/gateway/stream_unread.go
@@ -10,10 +10,7 @@
 // limitUnread sets the limit of the prompts that may wait at an engine to be read before that of a stream.
 func (st *state) limitUnread(now time.Time, w *queuedStream, q *placement.RoomQuery) {
 	c := w.s.req
-	q.MaxUnread = placement.UnreadLimit(st.desired.Config.ShortestObjective(c.service))
-	if q.Highest {
-		q.MaxUnread = placement.UnreadLimitOfHighest(now, c.arrived, c.route.TargetLatency)
-	}
+	q.LimitUnread(now, c.arrived, c.route.TargetLatency, st.desired.Config.ShortestObjective(c.service))
 	if queue := st.streamQueues[c.service]; queue != nil {
 		q.Shares = queue.shares
 	}
