Let other gateways use engines that their owner leaves without prompts

Cause: a gateway that reported more waiting work than all engines hold owned all of them. With the limit in force, the 49 patient streams of a core test were all refused while its engines were idle. Change: a gateway may use an engine that it has seen without a prompt to read for 2 s.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -208,6 +208,8 @@
 	latency   time.Duration
 	latencyAt time.Time
 	work      workEvidence
+	// idleSince and idleSeen are those of idleFor.
+	idleSince, idleSeen time.Time
 	// lasting holds the lasting speeds, nil while those of its service are not in use.
 	lasting   *speed.Speeds
 	latencies speed.Latencies
--- a/internal/core/placement/unread.go
+++ b/internal/core/placement/unread.go
@@ -15,6 +15,11 @@
 // two of 21 exchange reports every 670 ms on average. It leaves more than one prompt of 1.04 s within a limit of 2 s.
 const unseenTime = 300 * time.Millisecond
 
+// unusedTime is how long a target may have no prompt to read, while work waits here, until a gateway that does not own it
+// may use it: its owner may have ended or have reported more than waits there. 1 s was shorter than the
+// gaps between reports of two of 21 gateways now and then, and gave false ones.
+const unusedTime = 2 * time.Second
+
 // UnreadLimit returns the longest time for which an engine may be busy reading prompts once a generation below the
 // highest rank has been placed there, 0 for no limit. shortest is the shortest objective of the service's routes. An
 // engine reads prompts in the order of admission, so that half of it is left to more urgent work behind them.
@@ -100,7 +105,17 @@
 	case q.Highest || q.Shares == nil:
 		return unread == 0 || unread+reading <= q.MaxUnread
 	}
-	return (unread == 0 || unread+reading+unseenTime <= q.MaxUnread) && q.Shares.owns(t)
+	idle := t.idleFor(now, unread) >= unusedTime
+	return (unread == 0 || unread+reading+unseenTime <= q.MaxUnread) && (idle || q.Shares.owns(t))
+}
+
+// idleFor returns for how long a target has had no prompt to read whenever work was offered to it.
+func (t *targetState) idleFor(now time.Time, unread time.Duration) time.Duration {
+	if unread > 0 || now.Sub(t.idleSeen) > unusedTime/2 {
+		t.idleSince = now
+	}
+	t.idleSeen = now
+	return now.Sub(t.idleSince)
 }
 
 // roomForPrompt is room, for work of the highest rank without the limit if no target with memory meets it: such work
--- a/internal/core/precedence/unread_test.go
+++ b/internal/core/precedence/unread_test.go
@@ -171,3 +171,18 @@
 	c.Check(refused, qt.Equals, 0)
 	c.Check(s.most <= engineMemory*11/10, qt.IsTrue)
 }
+
+// Failure: another gateway reports that more waits there than all engines hold. Guards against engines that are left to
+// it while it sends them nothing.
+func TestReportedWorkKeepsNoIdleEngines(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(1, 4)
+	s.reading = &reading{busyUntil: map[string]time.Time{}}
+	for range 1000 {
+		s.gateways[0].queue.SetPeer(s.now, "g9", []precedence.RankLoad{{Rank: urgentRank, Streams: 1 << 30, Tokens: 1 << 30}})
+		s.run(tick, flow{2, s.patient})
+	}
+	refused, _, all := s.outcome(patientRank)
+	t.Logf("%d refused of %d, %d places", refused, all, s.places)
+	c.Check(s.places > 8, qt.IsTrue)
+}
