Keep gateways that know speeds from choosing the same fast engines

Cause: a target that another gateway prefers costs 250 ms, which separates gateways while engines are alike. An idle engine of 1.7 times the nominal speed is 0.9 s cheaper than one of 0.7, so that all gateways chose the same fast engines before they heard of each other's prompts.

Change: where speeds are in use and all gateways share all targets, that cost is 1.5 prompts at the nominal speed times the number of gateways over 32, at least the 250 ms as before.

TestKnownSpeedsDoNotGatherStreamsAtFewEngines (75 streams/s over 110 engines, 30 gateways), streams whose first event comes after 4.5 s: 14 of 1,883 without speeds; with speeds 216 before and 5 now.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -275,7 +275,7 @@
 			cost += lastResortCost
 		}
 		if !f.prefers(t) {
-			cost += nonPreferredCost
+			cost += f.nonPreferredCost(t, uncached)
 		}
 		return cost + t.leavingPenalty(now) + f.transferCost(t) + time.Duration(f.rng.Int64N(int64(choiceJitter)))
 	})
--- a/internal/core/placement/ring_load_test.go
+++ b/internal/core/placement/ring_load_test.go
@@ -44,6 +44,9 @@
 	readEnd map[string]time.Time
 	running map[string]int
 	waits   []time.Duration
+	// speeds are the speeds of engines by ID, 1 if none is stated, and firsts the times to the first event.
+	speeds map[string]float64
+	firsts []time.Duration
 }
 
 func newLoadSimulation(gateways, targets int) *loadSimulation {
@@ -70,11 +73,13 @@
 	}
 }
 
-// exchange reports the loads of two gateways to each other.
+// exchange reports the loads and speeds of two gateways to each other.
 func (s *loadSimulation) exchange(a, b *Fleet) {
 	fromA, fromB := a.LocalLoads(s.now), b.LocalLoads(s.now)
 	a.SetPeerLoads(b.name, s.now, fromB)
 	b.SetPeerLoads(a.name, s.now, fromA)
+	b.MergeSpeeds(a.ExportSpeeds(s.now))
+	a.MergeSpeeds(b.ExportSpeeds(s.now))
 }
 
 // exchangeLoads makes the exchanges of a gateway: as the gateway process does, with three random others
@@ -111,11 +116,19 @@
 	if s.readEnd[id].After(start) {
 		start = s.readEnd[id]
 	}
-	s.readEnd[id] = start.Add(prefillTime(size.PromptTokens, 1))
+	factor := 1.0
+	if s.speeds != nil {
+		factor = s.speeds[id]
+	}
+	runs = time.Duration(float64(runs) / factor)
+	s.readEnd[id] = start.Add(prefillTime(size.PromptTokens, 1/factor))
 	s.running[id]++
 	first := s.readEnd[id].Sub(s.now)
-	s.waits = append(s.waits, start.Sub(s.now))
+	s.waits, s.firsts = append(s.waits, start.Sub(s.now)), append(s.firsts, first)
 	s.after(first, func() { f.RecordFirstEvent(s.now, id, stream) })
+	for at := 2 * time.Second; at <= runs; at += 2 * time.Second {
+		s.after(first+at, func() { f.RecordGap(s.now, id, stream, time.Duration(float64(26*time.Millisecond)/factor)) })
+	}
 	s.after(first+runs, func() {
 		s.running[id]--
 		f.EndStream(s.now, id, placed.Copy, stream, size, false)
--- a/internal/core/placement/speeds.go
+++ b/internal/core/placement/speeds.go
@@ -16,6 +16,12 @@
 	// stepShare is the part by which each further stream lengthens an engine's step: 0.1 of 4.34 to 6.45 ms. With the
 	// 10 streams that an engine's memory holds, the error of this mean is below 5%.
 	stepShare = 0.02
+	// unseenPrompts is the cost of a target that another gateway prefers, in prompts read at nominal speed, where targets
+	// are chosen by their speeds and maxFullMesh gateways share them. An idle fast target is cheaper than an idle slow one
+	// by more than nonPreferredCost, so that all gateways would choose it before they hear of each other's prompts. That
+	// takes longer the more gateways there are. 1.5 prompts are about the difference between 0.7 and 1.7 times the nominal
+	// speed and a further prompt; with 1 prompt, some 1% of 75 streams/s over 110 engines still were late at 30 gateways.
+	unseenPrompts = 1.5
 )
 
 // speedSampling is what the fleet keeps of a stream for samples of its target's speeds.
@@ -133,6 +139,15 @@
 	return int(float64(t.memoryCapacity) * min(1, t.lasting.Decode, t.lasting.Relative))
 }
 
+// nonPreferredCost returns the cost of a target that another gateway prefers.
+func (f *Fleet) nonPreferredCost(t *targetState, uncached GenerationSize) time.Duration {
+	if t.lasting == nil || !SharesAll(len(f.gateways)) {
+		return nonPreferredCost
+	}
+	unseen := unseenPrompts * float64(len(f.gateways)-1) / (maxFullMesh - 1)
+	return max(nonPreferredCost, time.Duration(unseen*float64(prefillTime(uncached.PromptTokens, 1))))
+}
+
 // untried reports whether the speed of a target is unknown while it reads a prompt of this gateway. It then gets no
 // further one: nobody knows when it would begin to read that.
 func (t *targetState) untried() bool {
--- a/internal/core/placement/speeds_test.go
+++ b/internal/core/placement/speeds_test.go
@@ -195,3 +195,48 @@
 	call, _ := f.ChooseCall(now, fleetQuery)
 	c.Check(call.Zone, qt.Equals, "a")
 }
+
+// Load pattern: 75 streams/s over 110 engines of 0.7 and 1.7 of the nominal speed, placed by 30 gateways that hear of each
+// other late. Guards against gateways that all choose the same fast engines once they know the speeds.
+func TestKnownSpeedsDoNotGatherStreamsAtFewEngines(t *testing.T) {
+	c := qt.New(t)
+	late := func(useSpeeds bool) (late, all int) {
+		s := newLoadSimulation(30, 110)
+		list := engines(110)
+		s.speeds = map[string]float64{}
+		for i := range list {
+			s.speeds[list[i].ID] = unevenSpeed(s.rng.IntN(3))
+		}
+		for _, f := range s.fleets {
+			if useSpeeds {
+				f.UseSpeeds()
+				f.updateSpeeds()
+			}
+			s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { s.exchangeLoads(f) })
+		}
+		var arrive, evaluate func()
+		arrive = func() {
+			s.stream(s.fleets[s.rng.IntN(30)], typicalSize, 3640*time.Millisecond)
+			s.after(time.Duration(s.rng.ExpFloat64()*float64(time.Second)/75), arrive)
+		}
+		evaluate = func() {
+			for _, f := range s.fleets {
+				f.EvaluateSpeeds()
+			}
+			s.after(500*time.Millisecond, evaluate)
+		}
+		arrive()
+		evaluate()
+		s.run(now.Add(25 * time.Second))
+		for _, first := range s.firsts {
+			if first > 4500*time.Millisecond {
+				late++
+			}
+		}
+		return late, len(s.firsts)
+	}
+	without, all := late(false)
+	with, allWith := late(true)
+	t.Logf("later than 4.5 s: %d of %d without speeds, %d of %d with them", without, all, with, allWith)
+	c.Check(with <= without && with*200 <= allWith, qt.IsTrue, qt.Commentf("%d of %d streams later than 4.5 s, %d of %d without speeds", with, allWith, without, all))
+}
