Continue from a KV cache copy only at the service of the route

The record of a run outlives the desired state by which it was placed. Fleet.Place took the holder of the copy if it accepted requests, also if the route had moved to another service or the holder's version had been withdrawn.

A gateway that finds an earlier run whose copy is at another service resumes without it.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -33,12 +33,14 @@
 	return t.accepts(now) && q.matches(t) && q.room.admits(t) && (q.CallLimits == nil || t.activeCalls < q.CallLimits[t.reg.ID])
 }
 
+// runsAt reports whether a target is of the service of the query and not of the version that it excludes.
+func (q *FleetQuery) runsAt(t *targetState) bool {
+	return t.reg.Service == q.Service && (q.ExcludeVersion == "" || t.reg.Version != q.ExcludeVersion)
+}
+
 // matches is admits without regard to whether the target is usable now.
 func (q *FleetQuery) matches(t *targetState) bool {
-	if t.reg.Service != q.Service || q.Version != "" && t.reg.Version != q.Version {
-		return false
-	}
-	if q.ExcludeVersion != "" && t.reg.Version == q.ExcludeVersion {
+	if !q.runsAt(t) || q.Version != "" && t.reg.Version != q.Version {
 		return false
 	}
 	for _, id := range q.Exclude {
@@ -177,7 +179,7 @@
 // at the target that holds its copy, or else at the best one. If that one has no work, rest does not count: trying
 // delays nobody, and the caller gets some more events. It returns false if there is no admitted target.
 func (f *Fleet) EarliestEnd(now time.Time, q FleetQuery, size GenerationSize, holder string, rest time.Duration) (time.Time, bool) {
-	if holder != "" && f.Accepts(now, holder) {
+	if f.continuesFrom(now, &q, holder) {
 		return now, true
 	}
 	t := f.bestNearby(now, &q, func(t *targetState) time.Duration {
@@ -350,12 +352,21 @@
 	Expected time.Duration
 }
 
-// Place chooses where a generation runs: at the holder of its copy if that target accepts work,
+// continuesFrom reports whether a generation may continue from the copy that a target holds, empty for none: the target
+// accepts work and is of the service of the query and not of an excluded version. The record of a run outlives the
+// desired state by which it was placed. The version that new work gets does not count: targets of the previous one serve
+// what they hold while they drain. Nor does Exclude: a target that failed an earlier attempt may have got the copy since.
+func (f *Fleet) continuesFrom(now time.Time, q *FleetQuery, holder string) bool {
+	t := f.targets[holder]
+	return t != nil && t.accepts(now) && q.runsAt(t)
+}
+
+// Place chooses where a generation runs: at the holder of its copy if that target accepts work for the query,
 // otherwise at the best engine, or at the best of q.LastResort if there is no other. With keepCopy
 // it also chooses an engine for the next copy. It returns false if there is no target.
 func (f *Fleet) Place(now time.Time, q FleetQuery, holder string, size GenerationSize, keepCopy bool) (Placement, bool) {
 	var chosen Placement
-	if holder != "" && f.Accepts(now, holder) {
+	if f.continuesFrom(now, &q, holder) {
 		chosen.Target, chosen.FromCopy = f.Target(holder)
 	}
 	if !chosen.FromCopy {
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -444,12 +444,27 @@
 	}
 	event.Str("run", sole.Run).Str("source", sole.Source).Str("copy", sole.Holder).Dur("age", sole.Age).Msg("earlier run found")
 	c.continues = sole.Run
-	if sole.Holder != "" {
+	if sole.Holder != "" && !g.ofAnotherService(c, sole.Holder) {
 		cacheCopy = &CacheCopy{Holder: sole.Holder, Address: sole.Address, Handle: sole.Handle}
 	}
 	return sole.Source, cacheCopy
 }
 
+// ofAnotherService reports whether a target belongs to another service than the request's route: the desired state may
+// have changed since the earlier run.
+func (g *Gateway) ofAnotherService(c *clientRequest, target string) bool {
+	service := query(c.ctx, g.loop, func(st *state) string {
+		reg, _ := st.fleet.Target(target)
+		return reg.Service
+	})
+	if service == "" || service == c.service {
+		return false
+	}
+	c.log.Info().Str("copy", target).Str("copy_service", service).Str("service", c.service).
+		Msg("the route has changed to another service since the earlier run; resuming without its KV cache copy")
+	return true
+}
+
 // lookUpRun asks this gateway and others for the runs that a client may mean which resumes a stream, and
 // returns the only one of them, if there is one.
 func (g *Gateway) lookUpRun(c *clientRequest) (known knownRuns, sole runindex.Found, found bool) {
