Send run records again to replicas that lack them

A gateway that had just started knew no other one and kept the records of its first runs to itself; a record that could not be sent was sent again only after 15 s or with another copy; a gateway that came back got the records of later runs only. If the relay was then lost, a gateway that counted as one that knows all runs lacked them.

Change: a relay keeps which replicas have the record of each active run, and sends it again once a round to those that lack it: after a failure, and when the live gateways change. A starting gateway also sends to those that the store lists. A received batch is kept also if its sender ends meanwhile.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -219,10 +219,14 @@
 	p.g.loop.post(ctx, func(st *state) {
 		st.beginSuspectRound()
 		st.peerAddresses = addresses
-		if !slices.Equal(st.liveGateways, names) {
+		changed := !slices.Equal(st.liveGateways, names)
+		if changed {
 			st.setLiveGateways(names)
 			st.fleet.SetGateways(names)
 		}
+		if st.requeueRuns(changed) {
+			p.g.loop.wakeRunSender()
+		}
 		st.setGatewayCount(now, len(names), known)
 	})
 	due = p.choosePeers(ctx, now, due)
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -52,6 +52,11 @@
 	record runindex.Record
 	// delivered is the number of the last event that the client has been sent.
 	delivered *atomic.Uint64
+	// registered is called when a replica has the record, confirmed holds the replicas that have it, and failed is set
+	// if it could not be sent to one.
+	registered func()
+	confirmed  map[string]bool
+	failed     bool
 }
 
 // endedRun is a run whose client may return. It stays in the stored row until it expires: otherwise a client whose
@@ -79,10 +84,15 @@
 	g.loop.post(g.ctx, func(st *state) {
 		st.runIndex.Put(time.Now(), r)
 		st.pendingRuns = append(st.pendingRuns, pendingRun{r, s.registration.complete})
-		st.activeRuns[r.Run], st.activeRunsChanged = &activeRun{r, &s.delivered}, true
+		st.activeRuns[r.Run], st.activeRunsChanged = &activeRun{record: r, delivered: &s.delivered, registered: s.registration.complete, confirmed: map[string]bool{}}, true
 	})
+	g.loop.wakeRunSender()
+}
+
+// wakeRunSender lets sendRunRecords send the records that are pending.
+func (l *eventLoop) wakeRunSender() {
 	select {
-	case g.loop.runsPending <- struct{}{}:
+	case l.runsPending <- struct{}{}:
 	default:
 	}
 }
@@ -290,10 +300,56 @@
 
 // runBatch holds the run records for one gateway.
 type runBatch struct {
+	name       string
 	records    []*wire.RunRecord
 	registered []func()
 }
 
+// replicaGateways returns the names among which replicas are chosen, and their addresses. A starting gateway also uses
+// those listed in the store: it would otherwise keep the records of its first runs to itself.
+func (st *state) replicaGateways(starting bool) (names []string, addresses map[string]string) {
+	if !starting {
+		return st.liveGateways, st.peerAddresses
+	}
+	addresses = maps.Clone(st.listedGateways())
+	maps.Copy(addresses, st.peerAddresses)
+	return slices.Collect(maps.Keys(addresses)), addresses
+}
+
+// requeueRuns queues the records of the active runs that a replica has not confirmed: sending to it failed, or it has
+// become one since, as a gateway that has come back. With all set, every active run is examined, otherwise those that
+// were not sent. It reports whether there are any.
+func (st *state) requeueRuns(all bool) bool {
+	for _, run := range st.activeRuns {
+		if !all && !run.failed {
+			continue
+		}
+		replicas := runindex.ReplicasFor(run.record.Key, st.liveGateways, st.settings.Name)
+		maps.DeleteFunc(run.confirmed, func(name string, _ bool) bool { return !slices.Contains(replicas, name) })
+		if len(run.confirmed) < len(replicas) {
+			st.pendingRuns = append(st.pendingRuns, pendingRun{run.record, run.registered})
+		}
+		run.failed = false
+	}
+	return len(st.pendingRuns) > 0
+}
+
+// recordReplica records that a replica has got the records of a batch, or that sending them failed.
+func (st *state) recordReplica(batch *runBatch, sent bool) {
+	for _, r := range batch.records {
+		run := st.activeRuns[r.Run]
+		if current, _ := decodeRun(r); run == nil || run.record != current {
+			// The run has ended, or its record has changed since and is sent again.
+			continue
+		}
+		if sent {
+			run.confirmed[batch.name] = true
+		} else {
+			run.failed = true
+		}
+	}
+}
+
 // sendRunRecords sends new run records to their replicas until ctx is canceled.
 func (p *peers) sendRunRecords(ctx context.Context) {
 	self := p.g.options.Settings.Name
@@ -305,18 +361,19 @@
 		}
 		batches := query(ctx, p.g.loop, func(st *state) map[string]*runBatch {
 			batches := map[string]*runBatch{}
+			names, addresses := st.replicaGateways(time.Since(p.g.startedAt) < startupPeriod)
 			for _, r := range st.pendingRuns {
-				replicas := runindex.ReplicasFor(r.record.Key, st.liveGateways, self)
+				replicas := runindex.ReplicasFor(r.record.Key, names, self)
 				if len(replicas) == 0 {
 					r.registered()
 				}
 				for _, replica := range replicas {
-					address, ok := st.peerAddresses[replica]
+					address, ok := addresses[replica]
 					if !ok {
 						continue
 					}
 					if batches[address] == nil {
-						batches[address] = &runBatch{}
+						batches[address] = &runBatch{name: replica}
 					}
 					b := batches[address]
 					b.records, b.registered = append(b.records, encodeRun(r.record)), append(b.registered, r.registered)
@@ -344,15 +401,17 @@
 			registered()
 		}
 	}
+	p.g.loop.post(ctx, func(st *state) { st.recordReplica(batch, err == nil) })
 	if err != nil && ctx.Err() == nil {
-		// The records are still on this gateway and the other replica.
-		p.g.log.Debug().Str("peer", address).Int("runs", len(batch.records)).Err(err).Msg("run records not sent to a replica; not retrying")
+		// Until then, the records are on this gateway and the other replica.
+		p.g.log.Debug().Str("peer", address).Int("runs", len(batch.records)).Err(err).Msg("run records not sent to a replica; retrying while the runs last")
 	}
 }
 
 // KeepRuns implements wire.GatewayServer.
 func (p *peers) KeepRuns(ctx context.Context, batch *wire.RunRecords) (*wire.RunsKept, error) {
-	p.g.loop.post(ctx, func(st *state) {
+	// The sender may be lost meanwhile, which is when the records are needed.
+	p.g.loop.post(p.g.ctx, func(st *state) {
 		now := time.Now()
 		for _, r := range batch.Records {
 			if run, ok := decodeRun(r); ok {
--- a/internal/gateway/runs_test.go
+++ b/internal/gateway/runs_test.go
@@ -24,7 +24,7 @@
 	c.Check(st.runsToSave(time.Now()), qt.IsNil)
 	st.activeRunsChanged = true
 	c.Check(st.runsToSave(time.Now()), qt.IsNil)
-	run := &activeRun{runindex.Record{Key: 7, Run: "r", Continues: "q", Source: "a", Holder: "b", Address: "b:1", Handle: "h"}, &atomic.Uint64{}}
+	run := &activeRun{record: runindex.Record{Key: 7, Run: "r", Continues: "q", Source: "a", Holder: "b", Address: "b:1", Handle: "h"}, delivered: &atomic.Uint64{}}
 	run.delivered.Store(12)
 	st.activeRuns["r"] = run
 	stored := st.runsToSave(time.Now())
@@ -118,7 +118,7 @@
 			crashed.suspects.Report(suspect.Death{ID: id, Target: id, Zone: id, At: now, Fingerprints: []uint64{1000 + i}}, now)
 		}
 		id := fmt.Sprintf("d0ac6d0948e%05x", i)
-		crashed.activeRuns[id] = &activeRun{runindex.Record{Key: i, Run: id, Source: "i-7bf24e3fa4", Holder: "i-80692587d0", Address: "10.2.64.28:8462", Handle: id}, &atomic.Uint64{}}
+		crashed.activeRuns[id] = &activeRun{record: runindex.Record{Key: i, Run: id, Source: "i-7bf24e3fa4", Holder: "i-80692587d0", Address: "10.2.64.28:8462", Handle: id}, delivered: &atomic.Uint64{}}
 	}
 	crashed.activeRunsChanged = true
 	c.Check(proto.Size(crashed.runsToSave(now)) < 1<<16, qt.IsTrue)
@@ -132,7 +132,7 @@
 	now := time.Now()
 	interrupted := runindex.Record{Key: 7, Run: "interrupted", Holder: "b", Address: "b:1", Handle: "h", Delivered: 12}
 	st.keepEndedRun(now, interrupted)
-	st.activeRuns["other"] = &activeRun{runindex.Record{Key: 7, Run: "other"}, &atomic.Uint64{}}
+	st.activeRuns["other"] = &activeRun{record: runindex.Record{Key: 7, Run: "other"}, delivered: &atomic.Uint64{}}
 	save := func(at time.Time) []*wire.RunRecord {
 		st.activeRunsChanged = true
 		return st.runsToSave(at).Records
@@ -147,3 +147,58 @@
 	}
 	c.Check(save(now), qt.HasLen, maxStoredRuns)
 }
+
+// Load pattern: a gateway starts, takes streams before it has met the others, and is lost soon after; another one comes
+// back and is a replica again. Guards against records that stay with the relay alone, so that a gateway which counts as
+// one that knows all runs lacks them.
+func TestRunsAreSentToReplicasThatLackThem(t *testing.T) {
+	c := qt.New(t)
+	l := newEventLoop(&Options{Settings: settings.Gateway{Name: "g1"}}, nil)
+	st := l.newState(time.Now())
+	record := runindex.Record{Key: 7, Run: "r", Source: "a"}
+	run := &activeRun{record: record, delivered: &atomic.Uint64{}, confirmed: map[string]bool{}}
+	st.activeRuns["r"] = run
+	pending := func(all bool) int {
+		defer func() { st.pendingRuns = nil }()
+		st.requeueRuns(all)
+		return len(st.pendingRuns)
+	}
+	c.Check(pending(true), qt.Equals, 0, qt.Commentf("alone"))
+	st.liveGateways = []string{"g1", "g2"}
+	c.Check(pending(true), qt.Equals, 1, qt.Commentf("another gateway is live"))
+	batch := func(name string, r runindex.Record) *runBatch {
+		return &runBatch{name: name, records: []*wire.RunRecord{encodeRun(r)}}
+	}
+	st.recordReplica(batch("g2", record), false)
+	c.Check(pending(false), qt.Equals, 1, qt.Commentf("sending failed"))
+	c.Check(pending(false), qt.Equals, 0)
+	st.recordReplica(batch("g2", runindex.Record{Key: 7, Run: "r", Source: "b"}), true)
+	c.Check(pending(true), qt.Equals, 1, qt.Commentf("the replica has an earlier record"))
+	st.recordReplica(batch("g2", record), true)
+	c.Check(pending(true), qt.Equals, 0)
+	st.liveGateways = []string{"g1", "g2", "g3"}
+	c.Check(pending(true), qt.Equals, 1, qt.Commentf("a second replica is live"))
+	st.recordReplica(batch("g3", record), true)
+	c.Check(pending(true), qt.Equals, 0)
+	st.liveGateways = []string{"g1", "g2"}
+	c.Check(pending(true), qt.Equals, 0)
+	st.liveGateways = []string{"g1", "g2", "g3"}
+	c.Check(pending(true), qt.Equals, 1, qt.Commentf("a replica was away"))
+	delete(st.activeRuns, "r")
+	c.Check(pending(true), qt.Equals, 0)
+	st.recordReplica(batch("g3", record), true)
+}
+
+// Guards against a starting gateway that sends the records of its first runs to nobody because it has not met the
+// others yet.
+func TestStartingGatewayReplicatesToListedGateways(t *testing.T) {
+	c := qt.New(t)
+	loop := newControlGateway(twoGateways, 0).peers.g.loop
+	st := loop.newState(time.Now())
+	st.listed = map[string]string{"g2": "h2:1"}
+	names, addresses := st.replicaGateways(true)
+	c.Check(names, qt.DeepEquals, []string{"g2"})
+	c.Check(addresses["g2"], qt.Equals, "h2:1")
+	names, _ = st.replicaGateways(false)
+	c.Check(names, qt.DeepEquals, st.liveGateways)
+}
