Let work with the shortest objective use an engine's overcommit

Cause: streams of the urgent route are mostly not of the highest rank, since an account's priority goes before its route's. While engines were full they waited until half of their objective had passed, 2 s, and their first event came after 4.0 to 6.3 s. Change: work with the shortest objective of its service may fill an engine to 1.1 times its capacity, as work of the highest rank; engines then preempt less urgent work.

--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// overcommit is the part of an engine's memory up to which work of the highest rank is placed there. Beyond the
-	// capacity, engines preempt less urgent work. Other work may use the capacity.
+	// overcommit is the part of an engine's memory up to which work of the highest rank, or with the shortest objective
+	// of its service, is placed there. Beyond the capacity, engines preempt less urgent work. Other work may use the
+	// capacity.
 	overcommit = 1.1
 	// unlimitedRoom stands for the memory of an engine whose capacity is not known.
 	unlimitedRoom = math.MaxInt32
@@ -44,7 +45,7 @@
 	switch {
 	case t.memoryCapacity == 0:
 		return unlimitedRoom
-	case q.Highest:
+	case q.Highest || q.OwnObjective:
 		return int(overcommit * float64(t.memoryCapacity))
 	}
 	return t.streamCapacity()
@@ -175,9 +176,9 @@
 	if len(f.sharers) <= 1 && q.Known != nil {
 		f.sharers = q.Known()
 	}
-	// What the highest rank may use beyond the capacity is left for the gateways of which the target is the nearest.
+	// What urgent work may use beyond the capacity is left for the gateways of which the target is the nearest.
 	ownLimit := *q
-	ownLimit.Highest = false
+	ownLimit.Highest, ownLimit.OwnObjective = false, false
 	var own, others []freeMemory
 	nearest := f.nearestOwn(now, q)
 	for _, t := range f.order {
