--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -250,6 +250,12 @@
 	return t.streamMemory + t.copyMemory + r.memory, len(t.streams) + r.streams, t.copies + r.copies
 }
 
+// Reports returns the number of other gateways whose reports of loads are valid.
+func (f *Fleet) Reports(now time.Time) int {
+	f.expireReports(now)
+	return len(f.peers)
+}
+
 // StreamsBesides returns the number of streams at the targets of a service that have another version than the given one.
 func (f *Fleet) StreamsBesides(now time.Time, service, version string) int {
 	total := 0
@@ -354,8 +360,8 @@
 
 // continuesFrom reports whether a generation may continue from the copy that a target holds, empty for none: the target
 // accepts work and is of the service of the query and not of an excluded version. The record of a run outlives the
-// desired state by which it was placed. The version that new work gets does not count: targets of the previous one serve
-// what they hold while they drain. Nor does Exclude: a target that failed an earlier attempt may have got the copy since.
+// desired state by which it was placed. q.Version does not count: targets of the previous version serve what they hold
+// while they drain. Nor does Exclude: a target that failed an earlier attempt may have got the copy since.
 func (f *Fleet) continuesFrom(now time.Time, q *FleetQuery, holder string) bool {
 	t := f.targets[holder]
 	return t != nil && t.accepts(now) && q.runsAt(t)
--- a/internal/core/rollout/order.go
+++ b/internal/core/rollout/order.go
@@ -33,9 +33,10 @@
 	minDrain = 1500 * time.Millisecond
 )
 
-// trialSteps are the shares of requests that a version on trial gets before draining begins. By then it has
-// had 8.7% of the order's requests, less than the tenth that operators permit for a bad version.
-var trialSteps = []struct{ fraction, share float64 }{{0.5, 0.35}, {0.4, 0.2}}
+// trialSteps are the shares of requests that a version on trial gets before draining begins, the last first. By then it
+// has had 8.7% of the order's requests, less than the tenth that operators permit for a bad version. If draining has not
+// begun at the last fraction, the version is on trial as usual: the owner of the order does not drain, or has doubts.
+var trialSteps = []struct{ fraction, share float64 }{{drainFraction + 0.03, TrialShare}, {0.5, 0.35}, {0.4, 0.2}}
 
 // OrderState is the state of an order.
 type OrderState int
@@ -78,7 +79,7 @@
 	// DrainPrevious is set if the previous version is to end its streams before the order is completed.
 	DrainPrevious bool
 	// Draining is the time since draining began, 0 if it has not, and PreviousStreams the number of
-	// streams that still run on the previous version, over all gateways.
+	// streams that still run on the previous version, over all gateways, 1 or more if that is not known.
 	Draining        time.Duration
 	PreviousStreams int
 }
@@ -96,11 +97,10 @@
 	switch {
 	case t.Bad:
 		return OrderWithdrawn
-	case t.Draining > 0 && (fraction >= withdrawFraction || t.Draining >= minDrain && t.PreviousStreams == 0):
-		if t.accepted() {
-			return OrderCompleted
-		}
+	case t.Draining > 0 && fraction >= withdrawFraction && !t.accepted():
 		return OrderWithdrawn
+	case t.Draining > 0 && t.accepted() && (fraction >= withdrawFraction || t.Draining >= minDrain && t.PreviousStreams == 0):
+		return OrderCompleted
 	case t.Draining > 0:
 		return OrderDraining
 	case t.DrainPrevious && fraction < withdrawFraction:
--- a/internal/core/rollout/order_test.go
+++ b/internal/core/rollout/order_test.go
@@ -35,7 +35,7 @@
 			Duration: time.Second, Elapsed: time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "elapsed")),
 			Requests: rapid.Uint64Range(0, 50).Draw(t, "requests"), Failures: rapid.Uint64Range(0, 5).Draw(t, "failures"),
 			Bad: rapid.Bool().Draw(t, "bad"), Good: rapid.Bool().Draw(t, "good"), LikelyBad: rapid.Bool().Draw(t, "likely bad"),
-			DrainPrevious: rapid.Bool().Draw(t, "drain"), Draining: time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "draining")),
+			DrainPrevious: rapid.Bool().Draw(t, "drain"), Draining: time.Duration(rapid.Int64Range(0, int64(2*minDrain)).Draw(t, "draining")),
 			PreviousStreams: rapid.IntRange(0, 5).Draw(t, "streams"),
 		}
 		state := DecideOrder(&trial)
@@ -129,4 +129,8 @@
 	c.Check(at(func(t *OrderTrial) { t.PreviousStreams, t.Draining = 0, minDrain }), qt.Equals, OrderCompleted)
 	c.Check(at(func(t *OrderTrial) { t.Elapsed = 9 * time.Second }), qt.Equals, OrderCompleted)
 	c.Check(at(func(t *OrderTrial) { t.Elapsed, t.LikelyBad = 9*time.Second, true }), qt.Equals, OrderWithdrawn)
+	c.Check(at(func(t *OrderTrial) { t.PreviousStreams, t.Draining, t.LikelyBad = 0, minDrain, true }), qt.Equals, OrderDraining,
+		qt.Commentf("a version in doubt has time to be judged"))
+	c.Check(RunningShare(&OrderTrial{Duration: 10 * time.Second, Elapsed: 7 * time.Second, Requests: 40, DrainPrevious: true}), qt.Equals, TrialShare,
+		qt.Commentf("the owner does not drain"))
 }
--- a/internal/core/speed/evidence.go
+++ b/internal/core/speed/evidence.go
@@ -48,7 +48,7 @@
 // addSample adds the deviation of a sample from the estimate before it, whose own error is in it too.
 func (n *noise) addSample(e *estimate, speed float64) {
 	if e.samples > 0 && !e.changed() {
-		deviation := math.Log(speed) - e.log
+		deviation := min(maxDeviation, max(-maxDeviation, math.Log(speed)-e.log))
 		n.add(deviation * deviation / (1 + e.variance))
 	}
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -29,7 +29,7 @@
 	written   bool
 	firstSeen time.Time
 	evaluator *evidence.Evaluator
-	// share is the share of requests that the version gets while the order runs, 0 for the usual one.
+	// share is the share of requests that the version gets while the order runs, 0 for rollout.TrialShare.
 	share float64
 	// drainingSince is when draining of the previous version began.
 	drainingSince time.Time
@@ -129,8 +129,8 @@
 	if o.state == rollout.OrderDraining {
 		trial.Draining = max(1, now.Sub(o.drainingSince))
 		trial.PreviousStreams = st.fleet.StreamsBesides(now, o.Service, o.Version)
-		if !placement.SharesAll(len(st.liveGateways)) {
-			// The loads of gateways further away are not known.
+		if !placement.SharesAll(st.gatewayCount) || st.fleet.Reports(now) < st.gatewayCount-1 {
+			// The streams of some gateways are not known: they are too far away, were not heard for 2 s or are lost.
 			trial.PreviousStreams = max(1, trial.PreviousStreams)
 		}
 	}
@@ -286,7 +286,8 @@
 		}
 		if err == nil {
 			c.g.loop.setOrderState(o, action.state, "store", "")
-			o.written = true
+			// Another gateway may have told a later state during the write.
+			o.written = o.state.Stored() == action.state.Stored()
 		}
 	})
 	// Read the revision for the next write, or the state that another gateway wrote.
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -59,7 +59,8 @@
 	failed     bool
 }
 
-// endedRun is a run whose client may return. It stays in the stored row until it expires: otherwise a client whose
+// endedRun is a run whose client may return. It stays in the stored row, which is saved with the next new run, until it
+// expires: otherwise a client whose
 // gateway and replicas restart within seconds would find only the record of another client's equal request.
 type endedRun struct {
 	record runindex.Record
@@ -189,15 +190,22 @@
 		if len(records.Records) == maxStoredRuns {
 			break
 		}
-		records.Records = append(records.Records, encodeRun(run.record))
+		r := encodeRun(run.record)
+		r.AgeMs = uint32(max(0, now.Sub(run.until.Add(-runindex.Lifetime)).Milliseconds()))
+		records.Records = append(records.Records, r)
 	}
 	return records
 }
 
 // keepEndedRun keeps a run that has ended without its client having the whole answer in the stored row.
-func (st *state) keepEndedRun(now time.Time, record runindex.Record) {
-	if len(st.endedRuns) < maxStoredRuns {
-		st.endedRuns[record.Run] = endedRun{record, now.Add(runindex.Lifetime)}
+// at is when it was last known to be active. If there are too many, the oldest is dropped.
+func (st *state) keepEndedRun(at time.Time, record runindex.Record) {
+	st.endedRuns[record.Run] = endedRun{record, at.Add(runindex.Lifetime)}
+	if len(st.endedRuns) > maxStoredRuns {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(st.endedRuns)), func(a, b string) int {
+			return st.endedRuns[a].until.Compare(st.endedRuns[b].until)
+		})
+		delete(st.endedRuns, oldest)
 	}
 }
 
@@ -255,7 +263,9 @@
 					loaded++
 				}
 				if run, ok := decodeRun(r); ok && row.Key == g.options.Settings.Name {
-					st.keepEndedRun(now, run)
+					// The clock may have been set back since.
+					age := min(max(0, now.UnixMilli()-stored.SavedUnixMs), maxAgeMs) + int64(r.AgeMs)
+					st.keepEndedRun(now.Add(-time.Duration(age)*time.Millisecond), run)
 				}
 			}
 		}
@@ -326,6 +336,10 @@
 		}
 		replicas := runindex.ReplicasFor(run.record.Key, st.liveGateways, st.settings.Name)
 		maps.DeleteFunc(run.confirmed, func(name string, _ bool) bool { return !slices.Contains(replicas, name) })
+		if len(replicas) == 0 && run.failed {
+			// Those to which a starting gateway has sent it are gone.
+			run.registered()
+		}
 		if len(run.confirmed) < len(replicas) {
 			st.pendingRuns = append(st.pendingRuns, pendingRun{run.record, run.registered})
 		}
@@ -403,7 +417,7 @@
 	}
 	p.g.loop.post(ctx, func(st *state) { st.recordReplica(batch, err == nil) })
 	if err != nil && ctx.Err() == nil {
-		// Until then, the records are on this gateway and the other replica.
+		// Until a retry succeeds, the records are on this gateway and the other replica.
 		p.g.log.Debug().Str("peer", address).Int("runs", len(batch.records)).Err(err).Msg("run records not sent to a replica; retrying while the runs last")
 	}
 }
