Give the rights of urgent streams by their route's priority

Cause: in a service whose ranked routes share one objective, each stream counted as urgent, so that no limit of unread prompts held and all might fill engines to 1.1 times their capacity. Change: urgent is the work of the service's most important routes. The reasons for which streams are held have names, and a comparison in the evidence of speeds is a strict ordering.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -33,14 +33,14 @@
 	return t.accepts(now) && q.matches(t) && q.room.admits(t) && (q.CallLimits == nil || t.activeCalls < q.CallLimits[t.reg.ID])
 }
 
-// runsAt reports whether a target is of the service of the query and not of the version that it excludes.
-func (q *FleetQuery) runsAt(t *targetState) bool {
+// allows reports whether a target is of the service of the query and not of the version that it excludes.
+func (q *FleetQuery) allows(t *targetState) bool {
 	return t.reg.Service == q.Service && (q.ExcludeVersion == "" || t.reg.Version != q.ExcludeVersion)
 }
 
 // matches is admits without regard to whether the target is usable now.
 func (q *FleetQuery) matches(t *targetState) bool {
-	if !q.runsAt(t) || q.Version != "" && t.reg.Version != q.Version {
+	if !q.allows(t) || q.Version != "" && t.reg.Version != q.Version {
 		return false
 	}
 	for _, id := range q.Exclude {
@@ -364,7 +364,7 @@
 // while they drain. Nor does Exclude: a target that failed an earlier attempt may have got the copy since.
 func (f *Fleet) continuesFrom(now time.Time, q *FleetQuery, holder string) bool {
 	t := f.targets[holder]
-	return t != nil && t.accepts(now) && q.runsAt(t)
+	return t != nil && t.accepts(now) && q.allows(t)
 }
 
 // Place chooses where a generation runs: at the holder of its copy if that target accepts work for the query,
--- a/internal/core/placement/room.go
+++ b/internal/core/placement/room.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// overcommit is the part of an engine's memory up to which work of the highest rank, or with the shortest objective
-	// of its service, is placed there. Beyond the capacity, engines preempt less urgent work. Other work may use the
+	// overcommit is the part of an engine's memory up to which work of the highest rank, or of its service's most
+	// important routes, is placed there. Beyond the capacity, engines preempt less urgent work. Other work may use the
 	// capacity.
 	overcommit = 1.1
 	// unlimitedRoom stands for the memory of an engine whose capacity is not known.
--- a/internal/core/placement/unread.go
+++ b/internal/core/placement/unread.go
@@ -26,12 +26,12 @@
 func UnreadLimit(shortest time.Duration) time.Duration { return shortest / 2 }
 
 // LimitUnread sets the limit of the prompts that may wait at a target before that of a generation, given the shortest
-// objective of the service. For work of the highest rank and work with that objective it is the time that is left until
-// its own: most urgent work is not of the highest rank, since an account's priority goes before its route's, and would
-// wait for its gateway's share of the targets although they can still serve it in time.
-func (q *RoomQuery) LimitUnread(now, arrived time.Time, objective, shortest time.Duration) {
+// objective of the service. For work of the highest rank, and urgent work, that of the service's most important routes,
+// it is the time that is left until its own: an account's priority goes before its route's, so that most urgent work is
+// not of the highest rank. It would wait for its gateway's share of the targets although they can serve it in time.
+func (q *RoomQuery) LimitUnread(now, arrived time.Time, objective, shortest time.Duration, urgent bool) {
 	q.MaxUnread = UnreadLimit(shortest)
-	if q.OwnObjective = q.Highest || objective > 0 && objective <= shortest; q.OwnObjective {
+	if q.OwnObjective = q.Highest || urgent; q.OwnObjective {
 		q.MaxUnread = max(0, arrived.Add(objective-firstEventOverhead).Sub(now))
 	}
 }
--- a/internal/core/speed/evidence.go
+++ b/internal/core/speed/evidence.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -117,12 +118,7 @@
 	if len(list) < 2 {
 		return result
 	}
-	slices.SortFunc(list, func(a, b measurement) int {
-		if a.log < b.log {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b measurement) int { return cmp.Compare(a.log, b.log) })
 	// Estimates of a single sample may be far off. They count up to maxDeviation from the middle of those without the tails,
 	// as further samples would. The median is not the middle: of engines of two speeds, it is one of the two.
 	tail := tailOf(len(list))
--- a/internal/emulator/ranked.go
+++ b/internal/emulator/ranked.go
@@ -125,7 +125,7 @@
 		FleetQuery: q, Highest: offer.AsHighest, Reserved: offer.Higher, Gateways: len(g.sim.gateways),
 		Shares: placement.NewPromptShares(g.name, g.queue.TokensByGateway(now, g.name)),
 	}
-	query.LimitUnread(now, s.client.arrived, s.client.objective, urgentObjective)
+	query.LimitUnread(now, s.client.arrived, s.client.objective, urgentObjective, w.work.Rank.Route == 0)
 	chosen, room := g.fleet.PlaceInRoom(now, query, w.holder(), s.size, g.mayCopy(now))
 	if room != placement.HasRoom {
 		if w.ran && !w.work.Continues() && w.work.AtLatestStart(end) && w.startLate(q) {
--- a/internal/gateway/stream_queue.go
+++ b/internal/gateway/stream_queue.go
@@ -53,7 +53,7 @@
 	// ran is set if the stream has run, also for an earlier attempt of its client.
 	ran bool
 	// heldBy holds the reasons for which the stream has been held and counted.
-	heldBy [2]bool
+	heldBy [numHeldReasons]bool
 	// result gets one value when the stream leaves the queue.
 	result chan placementResult
 }
--- a/internal/gateway/stream_unread.go
+++ b/internal/gateway/stream_unread.go
@@ -10,17 +10,25 @@
 // limitUnread sets the limit of the prompts that may wait at an engine to be read before that of a stream.
 func (st *state) limitUnread(now time.Time, w *queuedStream, q *placement.RoomQuery) {
 	c := w.s.req
-	q.LimitUnread(now, c.arrived, c.route.TargetLatency, st.desired.Config.ShortestObjective(c.service))
+	urgent := c.rank(st.desired.Config).Route == 0
+	q.LimitUnread(now, c.arrived, c.route.TargetLatency, st.desired.Config.ShortestObjective(c.service), urgent)
 	if queue := st.streamQueues[c.service]; queue != nil {
 		q.Shares = queue.shares
 	}
 }
 
+// Reasons for which streams are held. They index queuedStream.heldBy.
+const (
+	heldForMemory = iota
+	heldForPrompts
+	numHeldReasons
+)
+
 // countHeld counts a stream that is held, once for each reason.
 func (l *eventLoop) countHeld(w *queuedStream, room placement.Room) {
-	reason, label := 0, "memory"
+	reason, label := heldForMemory, "memory"
 	if room == placement.Unread {
-		reason, label = 1, "prompts"
+		reason, label = heldForPrompts, "prompts"
 	}
 	if !w.heldBy[reason] {
 		w.heldBy[reason] = true
