--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(*record, bool) (bool, error){
 	"ended-early":       playEndedEarly,
 	"crashes-uncounted": playCrashesUncounted,
+	"stopped-waiting":   playStoppedWaiting,
+	"frozen-crash":      playFrozenCrash,
 }
 
 var lastAttempt atomic.Uint64
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -49,6 +49,7 @@
 
 type gateway struct {
 	name, client, ready string
+	command             *exec.Cmd
 }
 
 // engineProcess is an engine and what it is started with.
@@ -133,7 +134,10 @@
 
 // startEngine starts an engine, or starts it again, and registers it.
 func (d *deployment) startEngine(e *engineProcess) error {
-	arguments := append([]string{"engine", "--id", e.id, "--address", e.address, "--slots", fmt.Sprint(e.slots), "--model", e.model}, e.arguments...)
+	born := time.Now().UnixMilli()
+	arguments := append([]string{
+		"engine", "--id", e.id, "--address", e.address, "--slots", fmt.Sprint(e.slots), "--model", e.model, "--born", fmt.Sprint(born),
+	}, e.arguments...)
 	e.command = exec.Command(os.Args[0], arguments...)
 	output, err := e.command.StdoutPipe()
 	if err != nil {
@@ -162,7 +166,7 @@
 	}
 	d.store.put("servers", e.id, map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready",
-		"coldRemainingMs": 0, "stage": "both", "models": models, "seq": 1, "born": time.Now().UnixMilli(),
+		"coldRemainingMs": 0, "stage": "both", "models": models, "seq": 1, "born": born,
 	})
 	d.record.printf("engine %s started at %s", e.id, e.address)
 	return nil
@@ -224,6 +228,7 @@
 		if _, err := d.start(command); err != nil {
 			return err
 		}
+		g.command = command
 		d.gateways = append(d.gateways, g)
 	}
 	deadline := time.Now().Add(startupTimeout)
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -39,6 +39,8 @@
 	work time.Duration
 	// crashPath is the path of the request that ends the process when it begins to run.
 	crashPath string
+	// born is when the process was started, in Unix milliseconds.
+	born int64
 
 	mu      sync.Mutex
 	running int
@@ -58,6 +60,7 @@
 	flags.BoolVar(&e.unframed, "unframed", false, "answers have neither a length nor chunks")
 	flags.DurationVar(&e.work, "work", 0, "time of a call")
 	flags.StringVar(&e.crashPath, "crash-path", "", "path of the request that crashes the engine")
+	flags.Int64Var(&e.born, "born", 0, "start of the process in Unix milliseconds")
 	if flags.Parse(args) != nil {
 		return 2
 	}
@@ -143,7 +146,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"stage": "both", "models": models, "busy": false, "seq": 1, "queued": 0, "running": running, "kvUsed": 1000 * running, "kvTotal": 55000,
-		"handles": 0, "runs": []any{},
+		"handles": 0, "runs": []any{}, "born": e.born,
 	})
 }
 
