--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/bramleygap ] && [ -x target/review-standin-2 ] || { echo "build the project and run review/build-2.sh first"; exit 2; }
-exec target/review-standin-2 crashes-uncounted --record "$folder/record.txt"
+exec target/review-standin-2 stopped-waiting --record "$folder/record.txt"
--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -18,6 +18,7 @@
 	"crashes-uncounted": playCrashesUncounted,
 	"stopped-waiting":   playStoppedWaiting,
 	"frozen-crash":      playFrozenCrash,
+	"lost-gateways":     playLostGateways,
 }
 
 var lastAttempt atomic.Uint64
@@ -210,7 +211,9 @@
 		for i := 0; time.Now().Before(end); i++ {
 			g := d.gateways[i%len(d.gateways)]
 			clients.Go(func() {
-				a := send(client, g, http.MethodPost, issues+fmt.Sprint(i), newAttempt(), map[string]string{"Bramleygap-Deadline-Ms": "1000"})
+				attempt := newAttempt()
+				a := send(client, g, http.MethodPost, issues+fmt.Sprint(i), attempt, map[string]string{"Bramleygap-Deadline-Ms": "1000"})
+				r.printf("permit %s at %s: status %d (%v)", attempt, g.name, a.status, a.err)
 				switch {
 				case a.status == http.StatusOK && a.err == nil:
 					issued.Add(1)
@@ -232,7 +235,10 @@
 	clients.Wait()
 	var crashes []int64
 	for _, event := range d.engineEvents() {
-		if event.Kind == "crash" {
+		switch event.Kind {
+		case "run":
+			r.printf("engine %s: run %s at %d", event.Engine, event.Attempt, event.UnixMS)
+		case "crash":
 			crashes = append(crashes, event.UnixMS)
 			r.printf("engine %s crashed by %s at %d", event.Engine, event.Attempt, event.UnixMS)
 		}
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -218,12 +218,8 @@
 			return err
 		}
 		command := exec.Command(gatewayBinary, "gateway", "--settings="+path)
-		if name := os.Getenv("GATEWAY_LOGS"); name != "" {
-			log, err := os.Create(filepath.Join(name, g.name+".log"))
-			if err != nil {
-				return err
-			}
-			command.Stdout, command.Stderr = log, log
+		if err := keepLog(command, g.name); err != nil {
+			return err
 		}
 		if _, err := d.start(command); err != nil {
 			return err
@@ -246,6 +242,17 @@
 	return nil
 }
 
+// keepLog appends what a gateway logs to a file in the folder GATEWAY_LOGS, if that is set.
+func keepLog(command *exec.Cmd, name string) error {
+	folder := os.Getenv("GATEWAY_LOGS")
+	if folder == "" {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	command.Stdout, command.Stderr = log, log
+	return err
+}
+
 func isReady(g *gateway) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -26,7 +26,8 @@
 // engine is a stand-in of a model engine or an application engine. It runs as a process of its own, so that a kill
 // ends its connections as the kernel does.
 type engine struct {
-	id, model string
+	id, model, address string
+	memory             memory
 	// slots is the number of requests that it runs at once; it turns others away.
 	slots int
 	// retryAfter is the Retry-After in seconds with which it does, 0 for none.
@@ -50,7 +51,7 @@
 func runEngine(args []string) int {
 	e := &engine{out: json.NewEncoder(os.Stdout)}
 	flags := flag.NewFlagSet("engine", flag.ContinueOnError)
-	address := flags.String("address", "", "address to listen at")
+	flags.StringVar(&e.address, "address", "", "address to listen at")
 	flags.StringVar(&e.id, "id", "", "id of the instance")
 	flags.StringVar(&e.model, "model", "", "model, none for an application engine")
 	flags.IntVar(&e.slots, "slots", 64, "requests at once")
@@ -64,7 +65,7 @@
 	if flags.Parse(args) != nil {
 		return 2
 	}
-	listener, err := net.Listen("tcp", *address)
+	listener, err := net.Listen("tcp", e.address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -88,6 +89,12 @@
 	case "/bramleygap/report":
 		e.report(w)
 		return
+	case copyPath:
+		e.memory.receive(r)
+		return
+	case "/bramleygap/kv-move":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	attempt := r.Header.Get("Bramleygap-Attempt-Id")
 	w.Header().Set("Bramleygap-Attempt-Id", attempt)
@@ -97,6 +104,12 @@
 		return
 	}
 	e.log("arrived", attempt, r.URL.Path, 0)
+	origin, ok := e.resume(r, attempt)
+	if !ok {
+		w.Header().Set("Bramleygap-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !e.begin() {
 		w.Header().Set("Bramleygap-Not-Executed", "1")
 		if e.retryAfter > 0 {
@@ -113,7 +126,7 @@
 		os.Exit(3)
 	}
 	if e.events > 0 {
-		e.stream(w, r, attempt)
+		e.stream(w, r, attempt, origin)
 		return
 	}
 	e.call(w, r, attempt)
@@ -166,8 +179,10 @@
 	e.log("end", attempt, r.URL.Path, 0)
 }
 
-// stream answers with events that are numbered from 1, or from the one after Last-Event-Id.
-func (e *engine) stream(w http.ResponseWriter, r *http.Request, attempt string) {
+// stream answers with events that are numbered from 1, or from the one after Last-Event-Id. Each names the attempt whose
+// prompt it was made from.
+func (e *engine) stream(w http.ResponseWriter, r *http.Request, attempt, origin string) {
+	backup := backup{r.Header.Get("Bramleygap-Kv-Backup"), attempt, origin}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	send := func(event string) error {
 		if _, err := w.Write([]byte(event)); err != nil {
@@ -204,10 +219,12 @@
 			e.log("left", attempt, r.URL.Path, n)
 			return
 		}
-		if send(fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", n, n, attempt)) != nil {
+		if send(fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", n, n, origin)) != nil {
 			e.log("left", attempt, r.URL.Path, n)
 			return
 		}
+		backup.send(false)
 	}
+	backup.send(true)
 	e.log("end", attempt, r.URL.Path, e.events)
 }
--- a/review/standin2/stopped.go
+++ b/review/standin2/stopped.go
@@ -13,13 +13,14 @@
 	urgent = "/wiju404/"
 	// storyTokens is the size of a letter: ten of them fill an engine's memory of 55,000 tokens.
 	storyTokens = "5000,600"
-	// fillingLetters fill the engines, and waitingLetters come after that to each gateway when it is stopping.
-	fillingLetters  = 36
-	waitingLetters  = 12
-	waitingInterval = 100 * time.Millisecond
-	storyEvents     = 150
-	storyInterval   = 100 * time.Millisecond
-	graceTime       = 8 * time.Second
+	// Letters come at a steady rate, one each letterGap: fillingLetters fill the engines, and waitingLetters come after that
+	// to each gateway when it is stopping.
+	fillingLetters = 36
+	waitingLetters = 36
+	letterGap      = 33 * time.Millisecond
+	storyEvents    = 150
+	storyInterval  = 100 * time.Millisecond
+	graceTime      = 8 * time.Second
 	// stopGap is the time between the stops of two gateways.
 	stopGap = 1300 * time.Millisecond
 )
@@ -84,7 +85,7 @@
 	}
 	for i := range fillingLetters {
 		write(d.gateways[i%len(d.gateways)], false)
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(letterGap)
 	}
 	stopped := map[string]time.Time{}
 	for _, g := range d.gateways {
@@ -96,7 +97,7 @@
 			}
 		}
 		for range waitingLetters {
-			time.Sleep(waitingInterval)
+			time.Sleep(letterGap)
 			write(g, true)
 		}
 		time.Sleep(time.Until(stopped[g.name].Add(stopGap)))
