--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,14 +84,23 @@
 
 // send sends one client attempt, records it and returns the answer.
 func (c *playedCase) send(g *gatewayProcess, method, prefix, key string, deadline time.Duration) reply {
+	m := &message{method: method, path: prefix + "2f", key: key, deadline: deadline, body: strings.Repeat("x", 600)}
+	if prefix == letterPrefix {
+		m.prompt = fmt.Sprintf("5c1e07a2:200,%x:300", c.requests.Load()+1)
+	}
+	return c.sendMessage(g, "client", m)
+}
+
+// sendMessage sends one client attempt, records it and returns the answer.
+func (c *playedCase) sendMessage(g *gatewayProcess, sender string, m *message) reply {
 	id := fmt.Sprintf("%016x", 0x9c41000000000000+c.requests.Add(1))
-	c.log.add("client sends %s %s%s, id %s, key %s, to %s", method, prefix, "2f", id, key, g.name)
-	r := g.request(method, prefix+"2f", id, key, deadline)
+	c.log.add("%s sends %s %s, id %s, key %s, prompt %q, to %s", sender, m.method, m.path, id, m.key, m.prompt, g.name)
+	r := g.request(id, m)
 	text := r.body
-	if len(text) > 60 {
+	if len(text) > 100 {
 		text = fmt.Sprintf("%d bytes", len(text))
 	}
-	c.log.add("client gets for %s: status %d, proof %q, %s, error %v", id, r.status, r.signature, text, r.err)
+	c.log.add("%s gets for %s: status %d, proof %q, %s, error %v", sender, id, r.status, r.signature, text, r.err)
 	return r
 }
 
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -19,7 +19,7 @@
 	streamEvents = 20
 )
 
-// engine stands in for an application engine or a model engine. It behaves like a sound one.
+// engine stands in for one process of an application engine or a model engine. It behaves like a sound one.
 type engine struct {
 	id, address, zone, service string
 	model                      bool
@@ -29,24 +29,76 @@
 	mu                         sync.Mutex
 	seq                        int
 	running                    map[string]int
+	server                     *http.Server
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	// events is the number of events of a stream, and gap the time between them.
+	events int
+	gap    time.Duration
+	// crashing decides whether the engine crashes as it begins to answer a request. nil means that none crashes it.
+	crashing func(*http.Request) bool
 }
 
-// startEngine starts an engine that registers itself and goes on to do so.
+// startEngine starts an engine that registers itself and goes on to do so. Its streams have the given number of events.
 func startEngine(s *store, log *record, id, zone, service string, model bool) *engine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	e := &engine{
-		id: id, address: listener.Addr().String(), zone: zone, service: service, model: model, born: time.Now().UnixMilli(), store: s, log: log,
-		running: map[string]int{},
+	e := &engine{id: id, zone: zone, service: service, model: model, store: s, log: log, events: streamEvents, gap: eventGap}
+	e.start()
+	return e
+}
+
+// start starts the engine's process at its address.
+func (e *engine) start() {
+	port := "0"
+	if e.address != "" {
+		var err error
+		_, port, err = net.SplitHostPort(e.address)
+		check(err)
 	}
-	go func() { _ = http.Serve(listener, e) }()
+	listener := listen(port)
+	e.address, e.born, e.running, e.ended = listener.Addr().String(), time.Now().UnixMilli(), map[string]int{}, make(chan struct{})
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(listener) }()
 	e.register()
 	go func() {
-		for range time.Tick(heartbeat) {
-			e.register()
+		ticker := time.NewTicker(heartbeat)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				e.register()
+			case <-e.ended:
+				return
+			}
 		}
 	}()
-	return e
+}
+
+// crash ends the engine's process: its port is closed and its connections with it. Its entry lapses after three
+// intervals without one. It reports whether the process had not ended before.
+func (e *engine) crash(why string) bool {
+	e.mu.Lock()
+	select {
+	case <-e.ended:
+		e.mu.Unlock()
+		return false
+	default:
+		close(e.ended)
+	}
+	e.mu.Unlock()
+	e.log.add("engine %s crashes: %s", e.id, why)
+	_ = e.server.Close()
+	time.AfterFunc(3*heartbeat, func() { e.store.put("servers", e.id, nil) })
+	return true
+}
+
+// next returns the next process of a crashed engine, which has a new id.
+func (e *engine) next(id string) *engine {
+	started := &engine{
+		id: id, address: e.address, zone: e.zone, service: e.service, model: e.model, store: e.store, log: e.log, events: e.events, gap: e.gap, crashing: e.crashing,
+	}
+	started.start()
+	started.log.add("engine %s is back as %s", e.id, id)
+	return started
 }
 
 func (e *engine) models() []any {
@@ -74,7 +126,13 @@
 	return entry
 }
 
-func (e *engine) register() { e.store.put("servers", e.id, e.entry()) }
+func (e *engine) register() {
+	select {
+	case <-e.ended:
+	default:
+		e.store.put("servers", e.id, e.entry())
+	}
+}
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -119,9 +177,14 @@
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := after + 1; n <= streamEvents; n++ {
+	if e.crashing != nil && e.crashing(r) {
+		_ = http.NewResponseController(w).Flush()
+		e.crash("it begins to answer request " + id)
+		return
+	}
+	for n := after + 1; n <= e.events; n++ {
 		select {
-		case <-time.After(eventGap):
+		case <-time.After(e.gap):
 		case <-r.Context().Done():
 			return
 		}
--- a/review/standin3/gateways.go
+++ b/review/standin3/gateways.go
@@ -41,12 +41,21 @@
 	})
 }
 
+// playHost is a loopback address of this play's own, so that plays beside each other and the ports of outgoing connections
+// do not take its ports.
+var playHost = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>14%64, os.Getpid()>>7%128, 1+os.Getpid()%128)
+
+func listen(port string) net.Listener {
+	listener, err := net.Listen("tcp", net.JoinHostPort(playHost, port))
+	check(err)
+	return listener
+}
+
 func freeAddresses(n int) []string {
 	var addresses []string
 	var listeners []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		check(err)
+		l := listen("0")
 		listeners, addresses = append(listeners, l), append(addresses, l.Addr().String())
 	}
 	for _, l := range listeners {
@@ -138,25 +147,33 @@
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, DisableCompression: true}}
 
+// message is what a client sends besides its id.
+type message struct {
+	method, path, key string
+	deadline          time.Duration
+	// body is the text of a POST, and prompt the parts of a generation's prompt.
+	body, prompt string
+}
+
 // request sends one client attempt to a gateway.
-func (g *gatewayProcess) request(method, path, id, key string, deadline time.Duration) reply {
+func (g *gatewayProcess) request(id string, m *message) reply {
 	var body io.Reader
-	if method == http.MethodPost {
-		body = strings.NewReader(strings.Repeat("x", 600))
+	if m.method == http.MethodPost {
+		body = strings.NewReader(m.body)
 	}
-	r, err := http.NewRequest(method, "http://"+g.client+path, body)
+	r, err := http.NewRequest(m.method, "http://"+g.client+m.path, body)
 	check(err)
 	r.Host = host
 	r.Header.Set("Bramleygap-Attempt-Id", id)
-	r.Header.Set("Bramleygap-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	r.Header.Set("Authorization", "Bearer "+key)
-	if strings.HasPrefix(path, letterPrefix) {
+	r.Header.Set("Bramleygap-Deadline-Ms", fmt.Sprint(m.deadline.Milliseconds()))
+	r.Header.Set("Authorization", "Bearer "+m.key)
+	if m.prompt != "" {
 		r.Header.Set("Bramleygap-Model", "m")
-		r.Header.Set("Bramleygap-Token-Usage", "500,120")
-		r.Header.Set("Bramleygap-Prompt-Prefix", "5c1e07a2:200,"+id+":300")
+		r.Header.Set("Bramleygap-Token-Usage", "500,400")
+		r.Header.Set("Bramleygap-Prompt-Prefix", m.prompt)
 	}
 	c := *client
-	c.Timeout = deadline
+	c.Timeout = m.deadline
 	response, err := c.Do(r)
 	if err != nil {
 		return reply{err: err}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -4,7 +4,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -73,8 +72,7 @@
 
 func newStore() *store {
 	s := &store{started: time.Now(), changed: make(chan struct{}), era: 1, contents: contents{tables: map[string]map[string]row{}}}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
+	listener := listen("0")
 	s.address = listener.Addr().String()
 	go func() { _ = http.Serve(listener, s) }()
 	return s
