--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -69,7 +69,7 @@
 }
 
 func main() {
-	cases := map[string]func(c *playedCase) bool{"older-store": olderStore, "other-writer": otherWriter, "refused-text": refusedText}
+	cases := map[string]func(c *playedCase) bool{"older-store": olderStore, "other-writer": otherWriter, "refused-text": refusedText, "added-text": addedText}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		unable("usage: review-standin3 CASE RECORD")
 	}
--- a/review/standin3/refused.go
+++ b/review/standin3/refused.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"strings"
@@ -160,3 +161,104 @@
 	}
 	return before >= 20 && after >= 20 && 2*afterBegun*before < beforeBegun*after
 }
+
+// addedText: a route is added whose requests share a text. Twice, some seconds apart, all engines crash and are back.
+// Afterwards, its requests must be served like those of the first route.
+func addedText(c *playedCase) bool {
+	const (
+		addedPrefix = "/pufi791/"
+		calm        = 8 * time.Second
+		soundGap    = 300 * time.Millisecond // between two requests on each route
+		judgeAfter  = 15 * time.Second       // the time from the first request on the added route until requests are judged
+		length      = 18 * time.Second
+	)
+	crashAfter := []time.Duration{2 * time.Second, 9 * time.Second}
+	c.store = newStore()
+	state := desired(1, "desk", false, keptKey, takenKey)
+	c.store.put("op", "config", state)
+	var mu sync.Mutex
+	var engines []*engine
+	for i, zone := range zones {
+		e := startEngine(c.store, c.log, fmt.Sprintf("i-model-%d", i+1), zone, "drafting", true)
+		e.events, e.gap = 100, 50*time.Millisecond
+		engines = append(engines, e)
+	}
+	c.gateways = startGateways(c.store, c.log, c.folder, zones)
+	time.Sleep(time.Second)
+
+	type counts struct{ sent, served int }
+	var first, added counts
+	judging := false
+	var tasks sync.WaitGroup
+	sound := func(k *counts, prefix, body string, until time.Time) {
+		for i := 0; time.Now().Before(until); i++ {
+			g := c.gateways[i%len(c.gateways)]
+			tasks.Go(func() {
+				mu.Lock()
+				judged := judging
+				mu.Unlock()
+				r := c.sendMessage(g, "client", &message{
+					method: http.MethodPost, path: prefix + "2f", key: keptKey, deadline: 20 * time.Second, body: body,
+					prompt: fmt.Sprintf("%s,%x:300", firstPart, 0xe4402b7d+c.requests.Load()),
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				if !judged {
+					return
+				}
+				k.sent++
+				if r.status == http.StatusOK && r.err == nil {
+					k.served++
+				}
+			})
+			time.Sleep(soundGap)
+		}
+	}
+	begin := time.Now().Add(calm + configApply + time.Second)
+	end := begin.Add(judgeAfter + length)
+	tasks.Go(func() { sound(&first, letterPrefix, "the first text", end) })
+	time.Sleep(calm)
+	route := maps.Clone(state["routes"].([]any)[0].(map[string]any))
+	route["name"], route["prefix"] = "letter-new", addedPrefix
+	state["version"], state["routes"] = 2, append(state["routes"].([]any), route)
+	c.store.put("op", "config", state)
+	c.log.say("the store confirms version 2 of the desired state, which adds a route")
+	time.Sleep(time.Until(begin))
+	c.log.add("clients use the added route from now on")
+	tasks.Go(func() { sound(&added, addedPrefix, "the text of the added route", end) })
+	if c.trouble {
+		for n, after := range crashAfter {
+			time.AfterFunc(after, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				for i, e := range engines {
+					e.crash("as all engines do at this moment")
+					id := fmt.Sprintf("i-model-%d-again-%d", i+1, n+1)
+					time.AfterFunc(engineAway, func() {
+						started := e.next(id)
+						mu.Lock()
+						defer mu.Unlock()
+						engines[i] = started
+					})
+				}
+			})
+		}
+	}
+	time.Sleep(time.Until(begin.Add(judgeAfter)))
+	mu.Lock()
+	judging = true
+	mu.Unlock()
+	c.log.add("requests are judged from now on")
+	tasks.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	c.log.say("requests served from %.0f s after the first one on the added route on: first route %d of %d, added route %d of %d",
+		judgeAfter.Seconds(), first.served, first.sent, added.served, added.sent)
+	for _, g := range c.gateways {
+		for _, line := range g.logLines(c.folder, "request that crashed targets", "target crashed") {
+			c.log.add("log of %s: %s", g.name, line)
+		}
+	}
+	share := func(k *counts) float64 { return float64(k.served) / float64(max(1, k.sent)) }
+	return added.sent >= 20 && share(&added) < share(&first)/4
+}
