--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -39,7 +39,7 @@
 	crashing func(*http.Request) bool
 }
 
-// startEngine starts an engine that registers itself and goes on to do so. Its streams have the given number of events.
+// startEngine starts an engine that registers itself and goes on to do so.
 func startEngine(s *store, log *record, id, zone, service string, model bool) *engine {
 	e := &engine{id: id, zone: zone, service: service, model: model, store: s, log: log, events: streamEvents, gap: eventGap}
 	e.start()
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -292,7 +292,7 @@
 	s.answer(w, http.StatusOK, &rowsAnswer{})
 }
 
-// status returns the value of a row, "" if there is none.
+// value returns the value of a row, "" if there is none.
 func (s *store) value(table, key string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
