--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -21,6 +21,8 @@
 	StartEstimated bool
 	// Model is set for targets that run a model.
 	Model bool
+	// Heartbeat rises with each registration that the instance writes.
+	Heartbeat uint64
 }
 
 // SameInstance reports whether both registrations belong to the same instance of a target.
@@ -37,6 +39,17 @@
 	// missingSince holds when the registration of a target was first found missing after a
 	// store outage, by ID.
 	missingSince map[string]time.Time
+	// listed is the list of registrations that was installed last, and removed holds those that have left it, by ID.
+	listed  []Registration
+	removed map[string]removal
+	// restoredUntil is the end of restoredGrace after the store has come back from an older copy.
+	restoredUntil time.Time
+}
+
+// removal is a registration that the store has removed.
+type removal struct {
+	reg Registration
+	at  time.Time
 }
 
 // replacement is an instance found at the address of the registered instance replaces.
@@ -49,15 +62,59 @@
 // the store has recovered: live targets register again within 2 s of the recovery.
 const missingGrace = 2 * time.Second
 
+const (
+	// restoredGrace is how long after the store has come back from an older copy a registration in it may be that of
+	// the copy. Live targets write theirs again within 2 s, and those of others expire.
+	restoredGrace = 10 * time.Second
+	// removedMemory is how long a removed registration is remembered. Copies are some seconds old.
+	removedMemory = 30 * time.Second
+)
+
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{targets: map[string]Registration{}, replacements: map[string]replacement{}, missingSince: map[string]time.Time{}}
+	return &Registry{targets: map[string]Registration{}, replacements: map[string]replacement{}, missingSince: map[string]time.Time{}, removed: map[string]removal{}}
+}
+
+// StoreRestored records that the store has come back from an older copy. For restoredGrace, a registration that is not
+// newer than what is known of its instance does not bring back one that was leaving or removed.
+func (r *Registry) StoreRestored(now time.Time) { r.restoredUntil = now.Add(restoredGrace) }
+
+// withoutRestored returns the registrations without what an older copy of the store has brought back.
+func (r *Registry) withoutRestored(now time.Time, list []Registration) []Registration {
+	if !now.Before(r.restoredUntil) {
+		return list
+	}
+	current := make([]Registration, 0, len(list))
+	for _, reg := range list {
+		if gone, ok := r.removed[reg.ID]; ok && gone.reg.includes(&reg) {
+			continue
+		}
+		if known, ok := r.targets[reg.ID]; ok && known.includes(&reg) {
+			reg = known
+		}
+		current = append(current, reg)
+	}
+	return current
+}
+
+// includes reports whether an instance wrote a registration not later than this one.
+func (r *Registration) includes(other *Registration) bool {
+	return r.SameInstance(other) && other.Heartbeat <= r.Heartbeat
+}
+
+// remove drops the registration of a target and remembers it.
+func (r *Registry) remove(now time.Time, id string) {
+	r.removed[id] = removal{r.targets[id], now}
+	delete(r.targets, id)
+	delete(r.missingSince, id)
 }
 
 // Replace installs the complete list of current registrations. With afterOutage set, the
 // store has just recovered from an outage, and missing targets are kept for missingGrace
 // unless they were leaving.
 func (r *Registry) Replace(now time.Time, list []Registration, afterOutage bool) {
+	r.listed = list
+	list = r.withoutRestored(now, list)
 	present := make(map[string]bool, len(list))
 	for _, reg := range list {
 		present[reg.ID] = true
@@ -72,8 +129,7 @@
 		since, missing := r.missingSince[id]
 		switch {
 		case reg.Leaving, !missing && !afterOutage, missing && now.Sub(since) >= missingGrace:
-			delete(r.targets, id)
-			delete(r.missingSince, id)
+			r.remove(now, id)
 		case !missing:
 			r.missingSince[id] = now
 		}
@@ -127,18 +183,27 @@
 	return had
 }
 
-// Expire drops targets whose grace period after a store outage is over and reports whether
-// any was dropped.
+// Expire drops targets whose grace period after a store outage is over, and believes the list of registrations again
+// once restoredGrace is over. It reports whether any target may have changed.
 func (r *Registry) Expire(now time.Time) bool {
-	dropped := false
+	changed := false
 	for id, since := range r.missingSince {
 		if now.Sub(since) >= missingGrace {
-			delete(r.targets, id)
-			delete(r.missingSince, id)
-			dropped = true
+			r.remove(now, id)
+			changed = true
+		}
+	}
+	if !r.restoredUntil.IsZero() && !now.Before(r.restoredUntil) {
+		r.restoredUntil = time.Time{}
+		r.Replace(now, r.listed, false)
+		changed = true
+	}
+	for id, removal := range r.removed {
+		if now.Sub(removal.at) >= removedMemory {
+			delete(r.removed, id)
 		}
 	}
-	return dropped
+	return changed
 }
 
 // Targets returns the current registrations and replacements in no particular order.
--- a/internal/core/membership/registry_test.go
+++ b/internal/core/membership/registry_test.go
@@ -67,3 +67,43 @@
 	c.Check(r.DropReplacements(), qt.IsTrue)
 	c.Check(r.DropReplacements(), qt.IsFalse)
 }
+
+// Guards against an older copy of the store that brings back targets which were leaving or have left, and against
+// excluding those that write their registrations again, or that start again under their IDs.
+func TestRestoredRegistrations(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	reg := func(id string, heartbeat uint64, leaving bool) Registration {
+		return Registration{ID: id, StartUnixMS: 5, Heartbeat: heartbeat, Leaving: leaving}
+	}
+	usable := func(r *Registry) (list []string) {
+		for _, reg := range r.Targets() {
+			if !reg.Leaving {
+				list = append(list, reg.ID)
+			}
+		}
+		sort.Strings(list)
+		return list
+	}
+	restored := func() *Registry {
+		r := NewRegistry()
+		r.Replace(now, []Registration{reg("a", 3, false), reg("gone", 3, false), reg("leaving", 3, false)}, false)
+		r.Replace(now, []Registration{reg("a", 3, false), reg("leaving", 4, true)}, false)
+		r.StoreRestored(now)
+		r.Replace(now, []Registration{reg("a", 3, false), reg("gone", 2, false), reg("leaving", 3, false)}, true)
+		return r
+	}
+	r := restored()
+	c.Check(usable(r), qt.DeepEquals, []string{"a"})
+	r.Replace(now, []Registration{reg("a", 3, false), reg("gone", 5, false), reg("leaving", 6, false)}, true)
+	c.Check(usable(r), qt.DeepEquals, []string{"a", "gone", "leaving"}, qt.Commentf("written after the copy"))
+	r = restored()
+	again := reg("gone", 1, false)
+	again.StartUnixMS = 9
+	r.Replace(now, []Registration{reg("a", 3, false), again}, true)
+	c.Check(usable(r), qt.DeepEquals, []string{"a", "gone"}, qt.Commentf("started again under its ID"))
+	r = restored()
+	c.Check(r.Expire(now.Add(restoredGrace-1)), qt.IsFalse)
+	c.Check(r.Expire(now.Add(restoredGrace)), qt.IsTrue)
+	c.Check(usable(r), qt.DeepEquals, []string{"a", "gone", "leaving"}, qt.Commentf("the store's list is current again"))
+}
--- a/internal/core/runindex/ledger.go
+++ b/internal/core/runindex/ledger.go
@@ -20,7 +20,8 @@
 // StoreTime is a time of the store's steady clock. Times of different eras can't be compared: the store has come back
 // from an older copy between them.
 type StoreTime struct {
-	Era string
+	// Era is 0 if the store states none.
+	Era uint64
 	// At is 0 if the time is unknown.
 	At time.Duration
 }
--- a/internal/core/runindex/ledger_test.go
+++ b/internal/core/runindex/ledger_test.go
@@ -36,7 +36,7 @@
 // Guards against rows that count as those of all runs although a run may be missing.
 func TestLedgerLacksRuns(t *testing.T) {
 	const read = 100 * time.Second
-	at := func(at time.Duration) StoreTime { return StoreTime{Era: "3", At: at} }
+	at := func(at time.Duration) StoreTime { return StoreTime{Era: 3, At: at} }
 	fresh := Row{Saved: at(read - time.Second), Lease: lease}
 	lapsed := func(ago time.Duration) Row { return Row{Saved: at(read - ago), Lease: lease} }
 	withGap := func(from, until time.Duration, witnessed bool) Row {
@@ -55,8 +55,8 @@
 		{"two have lapsed", map[string]Row{"a": lapsed(lease), "b": fresh, "c": lapsed(lease)}, []string{"a", "c"}},
 		{"another one has ended in an orderly way", map[string]Row{"a": fresh, "b": fresh, "c": {Saved: at(time.Second), Final: true}}, nil},
 		{"a row has no lease", map[string]Row{"a": fresh, "b": {}}, []string{"b"}},
-		{"a row is of an earlier era", map[string]Row{"a": fresh, "b": {Saved: StoreTime{Era: "2", At: read - time.Second}, Lease: lease}}, []string{"b"}},
-		{"a row is of an earlier era and final", map[string]Row{"a": fresh, "b": {Saved: StoreTime{Era: "2", At: time.Second}, Final: true}}, []string{"b"}},
+		{"a row is of an earlier era", map[string]Row{"a": fresh, "b": {Saved: StoreTime{Era: 2, At: read - time.Second}, Lease: lease}}, []string{"b"}},
+		{"a row is of an earlier era and final", map[string]Row{"a": fresh, "b": {Saved: StoreTime{Era: 2, At: time.Second}, Final: true}}, []string{"b"}},
 		{"a row is of the future", map[string]Row{"a": fresh, "b": {Saved: at(read + time.Millisecond), Lease: lease}}, []string{"b"}},
 		{"a row has an impossible lease", map[string]Row{"a": fresh, "b": {Saved: fresh.Saved, Lease: MaxLease + 1}}, []string{"b"}},
 		{"a process lost the runs before it", map[string]Row{"a": fresh, "b": withGap(0, read-Lifetime, false)}, []string{"b"}},
@@ -87,7 +87,7 @@
 		{"at once", row, StoreTime{At: saved + time.Second}, Gap{}},
 		{"after a restart of the VM", row, StoreTime{At: saved + 4*time.Second}, Gap{leaseEnd, saved + 4*time.Second, true}},
 		{"late", row, StoreTime{At: saved + lease + WitnessTime}, Gap{leaseEnd, saved + lease + WitnessTime, false}},
-		{"in another era", row, StoreTime{Era: "2", At: saved + time.Second}, Gap{0, saved + time.Second, false}},
+		{"in another era", row, StoreTime{Era: 2, At: saved + time.Second}, Gap{0, saved + time.Second, false}},
 		{"with a gap of the process before", earlier, StoreTime{At: saved + time.Second}, earlier.Gap},
 		{"with two gaps", earlier, StoreTime{At: saved + 4*time.Second}, Gap{90 * time.Second, saved + 4*time.Second, true}},
 		{"with a gap that has expired", earlier, StoreTime{At: saved + Lifetime}, Gap{leaseEnd, saved + Lifetime, false}},
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -78,7 +78,7 @@
 	}
 	for table := range c.st.tables {
 		if Table(table) == TableTargets {
-			g.loop.installSnapshot(c.st, now, TableTargets, rows, 1, "store")
+			g.loop.installSnapshot(c.st, now, TableTargets, rows, replica.Version{Revision: 1}, "store")
 		}
 		g.loop.confirm(c.st, now, Table(table), "store")
 	}
@@ -297,7 +297,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				row := replica.Row{Key: controlTargetID(int(revision) % size.targets), Value: fmt.Appendf(nil, "10.8.0.1:%d", revision), Revision: revision + 1}
-				c.peers.g.loop.applyChanges(c.st, now, TableTargets, []replica.Row{row}, revision, revision+1)
+				c.peers.g.loop.applyChanges(c.st, now, TableTargets, []replica.Row{row}, replica.Version{Revision: revision}, replica.Version{Revision: revision + 1})
 				revision++
 			}
 		})
@@ -317,7 +317,7 @@
 				names = append(names, name)
 				rows = append(rows, replica.Row{Key: name, Value: encode(&wire.GatewayState{Name: name, Address: fmt.Sprintf("10.%d.0.%d:7200", i/250, i%250), Zone: "zone-0"}), Revision: 1})
 			}
-			c.peers.g.loop.installSnapshot(c.st, time.Now(), TableGateways, rows, 1, "store")
+			c.peers.g.loop.installSnapshot(c.st, time.Now(), TableGateways, rows, replica.Version{Revision: 1}, "store")
 			c.st.setLiveGateways(names)
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/gateway/desired_state.go
+++ b/internal/gateway/desired_state.go
@@ -42,7 +42,7 @@
 		http.Error(w, "no desired state", http.StatusServiceUnavailable)
 		return
 	}
-	text, problem := g.encodeDesiredState(p.desired.Text)
+	text, problem := g.encodeDesiredState(p.desired.Row.Value)
 	if problem != "" {
 		http.Error(w, problem, http.StatusInternalServerError)
 		return
--- a/internal/gateway/desired_state_test.go
+++ b/internal/gateway/desired_state_test.go
@@ -70,7 +70,7 @@
 	g := newDesiredStateGateway(protocol)
 	c.Check(g.requestDesiredState().Code, qt.Equals, http.StatusServiceUnavailable)
 	publish := func(text string) {
-		g.loop.published.Store(&publishedState{desired: DesiredState{Config: catalog.New(7, nil, nil, nil, catalog.Limits{}), Text: []byte(text)}})
+		g.loop.published.Store(&publishedState{desired: DesiredState{Config: catalog.New(7, nil, nil, nil, catalog.Limits{}), Row: replica.Row{Value: []byte(text)}}})
 	}
 	publish("key in plain text")
 	first := make(chan *deadlineRecorder)
@@ -106,13 +106,13 @@
 func TestDesiredStateTextIsThatInUse(t *testing.T) {
 	c := qt.New(t)
 	state := func(version uint64, text string) DesiredState {
-		return DesiredState{Config: catalog.New(version, nil, nil, nil, catalog.Limits{}), Text: []byte(text)}
+		return DesiredState{Config: catalog.New(version, nil, nil, nil, catalog.Limits{}), Row: replica.Row{Value: []byte(text)}}
 	}
 	g := newDesiredStateGateway(&storedState{next: []DesiredState{state(2, "two"), state(1, "one"), {}, state(3, "three")}})
 	now := time.Now()
 	st := g.loop.newState(now)
 	for _, want := range []string{"2 two", "2 two", "2 two", "3 three"} {
-		g.loop.applyDesiredState(st, now)
+		g.loop.applyStoredDesiredState(st, now)
 		w := g.requestDesiredState()
 		c.Check(w.Header().Get(VersionHeader)+" "+strings.TrimPrefix(w.Body.String(), "digests of "), qt.Equals, want)
 	}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -54,6 +54,9 @@
 	tableSources  [numReplicatedTables]string
 	registrations map[string]membership.Registration
 	desired       DesiredState
+	// storedDesired is the version of the desired state in the local copy of TableConfig, 0 if there is none. It is
+	// lower than that of desired if the store has come back from a copy without it.
+	storedDesired uint64
 	registry      *membership.Registry
 	fleet         *placement.Fleet
 	budgets       map[string]*retry.SharedBudget
@@ -82,6 +85,8 @@
 	confirmedAt     [numReplicatedTables]time.Time
 	unconfirmed     [numReplicatedTables]bool
 	lastUnconfirmed [numReplicatedTables]time.Time
+	// targetsRestoredAt is when the store was last found to have come back from an older copy of TableTargets.
+	targetsRestoredAt time.Time
 	// liveGateways holds the sorted names of this gateway and the reachable other gateways, and
 	// readers those of them that follow the store's tables.
 	liveGateways []string
@@ -90,9 +95,9 @@
 	rankedGateways []string
 	// tableNews is closed when a table has changed or was confirmed by the store.
 	tableNews chan struct{}
-	// listed holds the addresses of the gateways in the store by name, as of listedRevision.
-	listed         map[string]string
-	listedRevision uint64
+	// listed holds the addresses of the gateways in the store by name, as of listedVersion.
+	listed        map[string]string
+	listedVersion replica.Version
 	// peerAddresses holds the addresses of the reachable other gateways by name.
 	peerAddresses map[string]string
 	// runIndex holds the run records of this gateway and those replicated to it.
@@ -115,10 +120,11 @@
 	// stopTimes holds the announced stop times of other gateways, zero if not stopping.
 	stopTimes map[string]time.Time
 	outages   *placement.Outages
-	// orders holds the rollout orders by service.
-	orders    map[string]*trackedOrder
-	baselines map[string]*evidence.Baseline
-	evidence  *evidence.Counters
+	// orders holds the rollout orders by service, and pastOrders those that they took the places of, the latest last.
+	orders     map[string]*trackedOrder
+	pastOrders map[string][]RolloutOrder
+	baselines  map[string]*evidence.Baseline
+	evidence   *evidence.Counters
 	// streamQueues holds the queues of the ranked services, and lastQueued the last id in them.
 	streamQueues map[string]*streamQueue
 	lastQueued   uint64
@@ -187,6 +193,7 @@
 		outages:              placement.NewOutages(),
 		stopTimes:            map[string]time.Time{},
 		orders:               map[string]*trackedOrder{},
+		pastOrders:           map[string][]RolloutOrder{},
 		baselines:            map[string]*evidence.Baseline{},
 		evidence:             evidence.NewCounters(l.options.Settings.Name, rng.Uint64()),
 		calls:                newCallQueues(rng),
@@ -377,7 +384,7 @@
 			continue
 		}
 		if !st.unconfirmed[i] && st.tables[i].Loaded() {
-			l.log.Warn().Stringer("table", Table(i)).Dur("age", now.Sub(st.confirmedAt[i])).Uint64("revision", st.tables[i].Revision()).
+			l.log.Warn().Stringer("table", Table(i)).Dur("age", now.Sub(st.confirmedAt[i])).Uint64("era", st.tables[i].Version().Era).Uint64("revision", st.tables[i].Version().Revision).
 				Msg("table not confirmed by the store for too long; cached rows may be out of date")
 		}
 		st.unconfirmed[i] = true
@@ -409,115 +416,6 @@
 // isReader reports whether a gateway is among the readers.
 func (st *state) isReader(gateway string) bool { return slices.Contains(st.readers, gateway) }
 
-// installSnapshot replaces a table by a snapshot from the store or another gateway, unless the
-// local copy is newer.
-func (l *eventLoop) installSnapshot(st *state, now time.Time, table Table, rows []replica.Row, revision uint64, source string) {
-	local := st.tables[table]
-	if local.Loaded() && revision < local.Revision() {
-		return
-	}
-	changes := local.Replace(rows, revision)
-	l.log.Info().Stringer("table", table).Str("source", source).Uint64("revision", revision).
-		Int("rows", len(rows)).Int("changes", len(changes)).Msg("table snapshot installed")
-	l.tableChanged(st, now, table, changes)
-}
-
-// applyChanges applies changes to a table. It reports whether they follow on from the
-// revision of the local copy.
-func (l *eventLoop) applyChanges(st *state, now time.Time, table Table, changes []replica.Change, after, to uint64) bool {
-	applied, ok := st.tables[table].Advance(changes, after, to)
-	if ok && len(applied) > 0 {
-		l.tableChanged(st, now, table, applied)
-	}
-	return ok
-}
-
-func (l *eventLoop) tableChanged(st *state, now time.Time, table Table, changes []replica.Change) {
-	st.announceTableNews()
-	switch table {
-	case TableConfig:
-		l.applyDesiredState(st, now)
-	case TableTargets:
-		l.applyRegistrations(st, now, changes)
-	}
-}
-
-func (l *eventLoop) applyDesiredState(st *state, now time.Time) {
-	desired, decodeErrs := l.options.Protocol.DecodeDesiredState(st.tables[TableConfig].Rows())
-	for _, err := range decodeErrs {
-		l.log.Error().Err(err).Msg("row of the desired state cannot be decoded; ignoring it")
-	}
-	if desired.Config == nil {
-		desired.Config, desired.Text = st.desired.Config, st.desired.Text
-	}
-	current := st.desired.Config
-	if current != nil && desired.Config != nil && desired.Config.Version < current.Version {
-		l.log.Warn().Uint64("version", desired.Config.Version).Uint64("in_force", current.Version).Msg("desired state is older than the one in use; ignoring it")
-		desired.Config, desired.Text = current, st.desired.Text
-	}
-	st.desired = desired
-	l.addOrders(st, now, desired.Rollouts)
-	if desired.Config == nil {
-		return
-	}
-	if current == nil || current.Version != desired.Config.Version {
-		l.log.Info().Uint64("version", desired.Config.Version).Uint64("revision", st.tables[TableConfig].Revision()).
-			Msg("desired state applied")
-		l.reportPriorities(desired.Config)
-		l.metrics.configVersion.Set(float64(desired.Config.Version))
-	}
-	if l.published.Swap(&publishedState{desired: desired, stale: st.desiredStateStale(now)}) == nil {
-		close(l.desiredLoaded)
-	}
-	st.rerankQueues()
-	l.updateFleet(st)
-}
-
-func (l *eventLoop) applyRegistrations(st *state, now time.Time, changes []replica.Change) {
-	for _, change := range changes {
-		if change.Deleted {
-			delete(st.registrations, change.Key)
-			continue
-		}
-		reg, err := l.options.Protocol.DecodeRegistration(change)
-		if err != nil {
-			l.log.Debug().Str("key", change.Key).Err(err).Msg("row is not a target registration; ignoring it")
-			delete(st.registrations, change.Key)
-			continue
-		}
-		st.registrations[change.Key] = reg
-	}
-	registrations := make([]membership.Registration, 0, len(st.registrations))
-	for _, reg := range st.registrations {
-		registrations = append(registrations, reg)
-	}
-	storeRecovering := now.Sub(st.lastUnconfirmed[TableTargets]) < storeOutageGrace
-	before := st.registry.Targets()
-	st.registry.Replace(now, registrations, storeRecovering)
-	l.logTargets(before, st.registry.Targets())
-	l.updateFleet(st)
-}
-
-// logTargets logs the targets that were added, removed or changed.
-func (l *eventLoop) logTargets(before, after []membership.Registration) {
-	old := make(map[string]membership.Registration, len(before))
-	for _, reg := range before {
-		old[reg.ID] = reg
-	}
-	for _, reg := range after {
-		prev, known := old[reg.ID]
-		delete(old, reg.ID)
-		if known && prev.Leaving == reg.Leaving && prev.SameInstance(&reg) {
-			continue
-		}
-		l.log.Info().Str("target", reg.ID).Str("address", reg.Address).Str("service", reg.Service).Str("zone", reg.Zone).
-			Str("version", reg.Version).Bool("leaving", reg.Leaving).Bool("new", !known).Msg("target registered")
-	}
-	for id, reg := range old {
-		l.log.Info().Str("target", id).Str("address", reg.Address).Msg("target removed")
-	}
-}
-
 func (l *eventLoop) updateFleet(st *state) {
 	st.fleet.Update(st.registry.Targets(), func(service string) int {
 		if st.desired.Config == nil {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -135,7 +135,7 @@
 		if int(t.Table) >= numReplicatedTables || !st.tables[t.Table].Loaded() {
 			continue
 		}
-		if st.tables[t.Table].Revision() > t.Revision {
+		if copyVersion(t).Before(st.tables[t.Table].Version()) || st.hasLostDesired(t, t.DesiredVersion) {
 			return true
 		}
 		confirmed := arrived.Add(-time.Duration(t.AgeMs) * time.Millisecond)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -50,7 +50,7 @@
 		}, false},
 		{"a changed row", func(l *eventLoop, st *state) {
 			row := replica.Row{Key: controlTargetID(0), Value: []byte("10.8.0.1:1"), Revision: 2}
-			l.applyChanges(st, time.Now(), TableTargets, []replica.Row{row}, 1, 2)
+			l.applyChanges(st, time.Now(), TableTargets, []replica.Row{row}, replica.Version{Revision: 1}, replica.Version{Revision: 2})
 		}, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/gateway/interfaces.go
+++ b/internal/gateway/interfaces.go
@@ -60,20 +60,23 @@
 	// ErrCompacted means that the store no longer keeps the changes since the revision; the
 	// caller must read a snapshot.
 	ErrCompacted = errors.New("store has compacted the changes since the requested revision")
+	// ErrEraChanged means that the store has come back from an older copy, so that the revision means nothing any
+	// more; the caller must read a snapshot.
+	ErrEraChanged = errors.New("store has come back from an older copy")
 	// ErrNotPerformed means that the call certainly had no effect on the store.
 	ErrNotPerformed = errors.New("store call had no effect")
 	// ErrConflict means that a row was not at its expected revision, so nothing was written.
 	ErrConflict = errors.New("row is not at the expected revision; nothing written")
 )
 
-// Write is a conditional write of one row. ExpectedRevision is the revision that the row must
-// have, 0 if it must not exist.
+// Write is a conditional write of one row. Expected holds the revision that the row must have and the era in which it
+// was read; its revision is 0 if the row must not exist.
 type Write struct {
-	Table            Table
-	Key              string
-	Value            []byte
-	ExpectedRevision uint64
-	// Unconditional makes the write ignore ExpectedRevision.
+	Table    Table
+	Key      string
+	Value    []byte
+	Expected replica.Version
+	// Unconditional makes the write ignore Expected.
 	Unconditional bool
 	Delete        bool
 }
@@ -85,25 +88,37 @@
 type Store interface {
 	// Snapshot returns all rows of a table as of one revision.
 	Snapshot(ctx context.Context, table Table) (Snapshot, error)
-	// Changes returns the changes after a revision and the revision from which to continue. If
+	// Changes returns the changes after a version and the version from which to continue. If
 	// there are none, it waits for changes for at most the given time.
-	Changes(ctx context.Context, table Table, after uint64, wait time.Duration) ([]replica.Change, uint64, error)
-	// Commit performs all writes in one transaction.
+	Changes(ctx context.Context, table Table, after replica.Version, wait time.Duration) ([]replica.Change, replica.Version, error)
+	// Commit performs all writes in one transaction. It fails with ErrConflict if a row was read in an era that is
+	// known to be over.
 	Commit(ctx context.Context, writes []Write) (Committed, error)
 }
 
 // Snapshot holds the rows of a table.
 type Snapshot struct {
-	Rows     []replica.Row
-	Revision uint64
+	Rows    []replica.Row
+	Version replica.Version
 	// Time is the time of the store's clock after the rows were read, unknown if the store does not state it.
 	Time runindex.StoreTime
 }
 
+// rowVersion returns the version of a row, with the revision 0 if there is no such row.
+func (s *Snapshot) rowVersion(key string) replica.Version {
+	version := replica.Version{Era: s.Version.Era}
+	for _, row := range s.Rows {
+		if row.Key == key {
+			version.Revision = row.Revision
+		}
+	}
+	return version
+}
+
 // Committed is the result of a transaction.
 type Committed struct {
-	// Revision is the revision of the rows written.
-	Revision uint64
+	// Version holds the revision of the rows written.
+	Version replica.Version
 	// Time is the time of the store's clock, unknown if the store does not state it.
 	Time runindex.StoreTime
 }
@@ -112,9 +127,8 @@
 type DesiredState struct {
 	// Config is nil until a desired state has been written.
 	Config *catalog.Config
-	// Text is the value of the row that Config was decoded from, with the client keys in plain text. It must not
-	// be modified.
-	Text []byte
+	// Row is the row that Config was decoded from, with the client keys in plain text. It must not be modified.
+	Row replica.Row
 	// Rollouts holds the rollout orders, at most one per service.
 	Rollouts []RolloutOrder
 }
@@ -124,8 +138,13 @@
 	Service  string
 	Version  string
 	Duration time.Duration
-	// Revision is the revision of the order's row; a newer order has a higher one.
-	Revision uint64
+	// Written is the version of the store at which the order's row was written. Protocol states the revision only.
+	Written replica.Version
+}
+
+// sameContent reports whether both orders ask for the same.
+func (o *RolloutOrder) sameContent(other *RolloutOrder) bool {
+	return o.Service == other.Service && o.Version == other.Version && o.Duration == other.Duration
 }
 
 // Request is a client request without its body.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,7 @@
 	lateTicks      prometheus.Counter
 	targets        prometheus.Gauge
 	configVersion  prometheus.Gauge
+	storeEra       prometheus.Gauge
 	tableAge       *prometheus.GaugeVec
 	targetStates   *prometheus.GaugeVec
 	storeSeconds   *prometheus.HistogramVec
@@ -122,6 +123,7 @@
 		requestTrials:     counter("request_trials_total", "Rejected requests that were sent to find out whether they still crash targets."),
 		partTrials:        counter("part_trials_total", "Requests with a condemned prompt part that were sent to find out whether it still crashes targets."),
 		configVersion:     gauge("config_version", "Version of the desired state in force."),
+		storeEra:          gauge("store_era", "Era of the store as of the last snapshot of a table. It rises when the store comes back from an older copy."),
 		undeliveredBodies: counter("undelivered_bodies_total", "Requests whose target did not take their body before the deadline."),
 		tableAge: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bramleygap_gateway_table_age_seconds", Help: "Time since the store last confirmed the local copy of a table.",
@@ -144,7 +146,7 @@
 		targetCrashes: counter("target_crashes_total", "Crashes of targets that were attributed to running requests."),
 	}
 	r.MustRegister(m.requests, m.duration, m.firstEvent, m.refusals, m.attempts, m.losses, m.retriesRefused, m.storeCalls,
-		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.queueHeld, m.invalidReports,
+		m.peerExchanges, m.peerSeconds, m.linkBytes, m.peerBytes, m.exchangeBytes, m.tableFetches, m.probes, m.copyOrders, m.runLookups, m.unframedEnds, m.connections, m.strayResponses, m.targetsDown, m.lateTicks, m.targets, m.configVersion, m.storeEra, m.tableAge, m.targetStates, m.storeSeconds, m.targetCrashes, m.condemnedParts, m.partTrials, m.requestTrials, m.handlerPanics, m.notices, m.withheld, m.priorities, m.streamsWaiting, m.queuePlaces, m.queueRefusals, m.queueHeld, m.invalidReports,
 		m.retryTransfers, m.capacityDecisions, m.capacityFull, m.stalledClients, m.undeliveredBodies,
 		m.pacedCalls, m.pacedServices, m.callsWaiting, m.speedSamples, m.speedsInUse)
 	return m
--- a/internal/gateway/peer_list_test.go
+++ b/internal/gateway/peer_list_test.go
@@ -21,11 +21,11 @@
 		return replica.Row{Key: name, Value: encode(&wire.GatewayState{Name: name, Address: name + ":1"}), Revision: revision}
 	}
 	c.Check(g.st.listedGateways(), qt.HasLen, 0)
-	g.peers.g.loop.installSnapshot(g.st, time.Now(), TableGateways, []replica.Row{row("a", 3), {Key: "other", Value: []byte("x"), Revision: 4}}, 4, "store")
+	g.peers.g.loop.installSnapshot(g.st, time.Now(), TableGateways, []replica.Row{row("a", 3), {Key: "other", Value: []byte("x"), Revision: 4}}, replica.Version{Revision: 4}, "store")
 	c.Check(g.st.listedGateways(), qt.DeepEquals, map[string]string{"a": "a:1"})
-	g.peers.g.loop.applyChanges(g.st, time.Now(), TableGateways, []replica.Row{row("b", 5)}, 4, 5)
+	g.peers.g.loop.applyChanges(g.st, time.Now(), TableGateways, []replica.Row{row("b", 5)}, replica.Version{Revision: 4}, replica.Version{Revision: 5})
 	c.Check(g.st.listedGateways(), qt.DeepEquals, map[string]string{"a": "a:1", "b": "b:1"})
-	g.peers.g.loop.applyChanges(g.st, time.Now(), TableGateways, []replica.Row{{Key: "a", Revision: 6, Deleted: true}}, 5, 6)
+	g.peers.g.loop.applyChanges(g.st, time.Now(), TableGateways, []replica.Row{{Key: "a", Revision: 6, Deleted: true}}, replica.Version{Revision: 5}, replica.Version{Revision: 6})
 	c.Check(g.st.listedGateways(), qt.DeepEquals, map[string]string{"b": "b:1"})
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -49,6 +49,8 @@
 	maxAgeMs = int64(time.Hour / time.Millisecond)
 	// announceRetryInterval is the pause between attempts to register in the store.
 	announceRetryInterval = 500 * time.Millisecond
+	// announceCheckInterval is the average pause between checks of whether the store still lists this gateway.
+	announceCheckInterval = time.Second
 )
 
 // peers exchanges state with the other gateways.
@@ -113,7 +115,8 @@
 	return nil
 }
 
-// announce registers the address of this gateway in the store, retrying until it succeeds.
+// announce keeps the address of this gateway in the store until ctx is canceled. It writes the row again if the store
+// has come back from a copy without it.
 func (p *peers) announce(ctx context.Context) {
 	s := p.g.options.Settings
 	value, err := proto.Marshal(&wire.GatewayState{Name: s.Name, Incarnation: p.incarnation, Address: s.PeerListen, Zone: s.Zone})
@@ -124,17 +127,28 @@
 	write := Write{Table: TableGateways, Key: s.Name, Value: value, Unconditional: true}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		_, err := p.g.options.Store.Commit(callCtx, []Write{write})
+		committed, err := p.g.options.Store.Commit(callCtx, []Write{write})
 		cancel()
 		p.g.metrics.storeCalls.WithLabelValues(TableGateways.String(), storeOutcome(err)).Inc()
-		if err == nil {
-			return
+		if err != nil {
+			p.g.log.Warn().Err(err).Msg("gateway address not written to the store; retrying")
+			sleep(ctx, announceRetryInterval)
+			continue
+		}
+		for ctx.Err() == nil && !query(ctx, p.g.loop, func(st *state) bool { return st.lostAddress(s.Name, committed.Version) }) {
+			// Gateways that find their rows lost do not write them at the same moment.
+			sleep(ctx, announceCheckInterval/2+rand.N(announceCheckInterval))
 		}
-		p.g.log.Warn().Err(err).Msg("gateway address not written to the store; retrying")
-		sleep(ctx, announceRetryInterval)
 	}
 }
 
+// lostAddress reports whether the store has lost the address of a gateway that was written at a version.
+func (st *state) lostAddress(name string, written replica.Version) bool {
+	table := st.tables[TableGateways]
+	_, listed := st.listedGateways()[name]
+	return table.Loaded() && !table.Version().Before(written) && !listed
+}
+
 // refreshPeers updates the set of peers from the store and the configured seeds.
 func (p *peers) refreshPeers(ctx context.Context) {
 	listed := query(ctx, p.g.loop, func(st *state) map[string]string {
@@ -174,8 +188,8 @@
 // listedGateways returns the addresses of the gateways in the store by name. The caller must not
 // change the map.
 func (st *state) listedGateways() map[string]string {
-	revision := st.tables[TableGateways].Revision()
-	if st.listed != nil && st.listedRevision == revision {
+	version := st.tables[TableGateways].Version()
+	if st.listed != nil && st.listedVersion == version {
 		return st.listed
 	}
 	listed := map[string]string{}
@@ -187,7 +201,7 @@
 		}
 		listed[state.Name] = state.Address
 	}
-	st.listed, st.listedRevision = listed, revision
+	st.listed, st.listedVersion = listed, version
 	return listed
 }
 
@@ -496,80 +510,12 @@
 	return msg
 }
 
-// describeTable returns the revision of a table and its age at a given time, without rows.
-func (st *state) describeTable(at time.Time, i int) *wire.TableCopy {
-	out := &wire.TableCopy{Table: uint32(i), Revision: st.tables[i].Revision(), Wanted: true, Confirmed: !st.confirmedAt[i].IsZero()}
-	if out.Confirmed {
-		out.AgeMs = ageMS(at.Sub(st.confirmedAt[i]))
-	}
-	return out
-}
-
 // ageMS returns an age in milliseconds, rounded up: a confirmation must not seem newer than it is. One
 // that came after the time in question counts as of that time.
 func ageMS(age time.Duration) uint32 {
 	return uint32(min(max(0, (age+time.Millisecond-1).Milliseconds()), maxAgeMs))
 }
 
-// addRows adds the rows that a copy at revision after lacks: all rows if after is 0 or older than
-// the known changes.
-func (st *state) addRows(out *wire.TableCopy, after uint64) {
-	table := st.tables[out.Table]
-	out.After = after
-	rows, ok := table.Since(after)
-	if !ok || after == 0 {
-		out.Complete, rows = true, table.Rows()
-	}
-	for _, row := range rows {
-		out.Rows = append(out.Rows, &wire.TableRow{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
-	}
-}
-
-// exportTable returns the revision and age of a table, with the rows that the requester lacks if
-// they are small.
-func (p *peers) exportTable(st *state, at time.Time, i int, requester *wire.GatewayState) *wire.TableCopy {
-	out := st.describeTable(at, i)
-	if requester == nil || !st.tables[i].Loaded() {
-		return out
-	}
-	k := slices.IndexFunc(requester.Tables, func(c *wire.TableCopy) bool { return c.Table == uint32(i) && c.Wanted })
-	if k < 0 || requester.Tables[k].Revision >= out.Revision {
-		return out
-	}
-	st.addRows(out, requester.Tables[k].Revision)
-	size := 0
-	for _, row := range out.Rows {
-		size += len(row.Key) + len(row.Value)
-	}
-	if size > maxInlineTableBytes {
-		out.Rows, out.After, out.Complete, out.Omitted = nil, 0, false, true
-	}
-	return out
-}
-
-// mergeTable merges another gateway's copy of a table. Its confirmation also applies to the
-// local copy if that is at least as new.
-func (p *peers) mergeTable(st *state, now, requestedAt time.Time, source string, t *wire.TableCopy) {
-	if int(t.Table) >= numReplicatedTables {
-		return
-	}
-	table := Table(t.Table)
-	rows := make([]replica.Row, 0, len(t.Rows))
-	for _, row := range t.Rows {
-		rows = append(rows, replica.Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted})
-	}
-	local := st.tables[table]
-	switch {
-	case t.Complete && (!local.Loaded() || t.Revision > local.Revision()):
-		p.g.loop.installSnapshot(st, now, table, rows, t.Revision, source)
-	case !t.Complete && t.After > 0 && t.After == local.Revision():
-		p.g.loop.applyChanges(st, now, table, rows, t.After, t.Revision)
-	}
-	if t.Confirmed && !requestedAt.IsZero() && local.Loaded() && local.Revision() >= t.Revision {
-		p.g.loop.confirm(st, requestedAt.Add(-time.Duration(t.AgeMs)*time.Millisecond), table, source)
-	}
-}
-
 // mergeState merges the state of another gateway. The ages of its confirmations are relative to
 // requestedAt, when the state was requested. If requestedAt is zero, they are ignored.
 func (p *peers) mergeState(st *state, remote *wire.GatewayState, requestedAt time.Time) {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,6 +11,7 @@
 	"bramleygap/internal/core/evidence"
 	"bramleygap/internal/core/membership"
 	"bramleygap/internal/core/placement"
+	"bramleygap/internal/core/replica"
 	"bramleygap/internal/core/rollout"
 	"bramleygap/internal/wire"
 )
@@ -33,17 +35,35 @@
 	share float64
 	// drainingSince is when draining of the previous version began.
 	drainingSince time.Time
-	// statusRevision is the revision of the status row when it was last read.
-	statusRevision uint64
+	// statusVersion is the version of the status row when it was last read.
+	statusVersion replica.Version
 }
 
-// addOrders adds rollout orders and replaces existing ones by those with a newer revision.
+// maxPastOrders bounds the orders of a service that are remembered after another one has taken their place. The store
+// comes back from copies that are some seconds old.
+const maxPastOrders = 4
+
+// addOrders adds rollout orders and replaces existing ones by those that were written later.
 func (l *eventLoop) addOrders(st *state, now time.Time, orders []RolloutOrder) {
 	for _, o := range orders {
-		if existing := st.orders[o.Service]; existing != nil && existing.Revision >= o.Revision {
-			continue
+		existing := st.orders[o.Service]
+		if existing != nil {
+			switch {
+			case !existing.Written.Before(o.Written):
+				continue
+			case existing.Written.Era != o.Written.Era && existing.sameContent(&o):
+				// The store's copy has the order, or the operator has written it again after its loss.
+				existing.Written = o.Written
+				continue
+			case existing.Written.Era != o.Written.Era && st.isPastOrder(&o):
+				l.log.Warn().Str("service", o.Service).Str("version", o.Version).Str("instead_of", existing.Version).
+					Msg("store has come back with an earlier rollout order; ignoring it")
+				continue
+			}
+			past := append(st.pastOrders[o.Service], existing.RolloutOrder)
+			st.pastOrders[o.Service] = past[max(0, len(past)-maxPastOrders):]
 		}
-		l.log.Info().Str("service", o.Service).Str("version", o.Version).Dur("within", o.Duration).Uint64("revision", o.Revision).
+		l.log.Info().Str("service", o.Service).Str("version", o.Version).Dur("within", o.Duration).Uint64("era", o.Written.Era).Uint64("revision", o.Written.Revision).
 			Msg("rollout order received")
 		st.orders[o.Service] = &trackedOrder{RolloutOrder: o, firstSeen: now}
 		if st.baselines[o.Service] == nil {
@@ -52,13 +72,28 @@
 	}
 }
 
+// isPastOrder reports whether another order has taken the place of an order that the store lists: its row has the
+// revision that it had then.
+func (st *state) isPastOrder(o *RolloutOrder) bool {
+	return slices.ContainsFunc(st.pastOrders[o.Service], func(past RolloutOrder) bool {
+		return past.Written.Revision == o.Written.Revision && past.sameContent(o)
+	})
+}
+
+// storeStatusesAgain lets the owners of the orders write their states again, which the store may have lost.
+func (st *state) storeStatusesAgain() {
+	for _, o := range st.orders {
+		o.written = false
+	}
+}
+
 // setOrderState changes the state of an order if the transition is allowed.
 func (l *eventLoop) setOrderState(o *trackedOrder, state rollout.OrderState, source, reason string) {
 	merged := rollout.MergeOrder(o.state, state)
 	if merged == o.state {
 		return
 	}
-	l.log.Info().Str("service", o.Service).Str("version", o.Version).Uint64("revision", o.Revision).Int("from", int(o.state)).
+	l.log.Info().Str("service", o.Service).Str("version", o.Version).Uint64("revision", o.Written.Revision).Int("from", int(o.state)).
 		Int("to", int(merged)).Str("source", source).Str("reason", reason).Msg("rollout changed")
 	o.state = merged
 	if merged == rollout.OrderDraining {
@@ -161,11 +196,11 @@
 
 // orderAction is a store access that is due for an order.
 type orderAction struct {
-	order          RolloutOrder
-	read           bool
-	write          bool
-	state          rollout.OrderState
-	statusRevision uint64
+	order         RolloutOrder
+	read          bool
+	write         bool
+	state         rollout.OrderState
+	statusVersion replica.Version
 }
 
 func (c *rolloutController) run(ctx context.Context) error {
@@ -208,7 +243,7 @@
 			}
 		}
 		if owner && (next != o.state || !o.written) {
-			actions = append(actions, orderAction{order: o.RolloutOrder, write: true, state: next, statusRevision: o.statusRevision})
+			actions = append(actions, orderAction{order: o.RolloutOrder, write: true, state: next, statusVersion: o.statusVersion})
 		}
 	}
 	return actions
@@ -243,21 +278,26 @@
 	}
 	c.g.loop.post(ctx, func(st *state) {
 		o := st.orders[action.order.Service]
-		if o == nil || o.Revision != action.order.Revision {
+		if o == nil || o.Written != action.order.Written {
 			return
 		}
 		state := rollout.OrderRunning
+		o.statusVersion = replica.Version{Era: snapshot.Version.Era}
 		for _, row := range snapshot.Rows {
 			service, version, stored, err := c.g.options.Protocol.DecodeRolloutStatus(row)
 			if err != nil || service != o.Service {
 				continue
 			}
-			o.statusRevision = row.Revision
+			o.statusVersion.Revision = row.Revision
 			// A status that is older than the order belongs to an earlier order.
-			if version == o.Version && row.Revision > o.Revision {
+			if version == o.Version && row.Revision > o.Written.Revision {
 				state = stored
 			}
 		}
+		if snapshot.Version.Era != o.Written.Era {
+			// The store has come back from a copy that need not have the order.
+			return
+		}
 		if state == rollout.OrderRunning && o.state == rollout.OrderUnknown {
 			c.g.loop.setOrderState(o, state, "order", "")
 			return
@@ -270,7 +310,7 @@
 // another gateway has written the status since it was last read.
 func (c *rolloutController) writeStatus(ctx context.Context, action orderAction) {
 	write := c.g.options.Protocol.EncodeRolloutStatus(action.order.Service, action.order.Version, action.state.Stored())
-	write.ExpectedRevision = action.statusRevision
+	write.Expected = action.statusVersion
 	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	_, err := c.g.options.Store.Commit(callCtx, []Write{write})
@@ -281,7 +321,7 @@
 	}
 	c.g.loop.post(ctx, func(st *state) {
 		o := st.orders[action.order.Service]
-		if o == nil || o.Revision != action.order.Revision {
+		if o == nil || o.Written != action.order.Written {
 			return
 		}
 		if err == nil {
@@ -300,7 +340,7 @@
 		return
 	}
 	for _, o := range st.orders {
-		msg.Orders = append(msg.Orders, &wire.OrderView{Service: o.Service, Revision: o.Revision, State: uint32(o.state)})
+		msg.Orders = append(msg.Orders, &wire.OrderView{Service: o.Service, Era: o.Written.Era, Revision: o.Written.Revision, State: uint32(o.state)})
 	}
 	msg.Evidence = st.evidence.Export(st.evidenceShared)
 }
@@ -309,7 +349,7 @@
 func (l *eventLoop) mergeRollouts(st *state, remote *wire.GatewayState) {
 	for _, view := range remote.Orders {
 		o := st.orders[view.Service]
-		if o == nil || o.Revision != view.Revision {
+		if o == nil || o.Written != (replica.Version{Era: view.Era, Revision: view.Revision}) {
 			continue
 		}
 		if state := rollout.OrderState(view.State); state.Final() || state == rollout.OrderDraining {
--- a/internal/gateway/run_rows.go
+++ b/internal/gateway/run_rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -36,11 +37,7 @@
 	} else if !s.g.options.Settings.FirstStart() {
 		s.gap = runindex.Gap{Until: snapshot.Time.At}
 	}
-	for _, row := range snapshot.Rows {
-		if row.Key == self {
-			s.revision = row.Revision
-		}
-	}
+	s.version = snapshot.rowVersion(self)
 	if !snapshot.Time.Known() {
 		// Rows without a time have no lease.
 		s.holdUntil(time.Now().Add(-runindex.WitnessTime))
@@ -73,7 +70,7 @@
 			}
 		}
 	}
-	s.g.log.Info().Int("gateways", len(snapshot.Rows)).Int("runs", loaded).Str("store_era", snapshot.Time.Era).Bool("gap", s.gap.Exists()).Bool("gap_witnessed", s.gap.Witnessed).
+	s.g.log.Info().Int("gateways", len(snapshot.Rows)).Int("runs", loaded).Uint64("store_era", snapshot.Time.Era).Bool("gap", s.gap.Exists()).Bool("gap_witnessed", s.gap.Witnessed).
 		Msg("stored run records loaded")
 }
 
@@ -93,8 +90,13 @@
 }
 
 func decodeRunRow(stored *wire.RunRecords, read runindex.StoreTime) runindex.Row {
+	era, ok := decodeEra(stored.StoreEra)
+	if !ok {
+		// Without its era, the row proves nothing.
+		stored.SavedStoreMs = 0
+	}
 	row := runindex.Row{
-		Saved: runindex.StoreTime{Era: stored.StoreEra, At: time.Duration(stored.SavedStoreMs) * time.Millisecond},
+		Saved: runindex.StoreTime{Era: era, At: time.Duration(stored.SavedStoreMs) * time.Millisecond},
 		Lease: time.Duration(stored.LeaseMs) * time.Millisecond,
 		Gap: runindex.Gap{
 			From: time.Duration(stored.GapFromMs) * time.Millisecond, Until: time.Duration(stored.GapUntilMs) * time.Millisecond, Witnessed: stored.GapWitnessed,
@@ -113,6 +115,22 @@
 	return row
 }
 
+// encodeEra encodes an era of the store for a row, as an empty text if the store states none.
+func encodeEra(era uint64) string {
+	if era == 0 {
+		return ""
+	}
+	return strconv.FormatUint(era, 10)
+}
+
+func decodeEra(text string) (era uint64, ok bool) {
+	if text == "" {
+		return 0, true
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	return era, err == nil
+}
+
 // ledgerRead is the result of a read of all rows that several lookups share.
 type ledgerRead struct {
 	sentAt time.Time
--- a/internal/gateway/run_saver.go
+++ b/internal/gateway/run_saver.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"bramleygap/internal/core/replica"
 	"bramleygap/internal/core/runindex"
 	"bramleygap/internal/wire"
 )
@@ -54,9 +55,9 @@
 
 	// The other fields belong to the task of run.
 	clock storeClock
-	// revision is that of the row, and gap the time of which earlier processes of this gateway may have lost runs.
-	revision uint64
-	gap      runindex.Gap
+	// version is that of the row, and gap the time of which earlier processes of this gateway may have lost runs.
+	version replica.Version
+	gap     runindex.Gap
 	// stamp and lease are the time and the lease that the last write stated, and confirmed is set if that write was.
 	stamp     runindex.StoreTime
 	lease     time.Duration
@@ -204,7 +205,7 @@
 		s.stamp, s.lease = s.clock.at(now), saveLease
 		s.holdUntil(now.Add(s.lease))
 	}
-	row.records.SavedStoreMs, row.records.StoreEra, row.records.LeaseMs = milliseconds(s.stamp.At), s.stamp.Era, uint32(s.lease.Milliseconds())
+	row.records.SavedStoreMs, row.records.StoreEra, row.records.LeaseMs = milliseconds(s.stamp.At), encodeEra(s.stamp.Era), uint32(s.lease.Milliseconds())
 	row.records.GapFromMs, row.records.GapUntilMs, row.records.GapWitnessed = milliseconds(s.gap.From), milliseconds(s.gap.Until), s.gap.Witnessed
 	s.lastWrite, s.confirmed = now, false
 	value, err := proto.Marshal(row.records)
@@ -217,7 +218,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, saveTimeout)
 	defer cancel()
-	write := Write{Table: TableRuns, Key: s.g.options.Settings.Name, Value: value, ExpectedRevision: s.revision}
+	write := Write{Table: TableRuns, Key: s.g.options.Settings.Name, Value: value, Expected: s.version}
 	committed, err := s.g.options.Store.Commit(callCtx, []Write{write})
 	s.g.metrics.storeCalls.WithLabelValues(TableRuns.String(), storeOutcome(err)).Inc()
 	s.failing.Store(err != nil)
@@ -228,11 +229,11 @@
 			st.witnessWaits = append(st.witnessWaits, row.witnessed...)
 		})
 		if errors.Is(err, ErrConflict) {
-			s.readRevision(ctx)
+			s.readVersion(ctx)
 		}
 		return
 	}
-	s.confirmed, s.revision, s.clock = true, committed.Revision, storeClock{committed.Time, time.Now()}
+	s.confirmed, s.version, s.clock = true, committed.Version, storeClock{committed.Time, time.Now()}
 	s.g.loop.post(ctx, func(*state) {
 		for _, run := range row.runs {
 			run.markSaved()
@@ -246,16 +247,13 @@
 // milliseconds returns a duration in whole milliseconds.
 func milliseconds(d time.Duration) uint64 { return uint64(d.Milliseconds()) }
 
-// readRevision reads the revision of the row after a write that was performed without an answer.
-func (s *runSaver) readRevision(ctx context.Context) {
+// readVersion reads the version of the row after a write that was performed without an answer, or after the store has
+// come back from an older copy.
+func (s *runSaver) readVersion(ctx context.Context) {
 	snapshot, err := s.g.readRunRows(ctx)
 	if err != nil {
 		return
 	}
-	s.revision, s.clock = 0, storeClock{snapshot.Time, time.Now()}
-	for _, row := range snapshot.Rows {
-		if row.Key == s.g.options.Settings.Name {
-			s.revision = row.Revision
-		}
-	}
+	s.clock = storeClock{snapshot.Time, time.Now()}
+	s.version = snapshot.rowVersion(s.g.options.Settings.Name)
 }
--- a/internal/gateway/table_fetch.go
+++ b/internal/gateway/table_fetch.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"bramleygap/internal/core/replica"
 	"bramleygap/internal/wire"
 )
 
@@ -36,13 +37,16 @@
 type tableSource struct {
 	table   Table
 	address string
-	after   uint64
+	after   replica.Version
 }
 
 // wantOmittedTables records which tables to fetch from the gateway at an address.
 func (p *peers) wantOmittedTables(st *state, remote *wire.GatewayState, address string) {
 	for _, t := range remote.Tables {
-		if !t.Omitted || int(t.Table) >= numReplicatedTables || t.Revision <= st.tables[t.Table].Revision() {
+		if !t.Omitted || int(t.Table) >= numReplicatedTables {
+			continue
+		}
+		if !st.tables[t.Table].Version().Before(copyVersion(t)) && !st.lacksDesired(t) {
 			continue
 		}
 		st.tableSources[t.Table] = address
@@ -57,7 +61,7 @@
 func (st *state) nextSource() (tableSource, bool) {
 	for i, address := range st.tableSources {
 		if address != "" {
-			return tableSource{Table(i), address, st.tables[i].Revision()}, true
+			return tableSource{Table(i), address, st.tables[i].Version()}, true
 		}
 	}
 	return tableSource{}, false
@@ -97,7 +101,7 @@
 	} else {
 		p.g.metrics.tableFetches.WithLabelValues(source.table.String(), "ok").Inc()
 		p.g.log.Info().Stringer("table", source.table).Str("peer", source.address).Int("bytes", size).Dur("took", time.Since(start)).
-			Uint64("after", source.after).Uint64("revision", copied.Revision).Msg("table fetched from peer")
+			Uint64("after", source.after.Revision).Uint64("era", copied.Era).Uint64("revision", copied.Revision).Msg("table fetched from peer")
 	}
 	query(ctx, p.g.loop, func(st *state) bool {
 		st.tableSources[source.table] = ""
@@ -118,7 +122,7 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(fetchProgressTimeout, func() { cancel(errNoProgress) })
 	defer timer.Stop()
-	request := &wire.TableQuery{Table: uint32(source.table), After: source.after}
+	request := &wire.TableQuery{Table: uint32(source.table), After: source.after.Revision, AfterEra: source.after.Era}
 	stream, err := wire.NewGatewayClient(conn).FetchTable(ctx, request, grpc.UseCompressor(gzip.Name))
 	if err != nil {
 		return nil, 0, errors.Join(err, context.Cause(ctx))
@@ -157,7 +161,8 @@
 			return nil
 		}
 		copied := st.describeTable(time.Now(), int(request.Table))
-		st.addRows(copied, request.After)
+		st.addRows(copied, replica.Version{Era: request.AfterEra, Revision: request.After})
+		st.addLostDesired(copied, 0)
 		return copied
 	})
 	if local == nil {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"bramleygap/internal/core/replica"
 	"bramleygap/internal/settings"
 )
 
@@ -85,7 +86,7 @@
 	loaded, readsStore, isReader bool
 	// unconfirmed is set while the table has not been confirmed for unconfirmedAge.
 	unconfirmed bool
-	revision    uint64
+	version     replica.Version
 }
 
 // unconfirmedAge returns the age of the last confirmation from which a table may be out of
@@ -99,7 +100,7 @@
 	for ctx.Err() == nil {
 		pos := query(ctx, w.loop, func(st *state) watchPosition {
 			t := st.tables[w.table]
-			return watchPosition{t.Loaded(), w.loop.readsStore(st, time.Now(), w.table), st.isReader(self), st.unconfirmed[w.table], t.Revision()}
+			return watchPosition{t.Loaded(), w.loop.readsStore(st, time.Now(), w.table), st.isReader(self), st.unconfirmed[w.table], t.Version()}
 		})
 		if !pos.readsStore {
 			w.failures = 0
@@ -144,21 +145,21 @@
 	}
 	start := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+maxReadTime)
-	changes, upTo, err := w.store.Changes(callCtx, w.table, pos.revision, wait)
+	changes, upTo, err := w.store.Changes(callCtx, w.table, pos.version, wait)
 	cancel()
 	w.loop.metrics.storeSeconds.WithLabelValues(w.table.String()).Observe(time.Since(start).Seconds())
 	w.loop.metrics.storeCalls.WithLabelValues(w.table.String(), storeOutcome(err)).Inc()
-	if errors.Is(err, ErrCompacted) {
-		w.loop.log.Info().Stringer("table", w.table).Uint64("revision", pos.revision).Msg("store has compacted the history; reading a snapshot of the table")
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrEraChanged) {
+		w.loop.log.Info().Stringer("table", w.table).Uint64("era", pos.version.Era).Uint64("revision", pos.version.Revision).Err(err).Msg("changes not available; reading a snapshot of the table")
 		return w.readSnapshot(ctx)
 	}
 	if err != nil {
 		return err
 	}
 	contiguous := query(ctx, w.loop, func(st *state) bool {
-		ok := w.loop.applyChanges(st, time.Now(), w.table, changes, pos.revision, max(upTo, pos.revision))
-		// Changes that do not start at the revision of the local copy were ignored.
-		if ok && st.tables[w.table].Revision() >= upTo {
+		ok := w.loop.applyChanges(st, time.Now(), w.table, changes, pos.version, upTo)
+		// Changes that do not start at the version of the local copy were ignored.
+		if ok && st.tables[w.table].Version().Includes(upTo) {
 			w.loop.confirm(st, start, w.table, "store")
 		}
 		return ok
@@ -180,8 +181,8 @@
 		return err
 	}
 	w.loop.post(ctx, func(st *state) {
-		w.loop.installSnapshot(st, time.Now(), w.table, snapshot.Rows, snapshot.Revision, "store")
-		if st.tables[w.table].Revision() >= snapshot.Revision {
+		w.loop.installSnapshot(st, time.Now(), w.table, snapshot.Rows, snapshot.Version, "store")
+		if st.tables[w.table].Version().Includes(snapshot.Version) {
 			w.loop.confirm(st, start, w.table, "store")
 		}
 	})
@@ -202,6 +203,8 @@
 		return "ok"
 	case errors.Is(err, ErrCompacted):
 		return "history_gone"
+	case errors.Is(err, ErrEraChanged):
+		return "era_changed"
 	case errors.Is(err, ErrNotPerformed):
 		return "refused"
 	}
--- a/internal/operator/inforce_test.go
+++ b/internal/operator/inforce_test.go
@@ -31,12 +31,12 @@
 
 func (s configStore) Snapshot(_ context.Context, table gateway.Table) (gateway.Snapshot, error) {
 	if table != gateway.TableConfig {
-		return gateway.Snapshot{Revision: 1}, nil
+		return gateway.Snapshot{Version: replica.Version{Revision: 1}}, nil
 	}
-	return gateway.Snapshot{Rows: []replica.Row{{Key: "config", Value: []byte(s.text), Revision: 1}}, Revision: 1}, nil
+	return gateway.Snapshot{Rows: []replica.Row{{Key: "config", Value: []byte(s.text), Revision: 1}}, Version: replica.Version{Revision: 1}}, nil
 }
 
-func (configStore) Changes(ctx context.Context, _ gateway.Table, after uint64, wait time.Duration) ([]replica.Change, uint64, error) {
+func (configStore) Changes(ctx context.Context, _ gateway.Table, after replica.Version, wait time.Duration) ([]replica.Change, replica.Version, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
