Judge what a trial of a rejected request or prompt part shows

Cause: the loss of the one request that tries a rejected text was taken for proof against the text, whatever else explained it, and only a completion for proof that it is harmless. An overdue trial went to the first request that came, also to one that crashes engines.

A response that goes on clearly longer than those that crashes ended clears its text. A trial that is lost while other engines end at the same moment, or (once) with a suspect prompt part, is followed by the next one after 2 s. The least suspect request makes a trial. Verdicts and trials are logged with the crashes that decide them.

--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -697,6 +697,14 @@
 	}
 }
 
+// GoneAt returns when this gateway found that the process of a target has ended, zero if it did not.
+func (f *Fleet) GoneAt(id string) time.Time {
+	if t := f.targets[id]; t != nil {
+		return t.goneAt
+	}
+	return time.Time{}
+}
+
 // Instance identifies one start of a target.
 type Instance struct {
 	ID          string
--- a/internal/core/suspect/bench_test.go
+++ b/internal/core/suspect/bench_test.go
@@ -15,7 +15,7 @@
 		for i := range size.Suspects {
 			death := fmt.Sprintf("engine-%04d/1", i%3)
 			from.Report(Death{ID: death, At: now, Fingerprints: []uint64{uint64(i + 1)}}, now)
-			from.mergeDeath(uint64(i+1), death, requestDeath{true, now, now}, now.Add(crashTTL))
+			from.mergeDeath(uint64(i+1), death, requestDeath{counts: true, at: now, began: now}, now.Add(crashTTL))
 		}
 		records := from.Export(now)
 		for b.Loop() {
--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -33,18 +33,6 @@
 	maxCrashRequests = 8
 )
 
-// A condemned part is tried again with single requests, since it may be condemned by mistake and a refused
-// request says nothing. partTrials holds the times from the verdict to the trials; the first one comes
-// within the time in which a verdict must spread. After the last one, trials follow each other at
-// partTrialInterval, which is shorter than crashTTL: as long as such requests come, the verdict stands.
-var partTrials = []time.Duration{2 * time.Second, 6 * time.Second, 90 * time.Second, 6 * time.Minute}
-
-const (
-	partTrialInterval = 9 * time.Minute
-	// trialPatience is short compared with the 2 s until the first trial.
-	trialPatience = 500 * time.Millisecond
-)
-
 // PartCrash is one crash that counts against a part.
 type PartCrash struct {
 	Death string
@@ -107,8 +95,12 @@
 	credited    int
 	verdict     *Verdict
 	condemnedAt time.Time
-	// tried is the number of trials whose time has come and that were made, here or elsewhere.
-	tried int
+	// tried is the number of trials whose time has come and that were made, here or elsewhere. firstTriedAt and triedAt
+	// are when this tracker made the first and the last one, and triedSoon is set if it made one before its time.
+	tried                 int
+	firstTriedAt, triedAt time.Time
+	triedSoon             bool
+	choice                trialChoice
 }
 
 // expires returns when the crashes stop to count, measured from the latest of them.
@@ -222,50 +214,9 @@
 	return true
 }
 
-// TakeTrial reports whether a request with the parts may be sent although a verdict rejects it, to find out
-// whether the verdict still holds. Of all trackers, only the one whose owner calls this makes trials, each at its
-// time after the verdict, so that their number is bounded for all. A request with another part that may crash
-// targets shows nothing about the verdict's; it makes the trial only if no other comes within trialPatience.
-func (t *Tracker) TakeTrial(v *Verdict, parts []uint64, now time.Time) bool {
-	s := t.parts[v.Parts[0]]
-	if s == nil || s.verdict == nil {
-		return false
-	}
-	due := s.trialsDue(now)
-	if due <= s.tried {
-		return false
-	}
-	waited := now.Sub(s.condemnedAt) - partTrials[min(due, len(partTrials))-1]
-	for _, part := range parts {
-		if other := t.parts[part]; other != nil && !slices.Contains(v.Parts, part) && 2*other.credited > s.credited && waited < trialPatience {
-			return false
-		}
-	}
-	s.tried = due
-	return true
-}
-
-// ReturnTrial undoes TakeTrial for a request that has reached no target.
-func (t *Tracker) ReturnTrial(v *Verdict) {
-	if s := t.parts[v.Parts[0]]; s != nil && s.tried > 0 {
-		s.tried--
-	}
-}
-
 // PartVersion returns a number that changes whenever the exported state of the parts changes.
 func (t *Tracker) PartVersion() uint64 { return t.partVersion }
 
-// trialsDue returns the number of trials whose time has come.
-func (s *partState) trialsDue(now time.Time) int {
-	since := now.Sub(s.condemnedAt)
-	for i, after := range partTrials {
-		if since < after {
-			return i
-		}
-	}
-	return len(partTrials) + int((since-partTrials[len(partTrials)-1])/partTrialInterval)
-}
-
 // PartChanges returns the parts whose crashes changed after a version of the tracker.
 func (t *Tracker) PartChanges(since uint64) []PartRecord {
 	if since >= t.version {
@@ -510,7 +461,7 @@
 	for part, s := range t.parts {
 		v := t.judgePart(part, s)
 		if v != nil && s.verdict == nil {
-			s.condemnedAt = v.Since
+			s.condemnedAt, s.firstTriedAt, s.triedAt, s.triedSoon, s.choice = v.Since, time.Time{}, time.Time{}, false, trialChoice{}
 			// A tracker that learns of the verdict late makes up for the first trial only: the tracker that had
 			// to make it may be gone, and a wrong verdict costs most at first.
 			if s.tried = s.trialsDue(now); s.tried == 1 {
--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -2,27 +2,10 @@
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"time"
 )
 
-const (
-	// maxLateCrashes is the number of late crashes after which a rejected request is not tried again. The users permit
-	// three retries later than contactTime after CrashLimit crashes.
-	maxLateCrashes = 3
-	// contactTime is the users' contactMs.
-	contactTime = 3 * time.Second
-)
-
-// A rejected request is tried again, since it may be rejected by mistake and only its completion shows that.
-// requestTrials holds the times to the next trial after the last crash or trial, by the number of late crashes. If something else may explain the crashes, the first trial comes after doubtedTrial instead, when
-// targets that ended for a moment are back.
-var requestTrials = []time.Duration{6 * time.Second, 30 * time.Second, 90 * time.Second}
-
-const doubtedTrial = 2 * time.Second
-
 // Request identifies a request in a tracker.
 type Request struct {
 	// Content identifies the request without the parts of its prompt that are known apart from it. It is the same when
@@ -48,145 +31,104 @@
 
 // Completed records that a request has completed, which clears it of the crashes so far.
 func (t *Tracker) Completed(r Request, took time.Duration) {
-	t.ClearIfSafe(r.Content, took, true)
-	if r.Whole != r.Content {
-		t.ClearIfSafe(r.Whole, took, true)
+	for _, id := range r.Identities() {
+		t.ClearIfSafe(id, took, true)
 	}
 }
 
-// RequestTrialDue reports whether TakeRequestTrial would permit a trial by a request with the given prompt parts.
-func (t *Tracker) RequestTrialDue(r Request, parts []uint64, now time.Time) bool {
-	waited := time.Duration(math.MaxInt64)
-	for _, id := range []uint64{r.Content, r.Whole} {
-		if !t.Rejected(id, now) {
-			continue
-		}
-		since, due := t.trialDue(t.suspects[id], now)
-		if !due {
-			return false
-		}
-		waited = min(waited, since)
-	}
-	if !t.mostSuspect(r.Content, parts) {
-		return true
-	}
-	// The time counts from the first such request, since the owner may have been away or without targets when the
-	// trial was due.
-	s := t.suspects[r.Content]
-	if s.heldSince.IsZero() || s.heldSince.Before(now.Add(-waited)) {
-		s.heldSince = now
-	}
-	return now.Sub(s.heldSince) >= trialPatience
-}
+// flowMargin is how long the response to a request must have gone on since its first event to show that the request
+// does not crash targets as they begin to run it.
+const flowMargin = 500 * time.Millisecond
 
-// TakeRequestTrial reports whether a rejected request may be sent to find out whether it still crashes targets. Of all
-// trackers, only one must be asked, so that the number of trials is bounded for all. If a part of the prompts may
-// explain the crashes, the request with the parts that were present at most of them makes the trial only if no other
-// one comes within trialPatience: a trial that ends in a crash puts off the next one by requestTrials.
-func (t *Tracker) TakeRequestTrial(r Request, parts []uint64, now time.Time) bool {
-	if !t.RequestTrialDue(r, parts, now) {
-		return false
-	}
-	for _, id := range []uint64{r.Content, r.Whole} {
-		if s := t.suspects[id]; s != nil {
-			s.triedAt, s.heldSince = now, time.Time{}
-		}
+// Flowed records that the response to a request has gone on for some time since its first event. It clears the request
+// of the crashes that came clearly earlier in a response.
+func (t *Tracker) Flowed(r Request, flowed time.Duration) {
+	for _, id := range r.Identities() {
+		t.clearOutlived(id, flowed)
 	}
-	return true
 }
 
-// mostSuspect reports whether each of the prompt parts was present at crashes that count against a content, and no other
-// set of as many parts at more of them.
-func (t *Tracker) mostSuspect(content uint64, parts []uint64) bool {
-	s := t.suspects[content]
-	if s == nil || len(parts) == 0 {
-		return false
-	}
-	present := map[uint64]int{}
-	for id, d := range s.deaths {
-		if !d.counts {
-			continue
-		}
-		for _, part := range t.partsAt[id] {
-			present[part]++
-		}
-	}
-	own := 0
-	for _, part := range parts {
-		if present[part] == 0 {
-			return false
+func (t *Tracker) clearOutlived(fingerprint uint64, flowed time.Duration) {
+	s := t.suspects[fingerprint]
+	if s != nil {
+		for id, d := range s.deaths {
+			if d.counts && flowed >= flowMargin+d.flowed*3/2 {
+				t.clearDeath(fingerprint, id)
+			}
 		}
-		own += present[part]
 	}
-	counts := slices.SortedFunc(maps.Values(present), func(a, b int) int { return cmp.Compare(b, a) })
-	most := 0
-	for _, n := range counts[:min(len(parts), len(counts))] {
-		most += n
+	if flowed < flowMargin || s != nil && s.crashes > 0 {
+		return
 	}
-	return own >= most
-}
-
-// ReturnRequestTrial undoes TakeRequestTrial for a request that has reached no target.
-func (t *Tracker) ReturnRequestTrial(r Request) {
-	for _, id := range []uint64{r.Content, r.Whole} {
-		if s := t.suspects[id]; s != nil {
-			s.triedAt = time.Time{}
-		}
+	t.knownRequests.add(fingerprint)
+	if s != nil {
+		t.markKnownRequest(fingerprint, s)
 	}
 }
 
-// isKnown reports whether a request with the fingerprint has completed, as far as is remembered.
+// isKnown reports whether the response to a request with the fingerprint has gone on or completed, as far as is
+// remembered.
 func (t *Tracker) isKnown(fingerprint uint64) bool {
 	s := t.suspects[fingerprint]
 	return s != nil && s.known || t.knownRequests.has(fingerprint)
 }
 
-// trialDue reports whether a rejected request is to be tried again, and for how long it has been.
-func (t *Tracker) trialDue(s *suspectState, now time.Time) (time.Duration, bool) {
-	late := s.lateCrashes()
-	if late >= maxLateCrashes {
-		return 0, false
-	}
-	since := s.lastCrash()
-	if s.triedAt.After(since) {
-		since = s.triedAt
-	}
-	delay := requestTrials[late]
-	if late == 0 && t.doubts(s) {
-		delay = doubtedTrial
+// noteRejection records that the rejection of a fingerprint may have changed.
+func (t *Tracker) noteRejection(fingerprint uint64) {
+	s := t.suspects[fingerprint]
+	rejected := s != nil && s.left() == 0
+	if before, noted := t.rejections[fingerprint]; rejected || noted && before {
+		t.rejections[fingerprint] = rejected
 	}
-	waited := now.Sub(since) - delay
-	return waited, waited >= 0
 }
 
-// doubts reports whether something else may explain the crashes of a rejected request: chance, or a part of the prompts
-// that came with it.
-func (t *Tracker) doubts(s *suspectState) bool {
-	if s.known || s.successive < CrashLimit {
-		return true
-	}
-	for id, d := range s.deaths {
-		if d.counts && len(t.partsAt[id]) > 0 {
-			return true
+// TakeRejections returns the fingerprints that are rejected since the last call and those that are no longer, in
+// ascending order.
+func (t *Tracker) TakeRejections() (rejected, lifted []uint64) {
+	for f, is := range t.rejections {
+		switch {
+		case is && !t.reported[f]:
+			t.reported[f] = true
+			rejected = append(rejected, f)
+		case !is:
+			if t.reported[f] {
+				lifted = append(lifted, f)
+			}
+			delete(t.reported, f)
+			delete(t.rejections, f)
 		}
 	}
-	return false
+	slices.Sort(rejected)
+	slices.Sort(lifted)
+	return rejected, lifted
 }
 
-// lateCrashes returns how many crashes count against the request that came later than contactTime after CrashLimit of
-// them: until then, gateways may not know of each other's. All trackers agree on it, also after a restart.
-func (s *suspectState) lateCrashes() (late int) {
-	var times []time.Time
-	for _, d := range s.deaths {
-		if d.counts {
-			times = append(times, d.at)
-		}
+// Crash is a crash of a target on which a request ran, as it is judged.
+type Crash struct {
+	Death     string
+	At        time.Time
+	Run, Flow time.Duration
+	// Counts is set while the crash counts against the request, Late if it came later than it may without a trial, and
+	// Explained if targets without the request ended at the same moment.
+	Counts, Late, Explained bool
+	// Parts holds the prompt parts that may have caused the crash.
+	Parts []uint64
+}
+
+// CrashesOf returns the crashes of a fingerprint in their order.
+func (t *Tracker) CrashesOf(fingerprint uint64) []Crash {
+	s := t.suspects[fingerprint]
+	if s == nil {
+		return nil
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	for _, at := range times[min(CrashLimit, len(times)):] {
-		if at.Sub(times[CrashLimit-1]) > contactTime {
-			late++
-		}
+	late := s.lateDeaths()
+	list := make([]Crash, 0, len(s.deaths))
+	for id, d := range s.deaths {
+		list = append(list, Crash{
+			Death: id, At: d.at, Run: d.at.Sub(d.began), Flow: d.flowed, Counts: d.counts, Late: slices.Contains(late, id),
+			Explained: d.explained, Parts: slices.Clone(t.partsAt[id]),
+		})
 	}
-	return late
+	slices.SortFunc(list, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Death, b.Death)) })
+	return list
 }
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -45,6 +45,9 @@
 	Fingerprints []uint64
 	// Runs holds how long each of them had been at the target. It is empty if that is not known.
 	Runs []time.Duration
+	// Flows holds how long the response to each of them had gone on since its first event, 0 if it had none. If it is
+	// empty, it is taken to be as long as Runs.
+	Flows []time.Duration
 	// contents identifies the content of the requests that may have caused the crash by a part of their prompts.
 	contents []uint64
 }
@@ -53,10 +56,13 @@
 type Record struct {
 	Fingerprint uint64
 	Deaths      []string
-	// At holds when each of Deaths occurred, and Runs how long the request had been at the target then. They are
-	// empty if that is not known.
-	At   []time.Time
-	Runs []time.Duration
+	// At holds when each of Deaths occurred, Runs how long the request had been at the target then, and Flows how long
+	// its response had gone on. They are empty if that is not known.
+	At    []time.Time
+	Runs  []time.Duration
+	Flows []time.Duration
+	// Explained lists those of Deaths for which there is another explanation.
+	Explained []string
 	// Cleared lists deaths that no longer count; a death in both lists does not count.
 	Cleared []string
 	Expires time.Time
@@ -71,6 +77,10 @@
 	at     time.Time
 	// began is when the request was first sent to the target.
 	began time.Time
+	// flowed is how long the response to the request had gone on, the longest one of several.
+	flowed time.Duration
+	// explained is set if targets without the request ended at the same moment.
+	explained bool
 }
 
 type suspectState struct {
@@ -83,8 +93,8 @@
 	known bool
 	// triedAt is when this tracker last let a rejected request through, zero for never.
 	triedAt time.Time
-	// heldSince is when this tracker first held back a due trial for a less suspect request, zero for never.
-	heldSince time.Time
+	// choice is the choice of the request that makes the next trial.
+	choice trialChoice
 	// changed is the tracker's version at which deaths or known last changed.
 	changed           uint64
 	expires           time.Time
@@ -144,7 +154,12 @@
 	knownRequests knownSet
 	// verdicts is replaced when the crashes of parts change.
 	verdicts Verdicts
-	version  uint64
+	// rejections holds whether fingerprints are rejected that are or were since TakeRejections, and reported those that
+	// it has returned.
+	rejections, reported map[uint64]bool
+	// explainedDeaths holds the deaths for which Explain was called.
+	explainedDeaths map[string]bool
+	version         uint64
 	// partVersion counts the changes of parts.
 	partVersion uint64
 	digest      uint64
@@ -155,6 +170,7 @@
 	return &Tracker{
 		suspects: map[uint64]*suspectState{}, deaths: map[string]*Death{},
 		parts: map[uint64]*partState{}, partsAt: map[string][]uint64{},
+		rejections: map[uint64]bool{}, reported: map[uint64]bool{}, explainedDeaths: map[string]bool{},
 	}
 }
 
@@ -181,16 +197,25 @@
 // knownHash is the part of a known suspect in the digest.
 func knownHash(fingerprint uint64) uint64 { return deathHash(^fingerprint, "", true) }
 
+// explainedHash is the part of one explained death of a suspect in the digest.
+func explainedHash(fingerprint uint64, deathID string) uint64 {
+	return deathHash(^fingerprint, deathID, false)
+}
+
 // remove drops a fingerprint.
 func (t *Tracker) remove(fingerprint uint64) {
 	s := t.suspects[fingerprint]
 	for id, d := range s.deaths {
 		t.digest ^= deathHash(fingerprint, id, d.counts)
+		if d.explained {
+			t.digest ^= explainedHash(fingerprint, id)
+		}
 	}
 	if s.known {
 		t.digest ^= knownHash(fingerprint)
 	}
 	delete(t.suspects, fingerprint)
+	t.noteRejection(fingerprint)
 	t.version++
 }
 
@@ -248,11 +273,7 @@
 		known = &d
 	}
 	for i, f := range d.Fingerprints {
-		began := d.At
-		if i < len(d.Runs) {
-			began = d.At.Add(-d.Runs[i])
-		}
-		t.mergeDeath(f, d.ID, requestDeath{true, d.At, began}, d.At.Add(crashTTL))
+		t.mergeDeath(f, d.ID, newRequestDeath(d.At, i, d.Runs, d.Flows), d.At.Add(crashTTL))
 		if s := t.suspects[f]; s != nil && d.Zone != "" {
 			s.zone = d.Zone
 		}
@@ -262,6 +283,43 @@
 	return !seen
 }
 
+// newRequestDeath returns the i-th death of a list.
+func newRequestDeath(at time.Time, i int, runs, flows []time.Duration) requestDeath {
+	d := requestDeath{counts: true, at: at, began: at}
+	if i < len(runs) {
+		d.began, d.flowed = at.Add(-runs[i]), runs[i]
+	}
+	if i < len(flows) {
+		d.flowed = flows[i]
+	}
+	return d
+}
+
+// Explain records that targets without the requests on trial ended at the same moment as a target.
+func (t *Tracker) Explain(deathID string) {
+	d := t.deaths[deathID]
+	if d == nil {
+		return
+	}
+	t.explainedDeaths[deathID] = true
+	for _, f := range d.Fingerprints {
+		if s := t.suspects[f]; s != nil && s.deaths[deathID] != nil {
+			t.explain(f, s, deathID)
+		}
+	}
+}
+
+func (t *Tracker) explain(fingerprint uint64, s *suspectState, deathID string) {
+	d := s.deaths[deathID]
+	if d.explained || !d.counts {
+		return
+	}
+	d.explained = true
+	t.digest ^= explainedHash(fingerprint, deathID)
+	t.version++
+	s.changed = t.version
+}
+
 func (t *Tracker) recordDeath(d *Death) {
 	if len(t.deaths) >= maxRecords {
 		t.evictDeaths()
@@ -370,6 +428,7 @@
 		t.digest ^= knownHash(fingerprint)
 		t.version++
 		s.changed = t.version
+		t.noteRejection(fingerprint)
 	}
 }
 
@@ -397,13 +456,17 @@
 	d, known := s.deaths[deathID]
 	if known && death.counts && d.counts && d.mergeTimes(death) {
 		s.countSuccessive()
+		t.noteRejection(fingerprint)
 	}
 	if known && (d.counts == death.counts || !d.counts) {
 		return
 	}
 	if known {
 		t.digest ^= deathHash(fingerprint, deathID, d.counts)
-		d.counts = death.counts
+		if d.explained {
+			t.digest ^= explainedHash(fingerprint, deathID)
+		}
+		d.counts, d.explained = death.counts, false
 	} else {
 		s.deaths[deathID] = &death
 	}
@@ -416,6 +479,7 @@
 		s.crashes--
 	}
 	s.countSuccessive()
+	t.noteRejection(fingerprint)
 }
 
 // mergeTimes keeps the earlier times of two reports of one death. It reports whether they changed.
@@ -427,6 +491,7 @@
 	if other.began.Before(d.began) {
 		d.began = other.began
 	}
+	d.flowed = max(d.flowed, other.flowed)
 	return *d != before
 }
 
@@ -439,7 +504,7 @@
 	}
 	for id, d := range t.deaths {
 		if now.Sub(d.At) >= crashTTL {
-			delete(t.deaths, id)
+			t.dropDeath(id)
 		}
 	}
 	t.expireParts(now)
@@ -471,7 +536,10 @@
 		sort.Strings(r.Cleared)
 		for _, id := range r.Deaths {
 			d := s.deaths[id]
-			r.At, r.Runs = append(r.At, d.at), append(r.Runs, d.at.Sub(d.began))
+			r.At, r.Runs, r.Flows = append(r.At, d.at), append(r.Runs, d.at.Sub(d.began)), append(r.Flows, d.flowed)
+			if d.explained {
+				r.Explained = append(r.Explained, id)
+			}
 		}
 		records = append(records, r)
 	}
@@ -497,6 +565,11 @@
 		for _, id := range r.Cleared {
 			t.mergeDeath(r.Fingerprint, id, requestDeath{}, expires)
 		}
+		for _, id := range r.Explained {
+			if s := t.suspects[r.Fingerprint]; s != nil && s.deaths[id] != nil {
+				t.explain(r.Fingerprint, s, id)
+			}
+		}
 		if r.Known {
 			t.knownRequests.add(r.Fingerprint)
 			if s := t.suspects[r.Fingerprint]; s != nil {
@@ -509,18 +582,14 @@
 
 // death returns one of the record's Deaths. Without its time, it counts as the latest one of the record.
 func (r *Record) death(i int, now, expires time.Time) requestDeath {
-	d := requestDeath{counts: true, at: expires.Add(-crashTTL)}
+	at := expires.Add(-crashTTL)
 	if i < len(r.At) {
-		d.at = r.At[i]
-	}
-	if d.at.After(now) {
-		d.at = now
+		at = r.At[i]
 	}
-	d.began = d.at
-	if i < len(r.Runs) {
-		d.began = d.at.Add(-r.Runs[i])
+	if at.After(now) {
+		at = now
 	}
-	return d
+	return newRequestDeath(at, i, r.Runs, r.Flows)
 }
 
 // enforceLimit evicts fingerprints if there are more than maxRecords: first those with the
@@ -556,6 +625,11 @@
 	}
 	sort.Slice(ids, func(i, j int) bool { return t.deaths[ids[i]].At.Before(t.deaths[ids[j]].At) })
 	for _, id := range ids[:min(len(ids), evictBatch)] {
-		delete(t.deaths, id)
+		t.dropDeath(id)
 	}
 }
+
+func (t *Tracker) dropDeath(id string) {
+	delete(t.deaths, id)
+	delete(t.explainedDeaths, id)
+}
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -125,9 +125,10 @@
 func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
 	record := rapid.Custom(func(t *rapid.T) Record {
 		ids := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 3)
+		deaths := ids.Draw(t, "deaths")
 		return Record{
 			Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "f"),
-			Deaths:      ids.Draw(t, "deaths"), Cleared: ids.Draw(t, "cleared"),
+			Deaths:      deaths, Cleared: ids.Draw(t, "cleared"), Explained: deaths[:rapid.IntRange(0, len(deaths)).Draw(t, "explained")],
 			Expires: now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "s")) * time.Second),
 			Known:   rapid.Bool().Draw(t, "known"),
 		}
@@ -143,6 +144,9 @@
 		if got, want := fmt.Sprint(b.Export(now)), fmt.Sprint(a.Export(now)); got != want {
 			t.Fatalf("%s\n%s", got, want)
 		}
+		if a.Digest() != b.Digest() {
+			t.Fatal("digests differ")
+		}
 		for f := uint64(1); f <= 3; f++ {
 			if a.Crashes(f, now) != b.Crashes(f, now) {
 				t.Fatalf("counts differ for %d", f)
@@ -168,7 +172,7 @@
 		tr.ReportPartCrash(d.ID, at, []Candidate{{Request: request, Parts: []uint64{7}}}, at)
 	}
 	c.Check(tr.Rejects(request, at), qt.IsTrue)
-	c.Check(tr.TakeRequestTrial(request, nil, at.Add(doubtedTrial)), qt.IsTrue)
+	c.Check(tr.TakeRequestTrial(request, nil, at.Add(soonTrialDelay)), qt.IsTrue)
 }
 
 // Guards against a request that is rejected by mistake for as long as crashes count, and against more trials of one
@@ -285,8 +289,8 @@
 	}
 	c.Check(tr.Rejected(1, now), qt.IsTrue)
 	request := Request{Content: 1, Whole: 1}
-	c.Check(tr.TakeRequestTrial(request, nil, now.Add(doubtedTrial-time.Millisecond)), qt.IsFalse)
-	c.Check(tr.TakeRequestTrial(request, nil, now.Add(doubtedTrial)), qt.IsTrue)
+	c.Check(tr.TakeRequestTrial(request, nil, now.Add(soonTrialDelay-time.Millisecond)), qt.IsFalse)
+	c.Check(tr.TakeRequestTrial(request, nil, now.Add(soonTrialDelay)), qt.IsTrue)
 }
 
 // Load pattern: a prompt part ends three targets within 1 ms under requests of one text, which nobody has completed yet;
@@ -303,7 +307,7 @@
 		tr.Report(d, at)
 		tr.ReportPartCrash(d.ID, at, []Candidate{{crashing, []uint64{popular, alsoCrashing}, time.Second}, {sound, []uint64{popular, session + uint64(i)}, time.Second}}, at)
 	}
-	due := now.Add(doubtedTrial + time.Millisecond)
+	due := now.Add(soonTrialDelay + time.Millisecond)
 	crashing, sound := Request{text, 999}, Request{text, 998}
 	c.Assert(tr.Rejects(sound, due), qt.IsTrue)
 	c.Assert(tr.CondemnedParts([]uint64{popular, alsoCrashing}), qt.IsNil)
@@ -355,5 +359,5 @@
 		tr.Report(d, at)
 		tr.ReportPartCrash(d.ID, at, []Candidate{{request, []uint64{7}, time.Millisecond}}, at)
 	}
-	c.Check(tr.TakeRequestTrial(request, nil, at.Add(doubtedTrial)), qt.IsTrue)
+	c.Check(tr.TakeRequestTrial(request, nil, at.Add(soonTrialDelay)), qt.IsTrue)
 }
--- a/internal/emulator/crashing.go
+++ b/internal/emulator/crashing.go
@@ -121,6 +121,7 @@
 			}
 			for _, identity := range s.client.identity().Identities() {
 				death.Fingerprints, death.Runs = append(death.Fingerprints, identity), append(death.Runs, now.Sub(a.sentAt))
+				death.Flows = append(death.Flows, a.flowed(now))
 			}
 			if a.begunAt.IsZero() || now.Sub(a.begunAt) < beginningPeriod {
 				candidates = append(candidates, suspect.Candidate{Request: s.client.identity(), Parts: s.client.parts, Run: now.Sub(a.sentAt)})
@@ -168,11 +169,22 @@
 	}
 }
 
-// recordFlowing records that a response has begun and gone on.
-func (g *gateway) recordFlowing(parts []uint64) {
+// recordFlowing records that the response to a request has gone on for some time since its first event.
+func (g *gateway) recordFlowing(c *client, flowed time.Duration) {
+	if g.sim.policy.CountRequests {
+		g.suspects.Flowed(c.identity(), flowed)
+	}
 	if g.sim.policy.CountParts {
-		g.suspects.PartsBegun(parts, g.sim.clock.now)
+		g.suspects.PartsBegun(c.parts, g.sim.clock.now)
+	}
+}
+
+// flowed returns how long the response has gone on since its first event.
+func (a *attempt) flowed(now time.Time) time.Duration {
+	if a.begunAt.IsZero() {
+		return 0
 	}
+	return now.Sub(a.begunAt)
 }
 
 // mergeSuspects merges the suspects of another gateway as of an exchange.
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -49,10 +49,10 @@
 	target        membership.Registration
 	placement     relay.Placement
 	hasFirstEvent bool
-	// sentAt is when the request was sent, begunAt when its first event arrived, zero before. flowing is set
-	// once events have arrived for beginningPeriod.
+	// sentAt is when the request was sent, begunAt when its first event arrived, zero before. recordedFlow is how long
+	// the response had gone on when that was last recorded.
 	sentAt, begunAt time.Time
-	flowing         bool
+	recordedFlow    time.Duration
 	// copy is the cache copy of the run, nil for none.
 	copy *copyRef
 	// copyHolder is the engine at which the fleet counts the copy, empty for none.
@@ -363,9 +363,9 @@
 		}
 		if a.begunAt.IsZero() {
 			a.begunAt = now
-		} else if !a.flowing && now.Sub(a.begunAt) >= beginningPeriod {
-			a.flowing = true
-			s.gateway.recordFlowing(s.client.parts)
+		} else if flowed := now.Sub(a.begunAt); flowed >= max(beginningPeriod, a.recordedFlow*3/2) {
+			a.recordedFlow = flowed
+			s.gateway.recordFlowing(s.client, flowed)
 		}
 		if s.successor == a {
 			s.apply(s.machine.SuccessorEvent(now, uint64(number)))
--- a/internal/gateway/calls.go
+++ b/internal/gateway/calls.go
@@ -147,7 +147,7 @@
 func (f *callForwarder) send(e forward.Send) []forward.Effect {
 	ctx, cancel := context.WithCancel(f.attemptsCtx)
 	handle := &attemptHandle{
-		requestID: f.req.head.ID, identity: f.req.identity, promptParts: f.req.head.PromptParts, parts: f.req.parts,
+		requestID: f.req.head.ID, identity: f.req.identity, promptParts: f.req.head.PromptParts, parts: f.req.parts, onTrial: f.req.onTrial.Load,
 		cancel: cancel, startedAt: time.Now(),
 	}
 	f.limitWait()
@@ -285,8 +285,7 @@
 		}
 		if r.result == forward.Success {
 			st.latency(f.req.service).Observe(latency)
-			st.suspects.Completed(f.req.identity, took)
-			f.g.loop.responseBegan(st, now, f.req.parts)
+			f.g.loop.requestCompleted(st, now, f.req, took)
 		} else {
 			latency = 0
 		}
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -160,6 +160,8 @@
 	runsPending chan struct{}
 	// probe starts a background probe of a target.
 	probe func(target membership.Registration)
+	// probeAll probes targets in the background and then runs a function on the event loop.
+	probeAll func(targets []membership.Registration, then func(*state))
 }
 
 // publishedState is the part of the state that request handlers read without the event loop.
@@ -276,7 +278,7 @@
 	}
 	l.expireNotices(st, now)
 	st.suspects.Expire(now)
-	l.partsChanged(st, now, "expiry")
+	l.suspectsChanged(st, now, "expiry")
 	st.runIndex.Expire(now)
 	st.outages.Expire(now)
 	l.tickQueues(st, now)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -152,7 +152,7 @@
 	}
 	crash := func(g *controlGateway, death string) {
 		g.st.suspects.ReportPartCrash(death, time.Now(), []suspect.Candidate{{Request: suspect.Request{Content: 7, Whole: 7}, Parts: []uint64{8}}}, time.Now())
-		g.peers.g.loop.partsChanged(g.st, time.Now(), "own")
+		g.peers.g.loop.suspectsChanged(g.st, time.Now(), "own")
 	}
 	exchange()
 	source.addSuspects("", 0, 3)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,16 @@
 	defer cancel()
 	g.ctx = tasksCtx
 	g.loop.probe = func(reg membership.Registration) { g.background(func() { g.probeTarget(reg) }) }
+	g.loop.probeAll = func(targets []membership.Registration, then func(*state)) {
+		g.background(func() {
+			var probes sync.WaitGroup
+			for _, reg := range targets {
+				probes.Go(func() { g.probeTarget(reg) })
+			}
+			probes.Wait()
+			g.loop.post(g.ctx, then)
+		})
+	}
 	group, groupCtx := errgroup.WithContext(tasksCtx)
 	group.Go(func() error { return g.loop.run(groupCtx) })
 	for i := range numReplicatedTables {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -533,7 +533,7 @@
 	}
 	st.suspects.Merge(decodeSuspects(remote.Suspects, now), now)
 	st.suspects.MergeParts(decodeParts(remote.Parts, now), now)
-	p.g.loop.partsChanged(st, now, remote.Name)
+	p.g.loop.suspectsChanged(st, now, remote.Name)
 	p.mergeUnreachable(st, remote.Unreachable)
 	for _, gone := range remote.Gone {
 		st.fleet.ReportGone(now, placement.Instance{ID: gone.Id, StartUnixMS: gone.StartUnixMs})
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -103,16 +103,24 @@
 	})
 }
 
+// deathID identifies the crash of a target.
+func deathID(reg membership.Registration) string { return reg.ID + "@" + reg.Address }
+
 // reportCrash records the requests that this gateway had sent to a crashed target as suspects.
 func (l *eventLoop) reportCrash(st *state, now time.Time, reg membership.Registration) {
-	death := suspect.Death{ID: reg.ID + "@" + reg.Address, Target: reg.ID, Zone: reg.Zone, At: now}
+	death := suspect.Death{ID: deathID(reg), Target: reg.ID, Zone: reg.Zone, At: now}
 	running := 0
+	var trial *attemptHandle
 	for handle := range st.attempts[reg.ID] {
 		if handle.sent.Load() {
 			running++
 			for _, identity := range handle.identity.Identities() {
 				death.Fingerprints = append(death.Fingerprints, identity)
 				death.Runs = append(death.Runs, now.Sub(handle.startedAt))
+				death.Flows = append(death.Flows, handle.flowed())
+			}
+			if handle.onTrial != nil && handle.onTrial() {
+				trial = handle
 			}
 		}
 	}
@@ -126,7 +134,10 @@
 		st.suspects.ReportPartCrash(death.ID, now, st.mayCauseCrash(reg.ID, now), now)
 		rejected := func(f uint64) bool { return st.suspects.Rejected(f, now) }
 		st.activeRunsChanged = st.activeRunsChanged || slices.ContainsFunc(death.Fingerprints, rejected)
-		l.partsChanged(st, now, "own")
+		l.suspectsChanged(st, now, "own")
+		if trial != nil {
+			l.trialLost(st, now, reg, death.ID, trial)
+		}
 	}
 }
 
--- a/internal/gateway/prompt_parts.go
+++ b/internal/gateway/prompt_parts.go
@@ -89,6 +89,7 @@
 		l.metrics.requestTrials.Inc()
 	}
 	c.trial.Store(true)
+	c.onTrial.Store(true)
 	c.trialVerdict = verdict
 	l.metrics.partTrials.Inc()
 	c.log.Warn().Strs("parts", formatParts(verdict.Parts)).Int("crashes", verdict.Crashes).Dur("age", now.Sub(verdict.Since)).
@@ -113,8 +114,11 @@
 		return false
 	}
 	c.requestTrial = true
+	c.onTrial.Store(true)
 	l.metrics.requestTrials.Inc()
-	c.log.Warn().Int("crashes", st.suspects.Crashes(c.identity.Content, now)).Msg("request that crashed targets is sent, to find out whether it still does")
+	c.log.Warn().Str("content", formatPart(c.identity.Content)).Strs("parts", formatParts(c.parts)).Int("crashes", st.suspects.Crashes(c.identity.Content, now)).
+		Array("of_content", st.loggedCrashes(c.identity.Content, now)).
+		Msg("request that crashed targets is sent, to find out whether it still does")
 	return true
 }
 
@@ -141,10 +145,25 @@
 	event.Msg("request rejected because it crashed too many targets, or others with a part of its prompt did")
 }
 
-// responseBegan records that the response to a request with the parts has begun and gone on.
-func (l *eventLoop) responseBegan(st *state, now time.Time, parts []uint64) {
-	st.suspects.PartsBegun(parts, now)
-	l.partsChanged(st, now, "response")
+// responseFlowed records that the response to a request has gone on for some time since its first event.
+func (l *eventLoop) responseFlowed(st *state, now time.Time, c *clientRequest, flowed time.Duration) {
+	st.suspects.Flowed(c.identity, flowed)
+	st.suspects.PartsBegun(c.parts, now)
+	l.suspectsChanged(st, now, "response")
+}
+
+// requestCompleted records that a request has completed.
+func (l *eventLoop) requestCompleted(st *state, now time.Time, c *clientRequest, took time.Duration) {
+	st.suspects.Completed(c.identity, took)
+	st.suspects.PartsBegun(c.parts, now)
+	l.suspectsChanged(st, now, "completion")
+}
+
+// suspectsChanged puts the verdicts into force that follow from changed crashes, which source brought, and logs what has
+// changed.
+func (l *eventLoop) suspectsChanged(st *state, now time.Time, source string) {
+	l.partsChanged(st, now, source)
+	l.logRejections(st, now, source)
 }
 
 // partsChanged puts the verdicts on prompt parts into force that follow from changed crashes, which source
--- a/internal/gateway/request_trials_test.go
+++ b/internal/gateway/request_trials_test.go
@@ -48,7 +48,7 @@
 	c.Check(loop.rejects(st, due, streamOf(g, 3), false), qt.IsTrue, qt.Commentf("one trial at a time"))
 	c.Check(loop.rejects(st, due, trial, true), qt.IsTrue, qt.Commentf("a trial reaches one target only"))
 
-	loop.responseBegan(st, due.Add(time.Second), trial.parts)
+	loop.responseFlowed(st, due.Add(time.Second), trial, 0)
 	st.suspects.Completed(trial.identity, time.Second)
 	c.Check(loop.rejects(st, due.Add(time.Second), streamOf(g, 4), false), qt.IsFalse)
 }
--- a/internal/gateway/runs.go
+++ b/internal/gateway/runs.go
@@ -126,8 +126,7 @@
 		}
 		delete(st.activeRuns, c.head.ID)
 		if completed {
-			st.suspects.Completed(c.identity, time.Since(c.arrived))
-			g.loop.responseBegan(st, time.Now(), c.parts)
+			g.loop.requestCompleted(st, time.Now(), c, time.Since(c.arrived))
 		}
 	})
 }
@@ -200,7 +199,7 @@
 	savedAt := now.Add(-time.Duration(min(max(0, now.UnixMilli()-stored.SavedUnixMs), maxAgeMs)) * time.Millisecond)
 	st.suspects.Merge(decodeSuspects(stored.Suspects, savedAt), now)
 	st.suspects.MergeParts(decodeParts(stored.Parts, savedAt), now)
-	l.partsChanged(st, now, "store")
+	l.suspectsChanged(st, now, "store")
 }
 
 func encodeRun(r runindex.Record) *wire.RunRecord {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -69,8 +69,10 @@
 	rejected bool
 	// requestTrial is set if the request is sent although it is rejected for its content, and trialVerdict if it is
 	// although a part of its prompt is condemned. The event loop owns both.
-	requestTrial     bool
-	trialVerdict     *suspect.Verdict
+	requestTrial bool
+	trialVerdict *suspect.Verdict
+	// onTrial is set with either.
+	onTrial          atomic.Bool
 	deadlineTooShort bool
 	// leaving is set if the request is refused because this gateway stops before it could end.
 	leaving bool
--- a/internal/gateway/stream_attempt.go
+++ b/internal/gateway/stream_attempt.go
@@ -33,6 +33,8 @@
 	// parts identifies promptParts. trial is set if the request is sent although they are condemned.
 	parts []uint64
 	trial bool
+	// onTrial reports whether the request is sent although its content or a part of its prompt is rejected, nil for no.
+	onTrial func() bool
 	// sent is set before the request is written. Until then, the request cannot have crashed
 	// the target.
 	sent        atomic.Bool
@@ -92,6 +94,15 @@
 	return phaseFlowing
 }
 
+// flowed returns how long the response has gone on since its first event.
+func (h *attemptHandle) flowed() time.Duration {
+	begun := time.Duration(h.begun.Load())
+	if begun == 0 {
+		return 0
+	}
+	return max(0, time.Duration(h.heard.Load())-begun)
+}
+
 // leavesSilent reports whether the request seeks another target because its own did not answer a probe
 // that was sent at the given time: it can move, and nothing has arrived since.
 func (h *attemptHandle) leavesSilent(probed time.Time) bool {
@@ -127,8 +138,8 @@
 	response TargetResponse
 	// firstEventAt is when the first event arrived, zero before.
 	firstEventAt time.Time
-	// flowing is set once events have arrived for beginningPeriod.
-	flowing bool
+	// recordedFlow is how long the response had gone on when that was last recorded.
+	recordedFlow time.Duration
 	// withheld is set if the attempt says nothing about its target because nothing was sent to it.
 	withheld bool
 	// dropped counts the events that did not continue the stream since the last that did.
@@ -181,7 +192,7 @@
 		copyHolder: e.Placement.CopyTarget,
 		priority:   s.req.enginePriority(s.placed.asHighest),
 		handle: &attemptHandle{
-			requestID: s.req.head.ID, identity: s.req.identity, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(),
+			requestID: s.req.head.ID, identity: s.req.identity, promptParts: s.req.head.PromptParts, parts: s.req.parts, trial: s.req.trial.Load(), onTrial: s.req.onTrial.Load,
 			cancel: cancel, movable: s.req.route.Resumable, startedAt: time.Now(),
 		},
 		processed: make(chan struct{}, 1), ended: make(chan struct{}), gaps: s.g.newGaps(),
@@ -295,16 +306,15 @@
 	a.s.req.observeFirstEvent(at)
 }
 
-// recordFlowing records once that the response has begun and gone on, which shows that its prompt does
-// not crash the target.
+// recordFlowing records that the response has begun and gone on, which shows that its request does not crash the
+// target as it begins: first after beginningPeriod, and then each time it has gone on for half as long again.
 func (a *attempt) recordFlowing(at time.Time) {
-	if a.flowing || at.Sub(a.firstEventAt) < beginningPeriod {
+	flowed := at.Sub(a.firstEventAt)
+	if flowed < max(beginningPeriod, a.recordedFlow*3/2) {
 		return
 	}
-	a.flowing = true
-	if parts := a.s.req.parts; len(parts) > 0 {
-		a.s.g.loop.post(a.s.g.ctx, func(st *state) { a.s.g.loop.responseBegan(st, at, parts) })
-	}
+	a.recordedFlow = flowed
+	a.s.g.loop.post(a.s.g.ctx, func(st *state) { a.s.g.loop.responseFlowed(st, at, a.s.req, flowed) })
 }
 
 // acknowledge lets the attempt read the next event.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -138,10 +138,11 @@
 	for _, r := range records {
 		remaining := r.Expires.Sub(now).Milliseconds()
 		if len(r.Deaths) > 0 {
-			count := &wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExpiresUnixMs: remaining, Known: r.Known}
+			count := &wire.SuspectCount{Fingerprint: r.Fingerprint, DeathIds: r.Deaths, ExplainedIds: r.Explained, ExpiresUnixMs: remaining, Known: r.Known}
 			for i, at := range r.At {
 				count.AgesMs = append(count.AgesMs, uint64(max(0, now.Sub(at).Milliseconds())))
 				count.RunsMs = append(count.RunsMs, uint64(max(0, r.Runs[i].Milliseconds())))
+				count.FlowsMs = append(count.FlowsMs, uint64(max(0, r.Flows[i].Milliseconds())))
 			}
 			list = append(list, count)
 		}
@@ -160,13 +161,16 @@
 		if s.Cleared {
 			r.Cleared = s.DeathIds
 		} else {
-			r.Deaths = s.DeathIds
+			r.Deaths, r.Explained = s.DeathIds, s.ExplainedIds
 			for _, age := range s.AgesMs {
 				r.At = append(r.At, encodedAt.Add(-decodeMS(age)))
 			}
 			for _, run := range s.RunsMs {
 				r.Runs = append(r.Runs, decodeMS(run))
 			}
+			for _, flow := range s.FlowsMs {
+				r.Flows = append(r.Flows, decodeMS(flow))
+			}
 		}
 		records = append(records, r)
 	}
