Use no registration of a service that the desired state does not have

What callers saw: entries of another writer with an unknown service, the addresses of sound engines and later starts hide these engines.

Cause: the start in any row that decodes was taken for proof that a newer instance has the address. The mark was never taken back, and a marked engine was not asked.

Change: rows become targets in one place, installRegistrations, if the desired state has their service; the others are kept. Among known services the mark follows from the present registrations, and an engine that answers under its own ID takes it back.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -181,6 +181,21 @@
 	return s, ok
 }
 
+// HasService reports whether a service is in the configuration or has a route.
+func (c *Config) HasService(name string) bool {
+	if _, ok := c.services[name]; ok {
+		return true
+	}
+	for _, list := range c.routes {
+		for i := range list {
+			if slices.ContainsFunc(list[i].Shares, func(s Share) bool { return s.Service == name }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // ModelService returns the only service whose engines serve exactly the given models, or
 // false if there is none or more than one.
 func (c *Config) ModelService(models []string) (string, bool) {
--- a/internal/core/placement/fleet.go
+++ b/internal/core/placement/fleet.go
@@ -167,9 +167,11 @@
 	// memoryCapacity is the memory in tokens, 0 if unknown.
 	memoryCapacity int
 	downUntil      time.Time
-	// replaced is set when another instance responded at the address or a newer one
-	// registered it.
+	// replaced is set when another instance responded at the address.
 	replaced bool
+	// displacedBy is the ID of a newer instance that is registered at the address, empty for none, and refuted that of
+	// one whose registration this instance has contradicted by its own answer since.
+	displacedBy, refuted string
 	// goneAt is when this gateway found that the instance no longer exists, zero if it did not.
 	goneAt time.Time
 	// reportedGone is set once another gateway has reported that the instance no longer exists.
@@ -321,28 +323,33 @@
 	f.targets = next
 	f.attachNotices(previous)
 	f.order = slices.SortedFunc(maps.Values(next), func(a, b *targetState) int { return cmp.Compare(a.reg.ID, b.reg.ID) })
-	f.detectReplaced()
+	f.detectDisplaced()
 	f.rings, f.own = nil, ownTargets{}
 	f.updateSpeeds()
 }
 
-// detectReplaced marks targets whose address is also registered by a newer instance.
-func (f *Fleet) detectReplaced() {
+// detectDisplaced finds the targets whose address is also registered by a newer instance.
+func (f *Fleet) detectDisplaced() {
 	newest := make(map[string]*targetState, len(f.targets))
 	for _, t := range f.targets {
-		other := newest[t.reg.Address]
-		switch {
-		case other == nil:
-			newest[t.reg.Address] = t
-		case other.reg.StartUnixMS < t.reg.StartUnixMS:
-			other.replaced = true
+		if other := newest[t.reg.Address]; other == nil || other.reg.StartUnixMS < t.reg.StartUnixMS {
 			newest[t.reg.Address] = t
-		case t.reg.StartUnixMS < other.reg.StartUnixMS:
-			t.replaced = true
+		}
+	}
+	for _, t := range f.targets {
+		t.displacedBy = ""
+		if other := newest[t.reg.Address]; t.reg.StartUnixMS < other.reg.StartUnixMS {
+			t.displacedBy = other.reg.ID
 		}
 	}
 }
 
+// isReplaced reports whether another instance has taken over the target's address. What the target answers says more
+// than a registration.
+func (t *targetState) isReplaced() bool {
+	return t.replaced || t.displacedBy != "" && t.displacedBy != t.refuted
+}
+
 // SetGateways sets the names of the gateways that share the targets, including this one. Only the
 // gateways that joined are compared for each target, and all of them for the targets of those that
 // left: the number of targets times that of gateways is large.
@@ -525,7 +532,7 @@
 }
 
 func (t *targetState) usable(now time.Time) bool {
-	return !t.reg.Leaving && !t.replaced && !now.Before(t.downUntil)
+	return !t.reg.Leaving && !t.isReplaced() && !now.Before(t.downUntil)
 }
 
 // leaving reports whether the instance itself has said that it leaves.
@@ -683,6 +690,13 @@
 	}
 }
 
+// Confirm records that a target itself answered at its address.
+func (f *Fleet) Confirm(id string) {
+	if t := f.targets[id]; t != nil {
+		t.refuted = t.displacedBy
+	}
+}
+
 // MarkReplaced excludes a target at whose address another instance responded.
 func (f *Fleet) MarkReplaced(now time.Time, id string) {
 	if t := f.targets[id]; t != nil {
@@ -734,15 +748,16 @@
 	t.downUntil = now.Add(downDuration)
 }
 
-// DownTargets returns the targets to be checked because they are excluded as unreachable. Those
-// that only other gateways found gone are left to them, and paused ones are checked after the pause.
+// DownTargets returns the targets to be checked because they are excluded as unreachable, or because a newer instance
+// is registered at their address. Those that only other gateways found gone are left to them, and paused ones are
+// checked after the pause.
 func (f *Fleet) DownTargets(now time.Time) []membership.Registration {
 	var list []membership.Registration
 	for _, t := range f.targets {
 		if t.reportedGone && t.goneAt.IsZero() && !t.preferred {
 			continue
 		}
-		if now.Before(t.downUntil) && !t.replaced && !t.reg.Leaving && (t.notice == nil || !t.notice.Paused(now)) {
+		if (now.Before(t.downUntil) || t.isReplaced()) && !t.replaced && !t.reg.Leaving && (t.notice == nil || !t.notice.Paused(now)) {
 			list = append(list, t.reg)
 		}
 	}
--- a/internal/core/placement/notices.go
+++ b/internal/core/placement/notices.go
@@ -275,7 +275,7 @@
 func (f *Fleet) AllHeld(now time.Time, q FleetQuery) (HeldTargets, bool) {
 	var held HeldTargets
 	for _, t := range f.order {
-		if !q.matches(t) || t.reg.Leaving || t.replaced {
+		if !q.matches(t) || t.reg.Leaving || t.isReplaced() {
 			continue
 		}
 		switch {
--- a/internal/core/placement/speeds.go
+++ b/internal/core/placement/speeds.go
@@ -172,7 +172,7 @@
 
 // sound reports whether a target has been without trouble since a time, so that its speed can be measured.
 func (t *targetState) sound(now, since time.Time) bool {
-	return !t.downUntil.After(since) && !now.Before(t.leavingUntil) && !t.replaced && (t.notice == nil || !t.notice.Holds(now)) &&
+	return !t.downUntil.After(since) && !now.Before(t.leavingUntil) && !t.isReplaced() && (t.notice == nil || !t.notice.Holds(now)) &&
 		!t.hangs(now) && t.failures.get(now) <= failureThreshold
 }
 
--- a/internal/gateway/event_loop.go
+++ b/internal/gateway/event_loop.go
@@ -51,9 +51,12 @@
 	tables   [numReplicatedTables]*replica.Table
 	// tableSources holds for each table the address of a gateway with rows that the local copy
 	// lacks, empty if there is none.
-	tableSources  [numReplicatedTables]string
-	registrations map[string]membership.Registration
-	desired       DesiredState
+	tableSources [numReplicatedTables]string
+	// registrations holds the decoded rows of TableTargets, and ignoredRegistrations the keys of those whose service
+	// the desired state does not have.
+	registrations        map[string]membership.Registration
+	ignoredRegistrations map[string]bool
+	desired              DesiredState
 	// storedDesired is the version of the desired state in the local copy of TableConfig, 0 if there is none. It is
 	// lower than that of desired if the store has come back from a copy without it.
 	storedDesired uint64
@@ -428,7 +431,7 @@
 		}
 		return 0
 	})
-	l.metrics.targets.Set(float64(len(st.registrations)))
+	l.metrics.targets.Set(float64(len(st.registry.Targets())))
 	l.publishNotices(st, time.Now())
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -245,6 +245,9 @@
 	}
 	g.loop.post(g.ctx, func(st *state) {
 		now := time.Now()
+		if resp.InstanceID == reg.ID {
+			st.fleet.Confirm(reg.ID)
+		}
 		switch {
 		case resp.InstanceID == reg.ID && health.Status == http.StatusServiceUnavailable:
 			g.log.Info().Str("target", reg.ID).Msg("target reports that it is leaving or unhealthy; avoiding it")
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -102,7 +102,7 @@
 		close(l.desiredLoaded)
 	}
 	st.rerankQueues()
-	l.updateFleet(st)
+	l.installRegistrations(st, now)
 }
 
 func (l *eventLoop) applyRegistrations(st *state, now time.Time, changes []replica.Change) {
@@ -119,10 +119,25 @@
 		}
 		st.registrations[change.Key] = reg
 	}
+	l.installRegistrations(st, now)
+}
+
+// installRegistrations makes the registered targets known. A registration of a service that the desired state does not
+// have names no target, and must not decide anything about others, such as which instance has an address. It is kept,
+// since the service may be added later.
+func (l *eventLoop) installRegistrations(st *state, now time.Time) {
 	registrations := make([]membership.Registration, 0, len(st.registrations))
-	for _, reg := range st.registrations {
-		registrations = append(registrations, reg)
+	ignored := map[string]bool{}
+	for id, reg := range st.registrations {
+		if st.desired.Config == nil || st.desired.Config.HasService(reg.Service) {
+			registrations = append(registrations, reg)
+			continue
+		}
+		if ignored[id] = true; !st.ignoredRegistrations[id] {
+			l.log.Info().Str("target", id).Str("address", reg.Address).Str("service", reg.Service).Msg("registration of a service that the desired state does not have; not using it")
+		}
 	}
+	st.ignoredRegistrations = ignored
 	storeRecovering := now.Sub(st.lastUnconfirmed[TableTargets]) < storeOutageGrace || now.Sub(st.targetsRestoredAt) < storeOutageGrace
 	before := st.registry.Targets()
 	st.registry.Replace(now, registrations, storeRecovering)
