--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -76,9 +76,13 @@
 // noteRejection records that the rejection of a fingerprint may have changed.
 func (t *Tracker) noteRejection(fingerprint uint64) {
 	s := t.suspects[fingerprint]
-	rejected := s != nil && s.left() == 0
-	if before, noted := t.rejections[fingerprint]; rejected || noted && before {
-		t.rejections[fingerprint] = rejected
+	switch {
+	case s != nil && s.left() == 0:
+		t.rejections[fingerprint] = true
+	case t.reported[fingerprint]:
+		t.rejections[fingerprint] = false
+	default:
+		delete(t.rejections, fingerprint)
 	}
 }
 
@@ -91,9 +95,7 @@
 			t.reported[f] = true
 			rejected = append(rejected, f)
 		case !is:
-			if t.reported[f] {
-				lifted = append(lifted, f)
-			}
+			lifted = append(lifted, f)
 			delete(t.reported, f)
 			delete(t.rejections, f)
 		}
--- a/internal/core/suspect/trial_test.go
+++ b/internal/core/suspect/trial_test.go
@@ -207,3 +207,31 @@
 	c.Check(trials[1]-trials[0] <= soonTrialDelay+2*trialPatience, qt.IsTrue, qt.Commentf("%v", trials))
 	c.Check(len(trials) <= 3, qt.IsTrue, qt.Commentf("%v", trials))
 }
+
+// Guards against verdicts that are logged twice or not at all, and against a record of verdicts that grows for as long as
+// nobody asks for them.
+func TestRejectionsAreReportedOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newContentWorld()
+	for range 2 {
+		for range CrashLimit {
+			w.at = w.at.Add(2 * time.Second)
+			w.crash(0)
+		}
+		w.Completed(Request{content, 1}, time.Second)
+	}
+	c.Check(w.rejections, qt.HasLen, 0)
+	for range knownLimit {
+		w.at = w.at.Add(2 * time.Second)
+		w.crash(0)
+	}
+	rejected, lifted := w.TakeRejections()
+	c.Check(rejected, qt.DeepEquals, []uint64{content})
+	c.Check(lifted, qt.HasLen, 0)
+	rejected, _ = w.TakeRejections()
+	c.Check(rejected, qt.HasLen, 0)
+	w.Completed(Request{content, 1}, time.Second)
+	_, lifted = w.TakeRejections()
+	c.Check(lifted, qt.DeepEquals, []uint64{content})
+	c.Check(w.reported, qt.HasLen, 0)
+}
