--- a/internal/core/membership/registry.go
+++ b/internal/core/membership/registry.go
@@ -79,7 +79,8 @@
 // newer than what is known of its instance does not bring back one that was leaving or removed.
 func (r *Registry) StoreRestored(now time.Time) { r.restoredUntil = now.Add(restoredGrace) }
 
-// withoutRestored returns the registrations without what an older copy of the store has brought back.
+// withoutRestored returns the registrations without what an older copy of the store has brought back: those of removed
+// instances, and the earlier ones of present instances.
 func (r *Registry) withoutRestored(now time.Time, list []Registration) []Registration {
 	if !now.Before(r.restoredUntil) {
 		return list
--- a/internal/core/suspect/request.go
+++ b/internal/core/suspect/request.go
@@ -48,6 +48,8 @@
 	}
 }
 
+// clearOutlived clears a fingerprint of the crashes that a response to it has outlived. If none is left, the fingerprint
+// is known to be harmless.
 func (t *Tracker) clearOutlived(fingerprint uint64, flowed time.Duration) {
 	s := t.suspects[fingerprint]
 	if s != nil {
@@ -73,7 +75,7 @@
 	return s != nil && s.known || t.knownRequests.has(fingerprint)
 }
 
-// noteRejection records that the rejection of a fingerprint may have changed.
+// noteRejection records for TakeRejections that the rejection of a fingerprint may have changed.
 func (t *Tracker) noteRejection(fingerprint uint64) {
 	s := t.suspects[fingerprint]
 	switch {
--- a/internal/core/suspect/trial.go
+++ b/internal/core/suspect/trial.go
@@ -47,7 +47,8 @@
 	least     int
 }
 
-// admits reports whether a request makes the trial. immediately is set if it need not be compared with others.
+// admits reports whether a request makes the trial, which has been due for the time overdue. immediately is set if the
+// request need not be compared with others.
 func (c *trialChoice) admits(suspicion int, immediately bool, overdue time.Duration, now time.Time) bool {
 	if immediately {
 		return true
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -71,7 +71,7 @@
 	// although a part of its prompt is condemned. The event loop owns both.
 	requestTrial bool
 	trialVerdict *suspect.Verdict
-	// onTrial is set with either.
+	// onTrial is set with either of them, for the tasks of the attempts.
 	onTrial          atomic.Bool
 	deadlineTooShort bool
 	// leaving is set if the request is refused because this gateway stops before it could end.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -77,8 +77,8 @@
 	l.applyDesiredState(st, now, stored)
 }
 
-// applyDesiredState puts a desired state into force. Its configuration is ignored if an older one, which the store may
-// have come back with.
+// applyDesiredState puts a desired state into force. An older configuration than the one in use is ignored: the store
+// may have come back with it.
 func (l *eventLoop) applyDesiredState(st *state, now time.Time, desired DesiredState) {
 	current := st.desired.Config
 	if current != nil && (desired.Config == nil || desired.Config.Version < current.Version) {
--- a/internal/gateway/trial_losses.go
+++ b/internal/gateway/trial_losses.go
@@ -18,8 +18,8 @@
 	maxLoggedCrashes = 12
 )
 
-// trialLost records that a target ended under a request that was sent to find out whether it still crashes targets. The
-// end of other targets at the same moment explains it, if the request did not run there.
+// trialLost finds out what the end of a target says about the request that made a trial there. If half of the other
+// targets that are asked ended at the same moment, without the request, they have a common cause.
 func (l *eventLoop) trialLost(st *state, now time.Time, lost membership.Registration, deathID string, trial *attemptHandle) {
 	compared := st.comparableTargets(now, lost, trial)
 	log := l.log.With().Str("request", trial.requestID).Str("content", formatPart(trial.identity.Content)).Str("target", lost.ID).
@@ -39,8 +39,8 @@
 	})
 }
 
-// comparableTargets returns targets of the service of a lost target that had not ended before it and did not run the content of
-// a trial.
+// comparableTargets returns targets of the service of a lost target that had not ended before it and did not run the
+// content of its trial.
 func (st *state) comparableTargets(now time.Time, lost membership.Registration, trial *attemptHandle) []membership.Registration {
 	ran := map[string]bool{lost.ID: true}
 	for _, crash := range st.suspects.CrashesOf(trial.identity.Content) {
